Set up the build, the base parts and the public headers

Cause: the parts can only be built side by side once the headers of the core library, the daemon parts and the outside interfaces stand.

--- /dev/null
+++ b/include/hornbeamcleat/config/resource_json.h
@@ -0,0 +1,33 @@
+#ifndef HORNBEAMCLEAT_CONFIG_RESOURCE_JSON_H_
+#define HORNBEAMCLEAT_CONFIG_RESOURCE_JSON_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "hornbeamcleat/config/resource.h"
+
+namespace hornbeamcleat {
+
+/// Greatest size of one resource's JSON text, in bytes.
+inline constexpr std::size_t kMaxResourceBytes = 64 * 1024;
+
+/// Parses {"kind","metadata":{"name","resourceVersion"},"spec":{...}}.
+/// Durations are in "...Ms" members, deadlines in "deadlineUnixMs". Unknown
+/// members are ignored, so that old builds read new records.
+/// @throws Error with step "parse resource" naming the member
+Resource ParseResource(std::string_view json);
+
+/// Parses one resource or a JSON array of them.
+std::vector<Resource> ParseResources(std::string_view json);
+
+/// Text that ParseResource reads back to an equal value.
+std::string FormatResource(const Resource& resource, bool beautify = false);
+
+/// Checks what parsing cannot: ranges, empty names, order of steps.
+/// @throws Error with step "validate resource"
+void ValidateResource(const Resource& resource);
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_CONFIG_RESOURCE_JSON_H_
--- /dev/null
+++ b/include/hornbeamcleat/schedule/request.h
@@ -0,0 +1,38 @@
+#ifndef HORNBEAMCLEAT_SCHEDULE_REQUEST_H_
+#define HORNBEAMCLEAT_SCHEDULE_REQUEST_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "hornbeamcleat/base/time.h"
+
+namespace hornbeamcleat {
+
+/// Identifies a request end to end; unique over all entries.
+using RequestId = std::string;
+
+/// Name of a Target resource.
+using TargetName = std::string;
+
+/// Request as the front took it from a caller. The scheduler finds tier, model
+/// and idempotency in the configuration.
+struct RequestSpec {
+  RequestId id;
+  std::string workspace;
+  std::string application;
+  std::string idempotency_key;  ///< empty if the caller sent none
+  Time arrival;
+  Time deadline;  ///< Time::max() means the tier's default
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t max_tokens = 0;  ///< 0 means not stated
+  /// Chained hashes of the prompt's blocks, first block first.
+  std::vector<std::uint64_t> prefix_blocks;
+  std::uint64_t fingerprint = 0;  ///< hash of the whole body
+
+  bool operator==(const RequestSpec&) const = default;
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SCHEDULE_REQUEST_H_
--- /dev/null
+++ b/src/link/link_message.h
@@ -0,0 +1,77 @@
+#ifndef HORNBEAMCLEAT_SRC_LINK_LINK_MESSAGE_H_
+#define HORNBEAMCLEAT_SRC_LINK_LINK_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "hornbeamcleat/agree/intents.h"
+#include "hornbeamcleat/schedule/cluster_view.h"
+#include "hornbeamcleat/schedule/scheduler.h"
+
+namespace hornbeamcleat {
+
+/// Greatest frame on the link between control and entry, in bytes.
+inline constexpr std::size_t kMaxLinkFrame = 16 * 1024 * 1024;
+
+/// Entry that callers may use, as the control daemon ranks them.
+struct EntryAddress {
+  std::string name;
+  std::string url;
+  std::string failure_domain;
+  int load_permille = 0;
+
+  bool operator==(const EntryAddress&) const = default;
+};
+
+/// Control to entry: the view and the address list, whole, on each change.
+struct ViewMessage {
+  ClusterView view;
+  std::vector<EntryAddress> entries;  ///< live and not draining, this one too
+  bool log_available = false;
+
+  bool operator==(const ViewMessage&) const = default;
+};
+
+/// Entry to control: decide an intent.
+struct ProposeMessage {
+  RequestId id;
+  std::string key;
+
+  bool operator==(const ProposeMessage&) const = default;
+};
+
+/// Control to entry: the decision.
+struct DecisionMessage {
+  IntentDecision decision;
+
+  bool operator==(const DecisionMessage&) const = default;
+};
+
+/// Entry to control, every second and on changed floors: facts and evidence.
+struct ReportMessage {
+  std::string entry;
+  SchedulerFacts facts;
+  std::vector<VersionEvidence> evidence;
+  int open = 0;
+  bool draining = false;
+
+  bool operator==(const ReportMessage&) const = default;
+};
+
+using LinkMessage =
+    std::variant<ViewMessage, ProposeMessage, DecisionMessage, ReportMessage>;
+
+/// Frame of a message: four bytes of length, then a cereal archive.
+std::string EncodeLink(const LinkMessage& message);
+
+/// Takes the first whole frame off the front of `buffer`.
+/// @return false if `buffer` holds no whole frame yet
+/// @throws Error with step "decode link" on a malformed or oversized frame
+bool TakeLink(std::string* buffer, LinkMessage* message);
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_LINK_LINK_MESSAGE_H_
