Decide non-idempotent attempts by log order

Cause: a payment or booking must run at most once although entries crash, append answers are lost and callers resend. Change: Intents folds the intent stream. The first record for a key holds it; an attempt wins only when its own record is read back in time with none before it. An attempt that was given up releases its key by a record, so that a resend can win later. Keys carry their date (UUID version 7 or Unix milliseconds); expiry is judged by the log's clock, and a daemon refuses keys that it may have missed or forgotten (horizon). Memory is bounded by max_keys. Ruled out: recognising undated keys, since a resend after the record has expired can't be told from a new key; allowed only by an option.

--- a/include/hornbeamcleat/agree/intents.h
+++ b/include/hornbeamcleat/agree/intents.h
@@ -21,7 +21,16 @@
   Duration decide_timeout = std::chrono::seconds(2);
   /// Keys issued longer ago are refused; less than the log's retention.
   Duration key_life = std::chrono::hours(1);
-  std::size_t max_keys = 2'000'000;  ///< held; beyond it new ones are refused
+  /// Keys dated further ahead of the log's clock are refused.
+  Duration max_ahead = std::chrono::minutes(1);
+  /// Refuses keys without a date (see KeyDate), since a resent one can't be
+  /// told from a new one once its record has expired. If false, such a key is
+  /// recognised only while its first record is remembered.
+  bool require_dated_keys = true;
+  /// Keys held; beyond it the oldest are forgotten and keys as old refused.
+  std::size_t max_keys = 500'000;
+  /// Appends per second of all writers together; see SetWriters.
+  int append_budget = 240;
 
   bool operator==(const IntentOptions&) const = default;
 };
@@ -48,8 +57,9 @@
 /// intent has the lowest log offset for its key. An attempt is won only when
 /// its own record was read back from the log with none before it, so a lost
 /// append answer is never guessed at. An attempt that was given up is never
-/// won afterwards, although its record may still appear and hold the key. Has
-/// no I/O; not thread-safe.
+/// won afterwards; if its record still appears and holds the key, a release
+/// record frees the key for later attempts. Expiry is judged by the log's own
+/// clock. Has no I/O; not thread-safe.
 class Intents {
  public:
   /// @param entry this entry's name and incarnation
@@ -58,12 +68,21 @@
 
   virtual ~Intents() = default;
 
-  /// Takes an attempt. `issued` is the date in the caller's key, if it has one.
-  /// @return a decision at once if the key is known or refused
+  /// Takes an attempt. The key should carry its date of issue (see KeyDate).
+  /// @return a decision at once if the key is known or refused; otherwise the
+  ///   decision comes from a later call. An id that waits already is ignored.
   virtual std::optional<IntentDecision> Propose(const RequestId& id,
                                                 const std::string& key,
                                                 Time now) = 0;
 
+  /// Frees the key that attempt `id` of this entry won. Only for an attempt
+  /// that surely did not run and never will; later attempts may then win.
+  virtual void Release(const RequestId& id, const std::string& key) = 0;
+
+  /// Number of daemons that append intents; the batch period grows with it so
+  /// that all together stay under the append budget.
+  virtual void SetWriters(std::size_t writers) = 0;
+
   /// The next batch to append, if one is due and none is under way.
   virtual std::optional<IntentBatch> NextBatch(Time now) = 0;
 
@@ -80,8 +99,8 @@
                                                const std::string& payload,
                                                Time now) = 0;
 
-  /// Tells how far the stream has been read; until a fresh daemon has read all
-  /// kept records it decides nothing.
+  /// Tells whether all records were read; until the first time, nothing is
+  /// appended.
   virtual void OnCaughtUp(bool caught_up) = 0;
 
   /// Ends attempts that waited too long and drops expired keys.
--- /dev/null
+++ b/include/hornbeamcleat/agree/key_date.h
@@ -0,0 +1,18 @@
+#ifndef HORNBEAMCLEAT_AGREE_KEY_DATE_H_
+#define HORNBEAMCLEAT_AGREE_KEY_DATE_H_
+
+#include <optional>
+#include <string_view>
+
+#include "hornbeamcleat/base/time.h"
+
+namespace hornbeamcleat {
+
+/// Date of issue that an idempotency key carries: that of a UUID version 7
+/// (RFC 9562), or a prefix of 13 digits, Unix time in milliseconds, followed by
+/// '-'. Nothing for any other key.
+std::optional<WallTime> KeyDate(std::string_view key);
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_AGREE_KEY_DATE_H_
--- /dev/null
+++ b/src/agree/key_date.cc
@@ -0,0 +1,54 @@
+#include "hornbeamcleat/agree/key_date.h"
+
+#include <charconv>
+#include <cstdint>
+#include <string>
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr std::size_t kUuidLength = 36;
+constexpr std::size_t kUuidVersionAt = 14;
+constexpr std::size_t kMillisecondDigits = 13;
+constexpr int kHexadecimal = 16;
+constexpr int kDecimal = 10;
+
+std::optional<WallTime> ParseDate(std::string_view digits, int base) {
+  std::int64_t ms = 0;
+  const char* end = digits.data() + digits.size();
+  const std::from_chars_result result =
+      std::from_chars(digits.data(), end, ms, base);
+  if (result.ec != std::errc() || result.ptr != end || ms < 0) {
+    return std::nullopt;
+  }
+  return WallTime(std::chrono::milliseconds(ms));
+}
+
+bool IsUuidV7(std::string_view key) {
+  if (key.size() != kUuidLength || key[kUuidVersionAt] != '7') {
+    return false;
+  }
+  for (std::size_t i = 0; i < key.size(); ++i) {
+    const bool dash = i == 8 || i == 13 || i == 18 || i == 23;
+    if (dash != (key[i] == '-')) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+std::optional<WallTime> KeyDate(std::string_view key) {
+  if (IsUuidV7(key)) {
+    const std::string digits =
+        std::string(key.substr(0, 8)) + std::string(key.substr(9, 4));
+    return ParseDate(digits, kHexadecimal);
+  }
+  if (key.size() > kMillisecondDigits && key[kMillisecondDigits] == '-') {
+    return ParseDate(key.substr(0, kMillisecondDigits), kDecimal);
+  }
+  return std::nullopt;
+}
+
+}  // namespace hornbeamcleat
