Spread membership and facts by signed datagrams

Cause: control daemons need to know each other and to pass on withdrawals and floors while the log is down. Change: Membership probes within a failure domain and, from two relays a domain, between domains. It suspects before it declares dead, lets the accused refute, and spreads changed items a bounded number of times; hashes of buckets find what two members still differ in. Datagrams are cereal under HMAC-SHA256, checked for replay, at most 1,200 bytes, under a byte budget. Facts grow in version over restarts; expiring ones go with their origin.

--- a/include/hornbeamcleat/member/membership.h
+++ b/include/hornbeamcleat/member/membership.h
@@ -28,7 +28,9 @@
   std::string caller_url;  ///< where callers reach this VM's entry
   std::string failure_domain;
   std::string region;
-  std::uint64_t incarnation = 0;  ///< rises with each start of the daemon
+  /// Rises with each start of the daemon; below 2^43, such as Unix time in
+  /// milliseconds.
+  std::uint64_t incarnation = 0;
   MemberState state = MemberState::kAlive;
 
   bool operator==(const Member&) const = default;
@@ -84,6 +86,8 @@
 /// facts between domains. Not thread-safe.
 class Membership {
  public:
+  /// @throws Error with step "join group" if `self` takes over 400 bytes or
+  ///   its incarnation is too great
   static std::unique_ptr<Membership> Make(const Member& self,
                                           const MembershipOptions& options);
 
@@ -99,6 +103,7 @@
 
   /// States or renews a fact of this member under `key`; unchanged values
   /// cost nothing.
+  /// @throws Error with step "set fact" if it takes over half a datagram
   virtual void SetFact(const std::string& key, const std::string& value,
                        bool expires, Time now) = 0;
 
--- /dev/null
+++ b/src/member/fact_table.h
@@ -0,0 +1,45 @@
+#ifndef HORNBEAMCLEAT_SRC_MEMBER_FACT_TABLE_H_
+#define HORNBEAMCLEAT_SRC_MEMBER_FACT_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "src/member/member_table.h"
+
+namespace hornbeamcleat {
+
+/// Facts that this member knows. A version holds the origin's incarnation in
+/// its upper bits, so that versions grow over restarts.
+class FactTable {
+ public:
+  using Key = std::pair<std::string, std::string>;  ///< key, origin
+
+  /// States a fact of `self`.
+  /// @return the fact if it is new or changed
+  std::optional<Fact> Set(const Member& self, const std::string& key,
+                          const std::string& value, bool expires);
+
+  /// Raises the versions of the facts of `self` to its incarnation.
+  void Renew(const Member& self);
+
+  /// Takes a peer's fact.
+  /// @return whether it was news
+  bool Merge(const Fact& fact, const MemberTable& members);
+
+  /// Drops expiring facts whose origin is gone or has restarted.
+  void DropOrphans(const MemberTable& members);
+
+  const std::map<Key, Fact>& All() const { return facts_; }
+  std::uint64_t Generation() const { return generation_; }
+
+ private:
+  std::map<Key, Fact> facts_;
+  std::uint64_t generation_ = 1;
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_MEMBER_FACT_TABLE_H_
--- a/tests/agree/intents_test.cc
+++ b/tests/agree/intents_test.cc
@@ -64,6 +64,7 @@
   static std::vector<IntentResult> Results(
       const std::vector<IntentDecision>& decisions) {
     std::vector<IntentResult> out;
+    out.reserve(decisions.size());
     for (const IntentDecision& decision : decisions) {
       out.push_back(decision.result);
     }
