Add leases decided by log order

Cause: one member at a time may order targets about, though holders pause and append answers are lost. Change: a record names the offset up to which its writer had read and is void if a valid one came between; so a member that lost the older records to expiry judges as the others do. The holder counts its term from before the append less a margin; rivals wait a full term after each record they read; a member that began in the midst of the stream holds nothing until a record shows that all judge alike. A successor waits out the longest order. A holder may resign. Ruled out: a chain of expected offsets, which diverges for good when a void record is the oldest one kept; expiry by the log's clock alone.

--- a/include/hornbeamcleat/agree/lease.h
+++ b/include/hornbeamcleat/agree/lease.h
@@ -25,7 +25,11 @@
 /// One lease as one member sees it, folded from claim records in the log. The
 /// offset of a term's first claim is its fencing number. A holder counts its
 /// term from before it sent the append; a rival counts from when it read the
-/// record, so their views never overlap. Has no I/O; not thread-safe.
+/// record, so their views never overlap. A record names the offset up to which
+/// its writer had read, and is void if a valid one came between. A member that
+/// began to read in the midst of the stream holds nothing until a record shows
+/// it that all members judge alike. It must be fed all records of the stream
+/// from where it began. Has no I/O; not thread-safe.
 class Lease {
  public:
   /// @param name what the lease is for, e.g. "move/m1"
@@ -36,8 +40,8 @@
 
   virtual ~Lease() = default;
 
-  /// Claim or renewal record to append now, if one is due. After it was sent,
-  /// call OnAppended or OnAppendLost.
+  /// Claim or renewal record to append now, if one is due. The term is counted
+  /// from this call. After it was sent, call OnAppended or OnAppendLost.
   virtual std::optional<std::string> Due(Time now) = 0;
 
   /// The append started at `sent` was answered with `offset`. Alone this
@@ -47,7 +51,16 @@
   /// The append's answer was lost; reading the log decides.
   virtual void OnAppendLost(Time sent) = 0;
 
-  /// Folds a record of the lease stream, in offset order.
+  /// The append was surely not done.
+  virtual void OnAppendFailed(Time now) = 0;
+
+  /// Ends this member's term at once.
+  /// @return the record to append so that a successor need not wait for the
+  ///   term's end; nothing if this member holds no term
+  virtual std::optional<std::string> Resign() = 0;
+
+  /// Folds a record of the lease stream, in offset order; those of other leases
+  /// have no effect.
   virtual void OnRecord(std::uint64_t offset, const std::string& payload,
                         Time now) = 0;
 
