--- a/include/hornbeamcleat/config/config_state.h
+++ b/include/hornbeamcleat/config/config_state.h
@@ -75,6 +75,9 @@
   /// (model, version) to reason.
   std::map<std::pair<std::string, std::string>, std::string> withdrawn;
   std::map<std::string, MoveProgressRecord> moves;
+  /// Model to the version that serves it outside of moves: the first Version
+  /// declared for it, then the one that the last finished move led to.
+  std::map<std::string, std::string> serving;
 
   bool operator==(const ConfigState&) const = default;
 
--- a/src/config/config_codec.h
+++ b/src/config/config_codec.h
@@ -55,7 +55,8 @@
 
 template <typename Archive>
 void serialize(Archive& ar, ConfigState& state) {
-  ar(state.revision, state.resources, state.withdrawn, state.moves);
+  ar(state.revision, state.resources, state.withdrawn, state.moves,
+     state.serving);
 }
 
 }  // namespace hornbeamcleat
--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -57,6 +57,9 @@
     if (std::holds_alternative<MoveSpec>(resource.spec)) {
       state->moves.erase(resource.name);
     }
+    if (const VersionSpec* version = std::get_if<VersionSpec>(&resource.spec)) {
+      state->serving.emplace(version->model, resource.name);
+    }
     state->resources[key] = resource;
     return FoldResult::kApplied;
   }
@@ -104,6 +107,9 @@
       return FoldResult::kInvalid;
     }
     state->moves[record.move] = record;
+    if (record.phase == kDonePhase) {
+      state->serving[spec.model] = spec.to_version;
+    }
     return FoldResult::kApplied;
   }
 };
@@ -259,6 +265,11 @@
   for (const auto& [name, record] : state.moves) {
     moves.addMember() = ProgressValue(record);
   }
+  SerializationInfo& serving = value.addMember("serving");
+  serving.setCategory(SerializationInfo::Object);
+  for (const auto& [model, version] : state.serving) {
+    serving.addValue(model, version);
+  }
   return FormatJson(value);
 }
 
@@ -279,6 +290,9 @@
       const MoveProgressRecord record = ParseProgress(entry);
       state.moves[record.move] = record;
     }
+    for (const SerializationInfo& entry : Array(value, "serving")) {
+      entry.getValue(state.serving[entry.name()]);
+    }
     return state;
   } catch (const Error& e) {
     throw Error(kStep, "", e.what());
