Add the control daemon without its coordination parts

Cause: the entry needs views, intents and addresses; operators need the API. Change: the control core (no I/O) over membership, leases, intents and moves; view builder, evidence exchange, log readers and writer, link and gossip sockets, the operators' API on cxxtools HTTP, settings and main.

--- a/include/hornbeamcleat/config/config_state.h
+++ b/include/hornbeamcleat/config/config_state.h
@@ -46,7 +46,8 @@
   std::string move;
   std::uint64_t fencing = 0;  ///< the writer's lease number
   int share_permille = 0;
-  std::string phase;  ///< "Growing", "Baking", "Done" or "RolledBack"
+  std::string phase;  ///< as MovePhaseName gives it
+  WallTime since;     ///< when the writer saw this share come into force
   std::string reason;
 
   bool operator==(const MoveProgressRecord&) const = default;
--- a/src/config/config_codec.h
+++ b/src/config/config_codec.h
@@ -50,7 +50,7 @@
 template <typename Archive>
 void serialize(Archive& ar, MoveProgressRecord& record) {
   ar(record.move, record.fencing, record.share_permille, record.phase,
-     record.reason);
+     record.since, record.reason);
 }
 
 template <typename Archive>
--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -125,6 +125,8 @@
   value.addValue("fencing", record.fencing);
   value.addValue("sharePermille", record.share_permille);
   value.addValue("phase", record.phase);
+  value.addValue("sinceUnixMs", static_cast<std::int64_t>(
+                                    record.since.time_since_epoch().count()));
   value.addValue("reason", record.reason);
   return value;
 }
@@ -169,6 +171,8 @@
           RequiredJsonMember<std::uint64_t>(value, "fencing"),
           RequiredJsonMember<int>(value, "sharePermille"),
           RequiredJsonMember<std::string>(value, "phase"),
+          WallTime(std::chrono::milliseconds(
+              JsonMember<std::int64_t>(value, "sinceUnixMs", 0))),
           JsonMember<std::string>(value, "reason", "")};
 }
 
--- /dev/null
+++ b/src/control/api_json.h
@@ -0,0 +1,29 @@
+#ifndef HORNBEAMCLEAT_SRC_CONTROL_API_JSON_H_
+#define HORNBEAMCLEAT_SRC_CONTROL_API_JSON_H_
+
+#include <string>
+
+#include "hornbeamcleat/config/config_state.h"
+#include "src/control/control_core.h"
+
+namespace hornbeamcleat {
+
+/// A resource with its status as the API shows it.
+std::string ResourceWithStatus(const Resource& resource,
+                               const ConfigState& config);
+
+/// All resources of `kind`: {"revision":N,"items":[...]}.
+std::string ResourceList(const std::string& kind, const ConfigState& config);
+
+/// {"revision","ready","logAvailable","entryConnected","leaseHolder",
+/// "members":[...],"withdrawn":[...]}.
+std::string StatusJson(const ControlStatus& status);
+
+/// RFC 9457 problem body.
+/// @param version current resource version on a conflict; 0 leaves it out
+std::string ProblemJson(int status, const std::string& title,
+                        const std::string& detail, std::uint64_t version = 0);
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_CONTROL_API_JSON_H_
--- /dev/null
+++ b/src/control/api_router.h
@@ -0,0 +1,35 @@
+#ifndef HORNBEAMCLEAT_SRC_CONTROL_API_ROUTER_H_
+#define HORNBEAMCLEAT_SRC_CONTROL_API_ROUTER_H_
+
+#include <string>
+
+namespace hornbeamcleat {
+
+class ApiBackend;
+
+/// HTTP call as the API sees it.
+struct ApiCall {
+  std::string method;
+  std::string path;
+  std::string query;
+  std::string authorization;  ///< value of the header of that name
+  std::string body;
+};
+
+/// Answer to it.
+struct ApiReply {
+  int status = 200;
+  std::string content_type = "application/json";
+  std::string body;
+
+  bool operator==(const ApiReply&) const = default;
+};
+
+/// Carries out one call. Thread-safe.
+/// @param token expected bearer token; empty means that none is asked for
+ApiReply RouteApiCall(const ApiCall& call, const std::string& token,
+                      ApiBackend* backend);
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_CONTROL_API_ROUTER_H_
--- /dev/null
+++ b/src/control/evidence_exchange.cc
@@ -0,0 +1,56 @@
+#include "src/control/evidence_exchange.h"
+
+#include "hornbeamcleat/move/move_controller.h"
+#include "src/link/link_message.h"
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr std::size_t kMaxChunkBytes = 700;
+
+bool Ended(const ConfigState& config, const std::string& move) {
+  const std::map<std::string, MoveProgressRecord>::const_iterator it =
+      config.moves.find(move);
+  if (it == config.moves.end()) {
+    return false;
+  }
+  const MovePhase phase = ParseMovePhase(it->second.phase);
+  return phase == MovePhase::kDone || phase == MovePhase::kRolledBack;
+}
+
+}  // namespace
+
+std::set<std::string> MovingModels(const ConfigState& config) {
+  std::set<std::string> out;
+  for (const auto& [key, resource] : config.resources) {
+    const MoveSpec* spec = std::get_if<MoveSpec>(&resource.spec);
+    if (spec != nullptr && !Ended(config, resource.name)) {
+      out.insert(spec->model);
+    }
+  }
+  return out;
+}
+
+std::vector<std::string> EvidenceChunks(
+    const std::vector<VersionEvidence>& evidence,
+    const std::set<std::string>& models) {
+  std::vector<std::string> out;
+  std::vector<VersionEvidence> chunk;
+  for (const VersionEvidence& item : evidence) {
+    if (!models.contains(item.model)) {
+      continue;
+    }
+    chunk.push_back(item);
+    if (EncodeEvidence(chunk).size() > kMaxChunkBytes && chunk.size() > 1) {
+      chunk.pop_back();
+      out.push_back(EncodeEvidence(chunk));
+      chunk = {item};
+    }
+  }
+  if (!chunk.empty()) {
+    out.push_back(EncodeEvidence(chunk));
+  }
+  return out;
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/control/gossip_socket.h
@@ -0,0 +1,36 @@
+#ifndef HORNBEAMCLEAT_SRC_CONTROL_GOSSIP_SOCKET_H_
+#define HORNBEAMCLEAT_SRC_CONTROL_GOSSIP_SOCKET_H_
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "hornbeamcleat/base/settings.h"
+#include "hornbeamcleat/member/membership.h"
+
+namespace hornbeamcleat {
+
+class PollLoop;
+
+/// UDP socket of the gossip between control daemons.
+class GossipSocket {
+ public:
+  using Receiver =
+      std::function<void(const Address& from, std::string_view bytes)>;
+
+  /// @throws Error with step "listen for gossip"
+  static std::unique_ptr<GossipSocket> Make(const Address& listen,
+                                            PollLoop* loop, Receiver receiver);
+
+  virtual ~GossipSocket() = default;
+
+  /// Address listened on, with the port that was picked.
+  virtual Address Listening() const = 0;
+
+  /// Sends a datagram; one that can't be sent is lost like any other.
+  virtual void Send(const Datagram& datagram) = 0;
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_CONTROL_GOSSIP_SOCKET_H_
--- /dev/null
+++ b/src/control/log_tailer.cc
@@ -0,0 +1,54 @@
+#include "src/control/log_tailer.h"
+
+#include <utility>
+
+#include "hornbeamcleat/base/log.h"
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr std::size_t kMaxRecords = 1'000;
+constexpr Duration kReadWait = std::chrono::milliseconds(500);
+constexpr Duration kFirstBackOff = std::chrono::milliseconds(50);
+constexpr Duration kMaxBackOff = std::chrono::milliseconds(800);
+
+}  // namespace
+
+LogTailer::LogTailer(std::unique_ptr<LogService> log, std::string stream,
+                     std::uint64_t from, Sink sink)
+    : log_(std::move(log)),
+      stream_(std::move(stream)),
+      next_(from),
+      sink_(std::move(sink)),
+      thread_([this] { Run(); }) {}
+
+LogTailer::~LogTailer() {
+  stopping_ = true;
+  thread_.join();
+}
+
+void LogTailer::Run() {
+  const Logger log("log");
+  Duration back_off = kFirstBackOff;
+  bool reachable = true;
+  while (!stopping_) {
+    try {
+      next_ = sink_(log_->Read(stream_, next_, kMaxRecords, kReadWait));
+      if (!reachable) {
+        log.Info("The log can be read again. stream={}", stream_);
+      }
+      reachable = true;
+      back_off = kFirstBackOff;
+    } catch (const Error& e) {
+      if (reachable) {
+        log.Warning("The log can't be read. stream={} cause={}", stream_,
+                    e.what());
+      }
+      reachable = false;
+      std::this_thread::sleep_for(back_off);
+      back_off = std::min(back_off * 2, kMaxBackOff);
+    }
+  }
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/control/move_driver.cc
@@ -0,0 +1,158 @@
+#include "src/control/move_driver.h"
+
+#include <optional>
+
+#include "hornbeamcleat/base/log.h"
+#include "hornbeamcleat/move/move_controller.h"
+
+namespace hornbeamcleat {
+namespace {
+
+struct RunningMove {
+  std::uint64_t resource_version = 0;
+  std::unique_ptr<MoveController> controller;
+};
+
+MoveState StateOf(const ConfigState& config, const Resource& resource) {
+  MoveState state;
+  const std::map<std::string, MoveProgressRecord>::const_iterator it =
+      config.moves.find(resource.name);
+  if (it == config.moves.end()) {
+    return state;
+  }
+  state.phase = ParseMovePhase(it->second.phase);
+  state.share_permille = it->second.share_permille;
+  state.step_since = it->second.since;
+  state.reason = it->second.reason;
+  return state;
+}
+
+bool Ended(const MoveState& state) {
+  return state.phase == MovePhase::kDone ||
+         state.phase == MovePhase::kRolledBack;
+}
+
+int WantedTargets(const ConfigState& config, const MoveSpec& spec) {
+  int n = 0;
+  for (const auto& [key, resource] : config.resources) {
+    const TargetSpec* target = std::get_if<TargetSpec>(&resource.spec);
+    if (target != nullptr && target->model == spec.model &&
+        target->version == spec.to_version) {
+      ++n;
+    }
+  }
+  return n;
+}
+
+std::vector<VersionEvidence> EvidenceOf(const std::vector<VersionEvidence>& all,
+                                        const MoveSpec& spec) {
+  std::vector<VersionEvidence> out;
+  for (const VersionEvidence& evidence : all) {
+    if (evidence.model == spec.model &&
+        (evidence.version == spec.from_version ||
+         evidence.version == spec.to_version)) {
+      out.push_back(evidence);
+    }
+  }
+  return out;
+}
+
+class ControllerMoveDriver : public MoveDriver {
+ public:
+  explicit ControllerMoveDriver(std::uint64_t seed) : seed_(seed) {}
+
+  MoveDriverOutput Decide(const MoveDriverInput& input) override {
+    MoveDriverOutput out;
+    std::set<std::string> present;
+    for (const auto& [key, resource] : input.config->resources) {
+      if (std::holds_alternative<MoveSpec>(resource.spec)) {
+        present.insert(resource.name);
+        DecideOne(input, resource, &out);
+      }
+    }
+    std::erase_if(running_, [&](const auto& entry) {
+      return !present.contains(entry.first);
+    });
+    return out;
+  }
+
+ private:
+  void DecideOne(const MoveDriverInput& input, const Resource& resource,
+                 MoveDriverOutput* out) {
+    const MoveSpec& spec = std::get<MoveSpec>(resource.spec);
+    const MoveState state = StateOf(*input.config, resource);
+    if (Ended(state)) {
+      running_.erase(resource.name);
+      return;
+    }
+    MoveController* controller = ControllerOf(resource);
+    const bool withdrawn =
+        input.withdrawn.contains({spec.model, spec.to_version}) ||
+        input.config->withdrawn.contains({spec.model, spec.to_version});
+    const MoveDecision decision =
+        controller->Decide(state, InputOf(input, spec, withdrawn));
+    VersionShare share = controller->Share(state);
+    if (withdrawn || decision.withdraw) {
+      share.share_permille = 0;
+    }
+    out->shares[spec.model] = share;
+    if (decision.withdraw && !withdrawn) {
+      log_.Warning("A version is withdrawn. move={} version={} cause={}",
+                   resource.name, spec.to_version, decision.reason);
+      out->withdraw.push_back({spec.model, spec.to_version, decision.reason});
+    }
+    if (decision.advance && input.holds_lease) {
+      out->append.push_back(
+          RecordOf(resource.name, input.fencing, *decision.advance));
+    }
+  }
+
+  MoveController* ControllerOf(const Resource& resource) {
+    RunningMove& running = running_[resource.name];
+    if (running.controller == nullptr ||
+        running.resource_version != resource.version) {
+      running.controller = MoveController::Make(
+          resource.name, std::get<MoveSpec>(resource.spec), seed_);
+      running.resource_version = resource.version;
+    }
+    return running.controller.get();
+  }
+
+  static MoveInput InputOf(const MoveDriverInput& input, const MoveSpec& spec,
+                           bool withdrawn) {
+    MoveInput out;
+    out.now = input.now;
+    out.evidence = EvidenceOf(input.evidence, spec);
+    out.wanted_targets = WantedTargets(*input.config, spec);
+    const std::map<std::string, int>::const_iterator it =
+        input.ready_targets.find(spec.to_version);
+    out.ready_targets = it == input.ready_targets.end() ? 0 : it->second;
+    out.withdrawn = withdrawn;
+    out.log_available = input.log_available;
+    out.load_ratio = input.load_ratio;
+    return out;
+  }
+
+  static MoveProgressRecord RecordOf(const std::string& move,
+                                     std::uint64_t fencing,
+                                     const MoveState& state) {
+    return {move,
+            fencing,
+            state.share_permille,
+            MovePhaseName(state.phase),
+            state.step_since,
+            state.reason};
+  }
+
+  std::uint64_t seed_;
+  Logger log_{"move"};
+  std::map<std::string, RunningMove> running_;
+};
+
+}  // namespace
+
+std::unique_ptr<MoveDriver> MoveDriver::Make(std::uint64_t seed) {
+  return std::make_unique<ControllerMoveDriver>(seed);
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/control/view_builder.cc
@@ -0,0 +1,144 @@
+#include "src/control/view_builder.h"
+
+#include <algorithm>
+
+#include "hornbeamcleat/base/settings.h"
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr int kPermille = 1'000;
+
+// Members whose entries share the targets, by name. A suspected one is still
+// counted: its share must not be used twice.
+std::vector<const Member*> Sharing(const ViewSources& sources) {
+  std::vector<const Member*> out;
+  for (const Member& member : sources.members) {
+    const std::map<std::string, EntryFact>::const_iterator it =
+        sources.entries.find(member.name);
+    const bool serving = it != sources.entries.end() && it->second.serving;
+    const bool present = member.state == MemberState::kAlive ||
+                         member.state == MemberState::kSuspect;
+    if (member.name == sources.self || (present && serving)) {
+      out.push_back(&member);
+    }
+  }
+  std::sort(out.begin(), out.end(),
+            [](const Member* a, const Member* b) { return a->name < b->name; });
+  return out;
+}
+
+std::vector<EntryAddress> Addresses(const ViewSources& sources) {
+  std::vector<EntryAddress> out;
+  for (const Member& member : sources.members) {
+    const std::map<std::string, EntryFact>::const_iterator it =
+        sources.entries.find(member.name);
+    if (member.state != MemberState::kAlive || it == sources.entries.end() ||
+        !it->second.serving) {
+      continue;
+    }
+    out.push_back({member.name, member.caller_url, member.failure_domain,
+                   it->second.load_permille});
+  }
+  return out;
+}
+
+// Outside of moves a model is served by one version, so that a new one gets
+// nothing by merely being declared.
+std::map<std::string, VersionShare> Shares(const ViewSources& sources) {
+  std::map<std::string, VersionShare> out;
+  for (const auto& [model, version] : sources.config->serving) {
+    out[model] = {model, version, version, kPermille, 0};
+  }
+  for (const auto& [model, share] : sources.move_shares) {
+    out[model] = share;
+  }
+  return out;
+}
+
+std::set<TargetName> Leaving(const ViewSources& sources) {
+  std::set<std::string> leaving_ips;
+  for (const VmEntry& vm : sources.vms) {
+    if (vm.leaving) {
+      leaving_ips.insert(vm.ip);
+    }
+  }
+  std::set<TargetName> out;
+  for (const auto& [key, resource] : sources.config->resources) {
+    const TargetSpec* target = std::get_if<TargetSpec>(&resource.spec);
+    if (target != nullptr &&
+        leaving_ips.contains(Address::Parse(target->address).ip)) {
+      out.insert(resource.name);
+    }
+  }
+  return out;
+}
+
+std::map<std::string, int> DemandShares(const ViewSources& sources) {
+  std::map<std::string, std::int64_t> total;
+  for (const auto& [name, fact] : sources.entries) {
+    for (const auto& [model, demand] : fact.demand_milli) {
+      total[model] += demand;
+    }
+  }
+  std::map<std::string, int> out;
+  const std::map<std::string, EntryFact>::const_iterator own =
+      sources.entries.find(sources.self);
+  if (own == sources.entries.end()) {
+    return out;
+  }
+  for (const auto& [model, demand] : own->second.demand_milli) {
+    if (total[model] > 0) {
+      out[model] =
+          static_cast<int>(std::int64_t{demand} * kPermille / total[model]);
+    }
+  }
+  return out;
+}
+
+void AddPeerFacts(const ViewSources& sources, ClusterView* view) {
+  for (const auto& [name, fact] : sources.entries) {
+    if (name == sources.self) {
+      continue;
+    }
+    for (const auto& [model, rank] : fact.closed_rank) {
+      const std::map<std::string, int>::iterator it =
+          view->peer_closed_rank.emplace(model, rank).first;
+      it->second = std::min(it->second, rank);
+    }
+    for (const auto& [fingerprint, n] : fact.poison) {
+      view->poison[fingerprint] += n;
+    }
+  }
+}
+
+}  // namespace
+
+ViewMessage BuildView(const ViewSources& sources) {
+  ViewMessage out;
+  out.log_available = sources.log_available;
+  out.entries = Addresses(sources);
+  ClusterView& view = out.view;
+  const std::vector<const Member*> sharing = Sharing(sources);
+  view.entry_count = std::max<int>(1, static_cast<int>(sharing.size()));
+  for (std::size_t i = 0; i < sharing.size(); ++i) {
+    if (sharing[i]->name == sources.self) {
+      view.entry_index = static_cast<int>(i);
+    }
+  }
+  AddPeerFacts(sources, &view);
+  if (sources.config == nullptr) {
+    return out;
+  }
+  view.config = sources.config;
+  view.shares = Shares(sources);
+  view.withdrawn = sources.withdrawn;
+  for (const auto& [key, reason] : sources.config->withdrawn) {
+    view.withdrawn.insert(key);
+  }
+  view.leaving = Leaving(sources);
+  view.demand_permille_by_model = DemandShares(sources);
+  return out;
+}
+
+}  // namespace hornbeamcleat
--- a/src/link/link_message.cc
+++ b/src/link/link_message.cc
@@ -92,6 +92,14 @@
   return frame;
 }
 
+std::string EncodeEvidence(const std::vector<VersionEvidence>& evidence) {
+  return EncodeBytes(evidence);
+}
+
+std::vector<VersionEvidence> DecodeEvidence(std::string_view bytes) {
+  return DecodeBytes<std::vector<VersionEvidence>>(bytes);
+}
+
 bool TakeLink(std::string* buffer, LinkMessage* message) {
   std::uint32_t n = 0;
   if (buffer->size() < sizeof(n)) {
--- a/src/link/link_message.h
+++ b/src/link/link_message.h
@@ -67,6 +67,12 @@
 /// Frame of a message: four bytes of length, then a cereal archive.
 std::string EncodeLink(const LinkMessage& message);
 
+/// Bytes of a list of evidence, for gossip between control daemons.
+std::string EncodeEvidence(const std::vector<VersionEvidence>& evidence);
+
+/// @throws Error with step "decode"
+std::vector<VersionEvidence> DecodeEvidence(std::string_view bytes);
+
 /// Takes the first whole frame off the front of `buffer`.
 /// @return false if `buffer` holds no whole frame yet
 /// @throws Error with step "decode link" on a malformed or oversized frame
--- a/tests/config/config_state_test.cc
+++ b/tests/config/config_state_test.cc
@@ -25,8 +25,8 @@
   }
 
   FoldResult Progress(const std::string& phase, std::uint64_t fencing) {
-    return Fold(MoveProgressRecord{"m", fencing, 10, phase, ""}, ++offset_,
-                &state_);
+    return Fold(MoveProgressRecord{"m", fencing, 10, phase, WallTime(), ""},
+                ++offset_, &state_);
   }
 
   ConfigState state_;
@@ -75,10 +75,11 @@
 }
 
 TEST_F(ConfigStateTest, EncodedRecordsDecodeEqual) {
-  const ConfigRecord records[] = {PutRecord{{"gold", 0, TierSpec{0}}, 4},
-                                  DeleteRecord{"Tier", "gold", 4},
-                                  WithdrawRecord{"llm", "v2", "slow"},
-                                  MoveProgressRecord{"m", 3, 5, "Done", "r"}};
+  const ConfigRecord records[] = {
+      PutRecord{{"gold", 0, TierSpec{0}}, 4}, DeleteRecord{"Tier", "gold", 4},
+      WithdrawRecord{"llm", "v2", "slow"},
+      MoveProgressRecord{"m", 3, 5, "Done",
+                         WallTime(std::chrono::milliseconds(7)), "r"}};
   for (const ConfigRecord& record : records) {
     EXPECT_EQ(DecodeRecord(EncodeRecord(record)), record);
   }
