Shared: Add evidence by length class and load level, and a target limit

Cause: comparing versions side by side needs like with like, and a version must meet full load before it gets full traffic. Change: VersionEvidence gains length class, load level, crashes, excluded ends and sums on the log scale; VersionShare gains max_targets. All have defaults, and the link carries them. Ruled out: a load figure per version only, because it says nothing of which requests ran under load.

--- a/include/hornbeamcleat/move/version_share.h
+++ b/include/hornbeamcleat/move/version_share.h
@@ -15,6 +15,10 @@
   /// Greatest number of requests in flight on the new version at one entry;
   /// 0 means no cap.
   int max_in_flight = 0;
+  /// Greatest number of targets that take the new version's requests, first by
+  /// name among the live ones; 0 means all. Keeping a small share on few
+  /// targets is how a version meets full load before it gets full traffic.
+  int max_targets = 0;
 
   bool operator==(const VersionShare&) const = default;
 };
--- a/include/hornbeamcleat/schedule/scheduler.h
+++ b/include/hornbeamcleat/schedule/scheduler.h
@@ -41,18 +41,40 @@
   bool operator==(const SchedulerFacts&) const = default;
 };
 
-/// Totals of one version on one route and tier; sums only grow.
+/// Load levels of VersionEvidence: by how much of its concurrency limit the
+/// target had in use when the request was dispatched.
+inline constexpr int kLowLoad = 0;   ///< below half
+inline constexpr int kHighLoad = 1;  ///< half or more
+
+/// Totals of one version on one route, tier, length class and load level; sums
+/// only grow while the entry lives. The scheduler decides which ends are the
+/// version's own: those that are not go to `excluded`.
 struct VersionEvidence {
   std::string model;
   std::string version;
   std::string workspace;
   std::string application;
   int tier_rank = 0;
-  std::uint64_t done = 0;
-  std::uint64_t faults = 0;
-  /// Sum of first-part times, and of their squares, in seconds.
+  /// Class of the answer's expected length; any bounded set of numbers.
+  int length_class = 0;
+  int load_level = kLowLoad;
+  std::uint64_t done = 0;     ///< answered whole
+  std::uint64_t faults = 0;   ///< failed, truncated, too late or crashed
+  std::uint64_t crashes = 0;  ///< those of `faults` that lost the target
+  /// Ended badly for a cause outside the version: poison content, the caller
+  /// left, a connection that went silent. In neither `done` nor `faults`.
+  std::uint64_t excluded = 0;
+  /// Sum of first-part times, and of their squares, in seconds, over `done`.
   double first_part_sum = 0;
   double first_part_square_sum = 0;
+  /// The same over natural logarithms of the time in seconds.
+  double first_part_log_sum = 0;
+  double first_part_log_square_sum = 0;
+  /// Answers of `done` with two parts or more, and sums over the natural
+  /// logarithm of each one's mean gap between parts in seconds.
+  std::uint64_t gaps = 0;
+  double gap_log_sum = 0;
+  double gap_log_square_sum = 0;
 
   bool operator==(const VersionEvidence&) const = default;
 };
--- a/src/link/link_message.cc
+++ b/src/link/link_message.cc
@@ -9,7 +9,7 @@
 template <typename Archive>
 void serialize(Archive& ar, VersionShare& share) {
   ar(share.model, share.from_version, share.to_version, share.share_permille,
-     share.max_in_flight);
+     share.max_in_flight, share.max_targets);
 }
 
 // The configuration is shared and immutable, so it is loaded into a fresh one.
@@ -53,8 +53,11 @@
 template <typename Archive>
 void serialize(Archive& ar, VersionEvidence& evidence) {
   ar(evidence.model, evidence.version, evidence.workspace, evidence.application,
-     evidence.tier_rank, evidence.done, evidence.faults,
-     evidence.first_part_sum, evidence.first_part_square_sum);
+     evidence.tier_rank, evidence.length_class, evidence.load_level,
+     evidence.done, evidence.faults, evidence.crashes, evidence.excluded,
+     evidence.first_part_sum, evidence.first_part_square_sum,
+     evidence.first_part_log_sum, evidence.first_part_log_square_sum,
+     evidence.gaps, evidence.gap_log_sum, evidence.gap_log_square_sum);
 }
 
 template <typename Archive>
