Schedule requests by tier and target

Cause: the daemons need decisions for one entry: who waits, where a request goes, when it may be sent again and how it ends.

Ruled out: recording the intent of a non-idempotent request on arrival, since one that is refused while it waits would then hold its key; it is recorded when the request has a slot. Ruled out: running a request again after its connection broke; the answer is asked for once more instead, and if that fails the caller is told "unknown". An expired key is "unknown" too, as an attempt that the log has forgotten may have run.

Waiting work is kept by model, tier and workspace (start-time fair queueing by weight); targets take this entry's part of a limit; withdrawn versions, leaving targets and versions of moves without a share get nothing. A request that prefers the new version may fall back to the old one, never the other way round. An answer that still flows at its deadline may take twice the allotted time.

No measurement of load yet.

--- /dev/null
+++ b/src/schedule/fair_queue.h
@@ -0,0 +1,61 @@
+#ifndef HORNBEAMCLEAT_SRC_SCHEDULE_FAIR_QUEUE_H_
+#define HORNBEAMCLEAT_SRC_SCHEDULE_FAIR_QUEUE_H_
+
+#include <list>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "src/schedule/request_state.h"
+
+namespace hornbeamcleat {
+
+/// Queue of one tier, fair among workspaces by start-time fair queueing: each
+/// workspace gets service in proportion to its weight while it has work, and
+/// what one leaves idle goes to the others. First come, first served within a
+/// workspace. Keeps state only for workspaces that wait or are ahead of their
+/// share. All operations are logarithmic in the number of such workspaces.
+class FairQueue {
+ public:
+  /// Adds a request at the end of its workspace's queue.
+  void Push(RequestState* request);
+
+  /// Next request to serve; nullptr if empty.
+  RequestState* Head() const;
+
+  /// Removes the head and charges its workspace for it.
+  void PopHead();
+
+  /// Removes a waiting request without a charge.
+  void Remove(RequestState* request);
+
+  /// Request that gives way first: the last one of the workspace that is
+  /// furthest ahead of its share; nullptr if empty.
+  RequestState* Last() const;
+
+  std::size_t Size() const { return size_; }
+
+  /// Workspaces with state.
+  std::size_t Workspaces() const { return flows_.size(); }
+
+ private:
+  struct Flow {
+    double start = 0;  ///< virtual time at which its next service starts
+    std::list<RequestState*> waiting;
+  };
+  using Flows = std::map<std::string, Flow>;
+
+  void Deactivate(Flows::iterator it);
+  void DropIdle();
+
+  Flows flows_;
+  std::set<std::pair<double, std::string>> active_;
+  std::set<std::pair<double, std::string>> idle_;
+  double virtual_time_ = 0;
+  std::size_t size_ = 0;
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_SCHEDULE_FAIR_QUEUE_H_
--- /dev/null
+++ b/src/schedule/request_state.h
@@ -0,0 +1,49 @@
+#ifndef HORNBEAMCLEAT_SRC_SCHEDULE_REQUEST_STATE_H_
+#define HORNBEAMCLEAT_SRC_SCHEDULE_REQUEST_STATE_H_
+
+#include <cstdint>
+#include <list>
+
+#include "hornbeamcleat/schedule/request.h"
+#include "src/schedule/route.h"
+
+namespace hornbeamcleat {
+
+struct TargetState;
+
+/// How far a request has come.
+enum class Phase {
+  kQueued,      ///< waits for a target
+  kIntent,      ///< holds a slot while its intent is decided
+  kDispatched,  ///< handed to a target; no byte is known to have been sent
+  kSent,        ///< may have run
+  kResuming,    ///< may have run; its answer is being asked for again
+};
+
+/// Open request.
+struct RequestState {
+  RequestSpec spec;
+  Route route;
+  Time deadline;
+  Duration allotted{0};  ///< from submission to deadline
+  Phase phase = Phase::kQueued;
+  bool prefers_new = false;  ///< the share of its move chose the new version
+  bool intent_held = false;
+  int attempts = 0;
+  TargetState* target = nullptr;
+  std::uint32_t parts = 0;
+  Time dispatched;
+  Time last_progress;
+  Duration stall_wait{0};
+  double cost = 1;    ///< expected service time in seconds on a usual target
+  Time latest_start;  ///< dispatched later, it would miss its deadline
+  std::uint64_t sequence = 0;  ///< order of submission
+  Time timer;                  ///< when it is looked at again
+  bool queued = false;         ///< is in a queue
+  /// Place in its workspace's queue while queued.
+  std::list<RequestState*>::iterator place;
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_SCHEDULE_REQUEST_STATE_H_
--- /dev/null
+++ b/src/schedule/tier_queue.cc
@@ -0,0 +1,65 @@
+#include "src/schedule/tier_queue.h"
+
+namespace hornbeamcleat {
+
+int TierQueue::Key(const RequestState& request) const {
+  return tiers_ ? request.route.rank : 0;
+}
+
+void TierQueue::Push(RequestState* request) {
+  Tier& tier = by_rank_[Key(*request)];
+  tier.queue.Push(request);
+  tier.seconds += request->cost;
+  ++size_;
+}
+
+void TierQueue::Remove(RequestState* request) {
+  const auto it = by_rank_.find(Key(*request));
+  it->second.queue.Remove(request);
+  Took(it, request->cost);
+}
+
+RequestState* TierQueue::Head() const {
+  for (const auto& [rank, tier] : by_rank_) {
+    if (tier.queue.Size() > 0) {
+      return tier.queue.Head();
+    }
+  }
+  return nullptr;
+}
+
+void TierQueue::PopHead() {
+  RequestState* head = Head();
+  const auto it = by_rank_.find(Key(*head));
+  it->second.queue.PopHead();
+  Took(it, head->cost);
+}
+
+RequestState* TierQueue::Last() const {
+  for (auto it = by_rank_.rbegin(); it != by_rank_.rend(); ++it) {
+    if (it->second.queue.Size() > 0) {
+      return it->second.queue.Last();
+    }
+  }
+  return nullptr;
+}
+
+double TierQueue::SecondsAhead(int rank) const {
+  double seconds = 0;
+  for (const auto& [key, tier] : by_rank_) {
+    if (!tiers_ || key <= rank) {
+      seconds += tier.seconds;
+    }
+  }
+  return seconds;
+}
+
+void TierQueue::Took(std::map<int, Tier>::iterator it, double cost) {
+  --size_;
+  it->second.seconds -= cost;
+  if (it->second.queue.Size() == 0) {
+    it->second.seconds = 0;
+  }
+}
+
+}  // namespace hornbeamcleat
