Decide version moves by sequential side-by-side tests

Cause: the interface had no controller, so the control daemon had nothing to drive. Change: a controller that lays its steps out backwards from the deadline and compares both versions per route and at high load with mixtures of likelihood ratios over alternatives and start points. Withdrawal is decided without the log; every advance is a state to append. The share's hash is salted by model and version and scaled without a modulo. Ruled out: a plain product of likelihood ratios, which good early evidence blinds to a late fault.

--- a/include/hornbeamcleat/move/move_controller.h
+++ b/include/hornbeamcleat/move/move_controller.h
@@ -44,6 +44,9 @@
   bool withdrawn = false;  ///< the new version was withdrawn, by log or peer
   bool log_available = true;
   double load_ratio = 0;  ///< of the new version's targets, 0 to 1
+  /// When the log took the move's resource; nullopt means the first `now` that
+  /// the controller sees. The schedule is laid out from here to the deadline.
+  std::optional<WallTime> started;
 
   bool operator==(const MoveInput&) const = default;
 };
@@ -51,7 +54,8 @@
 /// What a controller wants done.
 struct MoveDecision {
   std::optional<MoveState> advance;  ///< append it; in force once it is read
-  bool withdraw = false;             ///< spread and record at once
+  bool withdraw = false;             ///< spread and record at once; any
+                                     ///< daemon may, with or without the lease
   std::string reason;
   WallTime next_look;
 
@@ -73,11 +77,14 @@
   virtual MoveDecision Decide(const MoveState& state,
                               const MoveInput& input) = 0;
 
-  /// The share in force for `state`, with the cap on requests in flight.
+  /// The share in force for `state`, with the caps on requests in flight and
+  /// on targets. A withdrawal, which `state` doesn't know of yet, goes before
+  /// it. The cap on targets follows the last `wanted_targets` seen.
   virtual VersionShare Share(const MoveState& state) const = 0;
 };
 
-/// Earliest instant at which `spec` could be done if it starts at `now`.
+/// Earliest instant at which `spec` could be done if it starts at `now`, with
+/// each step as short as it may be.
 /// @param targets replicas that must load the version
 /// @param load_time time for one replica to load it at the store's rate
 WallTime EarliestEnd(const MoveSpec& spec, WallTime now, int targets,
--- /dev/null
+++ b/src/move/move_schedule.cc
@@ -0,0 +1,69 @@
+#include "src/move/move_schedule.h"
+
+#include <algorithm>
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr int kPermille = 1'000;
+constexpr int kMinLoadPermille = 50;
+constexpr int kMaxLoadPermille = 300;
+
+constexpr int kReserveParts = 50;  // of the move's whole time
+constexpr int kStepParts = 48;
+constexpr int kSlackParts = 6;
+constexpr Duration kMaxReserve = std::chrono::seconds(30);
+constexpr Duration kMaxGrowthStep = std::chrono::minutes(5);
+constexpr Duration kMaxSlack = std::chrono::minutes(30);
+
+WallTime Later(WallTime when, Duration by) {
+  return when + std::chrono::floor<std::chrono::milliseconds>(by);
+}
+
+}  // namespace
+
+std::vector<int> MoveSteps(const MoveSpec& spec, int targets) {
+  if (!spec.steps_permille.empty()) {
+    return spec.steps_permille;
+  }
+  const int load_share = std::clamp(kPermille / std::max(1, targets),
+                                    kMinLoadPermille, kMaxLoadPermille);
+  std::vector<int> steps = {kCanaryPermille, load_share};
+  for (const int share : {250, 500, kBakePermille}) {
+    if (share > load_share) {
+      steps.push_back(share);
+    }
+  }
+  return steps;
+}
+
+MoveSchedule MoveSchedule::Make(const MoveSpec& spec, WallTime started,
+                                int steps) {
+  const Duration whole = spec.deadline - started;
+  MoveSchedule out;
+  const Duration reserve =
+      std::clamp(whole / kReserveParts, kMinStep, kMaxReserve);
+  out.rollback_by = Later(spec.deadline, -reserve);
+  out.growth_step = std::clamp(whole / kStepParts, kMinStep, kMaxGrowthStep);
+  out.bake = spec.bake_time;
+  out.slack = std::clamp(whole / kSlackParts, Duration{0}, kMaxSlack);
+  out.steps = steps;
+  return out;
+}
+
+WallTime MoveSchedule::FirstShareEnd() const {
+  const int growing = std::max(0, steps - 2);
+  return Later(rollback_by, -(bake + slack + growing * growth_step));
+}
+
+Duration MoveSchedule::Least(int index) const {
+  return std::max(0, steps - 1 - index) * kMinStep + bake;
+}
+
+Duration MoveSchedule::Length(int index, WallTime since) const {
+  const int left = std::max(1, steps - 1 - index);
+  const Duration room = (rollback_by - since) - bake;
+  return std::clamp(room / (left + 1), kMinStep, growth_step);
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/move/version_judge.h
@@ -0,0 +1,108 @@
+#ifndef HORNBEAMCLEAT_SRC_MOVE_VERSION_JUDGE_H_
+#define HORNBEAMCLEAT_SRC_MOVE_VERSION_JUDGE_H_
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "hornbeamcleat/base/time.h"
+#include "hornbeamcleat/config/resource.h"
+#include "hornbeamcleat/schedule/scheduler.h"
+#include "src/move/fault_test.h"
+#include "src/move/latency_test.h"
+
+namespace hornbeamcleat {
+
+/// What the evidence says of the new version at one instant.
+struct Verdict {
+  bool bad = false;        ///< proven worse on some route or under load
+  bool suspect = false;    ///< not proven, but growth had better wait
+  bool good = false;       ///< held for good on every route with traffic
+  bool plausible = false;  ///< rather good than bad on every route
+  bool exposed = false;    ///< served on every route with traffic
+  bool met_load = true;    ///< met high load, if the old version did
+  std::uint64_t ends = 0;  ///< requests of the new version that ended
+  std::string reason;      ///< of bad, else of what is lacking
+
+  bool operator==(const Verdict&) const = default;
+};
+
+/// Compares a new version with the old one from sums that grow, per route and
+/// at high load over all routes.
+class VersionJudge {
+ public:
+  explicit VersionJudge(const MoveSpec& spec);
+
+  /// Takes the sums as of `now`. Sums that shrank, because an entry's were
+  /// lost, are taken as a new base.
+  /// @param start_point whether a fault may begin now (see ChangeMixture)
+  Verdict Update(const std::vector<VersionEvidence>& sums, WallTime now,
+                 bool start_point);
+
+ private:
+  struct RouteKey {
+    std::string workspace;
+    std::string application;
+    int tier_rank = 0;
+
+    auto operator<=>(const RouteKey&) const = default;
+  };
+
+  struct StratumKey {
+    RouteKey route;
+    int length_class = 0;
+    int load_level = 0;
+
+    auto operator<=>(const StratumKey&) const = default;
+  };
+
+  struct Tests {
+    explicit Tests(const MoveSpec& spec);
+
+    FaultTest faults;
+    LatencyTest first_part;
+    LatencyTest gap;
+    FaultCount fresh;  ///< of the current interval
+    FaultCount old;
+    std::uint64_t old_ends = 0;  ///< over all intervals
+  };
+
+  struct Stratum {
+    VersionEvidence fresh;  ///< sums as of the last update
+    VersionEvidence old;
+    LatencyReference first_part;
+    LatencyReference gap;
+  };
+
+  struct Step {
+    VersionEvidence fresh;  ///< growth since the last update
+    VersionEvidence old;
+  };
+
+  std::map<StratumKey, Step> TakeSteps(
+      const std::vector<VersionEvidence>& sums);
+  void AddStep(const StratumKey& key, const Step& step, double decay);
+  Tests* RouteTests(const RouteKey& key);
+  static void AddTimes(const Step& step, const Stratum& stratum, Tests* tests);
+  static void AddCounts(const Step& step, Tests* tests);
+  static void Finish(double decay, bool start_point, Tests* tests);
+  Verdict Judge() const;
+  void JudgeBad(const Tests& tests, const std::string& where, double threshold,
+                Verdict* verdict) const;
+  void JudgeGood(const Tests& tests, const std::string& where,
+                 Verdict* verdict) const;
+
+  MoveSpec spec_;
+  std::map<StratumKey, Stratum> strata_;
+  std::map<RouteKey, Tests> routes_;
+  Tests all_;
+  Tests high_load_;
+  bool updated_ = false;
+  WallTime last_update_;
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_MOVE_VERSION_JUDGE_H_
--- a/src/move/version_share.cc
+++ b/src/move/version_share.cc
@@ -1,14 +1,34 @@
 #include "hornbeamcleat/move/version_share.h"
 
+#include <string_view>
+
+#include "hornbeamcleat/base/hash.h"
+
 namespace hornbeamcleat {
 namespace {
 
 constexpr std::uint64_t kPermille = 1'000;
 
+// The model and version enter the hash, so that the requests that one move
+// picks say nothing of those that another move, or a target choice, picks.
+std::uint64_t SaltedHash(const VersionShare& share,
+                         std::uint64_t request_hash) {
+  const std::uint64_t salt =
+      Hash64(share.to_version, Hash64(share.model, kPermille));
+  const std::string_view bytes(reinterpret_cast<const char*>(&request_hash),
+                               sizeof(request_hash));
+  return Hash64(bytes, salt);
+}
+
+// Scales the upper half of `hash` to 0..999 without a modulo's bias.
+std::uint64_t ScaleToPermille(std::uint64_t hash) {
+  return ((hash >> 32U) * kPermille) >> 32U;
+}
+
 }  // namespace
 
 bool ChoosesNewVersion(const VersionShare& share, std::uint64_t request_hash) {
-  return request_hash % kPermille <
+  return ScaleToPermille(SaltedHash(share, request_hash)) <
          static_cast<std::uint64_t>(share.share_permille);
 }
 
