--- a/src/move/fault_test.cc
+++ b/src/move/fault_test.cc
@@ -22,6 +22,12 @@
 FaultTest::FaultTest(double max_excess)
     : max_excess_(max_excess), mixture_(kFaultFactors.size()) {}
 
+void FaultTest::AddRecent(const FaultCount& count, double decay,
+                          Recent* recent) {
+  recent->ends = recent->ends * decay + static_cast<double>(count.ends);
+  recent->faults = recent->faults * decay + static_cast<double>(count.faults);
+}
+
 double FaultTest::OldRatio() const {
   const double long_term = (static_cast<double>(old_.faults) + 1) /
                            (static_cast<double>(old_.ends) + kPriorEnds);
@@ -32,10 +38,8 @@
 
 void FaultTest::Add(const FaultCount& fresh, const FaultCount& old,
                     double decay) {
-  recent_old_.ends = recent_old_.ends * decay + old.ends;
-  recent_old_.faults = recent_old_.faults * decay + old.faults;
-  recent_fresh_.ends = recent_fresh_.ends * decay + fresh.ends;
-  recent_fresh_.faults = recent_fresh_.faults * decay + fresh.faults;
+  AddRecent(old, decay, &recent_old_);
+  AddRecent(fresh, decay, &recent_fresh_);
   old_.ends += old.ends;
   old_.faults += old.faults;
   fresh_.ends += fresh.ends;
--- a/src/move/fault_test.h
+++ b/src/move/fault_test.h
@@ -50,6 +50,7 @@
     double faults = 0;
   };
 
+  static void AddRecent(const FaultCount& count, double decay, Recent* recent);
   double OldRatio() const;
 
   double max_excess_;
--- a/src/move/version_judge.h
+++ b/src/move/version_judge.h
@@ -1,10 +1,10 @@
 #ifndef HORNBEAMCLEAT_SRC_MOVE_VERSION_JUDGE_H_
 #define HORNBEAMCLEAT_SRC_MOVE_VERSION_JUDGE_H_
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "hornbeamcleat/base/time.h"
@@ -47,7 +47,10 @@
     std::string application;
     int tier_rank = 0;
 
-    auto operator<=>(const RouteKey&) const = default;
+    bool operator<(const RouteKey& other) const {
+      return std::tie(workspace, application, tier_rank) <
+             std::tie(other.workspace, other.application, other.tier_rank);
+    }
   };
 
   struct StratumKey {
@@ -55,7 +58,10 @@
     int length_class = 0;
     int load_level = 0;
 
-    auto operator<=>(const StratumKey&) const = default;
+    bool operator<(const StratumKey& other) const {
+      return std::tie(route, length_class, load_level) <
+             std::tie(other.route, other.length_class, other.load_level);
+    }
   };
 
   struct Tests {
