--- /dev/null
+++ b/src/entry/answer.cc
@@ -0,0 +1,403 @@
+#include "src/entry/answer.h"
+
+#include <cxxtools/serializationinfo.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "hornbeamcleat/base/error.h"
+#include "hornbeamcleat/base/log.h"
+#include "src/base/json.h"
+#include "src/entry/problem.h"
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr Duration kReportPeriod = std::chrono::milliseconds(100);
+constexpr int kMaxResumesInRow = 3;
+constexpr std::size_t kMaxUsageBytes = 64 * 1024;
+
+// Callers' headers that targets are given.
+constexpr const char* kPassedHeaders[] = {
+    "accept",          "application", "authorization", "content-type",
+    "idempotency-key", "traceparent", "tracestate",    "workspace"};
+
+const Logger& Log() {
+  static const Logger kLog("answer");
+  return kLog;
+}
+
+std::uint32_t CachedTokens(const std::string& data) {
+  if (data.find("\"usage\"") == std::string::npos) {
+    return 0;
+  }
+  try {
+    const cxxtools::SerializationInfo json = ParseJson(data, kMaxUsageBytes);
+    const cxxtools::SerializationInfo* usage = json.findMember("usage");
+    return usage == nullptr ? 0
+                            : static_cast<std::uint32_t>(std::max(
+                                  0, JsonMember(*usage, "cached_tokens", 0)));
+  } catch (const Error&) {
+    return 0;
+  }
+}
+
+TargetRequest StreamRequest(const AnswerContext& context, const RequestId& id,
+                            const std::string& address) {
+  TargetRequest request;
+  request.address = address;
+  request.path = "/v1/streams/" + id;
+  request.headers["Request-Id"] = id;
+  request.connect_timeout = context.options->connect_timeout;
+  return request;
+}
+
+}  // namespace
+
+void SendCancel(AnswerContext* context, const RequestId& id,
+                const std::string& address) {
+  TargetRequest request = StreamRequest(*context, id, address);
+  request.handle = ++context->last_exchange;
+  request.method = "DELETE";
+  context->client->Begin(request);
+}
+
+Answer::Answer(AnswerContext* context, RequestId id, CallerRequest request)
+    : context_(context),
+      id_(std::move(id)),
+      request_(std::move(request)),
+      scheduled_(true),
+      last_progress_(context->clock->Now()) {}
+
+Answer::Answer(AnswerContext* context, const ResumeHandle& handle,
+               CallerRequest request, std::uint64_t last)
+    : context_(context),
+      id_(handle.id),
+      request_(std::move(request)),
+      scheduled_(false),
+      address_(handle.address),
+      version_(handle.version),
+      last_progress_(context->clock->Now()) {
+  sequence_.Reset(last);
+  Resume(address_);
+}
+
+Answer::~Answer() { CloseExchanges(); }
+
+void Answer::Dispatch(const DispatchAction& action) {
+  address_ = action.address;
+  version_ = action.version;
+  TargetRequest run;
+  run.handle = AddExchange(TargetExchange::Kind::kRun)->Handle();
+  run.address = action.address;
+  run.path = request_.path;
+  run.body = request_.body;
+  run.connect_timeout = context_->options->connect_timeout;
+  for (const char* name : kPassedHeaders) {
+    const auto it = request_.headers.find(name);
+    if (it != request_.headers.end()) {
+      run.headers[name] = it->second;
+    }
+  }
+  run.headers["Request-Id"] = id_;
+  run.headers["Deadline-Ms"] = std::to_string(
+      std::chrono::ceil<std::chrono::milliseconds>(action.remaining).count());
+  Log().Debug("A request is dispatched. request={} target={}", id_,
+              action.target);
+  context_->client->Begin(run);
+}
+
+void Answer::Resume(const std::string& address) {
+  address_ = address;
+  TargetRequest request = StreamRequest(*context_, id_, address);
+  request.handle = AddExchange(TargetExchange::Kind::kResume)->Handle();
+  request.method = "GET";
+  request.headers["Last-Event-ID"] = std::to_string(sequence_.Last());
+  Log().Debug("An answer is resumed. request={} after={}", id_,
+              sequence_.Last());
+  context_->client->Begin(request);
+}
+
+void Answer::Refuse(const RefuseAction& refusal) {
+  if (finished_) {
+    return;
+  }
+  CloseExchanges();
+  const std::vector<EntryAddress> none;
+  const std::vector<EntryAddress>& entries =
+      refusal.reason == Reason::kDraining ? context_->standing.entries : none;
+  if (begun_) {
+    StreamEvent event;
+    event.name = "error";
+    event.data = FormatProblem(refusal, entries);
+    context_->front->Write(CallerHandle(), FormatEvent(event));
+    context_->front->End(CallerHandle());
+  } else {
+    context_->front->Answer(CallerHandle(),
+                            MakeProblemAnswer(refusal, entries));
+  }
+  Log().Debug("A request is refused. request={} outcome={} reason={}", id_,
+              OutcomeName(refusal.outcome), ReasonName(refusal.reason));
+  finished_ = true;
+}
+
+void Answer::OnCallerGone() {
+  if (finished_) {
+    return;
+  }
+  context_->counts.Add(TrafficEvent::kGoneCallers);
+  CloseExchanges();
+  if (scheduled_) {
+    Notify(CallerGone{id_});
+  } else {
+    SendCancel(context_, id_, address_);
+  }
+  context_->front->Abandon(CallerHandle());
+  finished_ = true;
+}
+
+void Answer::Reattach(CallerRequest request, std::uint64_t last) {
+  CloseExchanges();
+  context_->front->Abandon(CallerHandle());
+  request_ = std::move(request);
+  begun_ = false;
+  quiet_resume_ = true;
+  sequence_.Reset(last);
+  Resume(address_);
+}
+
+void Answer::Tick(Time now) {
+  if (!scheduled_ && !finished_ &&
+      now - last_progress_ > context_->options->scheduler.stall_time) {
+    last_progress_ = now;
+    TryAgain();
+  }
+}
+
+TargetExchange* Answer::Find(std::uint64_t handle) {
+  for (const std::unique_ptr<TargetExchange>& exchange : exchanges_) {
+    if (exchange->Handle() == handle) {
+      return exchange.get();
+    }
+  }
+  return nullptr;
+}
+
+void Answer::Sweep() {
+  std::erase_if(exchanges_, [](const std::unique_ptr<TargetExchange>& x) {
+    return x->Closed();
+  });
+}
+
+TargetExchange* Answer::AddExchange(TargetExchange::Kind kind) {
+  const std::uint64_t handle = ++context_->last_exchange;
+  TargetExchangeLimits limits;
+  limits.max_part = context_->options->max_part;
+  limits.max_answer = context_->options->max_answer;
+  exchanges_.push_back(
+      std::make_unique<TargetExchange>(kind, handle, id_, limits, this));
+  context_->by_exchange[handle] = this;
+  return exchanges_.back().get();
+}
+
+void Answer::CloseExchange(TargetExchange* exchange) {
+  if (!exchange->Closed()) {
+    exchange->Close();
+    context_->by_exchange.erase(exchange->Handle());
+    context_->client->Abort(exchange->Handle());
+  }
+}
+
+void Answer::CloseOthers(const TargetExchange* kept) {
+  for (const std::unique_ptr<TargetExchange>& exchange : exchanges_) {
+    if (exchange.get() != kept) {
+      CloseExchange(exchange.get());
+    }
+  }
+}
+
+void Answer::CloseExchanges() { CloseOthers(nullptr); }
+
+bool Answer::HasResume() const {
+  return std::any_of(
+      exchanges_.begin(), exchanges_.end(),
+      [](const std::unique_ptr<TargetExchange>& x) {
+        return !x->Closed() && x->GetKind() == TargetExchange::Kind::kResume;
+      });
+}
+
+void Answer::OnSent(TargetExchange* exchange) {
+  if (exchange->GetKind() == TargetExchange::Kind::kRun) {
+    Notify(RequestSent{id_});
+  }
+}
+
+void Answer::OnStream(TargetExchange* exchange) {
+  CloseOthers(exchange);
+  if (exchange->GetKind() == TargetExchange::Kind::kResume &&
+      !std::exchange(quiet_resume_, false)) {
+    Notify(Resumed{id_});
+  }
+  if (!begun_) {
+    BeginAnswer();
+  }
+}
+
+void Answer::BeginAnswer() {
+  ResumeHandle handle;
+  handle.id = id_;
+  handle.address = address_;
+  handle.version = version_;
+  handle.issued_unix_ms =
+      context_->clock->WallNow().time_since_epoch().count();
+  CallerAnswer head;
+  head.content_type = "text/event-stream";
+  head.headers["Cache-Control"] = "no-cache";
+  head.headers["Request-Id"] = id_;
+  head.headers["Resume-Handle"] =
+      SealHandle(handle, context_->options->handle_key);
+  head.headers["Target-Version"] = version_;
+  context_->front->Begin(CallerHandle(), head);
+  begun_ = true;
+  // The target has the request now, so it is never sent again.
+  request_.body = std::string();
+}
+
+void Answer::OnPart(TargetExchange* exchange, const StreamEvent& part) {
+  switch (sequence_.Take(part.id)) {
+    case PartPlace::kDuplicate:
+      context_->counts.Add(TrafficEvent::kDuplicateParts);
+      return;
+    case PartPlace::kGap:
+      context_->counts.Add(TrafficEvent::kPartGaps);
+      Lose(exchange);
+      return;
+    case PartPlace::kNext:
+      break;
+  }
+  StreamEvent event;
+  event.name = part.name == "end" || part.name == "error" ? "" : part.name;
+  event.id = sequence_.Last();
+  event.data = part.data;
+  last_data_ = part.data;
+  context_->counts.Add(TrafficEvent::kParts);
+  if (!context_->front->Write(CallerHandle(), FormatEvent(event))) {
+    context_->counts.Add(TrafficEvent::kSlowCallers);
+    OnCallerGone();
+    return;
+  }
+  ReportProgress();
+}
+
+void Answer::ReportProgress() {
+  const Time now = context_->clock->Now();
+  resumes_in_row_ = 0;
+  last_progress_ = now;
+  if (last_report_ == Time() || now - last_report_ >= kReportPeriod) {
+    last_report_ = now;
+    Notify(PartsReceived{id_, static_cast<std::uint32_t>(sequence_.Last())});
+  }
+}
+
+void Answer::OnStreamDone(TargetExchange* exchange, const StreamEvent& last) {
+  if (last.id && *last.id > sequence_.Last() + 1) {
+    context_->counts.Add(TrafficEvent::kPartGaps);
+    Lose(exchange);
+    return;
+  }
+  StreamEvent event;
+  event.name = "end";
+  event.data = "{\"parts\":" + std::to_string(sequence_.Last()) + "}";
+  context_->front->Write(CallerHandle(), FormatEvent(event));
+  context_->front->End(CallerHandle());
+  CloseExchanges();
+  Notify(AnswerDone{id_, static_cast<std::uint32_t>(sequence_.Last()),
+                    CachedTokens(last_data_)});
+  finished_ = true;
+}
+
+void Answer::OnPlainAnswer(TargetExchange* exchange,
+                           const CallerAnswer& answer) {
+  if (begun_) {
+    Lose(exchange);
+    return;
+  }
+  CallerAnswer passed = answer;
+  passed.headers["Request-Id"] = id_;
+  passed.headers["Target-Version"] = version_;
+  context_->front->Answer(CallerHandle(), passed);
+  CloseExchanges();
+  Notify(AnswerDone{id_, 1, 0});
+  finished_ = true;
+}
+
+void Answer::OnNotRun(TargetExchange* exchange, bool target_word,
+                      Duration retry_after) {
+  CloseExchange(exchange);
+  Notify(TargetNotRun{id_, target_word, retry_after});
+}
+
+void Answer::OnFailed(TargetExchange* exchange) {
+  CloseExchange(exchange);
+  Notify(TargetFailed{id_});
+}
+
+void Answer::OnNoStream(TargetExchange* exchange) {
+  CloseExchange(exchange);
+  Notify(ResumeFailed{id_, true});
+}
+
+void Answer::OnBroken(TargetExchange* exchange) {
+  if (exchange->GetKind() == TargetExchange::Kind::kResume &&
+      !exchange->Streaming()) {
+    CloseExchange(exchange);
+    Notify(ResumeFailed{id_, false});
+    return;
+  }
+  if (exchange->Streaming()) {
+    context_->counts.Add(TrafficEvent::kTruncatedStreams);
+  }
+  Lose(exchange);
+}
+
+void Answer::OnCrossed(TargetExchange* exchange) {
+  context_->counts.Add(TrafficEvent::kCrossedAnswers);
+  Lose(exchange);
+}
+
+void Answer::Lose(TargetExchange* exchange) {
+  CloseExchange(exchange);
+  // A resume under way already replaces the lost connection.
+  if (!HasResume()) {
+    Notify(ConnectionLost{id_});
+  }
+}
+
+void Answer::Notify(const RequestEvent& event) {
+  if (finished_) {
+    return;
+  }
+  if (scheduled_) {
+    context_->control->Send(event);
+    return;
+  }
+  const ResumeFailed* failed = std::get_if<ResumeFailed>(&event);
+  if (failed != nullptr && failed->target_alive) {
+    Refuse({id_, Outcome::kUnknown, Reason::kTargetLost, Duration(0)});
+  } else if (failed != nullptr ||
+             std::holds_alternative<ConnectionLost>(event)) {
+    TryAgain();
+  } else if (std::holds_alternative<TargetFailed>(event)) {
+    Refuse({id_, Outcome::kFailed, Reason::kTargetFailed, Duration(0)});
+  }
+}
+
+void Answer::TryAgain() {
+  if (++resumes_in_row_ > kMaxResumesInRow) {
+    Refuse({id_, Outcome::kUnknown, Reason::kTargetLost, Duration(0)});
+  } else {
+    Resume(address_);
+  }
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/entry/control_loop.cc
@@ -0,0 +1,298 @@
+#include "src/entry/control_loop.h"
+
+#include <sys/epoll.h>
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <utility>
+#include <variant>
+
+#include "hornbeamcleat/base/clock.h"
+#include "hornbeamcleat/base/log.h"
+#include "hornbeamcleat/base/timer_service.h"
+#include "src/entry/admin_server.h"
+#include "src/entry/control_link.h"
+#include "src/entry/request_metrics.h"
+#include "src/entry/target_watch.h"
+#include "src/net/poller.h"
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr Duration kTickPeriod = std::chrono::milliseconds(20);
+constexpr Duration kReportPeriod = std::chrono::seconds(1);
+
+class SchedulerLoop : public ControlLoop,
+                      public ControlLinkHandler,
+                      public TargetWatchHandler,
+                      public AdminSource {
+ public:
+  SchedulerLoop(const EntryOptions& options,
+                std::unique_ptr<Scheduler> scheduler, Metrics* metrics,
+                Mailbox<ControlMessage>* inbox,
+                Mailbox<TrafficMessage>* traffic)
+      : options_(options),
+        scheduler_(std::move(scheduler)),
+        metrics_(metrics),
+        request_metrics_(metrics),
+        inbox_(inbox),
+        traffic_(traffic),
+        clock_(Clock::Make()),
+        poller_(Poller::Make()),
+        timers_(TimerService::Make()),
+        admin_(AdminServer::Make(options.listen_admin, metrics, this)),
+        watch_(TargetWatch::Make(options_, clock_.get(), timers_.get(), this)),
+        link_(ControlLink::Make(options.control, clock_.get(), poller_.get(),
+                                timers_.get(), this)) {
+    poller_->Add(inbox_->PollFd(), EPOLLIN,
+                 [this](std::uint32_t) { TakeMessages(); });
+    poller_->Add(admin_->PollFd(), EPOLLIN,
+                 [this](std::uint32_t) { admin_->Run(); });
+    poller_->Add(watch_->PollFd(), EPOLLIN,
+                 [this](std::uint32_t) { watch_->Run(); });
+    const Time now = clock_->Now();
+    tick_ = timers_->Every(now, kTickPeriod, [this](Time t) { Tick(t); });
+    report_ = timers_->Every(now, kReportPeriod, [this](Time) {
+      SetGauges();
+      Report();
+    });
+  }
+
+  Address AdminListening() const override { return admin_->Listening(); }
+  int Open() const override { return open_; }
+  bool Draining() const override { return draining_; }
+
+  void RunOnce(Duration longest) override {
+    Duration wait = std::min(longest, watch_->NextRun());
+    if (const std::optional<Time> due = timers_->NextDue()) {
+      wait = std::min(wait, *due - clock_->Now());
+    }
+    poller_->Wait(wait);
+    if (watch_->NextRun() == Duration(0)) {
+      watch_->Run();
+    }
+    timers_->RunDue(clock_->Now());
+    Flush();
+    open_ = scheduler_->Open();
+  }
+
+  void OnLinkUp() override { Report(); }
+
+  void OnLinkMessage(const LinkMessage& message) override {
+    if (const ViewMessage* view = std::get_if<ViewMessage>(&message)) {
+      TakeView(*view);
+    } else if (const DecisionMessage* decided =
+                   std::get_if<DecisionMessage>(&message)) {
+      Decide(decided->decision.id, decided->decision.result);
+    } else {
+      metrics_->Count("link_messages_refused_total", "cause", "unexpected");
+    }
+  }
+
+  // The decisions under way may be lost with the link. Their requests don't
+  // run here, whatever the log says.
+  void OnLinkDown() override {
+    const std::map<RequestId, Time> lost = std::exchange(proposals_, {});
+    for (const auto& [id, sent] : lost) {
+      Perform(scheduler_->OnEvent(
+          IntentDecided{id, IntentResult::kUnavailable}, clock_->Now()));
+    }
+  }
+
+  void OnLoadReport(const LoadReport& report) override {
+    scheduler_->OnLoadReport(report, clock_->Now());
+  }
+
+  void OnCacheEvents(const TargetName& target,
+                     const std::vector<CacheEvent>& events) override {
+    scheduler_->OnCacheEvents(target, events, clock_->Now());
+  }
+
+  bool Ready() const override { return view_ != nullptr && !draining_; }
+
+  std::string Explain(const RequestId& id) const override {
+    return scheduler_->Explain(id);
+  }
+
+ private:
+  void TakeMessages() {
+    for (const ControlMessage& message : inbox_->Take()) {
+      std::visit([this](const auto& m) { Take(m); }, message);
+    }
+  }
+
+  void Take(const SubmitMessage& message) {
+    request_metrics_.OnSubmit(message.request, TierOf(message.request));
+    Perform(scheduler_->Submit(message.request, clock_->Now()));
+  }
+
+  void Take(const RequestEvent& event) {
+    const Time now = clock_->Now();
+    request_metrics_.OnEvent(event, now);
+    Perform(scheduler_->OnEvent(event, now));
+  }
+
+  void Take(const CountsMessage& message) {
+    for (std::size_t i = 0; i < kTrafficEventCount; ++i) {
+      const TrafficEvent event = static_cast<TrafficEvent>(i);
+      const std::uint64_t n = message.counts.Get(event);
+      if (n > 0) {
+        metrics_->Add("traffic_events_total", "event", TrafficEventName(event),
+                      static_cast<double>(n));
+      }
+    }
+  }
+
+  void Take(const DrainMessage&) {
+    scheduler_->Drain();
+    draining_ = true;
+    log_.Info("This entry drains. open={}", scheduler_->Open());
+    SendStanding();
+    Report();
+  }
+
+  void TakeView(const ViewMessage& message) {
+    if (message.view.config == nullptr) {
+      return;
+    }
+    view_ = std::make_shared<const ClusterView>(message.view);
+    entries_ = message.entries;
+    watch_->SetTargets(*view_->config);
+    Perform(scheduler_->SetView(view_, clock_->Now()));
+    SendStanding();
+  }
+
+  void SendStanding() {
+    StandingMessage standing;
+    standing.draining = draining_;
+    for (const EntryAddress& entry : entries_) {
+      if (!draining_ || entry.name != options_.name) {
+        standing.entries.push_back(entry);
+      }
+    }
+    traffic_->Send(standing);
+  }
+
+  std::string TierOf(const RequestSpec& request) const {
+    if (view_ == nullptr) {
+      return "";
+    }
+    const Resource* resource =
+        view_->config->Find("Workspace", request.workspace);
+    return resource == nullptr
+               ? ""
+               : std::get<WorkspaceSpec>(resource->spec).tier;
+  }
+
+  void Perform(const Actions& actions) {
+    for (const Action& action : actions) {
+      request_metrics_.OnAction(action);
+      if (const RecordIntentAction* intent =
+              std::get_if<RecordIntentAction>(&action)) {
+        Propose(*intent);
+      } else {
+        unsent_.push_back(action);
+      }
+    }
+  }
+
+  void Propose(const RecordIntentAction& intent) {
+    const Time now = clock_->Now();
+    proposals_[intent.id] = now;
+    if (!link_->Send(ProposeMessage{intent.id, intent.key})) {
+      Decide(intent.id, IntentResult::kUnavailable);
+    }
+  }
+
+  // A decision that comes after its proposal was given up changes nothing.
+  void Decide(const RequestId& id, IntentResult result) {
+    if (proposals_.erase(id) > 0) {
+      Perform(scheduler_->OnEvent(IntentDecided{id, result}, clock_->Now()));
+    }
+  }
+
+  void Flush() {
+    if (!unsent_.empty()) {
+      traffic_->Send(std::exchange(unsent_, Actions()));
+    }
+  }
+
+  void Tick(Time now) {
+    std::vector<RequestId> late;
+    for (const auto& [id, sent] : proposals_) {
+      if (now - sent > options_.propose_timeout) {
+        late.push_back(id);
+      }
+    }
+    for (const RequestId& id : late) {
+      Decide(id, IntentResult::kUnavailable);
+    }
+    Perform(scheduler_->Tick(now));
+    const SchedulerFacts facts = scheduler_->Facts(now);
+    if (facts.closed_rank != reported_rank_) {
+      Report();
+    }
+  }
+
+  void Report() {
+    const Time now = clock_->Now();
+    ReportMessage report;
+    report.entry = options_.name;
+    report.facts = scheduler_->Facts(now);
+    report.evidence = scheduler_->Evidence();
+    report.open = scheduler_->Open();
+    report.draining = draining_;
+    reported_rank_ = report.facts.closed_rank;
+    link_->Send(report);
+  }
+
+  void SetGauges() {
+    const SchedulerFacts facts = scheduler_->Facts(clock_->Now());
+    metrics_->Set("requests", "state", "queued", facts.queued);
+    metrics_->Set("requests", "state", "in_flight", facts.in_flight);
+    metrics_->Set("standing", "state", "ready", Ready() ? 1 : 0);
+    metrics_->Set("standing", "state", "draining", draining_ ? 1 : 0);
+    metrics_->Set("standing", "state", "control_link",
+                  link_->Connected() ? 1 : 0);
+    metrics_->Set("link", "cause", "malformed",
+                  static_cast<double>(link_->Malformed()));
+    metrics_->Set("target_reads", "state", "failed",
+                  static_cast<double>(watch_->Failures()));
+  }
+
+  EntryOptions options_;
+  std::unique_ptr<Scheduler> scheduler_;
+  Metrics* metrics_;
+  RequestMetrics request_metrics_;
+  Mailbox<ControlMessage>* inbox_;
+  Mailbox<TrafficMessage>* traffic_;
+  Logger log_{"control"};
+  std::unique_ptr<Clock> clock_;
+  std::unique_ptr<Poller> poller_;
+  std::unique_ptr<TimerService> timers_;
+  std::unique_ptr<AdminServer> admin_;
+  std::unique_ptr<TargetWatch> watch_;
+  std::unique_ptr<ControlLink> link_;
+  std::unique_ptr<TimerService::Subscription> tick_;
+  std::unique_ptr<TimerService::Subscription> report_;
+  std::shared_ptr<const ClusterView> view_;
+  std::vector<EntryAddress> entries_;
+  std::map<RequestId, Time> proposals_;  // without a decision yet
+  std::map<std::string, int> reported_rank_;
+  Actions unsent_;
+  std::atomic<int> open_{0};
+  std::atomic<bool> draining_{false};
+};
+
+}  // namespace
+
+std::unique_ptr<ControlLoop> ControlLoop::Make(
+    const EntryOptions& options, std::unique_ptr<Scheduler> scheduler,
+    Metrics* metrics, Mailbox<ControlMessage>* inbox,
+    Mailbox<TrafficMessage>* traffic) {
+  return std::make_unique<SchedulerLoop>(options, std::move(scheduler), metrics,
+                                         inbox, traffic);
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/entry/entry_part.h
@@ -0,0 +1,36 @@
+#ifndef HORNBEAMCLEAT_SRC_ENTRY_ENTRY_PART_H_
+#define HORNBEAMCLEAT_SRC_ENTRY_ENTRY_PART_H_
+
+#include <functional>
+#include <memory>
+
+#include "hornbeamcleat/base/metrics.h"
+#include "hornbeamcleat/base/settings.h"
+#include "hornbeamcleat/base/supervisor.h"
+#include "hornbeamcleat/schedule/scheduler.h"
+#include "src/entry/entry_options.h"
+
+namespace hornbeamcleat {
+
+/// Serves callers with one traffic thread and one control thread. Both start
+/// and fail together: neither's state is of use without the other's.
+class EntryPart : public Part {
+ public:
+  using SchedulerFactory = std::function<std::unique_ptr<Scheduler>()>;
+
+  /// @param metrics must outlive the part
+  static std::unique_ptr<EntryPart> Make(const EntryOptions& options,
+                                         SchedulerFactory scheduler,
+                                         Metrics* metrics);
+
+  /// Addresses with the ports that were picked; valid after Start.
+  virtual Address Listening() const = 0;
+  virtual Address AdminListening() const = 0;
+
+  /// Throws what one of the threads threw, if it did.
+  virtual void Check() const = 0;
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_ENTRY_ENTRY_PART_H_
--- /dev/null
+++ b/src/entry/request_metrics.cc
@@ -0,0 +1,84 @@
+#include "src/entry/request_metrics.h"
+
+#include <variant>
+
+namespace hornbeamcleat {
+
+void RequestMetrics::OnSubmit(const RequestSpec& request,
+                              const std::string& tier) {
+  OpenRequest open;
+  open.arrival = request.arrival;
+  open.tier = tier.empty() ? "unknown" : tier;
+  metrics_->Count("requests_total", "tier", open.tier);
+  open_[request.id] = open;
+}
+
+void RequestMetrics::OnEvent(const RequestEvent& event, Time now) {
+  std::visit([&](const auto& e) { Take(e, now); }, event);
+}
+
+void RequestMetrics::OnAction(const Action& action) {
+  if (const RefuseAction* refusal = std::get_if<RefuseAction>(&action)) {
+    metrics_->Count("refusals_total", "reason", ReasonName(refusal->reason));
+    metrics_->Count("outcomes_total", "outcome", OutcomeName(refusal->outcome));
+    open_.erase(refusal->id);
+  } else if (const DispatchAction* dispatch =
+                 std::get_if<DispatchAction>(&action)) {
+    const auto it = open_.find(dispatch->id);
+    if (it != open_.end()) {
+      if (it->second.dispatched) {
+        metrics_->Count("retries_total", "reason", it->second.trouble);
+      }
+      it->second.dispatched = true;
+    }
+  } else if (const ResumeAction* resume = std::get_if<ResumeAction>(&action)) {
+    const auto it = open_.find(resume->id);
+    metrics_->Count("resumes_total", "reason",
+                    it == open_.end() ? "none" : it->second.trouble);
+  }
+}
+
+void RequestMetrics::Take(const TargetNotRun& event, Time) {
+  Note(event.id, event.target_word ? "target_refused" : "not_connected");
+}
+
+void RequestMetrics::Take(const PartsReceived& event, Time now) {
+  SeeFirstPart(event.id, now);
+  Note(event.id, "stalled");
+}
+
+void RequestMetrics::Take(const AnswerDone& event, Time now) {
+  SeeFirstPart(event.id, now);
+  metrics_->Count("outcomes_total", "outcome", "whole");
+  open_.erase(event.id);
+}
+
+void RequestMetrics::Take(const ConnectionLost& event, Time) {
+  Note(event.id, "connection_lost");
+}
+
+void RequestMetrics::Take(const ResumeFailed& event, Time) {
+  Note(event.id, event.target_alive ? "resume_refused" : "resume_lost");
+}
+
+void RequestMetrics::Take(const CallerGone& event, Time) {
+  open_.erase(event.id);
+}
+
+void RequestMetrics::Note(const RequestId& id, const char* trouble) {
+  const auto it = open_.find(id);
+  if (it != open_.end()) {
+    it->second.trouble = trouble;
+  }
+}
+
+void RequestMetrics::SeeFirstPart(const RequestId& id, Time now) {
+  const auto it = open_.find(id);
+  if (it != open_.end() && !it->second.first_part_seen) {
+    it->second.first_part_seen = true;
+    metrics_->Observe("first_part_seconds", "tier", it->second.tier,
+                      ToSeconds(now - it->second.arrival));
+  }
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/entry/resume_handle.cc
@@ -0,0 +1,87 @@
+#include "src/entry/resume_handle.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <array>
+#include <vector>
+
+#include "hornbeamcleat/base/error.h"
+#include "src/base/codec.h"
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr char kStep[] = "open resume handle";
+constexpr std::size_t kMaxTextLength = 1'024;
+constexpr std::size_t kTagBytes = 32;
+// A handle may come from a VM whose clock is ahead by this much.
+constexpr std::chrono::minutes kClockTolerance(1);
+
+std::string Tag(std::string_view bytes, std::string_view key) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> tag{};
+  unsigned n = 0;
+  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+       reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
+       tag.data(), &n);
+  return std::string(reinterpret_cast<const char*>(tag.data()), n);
+}
+
+std::string ToHex(std::string_view bytes) {
+  std::string text(bytes.size() * 2 + 1, '\0');
+  std::size_t n = 0;
+  OPENSSL_buf2hexstr_ex(text.data(), text.size(), &n,
+                        reinterpret_cast<const unsigned char*>(bytes.data()),
+                        bytes.size(), '\0');
+  text.resize(bytes.size() * 2);
+  return text;
+}
+
+std::string FromHex(std::string_view text) {
+  if (text.empty() || text.size() % 2 != 0 || text.size() > kMaxTextLength) {
+    throw Error(kStep, "", "its length is wrong");
+  }
+  std::string bytes(text.size() / 2, '\0');
+  std::size_t n = 0;
+  if (OPENSSL_hexstr2buf_ex(reinterpret_cast<unsigned char*>(bytes.data()),
+                            bytes.size(), &n, std::string(text).c_str(),
+                            '\0') != 1 ||
+      n != bytes.size()) {
+    throw Error(kStep, "", "it is not hexadecimal");
+  }
+  return bytes;
+}
+
+}  // namespace
+
+template <typename Archive>
+void serialize(Archive& ar, ResumeHandle& handle) {
+  ar(handle.id, handle.address, handle.version, handle.issued_unix_ms);
+}
+
+std::string SealHandle(const ResumeHandle& handle, std::string_view key) {
+  const std::string bytes = EncodeBytes(handle);
+  return ToHex(Tag(bytes, key) + bytes);
+}
+
+ResumeHandle OpenHandle(std::string_view text, std::string_view key,
+                        WallTime now, Duration life) {
+  const std::string sealed = FromHex(text);
+  if (sealed.size() <= kTagBytes) {
+    throw Error(kStep, "", "it is too short");
+  }
+  const std::string bytes = sealed.substr(kTagBytes);
+  const std::string tag = Tag(bytes, key);
+  if (CRYPTO_memcmp(tag.data(), sealed.data(), kTagBytes) != 0) {
+    throw Error(kStep, "", "its signature is wrong");
+  }
+  const ResumeHandle handle = DecodeBytes<ResumeHandle>(bytes);
+  const WallTime issued{std::chrono::milliseconds(handle.issued_unix_ms)};
+  if (issued + life < now || issued > now + kClockTolerance) {
+    throw Error(kStep, "", "it is too old");
+  }
+  return handle;
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/entry/submission.cc
@@ -0,0 +1,165 @@
+#include "src/entry/submission.h"
+
+#include <cxxtools/serializationinfo.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <optional>
+
+#include "hornbeamcleat/base/error.h"
+#include "hornbeamcleat/base/hash.h"
+#include "src/base/json.h"
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr char kStep[] = "read request";
+constexpr std::size_t kMaxIdLength = 64;
+constexpr std::size_t kMaxNameLength = 128;
+constexpr std::size_t kMaxPathLength = 512;
+constexpr std::size_t kBlockBytes = 64;
+constexpr std::size_t kBytesPerToken = 4;
+// Parsing is done on the traffic thread; a longer body goes unparsed.
+constexpr std::size_t kMaxParsedBytes = 128 * 1024;
+constexpr std::int64_t kMaxDeadlineMs = 24 * 3'600 * 1'000;
+constexpr int kMaxStatedTokens = 10'000'000;
+
+bool IsWord(std::string_view text, std::string_view punctuation) {
+  return std::all_of(text.begin(), text.end(), [&](unsigned char c) {
+    return std::isalnum(c) != 0 ||
+           punctuation.find(static_cast<char>(c)) != std::string_view::npos;
+  });
+}
+
+std::string Header(const CallerRequest& request, const char* name) {
+  const auto it = request.headers.find(name);
+  return it == request.headers.end() ? "" : it->second;
+}
+
+std::string RequiredHeader(const CallerRequest& request, const char* name) {
+  const std::string value = Header(request, name);
+  if (value.empty() || value.size() > kMaxNameLength) {
+    throw Error(kStep, "",
+                fmt::format("header '{}' must have 1 to {} characters", name,
+                            kMaxNameLength));
+  }
+  return value;
+}
+
+Time ReadDeadline(const CallerRequest& request, Time now) {
+  const std::string text = Header(request, "deadline-ms");
+  if (text.empty()) {
+    return Time::max();
+  }
+  std::int64_t ms = 0;
+  const std::from_chars_result result =
+      std::from_chars(text.data(), text.data() + text.size(), ms);
+  if (result.ec != std::errc() || result.ptr != text.data() + text.size() ||
+      ms < 1 || ms > kMaxDeadlineMs) {
+    throw Error(kStep, "",
+                fmt::format("header 'deadline-ms' must be 1 to {}",
+                            kMaxDeadlineMs));
+  }
+  return now + std::chrono::milliseconds(ms);
+}
+
+std::optional<std::string> PromptText(const cxxtools::SerializationInfo& body) {
+  const cxxtools::SerializationInfo* prompt = body.findMember("prompt");
+  if (prompt != nullptr) {
+    return JsonMember<std::string>(body, "prompt", "");
+  }
+  const cxxtools::SerializationInfo* messages = body.findMember("messages");
+  if (messages == nullptr) {
+    return std::nullopt;
+  }
+  std::string text;
+  for (const cxxtools::SerializationInfo& message : *messages) {
+    text += JsonMember<std::string>(message, "content", "");
+  }
+  return text;
+}
+
+// A body of another form is no error: it passes through untouched.
+void ReadBody(const std::string& body, RequestSpec* spec) {
+  const std::size_t start = body.find_first_not_of(" \t\r\n");
+  if (start == std::string::npos || body[start] != '{') {
+    return;
+  }
+  try {
+    const cxxtools::SerializationInfo json = ParseJson(body, kMaxParsedBytes);
+    spec->max_tokens = static_cast<std::uint32_t>(std::clamp(
+        JsonMember<int>(json, "max_tokens", 0), 0, kMaxStatedTokens));
+    if (const std::optional<std::string> prompt = PromptText(json)) {
+      spec->prefix_blocks = PrefixBlocks(*prompt);
+      spec->prompt_tokens =
+          static_cast<std::uint32_t>(prompt->size() / kBytesPerToken);
+    }
+  } catch (const Error&) {
+    return;
+  }
+}
+
+}  // namespace
+
+RequestIdSource::RequestIdSource() {
+  std::random_device device;
+  std::seed_seq seed{device(), device(), device(), device(),
+                     device(), device(), device(), device()};
+  random_.seed(seed);
+}
+
+RequestId RequestIdSource::Next() {
+  const std::uint64_t high = random_();
+  const std::uint64_t low = random_();
+  return fmt::format("{:016x}{:016x}", high, low);
+}
+
+bool IsRequestId(std::string_view id) {
+  return !id.empty() && id.size() <= kMaxIdLength && IsWord(id, "._-");
+}
+
+bool IsPlainPath(std::string_view path) {
+  return path.size() <= kMaxPathLength && path.starts_with('/') &&
+         IsWord(path, "/._-~:@+");
+}
+
+RequestSpec ReadSubmission(const CallerRequest& request, const RequestId& id,
+                           Time now) {
+  RequestSpec spec;
+  const std::string stated_id = Header(request, "request-id");
+  spec.id = stated_id.empty() ? id : stated_id;
+  if (!IsRequestId(spec.id)) {
+    throw Error(kStep, "", "header 'request-id' is malformed");
+  }
+  if (!IsPlainPath(request.path)) {
+    throw Error(kStep, "", "the path has characters that are not passed on");
+  }
+  spec.workspace = RequiredHeader(request, "workspace");
+  spec.application = RequiredHeader(request, "application");
+  spec.idempotency_key = Header(request, "idempotency-key");
+  if (spec.idempotency_key.size() > kMaxNameLength) {
+    throw Error(kStep, "", "header 'idempotency-key' is too long");
+  }
+  spec.arrival = now;
+  spec.deadline = ReadDeadline(request, now);
+  spec.prompt_tokens =
+      static_cast<std::uint32_t>(request.body.size() / kBytesPerToken);
+  spec.fingerprint = Hash64(request.body);
+  ReadBody(request.body, &spec);
+  return spec;
+}
+
+std::vector<std::uint64_t> PrefixBlocks(std::string_view prompt) {
+  std::vector<std::uint64_t> blocks;
+  blocks.reserve(prompt.size() / kBlockBytes);
+  std::uint64_t previous = 0;
+  for (std::size_t i = 0; i + kBlockBytes <= prompt.size(); i += kBlockBytes) {
+    previous = Hash64(prompt.substr(i, kBlockBytes), previous);
+    blocks.push_back(previous);
+  }
+  return blocks;
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/entry/traffic_counts.h
@@ -0,0 +1,53 @@
+#ifndef HORNBEAMCLEAT_SRC_ENTRY_TRAFFIC_COUNTS_H_
+#define HORNBEAMCLEAT_SRC_ENTRY_TRAFFIC_COUNTS_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace hornbeamcleat {
+
+/// Events that the traffic thread counts.
+enum class TrafficEvent {
+  kParts,             ///< parts passed on
+  kDuplicateParts,    ///< late or duplicate parts dropped
+  kPartGaps,          ///< streams left because a part was missing
+  kCrossedAnswers,    ///< answers that named another request
+  kTruncatedStreams,  ///< streams that ended before their last part
+  kOversizedAnswers,  ///< parts or plain answers above the limit
+  kSlowCallers,       ///< callers left because their buffer was full
+  kGoneCallers,       ///< callers that left before their answer was whole
+  kCallerResumes,     ///< answers resumed with a handle
+  kBadHandles,        ///< resume handles refused
+  kBadRequests,       ///< submits refused because of their form
+  kMalformedInput,    ///< callers' bytes that are not HTTP
+  kOversizedInput,    ///< callers' bodies above the limit
+  kTooManyOpen,       ///< requests above the limit of open ones
+  kCount
+};
+
+inline constexpr std::size_t kTrafficEventCount =
+    static_cast<std::size_t>(TrafficEvent::kCount);
+
+/// Name of `event` in snake_case, used as label.
+const char* TrafficEventName(TrafficEvent event);
+
+/// Number of occurrences by event.
+class TrafficCounts {
+ public:
+  void Add(TrafficEvent event, std::uint64_t n = 1) {
+    counts_[static_cast<std::size_t>(event)] += n;
+  }
+  std::uint64_t Get(TrafficEvent event) const {
+    return counts_[static_cast<std::size_t>(event)];
+  }
+
+  bool operator==(const TrafficCounts&) const = default;
+
+ private:
+  std::array<std::uint64_t, kTrafficEventCount> counts_{};
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_ENTRY_TRAFFIC_COUNTS_H_
--- /dev/null
+++ b/src/entry/traffic_loop.cc
@@ -0,0 +1,373 @@
+#include "src/entry/traffic_loop.h"
+
+#include <sys/epoll.h>
+
+#include <algorithm>
+#include <atomic>
+#include <charconv>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "hornbeamcleat/base/clock.h"
+#include "hornbeamcleat/base/error.h"
+#include "hornbeamcleat/base/log.h"
+#include "src/entry/answer.h"
+#include "src/entry/problem.h"
+#include "src/entry/resume_handle.h"
+#include "src/entry/submission.h"
+#include "src/net/poller.h"
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr Duration kTickPeriod = std::chrono::milliseconds(100);
+constexpr int kStatusAccepted = 202;
+constexpr int kStatusNotFound = 404;
+constexpr char kAddressesPath[] = "/v1/addresses";
+constexpr char kAnswersPrefix[] = "/v1/answers/";
+constexpr char kSubmitPrefix[] = "/v1/";
+
+RefuseAction BadRequest(const RequestId& id) {
+  return {id, Outcome::kNotRun, Reason::kBadRequest, Duration(0)};
+}
+
+std::string Header(const CallerRequest& request, const char* name) {
+  const auto it = request.headers.find(name);
+  return it == request.headers.end() ? "" : it->second;
+}
+
+class EpollTrafficLoop : public TrafficLoop,
+                         public CallerHandler,
+                         public TargetHandler {
+ public:
+  EpollTrafficLoop(const EntryOptions& options,
+                   Mailbox<ControlMessage>* control,
+                   Mailbox<TrafficMessage>* inbox)
+      : options_(options),
+        inbox_(inbox),
+        clock_(Clock::Make()),
+        poller_(Poller::Make()),
+        client_(TargetClient::Make(this)),
+        front_(CallerFront::Make(options.listen, options.max_body,
+                                 options.max_open, options.max_buffered,
+                                 this)) {
+    context_.options = &options_;
+    context_.clock = clock_.get();
+    context_.front = front_.get();
+    context_.client = client_.get();
+    context_.control = control;
+    poller_->Add(inbox_->PollFd(), EPOLLIN,
+                 [this](std::uint32_t) { TakeMessages(); });
+    poller_->Add(client_->PollFd(), EPOLLIN,
+                 [this](std::uint32_t) { client_->Run(); });
+    poller_->Add(front_->PollFd(), EPOLLIN,
+                 [this](std::uint32_t) { front_->Run(); });
+  }
+
+  Address Listening() const override { return front_->Listening(); }
+  std::size_t Open() const override { return open_; }
+
+  void RunOnce(Duration longest) override {
+    poller_->Wait(std::min({longest, kTickPeriod, client_->NextRun()}));
+    if (client_->NextRun() == Duration(0)) {
+      client_->Run();
+    }
+    const Time now = clock_->Now();
+    if (now >= next_tick_) {
+      next_tick_ = now + kTickPeriod;
+      Tick(now);
+    }
+    RemoveFinished();
+    open_ = front_->Open();
+  }
+
+  void OnRequest(CallerRequest request) override {
+    if (request.method == "GET" && request.path == kAddressesPath) {
+      CallerAnswer answer;
+      answer.body =
+          FormatAddresses(context_.standing.entries, options_.addresses_life);
+      front_->Answer(request.handle, answer);
+    } else if (request.path.starts_with(kAnswersPrefix)) {
+      OnAnswerRequest(std::move(request));
+    } else if (request.method == "POST" &&
+               request.path.starts_with(kSubmitPrefix)) {
+      OnSubmit(std::move(request));
+    } else {
+      CallerAnswer answer =
+          MakeProblemAnswer(BadRequest(""), std::vector<EntryAddress>());
+      answer.status = kStatusNotFound;
+      front_->Answer(request.handle, answer);
+    }
+  }
+
+  void OnClosed(std::uint64_t handle, bool sent_whole) override {
+    const auto it = by_caller_.find(handle);
+    if (it == by_caller_.end()) {
+      return;
+    }
+    Answer* answer = it->second;
+    by_caller_.erase(it);
+    if (!sent_whole) {
+      answer->OnCallerGone();
+      Touch(answer);
+    }
+  }
+
+  void OnSending(std::uint64_t handle) override {
+    WithExchange(handle, [](TargetExchange* x) { x->OnSending(); });
+  }
+
+  void OnHead(std::uint64_t handle, int status,
+              const std::map<std::string, std::string>& headers) override {
+    WithExchange(handle, [&](TargetExchange* x) { x->OnHead(status, headers); });
+  }
+
+  void OnBody(std::uint64_t handle, std::string_view bytes) override {
+    WithExchange(handle, [&](TargetExchange* x) { x->OnBody(bytes); });
+  }
+
+  void OnEnd(std::uint64_t handle, TargetEnd end,
+             const std::string& cause) override {
+    log_.Debug("An exchange with a target ended. cause=\"{}\"", cause);
+    WithExchange(handle, [&](TargetExchange* x) { x->OnEnd(end); });
+  }
+
+ private:
+  template <typename Work>
+  void WithExchange(std::uint64_t handle, const Work& work) {
+    const auto it = context_.by_exchange.find(handle);
+    if (it == context_.by_exchange.end()) {
+      return;
+    }
+    Answer* answer = it->second;
+    work(answer->Find(handle));
+    if (answer->Finished()) {
+      Touch(answer);
+    } else {
+      answer->Sweep();
+    }
+  }
+
+  void OnSubmit(CallerRequest request) {
+    RequestSpec spec;
+    try {
+      spec = ReadSubmission(request, ids_.Next(), clock_->Now());
+    } catch (const Error& e) {
+      context_.counts.Add(TrafficEvent::kBadRequests);
+      log_.Debug("A submit is malformed. cause=\"{}\"", e.what());
+      Refuse(request.handle, BadRequest(""));
+      return;
+    }
+    // An id in use names a request that may have run already.
+    if (answers_.contains(spec.id)) {
+      context_.counts.Add(TrafficEvent::kBadRequests);
+      Refuse(request.handle,
+             {spec.id, Outcome::kUnknown, Reason::kDuplicate, Duration(0)});
+      return;
+    }
+    Add(std::make_unique<Answer>(&context_, spec.id, std::move(request)));
+    context_.control->Send(SubmitMessage{std::move(spec)});
+  }
+
+  void OnAnswerRequest(CallerRequest request) {
+    const std::string id =
+        request.path.substr(std::string_view(kAnswersPrefix).size());
+    ResumeHandle handle;
+    std::uint64_t last = 0;
+    try {
+      handle = OpenHandle(Header(request, "resume-handle"),
+                          options_.handle_key, clock_->WallNow(),
+                          options_.handle_life);
+      last = ReadLastEventId(request);
+      if (handle.id != id) {
+        throw Error("open resume handle", "", "it is of another request");
+      }
+    } catch (const Error& e) {
+      context_.counts.Add(TrafficEvent::kBadHandles);
+      log_.Debug("A resume handle is refused. cause=\"{}\"", e.what());
+      // The request itself may have run; only this call did nothing.
+      RefuseAction refusal{id, Outcome::kUnknown, Reason::kBadRequest,
+                           Duration(0)};
+      Refuse(request.handle, refusal);
+      return;
+    }
+    if (request.method == "GET") {
+      ResumeAnswer(handle, std::move(request), last);
+    } else if (request.method == "DELETE") {
+      CancelAnswer(handle, request.handle);
+    } else {
+      Refuse(request.handle, BadRequest(id));
+    }
+  }
+
+  static std::uint64_t ReadLastEventId(const CallerRequest& request) {
+    const std::string text = Header(request, "last-event-id");
+    std::uint64_t last = 0;
+    const std::from_chars_result result =
+        std::from_chars(text.data(), text.data() + text.size(), last);
+    if (!text.empty() && (result.ec != std::errc() ||
+                          result.ptr != text.data() + text.size())) {
+      throw Error("open resume handle", "", "Last-Event-ID is no number");
+    }
+    return last;
+  }
+
+  void ResumeAnswer(const ResumeHandle& handle, CallerRequest request,
+                    std::uint64_t last) {
+    context_.counts.Add(TrafficEvent::kCallerResumes);
+    const auto it = answers_.find(handle.id);
+    if (it != answers_.end() && !it->second->Finished()) {
+      Answer* answer = it->second.get();
+      by_caller_.erase(answer->CallerHandle());
+      by_caller_[request.handle] = answer;
+      answer->Reattach(std::move(request), last);
+      return;
+    }
+    answers_.erase(handle.id);
+    Add(std::make_unique<Answer>(&context_, handle, std::move(request), last));
+  }
+
+  void CancelAnswer(const ResumeHandle& handle, std::uint64_t caller) {
+    const auto it = answers_.find(handle.id);
+    if (it != answers_.end()) {
+      it->second->OnCallerGone();
+      Touch(it->second.get());
+    } else {
+      SendCancel(&context_, handle.id, handle.address);
+    }
+    CallerAnswer answer;
+    answer.status = kStatusAccepted;
+    answer.body = "{\"cancelled\":true}";
+    front_->Answer(caller, answer);
+  }
+
+  void Add(std::unique_ptr<Answer> answer) {
+    by_caller_[answer->CallerHandle()] = answer.get();
+    const RequestId id = answer->Id();
+    answers_[id] = std::move(answer);
+  }
+
+  void Refuse(std::uint64_t caller, const RefuseAction& refusal) {
+    front_->Answer(caller,
+                   MakeProblemAnswer(refusal, std::vector<EntryAddress>()));
+  }
+
+  void TakeMessages() {
+    for (const TrafficMessage& message : inbox_->Take()) {
+      if (const Actions* actions = std::get_if<Actions>(&message)) {
+        for (const Action& action : *actions) {
+          std::visit([this](const auto& a) { Do(a); }, action);
+        }
+      } else {
+        context_.standing = std::get<StandingMessage>(message);
+      }
+    }
+  }
+
+  // The control thread sees to intents.
+  void Do(const RecordIntentAction&) {}
+
+  void Do(const DispatchAction& action) {
+    if (Answer* answer = Find(action.id)) {
+      answer->Dispatch(action);
+      return;
+    }
+    // The caller left meanwhile and no byte was sent.
+    context_.control->Send(RequestEvent(TargetNotRun{action.id}));
+  }
+
+  void Do(const ResumeAction& action) {
+    if (Answer* answer = Find(action.id)) {
+      answer->Resume(action.address);
+    }
+  }
+
+  void Do(const CancelAction& action) {
+    if (Answer* answer = Find(action.id)) {
+      answer->CloseExchanges();
+    }
+    SendCancel(&context_, action.id, action.address);
+  }
+
+  void Do(const RefuseAction& action) {
+    if (Answer* answer = Find(action.id)) {
+      answer->Refuse(action);
+      Touch(answer);
+    }
+  }
+
+  Answer* Find(const RequestId& id) {
+    const auto it = answers_.find(id);
+    return it == answers_.end() || it->second->Finished() ? nullptr
+                                                          : it->second.get();
+  }
+
+  // Notes an answer that may have finished; it is removed at the round's end,
+  // when none of its callbacks runs.
+  void Touch(const Answer* answer) { touched_.push_back(answer->Id()); }
+
+  void RemoveFinished() {
+    for (const RequestId& id : std::exchange(touched_, {})) {
+      const auto it = answers_.find(id);
+      if (it != answers_.end() && it->second->Finished()) {
+        by_caller_.erase(it->second->CallerHandle());
+        answers_.erase(it);
+      }
+    }
+  }
+
+  void Tick(Time now) {
+    for (const auto& [id, answer] : answers_) {
+      answer->Tick(now);
+      if (answer->Finished()) {
+        Touch(answer.get());
+      } else {
+        answer->Sweep();
+      }
+    }
+    CountFrontRefusals();
+    if (context_.counts != TrafficCounts()) {
+      context_.control->Send(CountsMessage{context_.counts});
+      context_.counts = TrafficCounts();
+    }
+  }
+
+  void CountFrontRefusals() {
+    const FrontRefusals now = front_->Refusals();
+    context_.counts.Add(TrafficEvent::kMalformedInput,
+                        now.malformed - counted_.malformed);
+    context_.counts.Add(TrafficEvent::kOversizedInput,
+                        now.too_large - counted_.too_large);
+    context_.counts.Add(TrafficEvent::kTooManyOpen,
+                        now.too_many - counted_.too_many);
+    counted_ = now;
+  }
+
+  EntryOptions options_;
+  Mailbox<TrafficMessage>* inbox_;
+  Logger log_{"traffic"};
+  RequestIdSource ids_;
+  std::unique_ptr<Clock> clock_;
+  std::unique_ptr<Poller> poller_;
+  std::unique_ptr<TargetClient> client_;
+  std::unique_ptr<CallerFront> front_;
+  AnswerContext context_;
+  std::unordered_map<RequestId, std::unique_ptr<Answer>> answers_;
+  std::unordered_map<std::uint64_t, Answer*> by_caller_;
+  std::vector<RequestId> touched_;
+  FrontRefusals counted_;
+  Time next_tick_;
+  std::atomic<std::size_t> open_{0};
+};
+
+}  // namespace
+
+std::unique_ptr<TrafficLoop> TrafficLoop::Make(
+    const EntryOptions& options, Mailbox<ControlMessage>* control,
+    Mailbox<TrafficMessage>* inbox) {
+  return std::make_unique<EpollTrafficLoop>(options, control, inbox);
+}
+
+}  // namespace hornbeamcleat
--- a/src/net/caller_front.h
+++ b/src/net/caller_front.h
@@ -29,6 +29,15 @@
   std::string body;  ///< empty for a streamed answer
 };
 
+/// Input that a front refused by itself; totals since the start.
+struct FrontRefusals {
+  std::uint64_t malformed = 0;  ///< not HTTP, or against its rules
+  std::uint64_t too_large = 0;  ///< body above the limit
+  std::uint64_t too_many = 0;   ///< exchanges above the limit
+
+  bool operator==(const FrontRefusals&) const = default;
+};
+
 /// Takes what happens at a front. Called on the traffic thread.
 class CallerHandler {
  public:
@@ -37,7 +46,8 @@
   /// A request has arrived whole.
   virtual void OnRequest(CallerRequest request) = 0;
 
-  /// The exchange ended: the answer was sent whole or the caller left.
+  /// The exchange ended: the answer was sent whole or the caller left. A caller
+  /// that closes its sending side has left.
   virtual void OnClosed(std::uint64_t handle, bool sent_whole) = 0;
 };
 
@@ -80,11 +90,16 @@
   /// Ends a streamed answer once all bytes are sent.
   virtual void End(std::uint64_t handle) = 0;
 
+  /// Closes the caller's connection without ending its answer.
+  virtual void Abandon(std::uint64_t handle) = 0;
+
   /// Takes no new connections; open ones go on.
   virtual void Quiesce() = 0;
 
   /// Exchanges open now.
   virtual std::size_t Open() const = 0;
+
+  virtual FrontRefusals Refusals() const = 0;
 };
 
 }  // namespace hornbeamcleat
--- /dev/null
+++ b/src/net/target_client.cc
@@ -0,0 +1,377 @@
+#include "src/net/target_client.h"
+
+#include <curl/curl.h>
+#include <sys/epoll.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "hornbeamcleat/base/clock.h"
+#include "hornbeamcleat/base/error.h"
+#include "src/net/file_descriptor.h"
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr int kEventsPerRun = 64;
+constexpr long kUploadBufferBytes = 16 * 1024;  // the library's least
+constexpr int kFirstFinalStatus = 200;
+constexpr Duration kLongestWait = std::chrono::seconds(1);
+
+class CurlTargetClient;
+
+// One exchange; its address is handed to the library, so it never moves.
+struct Transfer {
+  CurlTargetClient* owner = nullptr;
+  std::uint64_t handle = 0;
+  CURL* easy = nullptr;
+  curl_slist* lines = nullptr;
+  std::string body;
+  int status = 0;
+  std::map<std::string, std::string> headers;
+  bool sending = false;
+  bool aborted = false;
+  std::array<char, CURL_ERROR_SIZE> cause{};
+
+  Transfer() = default;
+  Transfer(const Transfer&) = delete;
+  Transfer& operator=(const Transfer&) = delete;
+  ~Transfer() {
+    curl_easy_cleanup(easy);
+    curl_slist_free_all(lines);
+  }
+};
+
+void AddHeader(Transfer* transfer, const std::string& name,
+               const std::string& value) {
+  const std::string line = name + ": " + value;
+  transfer->lines = curl_slist_append(transfer->lines, line.c_str());
+}
+
+// The library adds these unless told not to; callers' bodies and headers pass
+// through as they are.
+void AddHeaders(Transfer* transfer, const TargetRequest& request) {
+  bool typed = false;
+  for (const auto& [name, value] : request.headers) {
+    typed = typed || name == "content-type" || name == "Content-Type";
+    if (!value.empty()) {
+      AddHeader(transfer, name, value);
+    }
+  }
+  transfer->lines = curl_slist_append(transfer->lines, "Expect:");
+  if (!typed) {
+    transfer->lines = curl_slist_append(transfer->lines, "Content-Type:");
+  }
+}
+
+class CurlTargetClient : public TargetClient {
+ public:
+  explicit CurlTargetClient(TargetHandler* handler)
+      : handler_(handler),
+        clock_(Clock::Make()),
+        epoll_(epoll_create1(EPOLL_CLOEXEC)),
+        multi_(curl_multi_init()) {
+    if (epoll_.Get() < 0 || multi_ == nullptr) {
+      throw Error("make target client", "", "no descriptor or memory");
+    }
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &OnSocket);
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &OnTimer);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+  }
+
+  ~CurlTargetClient() override {
+    for (const auto& [handle, transfer] : transfers_) {
+      curl_multi_remove_handle(multi_, transfer->easy);
+    }
+    transfers_.clear();
+    curl_multi_cleanup(multi_);
+  }
+
+  void Begin(const TargetRequest& request) override {
+    std::unique_ptr<Transfer> transfer = std::make_unique<Transfer>();
+    transfer->owner = this;
+    transfer->handle = request.handle;
+    transfer->body = request.body;
+    transfer->easy = curl_easy_init();
+    SetRequest(transfer.get(), request);
+    SetCallbacks(transfer.get());
+    Transfer* added = transfer.get();
+    transfers_[request.handle] = std::move(transfer);
+    if (running_) {
+      begun_.push_back(added->handle);
+    } else {
+      curl_multi_add_handle(multi_, added->easy);
+    }
+  }
+
+  void Abort(std::uint64_t handle) override {
+    const auto it = transfers_.find(handle);
+    if (it == transfers_.end() || it->second->aborted) {
+      return;
+    }
+    it->second->aborted = true;
+    if (running_) {
+      aborted_.push_back(handle);
+    } else {
+      Drop(handle);
+    }
+  }
+
+  int PollFd() const override { return epoll_.Get(); }
+
+  Duration NextRun() const override {
+    if (!due_) {
+      return kLongestWait;
+    }
+    return std::clamp(*due_ - clock_->Now(), Duration(0), kLongestWait);
+  }
+
+  void Run() override {
+    running_ = true;
+    RunSockets();
+    if (due_ && *due_ <= clock_->Now()) {
+      due_.reset();
+      int left = 0;
+      curl_multi_socket_action(multi_, CURL_SOCKET_TIMEOUT, 0, &left);
+    }
+    TakeEnds();
+    running_ = false;
+    FlushDeferred();
+  }
+
+ private:
+  void RunSockets() {
+    std::array<epoll_event, kEventsPerRun> events;
+    const int n = epoll_wait(epoll_.Get(), events.data(), kEventsPerRun, 0);
+    for (int i = 0; i < n; ++i) {
+      int flags = 0;
+      flags |= (events[i].events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
+      flags |= (events[i].events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
+      flags |= (events[i].events & (EPOLLERR | EPOLLHUP)) != 0
+                   ? CURL_CSELECT_ERR
+                   : 0;
+      int left = 0;
+      curl_multi_socket_action(multi_, events[i].data.fd, flags, &left);
+    }
+  }
+
+  void TakeEnds() {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      Transfer* transfer = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+      End(transfer, message->data.result);
+    }
+  }
+
+  void End(Transfer* transfer, CURLcode result) {
+    const std::uint64_t handle = transfer->handle;
+    const bool aborted = transfer->aborted;
+    TargetEnd end = TargetEnd::kBroken;
+    if (result == CURLE_OK) {
+      end = TargetEnd::kComplete;
+    } else if (!transfer->sending) {
+      end = TargetEnd::kNotConnected;
+    }
+    const std::string cause = transfer->cause[0] != '\0'
+                                  ? transfer->cause.data()
+                                  : curl_easy_strerror(result);
+    Drop(handle);
+    if (!aborted) {
+      handler_->OnEnd(handle, end, cause);
+    }
+  }
+
+  void Drop(std::uint64_t handle) {
+    const auto it = transfers_.find(handle);
+    if (it != transfers_.end()) {
+      curl_multi_remove_handle(multi_, it->second->easy);
+      transfers_.erase(it);
+    }
+  }
+
+  // The library refuses to add or remove transfers within its callbacks.
+  void FlushDeferred() {
+    for (std::uint64_t handle : std::exchange(aborted_, {})) {
+      Drop(handle);
+    }
+    for (std::uint64_t handle : std::exchange(begun_, {})) {
+      const auto it = transfers_.find(handle);
+      if (it != transfers_.end()) {
+        curl_multi_add_handle(multi_, it->second->easy);
+      }
+    }
+  }
+
+  static void SetRequest(Transfer* transfer, const TargetRequest& request) {
+    CURL* easy = transfer->easy;
+    const std::string url = "http://" + request.address + request.path;
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+    // On a kept connection that has died, the library would send the request
+    // a second time by itself.
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, kUploadBufferBytes);
+    curl_easy_setopt(
+        easy, CURLOPT_CONNECTTIMEOUT_MS,
+        static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                              request.connect_timeout)
+                              .count()));
+    if (request.method == "POST") {
+      curl_easy_setopt(easy, CURLOPT_POST, 1L);
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(transfer->body.size()));
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.data());
+    } else if (request.method != "GET") {
+      curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    }
+    AddHeaders(transfer, request);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->lines);
+  }
+
+  static void SetCallbacks(Transfer* transfer) {
+    CURL* easy = transfer->easy;
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+    curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, transfer->cause.data());
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnConnected);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeaderLine);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBytes);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+  }
+
+  static int OnSocket(CURL*, curl_socket_t fd, int what, void* client,
+                      void* registered) {
+    CurlTargetClient* self = static_cast<CurlTargetClient*>(client);
+    const int epoll = self->epoll_.Get();
+    if (what == CURL_POLL_REMOVE) {
+      epoll_ctl(epoll, EPOLL_CTL_DEL, fd, nullptr);
+      return 0;
+    }
+    epoll_event event{};
+    if ((what & CURL_POLL_IN) != 0) {
+      event.events |= EPOLLIN;
+    }
+    if ((what & CURL_POLL_OUT) != 0) {
+      event.events |= EPOLLOUT;
+    }
+    event.data.fd = fd;
+    epoll_ctl(epoll, registered == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, fd,
+              &event);
+    curl_multi_assign(self->multi_, fd, self);
+    return 0;
+  }
+
+  static int OnTimer(CURLM*, long ms, void* client) {
+    CurlTargetClient* self = static_cast<CurlTargetClient*>(client);
+    if (ms < 0) {
+      self->due_.reset();
+    } else {
+      self->due_ = self->clock_->Now() + std::chrono::milliseconds(ms);
+    }
+    return 0;
+  }
+
+  static int OnConnected(void* data, char*, char*, int, int) {
+    Transfer* transfer = static_cast<Transfer*>(data);
+    if (transfer->aborted) {
+      return CURL_PREREQFUNC_ABORT;
+    }
+    transfer->sending = true;
+    transfer->owner->handler_->OnSending(transfer->handle);
+    return transfer->aborted ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+  }
+
+  static std::size_t OnHeaderLine(char* data, std::size_t size, std::size_t n,
+                                  void* user) {
+    Transfer* transfer = static_cast<Transfer*>(user);
+    std::string_view line(data, size * n);
+    while (line.ends_with('\n') || line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    if (line.starts_with("HTTP/")) {
+      transfer->headers.clear();
+    } else if (line.empty()) {
+      transfer->owner->TakeHead(transfer);
+    } else {
+      AddHeaderLine(transfer, line);
+    }
+    return transfer->aborted ? 0 : size * n;
+  }
+
+  static void AddHeaderLine(Transfer* transfer, std::string_view line) {
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos) {
+      return;
+    }
+    std::string name(line.substr(0, colon));
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
+    std::string_view value = line.substr(colon + 1);
+    while (value.starts_with(' ') || value.starts_with('\t')) {
+      value.remove_prefix(1);
+    }
+    transfer->headers[name] = value;
+  }
+
+  void TakeHead(Transfer* transfer) {
+    long status = 0;
+    curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+    // Trailers end with an empty line too.
+    if (status < kFirstFinalStatus || transfer->status != 0 ||
+        transfer->aborted) {
+      return;
+    }
+    transfer->status = static_cast<int>(status);
+    handler_->OnHead(transfer->handle, transfer->status, transfer->headers);
+  }
+
+  static std::size_t OnBytes(char* data, std::size_t size, std::size_t n,
+                             void* user) {
+    Transfer* transfer = static_cast<Transfer*>(user);
+    if (!transfer->aborted) {
+      transfer->owner->handler_->OnBody(transfer->handle, {data, size * n});
+    }
+    return transfer->aborted ? CURL_WRITEFUNC_ERROR : size * n;
+  }
+
+  TargetHandler* handler_;
+  std::unique_ptr<Clock> clock_;
+  FileDescriptor epoll_;
+  CURLM* multi_;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> transfers_;
+  std::optional<Time> due_;
+  bool running_ = false;
+  std::vector<std::uint64_t> begun_;
+  std::vector<std::uint64_t> aborted_;
+};
+
+}  // namespace
+
+std::unique_ptr<TargetClient> TargetClient::Make(TargetHandler* handler) {
+  // Before any thread uses the library; a second call does nothing.
+  static const CURLcode kInitialized = curl_global_init(CURL_GLOBAL_DEFAULT);
+  if (kInitialized != CURLE_OK) {
+    throw Error("make target client", "", curl_easy_strerror(kInitialized));
+  }
+  return std::make_unique<CurlTargetClient>(handler);
+}
+
+}  // namespace hornbeamcleat
