--- a/src/agree/key_date.cc
+++ b/src/agree/key_date.cc
@@ -12,6 +12,7 @@
 constexpr std::size_t kMillisecondDigits = 13;
 constexpr int kHexadecimal = 16;
 constexpr int kDecimal = 10;
+constexpr char kScopeSeparator = '\x1f';  // can't stand in an HTTP header
 
 std::optional<WallTime> ParseDate(std::string_view digits, int base) {
   std::int64_t ms = 0;
@@ -39,7 +40,18 @@
 
 }  // namespace
 
-std::optional<WallTime> KeyDate(std::string_view key) {
+std::string ScopedKey(std::string_view key, std::string_view workspace,
+                      std::string_view application) {
+  std::string out(key);
+  for (const std::string_view part : {workspace, application}) {
+    out += kScopeSeparator;
+    out += part;
+  }
+  return out;
+}
+
+std::optional<WallTime> KeyDate(std::string_view scoped) {
+  const std::string_view key = scoped.substr(0, scoped.find(kScopeSeparator));
   if (IsUuidV7(key)) {
     const std::string digits =
         std::string(key.substr(0, 8)) + std::string(key.substr(9, 4));
--- a/src/schedule/dispatcher.cc
+++ b/src/schedule/dispatcher.cc
@@ -162,7 +162,10 @@
   if (!request->route.idempotent && !request->intent_held) {
     request->phase = Phase::kIntent;
     actions->emplace_back(
-        RecordIntentAction{request->spec.id, request->spec.idempotency_key});
+        RecordIntentAction{
+        request->spec.id,
+        ScopedKey(request->spec.idempotency_key, request->spec.workspace,
+                  request->spec.application)});
     return;
   }
   Send(request, now, actions);
--- a/src/schedule/scheduler_impl.h
+++ b/src/schedule/scheduler_impl.h
@@ -12,7 +12,7 @@
 
 #include "hornbeamcleat/schedule/scheduler.h"
 #include "src/schedule/dispatcher.h"
-#include "src/schedule/evidence_table.h"
+#include "src/schedule/version_totals.h"
 #include "src/schedule/request_state.h"
 
 namespace hornbeamcleat {
@@ -77,7 +77,7 @@
   const SchedulerOptions options_;
   std::shared_ptr<const ClusterView> view_;
   Dispatcher dispatcher_;
-  EvidenceTable evidence_;
+  VersionTotals evidence_;
   std::unordered_map<RequestId, std::unique_ptr<RequestState>> requests_;
   Timers timers_;
   std::uint64_t next_sequence_ = 0;
--- a/src/schedule/evidence_table.cc
+++ b/src/schedule/version_totals.cc
@@ -1,16 +1,16 @@
-#include "src/schedule/evidence_table.h"
+#include "src/schedule/version_totals.h"
 
 namespace hornbeamcleat {
 
-void EvidenceTable::Done(const std::string& version, const Route& route) {
+void VersionTotals::Done(const std::string& version, const Route& route) {
   ++Entry(version, route)->done;
 }
 
-void EvidenceTable::Fault(const std::string& version, const Route& route) {
+void VersionTotals::Fault(const std::string& version, const Route& route) {
   ++Entry(version, route)->faults;
 }
 
-void EvidenceTable::FirstPart(const std::string& version, const Route& route,
+void VersionTotals::FirstPart(const std::string& version, const Route& route,
                               Duration elapsed) {
   VersionEvidence* entry = Entry(version, route);
   const double seconds = ToSeconds(elapsed);
@@ -18,7 +18,7 @@
   entry->first_part_square_sum += seconds * seconds;
 }
 
-std::vector<VersionEvidence> EvidenceTable::All() const {
+std::vector<VersionEvidence> VersionTotals::All() const {
   std::vector<VersionEvidence> all;
   all.reserve(entries_.size());
   for (const auto& [key, entry] : entries_) {
@@ -27,7 +27,7 @@
   return all;
 }
 
-VersionEvidence* EvidenceTable::Entry(const std::string& version,
+VersionEvidence* VersionTotals::Entry(const std::string& version,
                                       const Route& route) {
   Key key(route.model, version, route.workspace, route.application, route.rank);
   auto it = entries_.find(key);
--- a/src/schedule/evidence_table.h
+++ b/src/schedule/version_totals.h
@@ -1,5 +1,5 @@
-#ifndef HORNBEAMCLEAT_SRC_SCHEDULE_EVIDENCE_TABLE_H_
-#define HORNBEAMCLEAT_SRC_SCHEDULE_EVIDENCE_TABLE_H_
+#ifndef HORNBEAMCLEAT_SRC_SCHEDULE_VERSION_TOTALS_H_
+#define HORNBEAMCLEAT_SRC_SCHEDULE_VERSION_TOTALS_H_
 
 #include <map>
 #include <string>
@@ -14,7 +14,7 @@
 /// Totals of answers and faults by version, route and tier. Bounded in number:
 /// beyond the bound, further routes of a version and tier share one entry with
 /// empty workspace and application. Totals never shrink.
-class EvidenceTable {
+class VersionTotals {
  public:
   static constexpr std::size_t kMaxEntries = 8'192;
 
@@ -36,4 +36,4 @@
 
 }  // namespace hornbeamcleat
 
-#endif  // HORNBEAMCLEAT_SRC_SCHEDULE_EVIDENCE_TABLE_H_
+#endif  // HORNBEAMCLEAT_SRC_SCHEDULE_VERSION_TOTALS_H_
