Serve the stand-ins from one loop each

Cause: the whole path needs a platform, engines and plain services to run against, with faults that tests can set. Ruled out: cxxtools::http::Server, which holds a thread for each long poll and cannot stream an engine's parts.

--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -6,6 +6,7 @@
 #include <cctype>
 #include <fstream>
 #include <iterator>
+#include <utility>
 
 #include "hornbeamcleat/base/error.h"
 #include "hornbeamcleat/config/resource_json.h"
@@ -22,6 +23,7 @@
 constexpr const char* kKinds[] = {"Workspace", "Tier", "Target", "Version",
                                   "Move"};
 constexpr int kFirstFailure = 300;
+constexpr int kGone = 410;
 
 ExitCode ToExitCode(int status) {
   switch (status) {
@@ -92,6 +94,22 @@
     return ExitCode::kOk;
   }
 
+  ExitCode Explain(const std::string& id) {
+    const ControlAnswer answer = client_.Call("GET", "/api/explain/" + id);
+    if (answer.status >= kFirstFailure) {
+      return Fail(answer);
+    }
+    if (options_.json) {
+      SerializationInfo value;
+      value.addValue("requestId", id);
+      value.addValue("explanation", answer.body);
+      out_ << FormatJson(value, true) << "\n";
+    } else {
+      out_ << answer.body << "\n";
+    }
+    return ExitCode::kOk;
+  }
+
   ExitCode Tree(const std::string& path) {
     const ControlAnswer answer = client_.Call("GET", path);
     if (answer.status >= kFirstFailure) {
@@ -104,19 +122,21 @@
   }
 
   ExitCode Watch() {
-    std::int64_t from = options_.from;
+    std::int64_t from = options_.from < 0 ? NextRevision() : options_.from;
     std::int64_t seen = 0;
+    bool compacted = false;
     while (options_.count == 0 || seen < options_.count) {
       const ControlAnswer answer = client_.Call(
           "GET", "/api/watch", WatchQuery(from), "", options_.wait);
-      if (answer.status == 410) {
+      if (answer.status == kGone && !std::exchange(compacted, true)) {
         out_ << "revision was compacted; watching from now\n";
-        from = -1;
+        from = NextRevision();
         continue;
       }
       if (answer.status >= kFirstFailure) {
         return Fail(answer);
       }
+      compacted = false;
       const SerializationInfo value = ParseJson(answer.body, kMaxAnswer);
       seen += PrintEvents(value);
       from = RequiredJsonMember<std::int64_t>(value, "next");
@@ -165,10 +185,15 @@
     return ExitCode::kOk;
   }
 
+  std::int64_t NextRevision() const {
+    const ControlAnswer answer = client_.Call("GET", "/api/status");
+    const SerializationInfo value = ParseJson(answer.body, kMaxAnswer);
+    return RequiredJsonMember<std::int64_t>(value, "revision") + 1;
+  }
+
   std::string WatchQuery(std::int64_t from) const {
     const std::int64_t wait_ms = options_.wait.count() / 1000;
-    return from < 0 ? fmt::format("waitMs={}", wait_ms)
-                    : fmt::format("from={}&waitMs={}", from, wait_ms);
+    return fmt::format("from={}&waitMs={}", from, wait_ms);
   }
 
   std::int64_t PrintEvents(const SerializationInfo& value) {
@@ -290,7 +315,7 @@
     return command.Tree("/api/status");
   }
   if (name == "explain") {
-    return command.Tree("/api/explain/" + Operand(operands, 1, "REQUEST-ID"));
+    return command.Explain(Operand(operands, 1, "REQUEST-ID"));
   }
   throw Error(kUsageStep, "", fmt::format("unknown command '{}'", name));
 }
--- a/src/standin/engine_streams.cc
+++ b/src/standin/engine_streams.cc
@@ -52,7 +52,9 @@
     if (!bytes.empty()) {
       front->Write(it->second, bytes);
     }
-    if (stream->state != StreamState::kOpen) {
+    if (stream->state == StreamState::kFailed) {
+      front->Abandon(it->second);
+    } else if (stream->state != StreamState::kOpen) {
       front->End(it->second);
     }
   }
--- a/src/standin/fake_service.cc
+++ b/src/standin/fake_service.cc
@@ -16,6 +16,7 @@
 
 struct Faults {
   std::int64_t lose_answer_every = 0;
+  std::int64_t silent_every = 0;
   bool refuse = false;
   bool leaving = false;
   Duration delay = Duration(0);
@@ -62,6 +63,8 @@
     const SerializationInfo value = ParseJson(request.body, kMaxBody);
     faults_.lose_answer_every =
         JsonMember(value, "loseAnswerEvery", faults_.lose_answer_every);
+    faults_.silent_every =
+        JsonMember(value, "silentEvery", faults_.silent_every);
     faults_.refuse = JsonMember(value, "refuse", faults_.refuse);
     faults_.leaving = JsonMember(value, "leaving", faults_.leaving);
     const std::int64_t delay = JsonMember<std::int64_t>(value, "delayMs", -1);
@@ -88,9 +91,10 @@
     if (!key.empty()) {
       ++by_key_[key];
     }
-    const bool lost = faults_.lose_answer_every > 0 &&
-                      executions_ % faults_.lose_answer_every == 0;
-    if (lost) {
+    if (IsEvery(faults_.lose_answer_every)) {
+      return Front().Abandon(request.handle);
+    }
+    if (IsEvery(faults_.silent_every)) {
       return;
     }
     SerializationInfo value;
@@ -104,6 +108,8 @@
         [this, handle, body](Time) { AnswerJson(handle, kOk, body); });
   }
 
+  bool IsEvery(std::int64_t n) const { return n > 0 && executions_ % n == 0; }
+
   std::string Executions() const {
     SerializationInfo value;
     value.addValue("executions", executions_);
--- a/src/standin/fake_service.h
+++ b/src/standin/fake_service.h
@@ -18,8 +18,9 @@
 
 /// Stand-in for a plain service: one answer for each POST. GET /executions
 /// counts runs by key and by request id. Faults by POST /faults:
-/// {"loseAnswerEvery":N,"refuse":bool,"delayMs":N,"leaving":bool}; a lost
-/// answer has run, and its connection stays silent.
+/// {"loseAnswerEvery":N,"silentEvery":N,"refuse":bool,"delayMs":N,
+/// "leaving":bool}; a lost answer has run and its connection is closed, a
+/// silent one has run and its connection stays open.
 std::unique_ptr<Standin> MakeFakeService(const FakeServiceSettings& settings);
 
 }  // namespace hornbeamcleat
--- /dev/null
+++ b/tools/fake-service/main.cc
@@ -0,0 +1,38 @@
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <exception>
+#include <string>
+
+#include "src/ctl/flags.h"
+#include "src/standin/fake_service.h"
+
+namespace hornbeamcleat {
+namespace {
+
+int Run(int argc, char** argv) {
+  std::string listen = "127.0.0.1:0";
+  FakeServiceSettings settings;
+  Flags flags("fake-service", "Stand-in for a plain service.", "");
+  flags.Add("listen", &listen, "IP:PORT to listen on; port 0 picks one.");
+  flags.Add("answer-time", &settings.answer_time, "Time each call takes.");
+  flags.Add("service-version", &settings.version, "Version it reports.");
+  if (flags.Parse(argc, argv) == Flags::Next::kExit) {
+    return 0;
+  }
+  const std::unique_ptr<Standin> service = MakeFakeService(settings);
+  ServeUntilSignal(listen, service.get());
+  return 0;
+}
+
+}  // namespace
+}  // namespace hornbeamcleat
+
+int main(int argc, char** argv) {
+  try {
+    return hornbeamcleat::Run(argc, argv);
+  } catch (const std::exception& e) {
+    fmt::print(stderr, "fake-service: {}\n", e.what());
+    return 2;
+  }
+}
