--- a/include/hornbeamcleat/config/config_state.h
+++ b/include/hornbeamcleat/config/config_state.h
@@ -46,7 +46,8 @@
   std::string move;
   std::uint64_t fencing = 0;  ///< the writer's lease number
   int share_permille = 0;
-  std::string phase;  ///< "Growing", "Baking", "Done" or "RolledBack"
+  std::string phase;  ///< as MovePhaseName gives it
+  WallTime since;     ///< when the writer saw this share come into force
   std::string reason;
 
   bool operator==(const MoveProgressRecord&) const = default;
@@ -75,6 +76,9 @@
   /// (model, version) to reason.
   std::map<std::pair<std::string, std::string>, std::string> withdrawn;
   std::map<std::string, MoveProgressRecord> moves;
+  /// Model to the version that serves it outside of moves: the first Version
+  /// declared for it, then the one that the last finished move led to.
+  std::map<std::string, std::string> serving;
 
   bool operator==(const ConfigState&) const = default;
 
--- a/src/config/config_codec.h
+++ b/src/config/config_codec.h
@@ -50,12 +50,13 @@
 template <typename Archive>
 void serialize(Archive& ar, MoveProgressRecord& record) {
   ar(record.move, record.fencing, record.share_permille, record.phase,
-     record.reason);
+     record.since, record.reason);
 }
 
 template <typename Archive>
 void serialize(Archive& ar, ConfigState& state) {
-  ar(state.revision, state.resources, state.withdrawn, state.moves);
+  ar(state.revision, state.resources, state.withdrawn, state.moves,
+     state.serving);
 }
 
 }  // namespace hornbeamcleat
