--- a/include/hornbeamcleat/config/config_state.h
+++ b/include/hornbeamcleat/config/config_state.h
@@ -19,6 +19,9 @@
   /// Version the writer saw; 0 means it must not exist. The record has no
   /// effect if the resource's version differs when the record is folded.
   std::uint64_t expected_version = 0;
+  /// Tag unique to this append, by which its writer finds the record when the
+  /// append's answer was lost; may be empty.
+  std::string writer = {};
 
   bool operator==(const PutRecord&) const = default;
 };
@@ -28,6 +31,7 @@
   std::string kind;
   std::string name;
   std::uint64_t expected_version = 0;
+  std::string writer = {};  ///< as in PutRecord
 
   bool operator==(const DeleteRecord&) const = default;
 };
@@ -71,7 +75,7 @@
 /// in equal order give equal states on every VM. Share it as
 /// shared_ptr<const ConfigState>.
 struct ConfigState {
-  std::uint64_t revision = 0;  ///< offset after the last folded record
+  std::uint64_t revision = 0;  ///< offset of the last record taken in
   std::map<ResourceKey, Resource> resources;
   /// (model, version) to reason.
   std::map<std::pair<std::string, std::string>, std::string> withdrawn;
@@ -92,7 +96,8 @@
 
 /// Bytes of a record or state for the log and for peers. Decoding throws
 /// Error with step "decode" on malformed or oversized input, without
-/// allocating more than the input's size warrants.
+/// allocating more than the input's size warrants. Resources of kinds unknown
+/// to this build are left out of a decoded state.
 std::string EncodeRecord(const ConfigRecord& record);
 ConfigRecord DecodeRecord(std::string_view bytes);
 std::string EncodeState(const ConfigState& state);
--- a/include/hornbeamcleat/config/resource.h
+++ b/include/hornbeamcleat/config/resource.h
@@ -92,6 +92,9 @@
 /// "Workspace", "Tier", "Target", "Version" or "Move".
 const char* KindName(const ResourceSpec& spec);
 
+/// Whether `kind` is one of these names.
+bool IsKnownKind(const std::string& kind);
+
 }  // namespace hornbeamcleat
 
 #endif  // HORNBEAMCLEAT_CONFIG_RESOURCE_H_
--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -145,6 +145,7 @@
     SerializationInfo value;
     value.addValue("type", std::string("Put"));
     value.addValue("expectedVersion", record.expected_version);
+    value.addValue("writer", record.writer);
     SerializationInfo& member = value.addMember("resource");
     member = ResourceValue(record.resource);
     member.setName("resource");
@@ -156,6 +157,7 @@
     value.addValue("kind", record.kind);
     value.addValue("name", record.name);
     value.addValue("expectedVersion", record.expected_version);
+    value.addValue("writer", record.writer);
     return value;
   }
   SerializationInfo operator()(const WithdrawRecord& record) const {
@@ -191,13 +193,15 @@
     }
     return PutRecord{
         ParseResource(FormatJson(*resource)),
-        RequiredJsonMember<std::uint64_t>(value, "expectedVersion")};
+        RequiredJsonMember<std::uint64_t>(value, "expectedVersion"),
+        JsonMember<std::string>(value, "writer", "")};
   }
   if (type == "Delete") {
     return DeleteRecord{
         RequiredJsonMember<std::string>(value, "kind"),
         RequiredJsonMember<std::string>(value, "name"),
-        RequiredJsonMember<std::uint64_t>(value, "expectedVersion")};
+        RequiredJsonMember<std::uint64_t>(value, "expectedVersion"),
+        JsonMember<std::string>(value, "writer", "")};
   }
   if (type == "Withdraw") {
     return ParseWithdraw(value);
@@ -283,6 +287,9 @@
     ConfigState state;
     state.revision = RequiredJsonMember<std::uint64_t>(value, "revision");
     for (const SerializationInfo& entry : Array(value, "resources")) {
+      if (!IsKnownKind(RequiredJsonMember<std::string>(entry, "kind"))) {
+        continue;
+      }
       const Resource resource = ParseResource(FormatJson(entry));
       state.resources[{KindName(resource.spec), resource.name}] = resource;
     }
--- a/src/config/resource.cc
+++ b/src/config/resource.cc
@@ -1,5 +1,8 @@
 #include "hornbeamcleat/config/resource.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace hornbeamcleat {
 namespace {
 
@@ -17,4 +20,12 @@
   return std::visit(KindNamer{}, spec);
 }
 
+bool IsKnownKind(const std::string& kind) {
+  const ResourceSpec specs[] = {WorkspaceSpec{}, TierSpec{}, TargetSpec{},
+                                VersionSpec{}, MoveSpec{}};
+  return std::any_of(
+      std::begin(specs), std::end(specs),
+      [&kind](const ResourceSpec& spec) { return kind == KindName(spec); });
+}
+
 }  // namespace hornbeamcleat
--- a/tests/agree/lease_test.cc
+++ b/tests/agree/lease_test.cc
@@ -178,6 +178,7 @@
   constexpr int kSteps = 60'000;
   std::mt19937 random(3);
   std::vector<Rival> rivals;
+  rivals.reserve(4);
   for (int i = 0; i < 4; ++i) {
     rivals.push_back(Make("m" + std::to_string(i)));
   }
