--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -8,6 +8,7 @@
 
 #include "hornbeamcleat/base/log.h"
 #include "hornbeamcleat/base/metrics.h"
+#include "hornbeamcleat/move/evidence_table.h"
 #include "src/control/apply_tracker.h"
 #include "src/control/entry_fact.h"
 #include "src/control/evidence_exchange.h"
@@ -116,6 +117,9 @@
               intents_->Propose(propose->id, propose->key, now)) {
         effects_->SendToEntry(DecisionMessage{*decision});
       }
+    } else if (const ReleaseMessage* release =
+                   std::get_if<ReleaseMessage>(&message)) {
+      intents_->Release(release->id, release->key);
     }
   }
 
@@ -271,6 +275,7 @@
     const bool urgent = report.facts.closed_rank != report_.facts.closed_rank ||
                         report.draining != report_.draining;
     report_ = report;
+    evidence_->Report(options_.self.name, report.incarnation, report.evidence);
     if (urgent) {
       StateEntryFact(now);
       SendAll(membership_->Tick(now));
@@ -307,7 +312,7 @@
     }
     MoveDriverInput input;
     input.config = config_;
-    input.evidence = AllEvidence();
+    input.evidence = evidence_->Merged();
     input.withdrawn = Withdrawn();
     input.ready_targets = ready_targets_;
     input.log_available = log_available_;
@@ -385,7 +390,7 @@
     }
     facts_generation_ = membership_->Generation();
     entries_.clear();
-    peer_evidence_.clear();
+    intents_->SetWriters(membership_->Members().size());
     for (const Fact& fact : membership_->Facts()) {
       ReadFact(fact);
     }
@@ -400,9 +405,8 @@
         gossiped_withdrawals_.emplace(key, fact.value);
       } else if (fact.key.starts_with(kEvidencePrefix) &&
                  fact.origin != options_.self.name) {
-        for (const VersionEvidence& item : DecodeEvidence(fact.value)) {
-          peer_evidence_.push_back(item);
-        }
+        const EvidenceReport report = DecodeEvidence(fact.value);
+        evidence_->Report(fact.origin, report.incarnation, report.evidence);
       }
     } catch (const Error& e) {
       metrics_->Count("facts_refused_total", "cause", "decode");
@@ -432,19 +436,14 @@
       return;
     }
     const std::vector<std::string> chunks =
-        EvidenceChunks(report_.evidence, MovingModels(*config_));
+        EvidenceChunks({report_.incarnation, report_.evidence},
+                       MovingModels(*config_));
     for (std::size_t i = 0; i < chunks.size(); ++i) {
       membership_->SetFact(fmt::format("{}{}", kEvidencePrefix, i), chunks[i],
                            true, now);
     }
   }
 
-  std::vector<VersionEvidence> AllEvidence() const {
-    std::vector<VersionEvidence> out = report_.evidence;
-    out.insert(out.end(), peer_evidence_.begin(), peer_evidence_.end());
-    return out;
-  }
-
   void FetchIfBehind(Time now) {
     const std::uint64_t own = config_ == nullptr ? 0 : config_->revision;
     if (log_available_ || now < next_fetch_) {
@@ -541,7 +540,7 @@
 
   std::uint64_t facts_generation_ = 0;
   std::map<std::string, EntryFact> entries_;  // by member name
-  std::vector<VersionEvidence> peer_evidence_;
+  std::unique_ptr<EvidenceTable> evidence_ = EvidenceTable::Make();
   std::map<VersionKey, std::string> gossiped_withdrawals_;
   std::map<VersionKey, std::string> own_withdrawals_;
   std::map<std::string, VersionShare> move_shares_;
--- a/src/control/evidence_exchange.cc
+++ b/src/control/evidence_exchange.cc
@@ -1,7 +1,6 @@
 #include "src/control/evidence_exchange.h"
 
 #include "hornbeamcleat/move/move_controller.h"
-#include "src/link/link_message.h"
 
 namespace hornbeamcleat {
 namespace {
@@ -31,23 +30,24 @@
   return out;
 }
 
-std::vector<std::string> EvidenceChunks(
-    const std::vector<VersionEvidence>& evidence,
-    const std::set<std::string>& models) {
+std::vector<std::string> EvidenceChunks(const EvidenceReport& report,
+                                        const std::set<std::string>& models) {
   std::vector<std::string> out;
-  std::vector<VersionEvidence> chunk;
-  for (const VersionEvidence& item : evidence) {
+  EvidenceReport chunk;
+  chunk.incarnation = report.incarnation;
+  for (const VersionEvidence& item : report.evidence) {
     if (!models.contains(item.model)) {
       continue;
     }
-    chunk.push_back(item);
-    if (EncodeEvidence(chunk).size() > kMaxChunkBytes && chunk.size() > 1) {
-      chunk.pop_back();
+    chunk.evidence.push_back(item);
+    if (EncodeEvidence(chunk).size() > kMaxChunkBytes &&
+        chunk.evidence.size() > 1) {
+      chunk.evidence.pop_back();
       out.push_back(EncodeEvidence(chunk));
-      chunk = {item};
+      chunk.evidence = {item};
     }
   }
-  if (!chunk.empty()) {
+  if (!chunk.evidence.empty()) {
     out.push_back(EncodeEvidence(chunk));
   }
   return out;
--- a/src/control/evidence_exchange.h
+++ b/src/control/evidence_exchange.h
@@ -6,17 +6,17 @@
 #include <vector>
 
 #include "hornbeamcleat/config/config_state.h"
-#include "hornbeamcleat/schedule/scheduler.h"
+#include "src/link/link_message.h"
 
 namespace hornbeamcleat {
 
 /// Models that a move is under way for.
 std::set<std::string> MovingModels(const ConfigState& config);
 
-/// Evidence on the models given, in gossip values of a bounded size each.
-std::vector<std::string> EvidenceChunks(
-    const std::vector<VersionEvidence>& evidence,
-    const std::set<std::string>& models);
+/// The part of `report` on the models given, in gossip values of a bounded size
+/// each.
+std::vector<std::string> EvidenceChunks(const EvidenceReport& report,
+                                        const std::set<std::string>& models);
 
 }  // namespace hornbeamcleat
 
--- a/src/entry/control_loop.cc
+++ b/src/entry/control_loop.cc
@@ -39,6 +39,8 @@
         inbox_(inbox),
         traffic_(traffic),
         clock_(Clock::Make()),
+        incarnation_(static_cast<std::uint64_t>(
+            clock_->WallNow().time_since_epoch().count())),
         poller_(Poller::Make()),
         timers_(TimerService::Make()),
         admin_(AdminServer::Make(options.listen_admin, metrics, this)),
@@ -130,6 +132,9 @@
   void Take(const RequestEvent& event) {
     const Time now = clock_->Now();
     request_metrics_.OnEvent(event, now);
+    if (const AnswerDone* done = std::get_if<AnswerDone>(&event)) {
+      keys_.erase(done->id);
+    }
     Perform(scheduler_->OnEvent(event, now));
   }
 
@@ -192,14 +197,33 @@
               std::get_if<RecordIntentAction>(&action)) {
         Propose(*intent);
       } else {
+        if (const RefuseAction* refusal = std::get_if<RefuseAction>(&action)) {
+          ReleaseIfNotRun(*refusal);
+        }
         unsent_.push_back(action);
       }
     }
   }
 
+  // A key that was won for nothing is given back, so that the caller's next
+  // attempt may run.
+  void ReleaseIfNotRun(const RefuseAction& refusal) {
+    const std::map<RequestId, std::string>::iterator it =
+        keys_.find(refusal.id);
+    if (it == keys_.end()) {
+      return;
+    }
+    if (refusal.outcome == Outcome::kNotRun &&
+        refusal.reason != Reason::kDuplicate) {
+      link_->Send(ReleaseMessage{it->first, it->second});
+    }
+    keys_.erase(it);
+  }
+
   void Propose(const RecordIntentAction& intent) {
     const Time now = clock_->Now();
     proposals_[intent.id] = now;
+    keys_[intent.id] = intent.key;
     if (!link_->Send(ProposeMessage{intent.id, intent.key})) {
       Decide(intent.id, IntentResult::kUnavailable);
     }
@@ -239,6 +263,7 @@
     const Time now = clock_->Now();
     ReportMessage report;
     report.entry = options_.name;
+    report.incarnation = incarnation_;
     report.facts = scheduler_->Facts(now);
     report.evidence = scheduler_->Evidence();
     report.open = scheduler_->Open();
@@ -269,6 +294,7 @@
   Mailbox<TrafficMessage>* traffic_;
   Logger log_{"control"};
   std::unique_ptr<Clock> clock_;
+  std::uint64_t incarnation_;
   std::unique_ptr<Poller> poller_;
   std::unique_ptr<TimerService> timers_;
   std::unique_ptr<AdminServer> admin_;
@@ -279,6 +305,7 @@
   std::shared_ptr<const ClusterView> view_;
   std::vector<EntryAddress> entries_;
   std::map<RequestId, Time> proposals_;  // without a decision yet
+  std::map<RequestId, std::string> keys_;  // of proposed requests
   std::map<std::string, int> reported_rank_;
   Actions unsent_;
   std::atomic<int> open_{0};
--- a/src/link/link_message.cc
+++ b/src/link/link_message.cc
@@ -82,10 +82,20 @@
 
 template <typename Archive>
 void serialize(Archive& ar, ReportMessage& message) {
-  ar(message.entry, message.facts, message.evidence, message.open,
+  ar(message.entry, message.incarnation, message.facts, message.evidence, message.open,
      message.draining);
 }
 
+template <typename Archive>
+void serialize(Archive& ar, ReleaseMessage& message) {
+  ar(message.id, message.key);
+}
+
+template <typename Archive>
+void serialize(Archive& ar, EvidenceReport& report) {
+  ar(report.incarnation, report.evidence);
+}
+
 std::string EncodeLink(const LinkMessage& message) {
   const std::string body = EncodeBytes(message);
   const std::uint32_t n = static_cast<std::uint32_t>(body.size());
@@ -95,12 +105,12 @@
   return frame;
 }
 
-std::string EncodeEvidence(const std::vector<VersionEvidence>& evidence) {
-  return EncodeBytes(evidence);
+std::string EncodeEvidence(const EvidenceReport& report) {
+  return EncodeBytes(report);
 }
 
-std::vector<VersionEvidence> DecodeEvidence(std::string_view bytes) {
-  return DecodeBytes<std::vector<VersionEvidence>>(bytes);
+EvidenceReport DecodeEvidence(std::string_view bytes) {
+  return DecodeBytes<EvidenceReport>(bytes);
 }
 
 bool TakeLink(std::string* buffer, LinkMessage* message) {
--- a/src/link/link_message.h
+++ b/src/link/link_message.h
@@ -50,9 +50,26 @@
   bool operator==(const DecisionMessage&) const = default;
 };
 
+/// Entry to control: the attempt won the key but surely did not run.
+struct ReleaseMessage {
+  RequestId id;
+  std::string key;
+
+  bool operator==(const ReleaseMessage&) const = default;
+};
+
+/// Sums of one entry in one life, as control daemons pass them on.
+struct EvidenceReport {
+  std::uint64_t incarnation = 0;
+  std::vector<VersionEvidence> evidence;
+
+  bool operator==(const EvidenceReport&) const = default;
+};
+
 /// Entry to control, every second and on changed floors: facts and evidence.
 struct ReportMessage {
   std::string entry;
+  std::uint64_t incarnation = 0;  ///< rises with each start of the entry
   SchedulerFacts facts;
   std::vector<VersionEvidence> evidence;
   int open = 0;
@@ -62,16 +79,17 @@
 };
 
 using LinkMessage =
-    std::variant<ViewMessage, ProposeMessage, DecisionMessage, ReportMessage>;
+    std::variant<ViewMessage, ProposeMessage, DecisionMessage, ReportMessage,
+                 ReleaseMessage>;
 
 /// Frame of a message: four bytes of length, then a cereal archive.
 std::string EncodeLink(const LinkMessage& message);
 
-/// Bytes of a list of evidence, for gossip between control daemons.
-std::string EncodeEvidence(const std::vector<VersionEvidence>& evidence);
+/// Bytes of a report, for gossip between control daemons.
+std::string EncodeEvidence(const EvidenceReport& report);
 
 /// @throws Error with step "decode"
-std::vector<VersionEvidence> DecodeEvidence(std::string_view bytes);
+EvidenceReport DecodeEvidence(std::string_view bytes);
 
 /// Takes the first whole frame off the front of `buffer`.
 /// @return false if `buffer` holds no whole frame yet
--- a/src/schedule/dispatcher.cc
+++ b/src/schedule/dispatcher.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "hornbeamcleat/agree/key_date.h"
+
 namespace hornbeamcleat {
 
 Dispatcher::Dispatcher(const SchedulerOptions& options)
