Keep scoped keys within what records carry

Cause: a scoped key held the byte 0x1f, which Intents refuses since JSON text need not carry it unchanged; so each non-idempotent request was refused as expired. Names of workspaces outside ASCII had the same effect. Change: ScopedKey appends a 64-bit hash of the route in hexadecimal.

--- a/include/hornbeamcleat/agree/key_date.h
+++ b/include/hornbeamcleat/agree/key_date.h
@@ -9,8 +9,8 @@
 
 namespace hornbeamcleat {
 
-/// Key as the intents know it: the caller's key within one route, so that two
-/// workspaces never share one.
+/// Key as the intents know it: the caller's key and a hash of its route, so
+/// that two workspaces never share one.
 std::string ScopedKey(std::string_view key, std::string_view workspace,
                       std::string_view application);
 
--- a/src/agree/key_date.cc
+++ b/src/agree/key_date.cc
@@ -1,9 +1,13 @@
 #include "hornbeamcleat/agree/key_date.h"
 
+#include <fmt/format.h>
+
 #include <charconv>
 #include <cstdint>
 #include <string>
 
+#include "hornbeamcleat/base/hash.h"
+
 namespace hornbeamcleat {
 namespace {
 
@@ -12,7 +16,8 @@
 constexpr std::size_t kMillisecondDigits = 13;
 constexpr int kHexadecimal = 16;
 constexpr int kDecimal = 10;
-constexpr char kScopeSeparator = '\x1f';  // can't stand in an HTTP header
+constexpr char kScopeSeparator = '/';
+constexpr std::size_t kScopeLength = 17;  // separator and 16 digits
 
 std::optional<WallTime> ParseDate(std::string_view digits, int base) {
   std::int64_t ms = 0;
@@ -42,16 +47,16 @@
 
 std::string ScopedKey(std::string_view key, std::string_view workspace,
                       std::string_view application) {
-  std::string out(key);
-  for (const std::string_view part : {workspace, application}) {
-    out += kScopeSeparator;
-    out += part;
-  }
-  return out;
+  const std::uint64_t scope = Hash64(application, Hash64(workspace));
+  return fmt::format("{}{}{:016x}", key, kScopeSeparator, scope);
 }
 
 std::optional<WallTime> KeyDate(std::string_view scoped) {
-  const std::string_view key = scoped.substr(0, scoped.find(kScopeSeparator));
+  std::string_view key = scoped;
+  if (key.size() > kScopeLength &&
+      key[key.size() - kScopeLength] == kScopeSeparator) {
+    key.remove_suffix(kScopeLength);
+  }
   if (IsUuidV7(key)) {
     const std::string digits =
         std::string(key.substr(0, 8)) + std::string(key.substr(9, 4));
