Wait a term after a gap before claiming a lease

Cause: a member that had passed its first wait and then missed a record to expiry claimed at once, and named as read what it had not; the holder of the missed record was still in its term. Found by the lease model. Change: a gap starts the wait anew. Test: LeaseTest.RivalThatMissedRecordsToExpiryWaitsATermBeforeItClaims was seen failing (Due gave a record) and passes; build/agree_tests, 29 passed.

--- a/model/lease.pml
+++ b/model/lease.pml
@@ -1,4 +1,4 @@
-/* refute: BROKEN_TERM_START BROKEN_RIVAL_WAIT BROKEN_READ_TO BROKEN_ANCHOR BROKEN_VOID_WAIT */
+/* refute: BROKEN_TERM_START BROKEN_RIVAL_WAIT BROKEN_READ_TO BROKEN_ANCHOR BROKEN_VOID_WAIT BROKEN_GAP_WAIT */
 /*
  * One lease among two members. A step of time can come at any moment, so reads,
  * appends and members may be slow or paused without bound; records expire at
@@ -16,6 +16,7 @@
  *   BROKEN_ANCHOR      a member that began in the midst of the stream holds
  *                      nothing until a record is certain
  *   BROKEN_VOID_WAIT   void records make a rival wait too
+ *   BROKEN_GAP_WAIT    and so do records that expired unread
  */
 #define MEMBERS 2
 #define LIVES 4 /* of member 1: 2 and 4 */
@@ -163,6 +164,9 @@
        :: position < oldest ->
             position = oldest;
             known_from = oldest;
+#ifndef BROKEN_GAP_WAIT
+            claim_wait[self] = TTL;
+#endif
 #ifndef BROKEN_ANCHOR
             anchored[self] = false
 #endif
--- a/src/agree/lease.cc
+++ b/src/agree/lease.cc
@@ -67,6 +67,8 @@
     if (offset != read_to_ + 1) {
       anchored_ = false;
       known_from_ = offset;
+      // What was missed may have begun a term just now.
+      free_at_ = now + options_.ttl + claim_delay_;
     }
     read_to_ = offset;
     try {
--- a/tests/agree/lease_test.cc
+++ b/tests/agree/lease_test.cc
@@ -163,6 +163,20 @@
   EXPECT_EQ(fresh.lease->Fencing(), 1U);
 }
 
+TEST_F(LeaseTest, RivalThatMissedRecordsToExpiryWaitsATermBeforeItClaims) {
+  Rival a = Make("a#1");
+  Rival b = Make("b#1");
+  b.lease->Due(now_);
+  Run(&a, options_.ttl + milliseconds(200));
+  ASSERT_TRUE(a.lease->Holds(now_));
+  now_ += options_.ttl / 4;
+  // The holder's only record expired before the rival read it.
+  b.lease->OnRecord(2, R"({"other":1})", now_);
+  EXPECT_FALSE(b.lease->Due(now_));
+  EXPECT_TRUE(a.lease->Holds(now_));
+  EXPECT_TRUE(b.lease->Due(now_ + options_.ttl * 2));
+}
+
 TEST_F(LeaseTest, UnreadableAndForeignRecordsHaveNoEffect) {
   Rival a = Make("a#1");
   Run(&a, seconds(20));
