Split the choice of probes from the membership's protocol

Change: ProbeSchedule chooses whom to probe; the packer finds what differs; the tables list themselves. No behaviour is meant to change. Test: build/member_tests, 15 passed.

--- a/src/member/fact_table.cc
+++ b/src/member/fact_table.cc
@@ -61,6 +61,15 @@
   return true;
 }
 
+std::vector<Fact> FactTable::List() const {
+  std::vector<Fact> out;
+  out.reserve(facts_.size());
+  for (const auto& [key, fact] : facts_) {
+    out.push_back(fact);
+  }
+  return out;
+}
+
 void FactTable::DropOrphans(const MemberTable& members) {
   const std::size_t dropped =
       std::erase_if(facts_, [&members](const std::pair<const Key, Fact>& it) {
--- a/src/member/fact_table.h
+++ b/src/member/fact_table.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "src/member/member_table.h"
 
@@ -32,6 +33,8 @@
   /// Drops expiring facts whose origin is gone or has restarted.
   void DropOrphans(const MemberTable& members);
 
+  std::vector<Fact> List() const;
+
   const std::map<Key, Fact>& All() const { return facts_; }
   std::uint64_t Generation() const { return generation_; }
 
--- a/src/member/gossip_packer.cc
+++ b/src/member/gossip_packer.cc
@@ -12,6 +12,7 @@
 constexpr std::size_t kHeaderBytes = 28;      // IP and UDP
 constexpr std::size_t kProbeReserve = 1'024;  // bytes kept for pings and acks
 constexpr int kExtraSends = 2;
+constexpr std::size_t kSyncDatagrams = 2;
 
 int SendsFor(std::size_t receivers) {
   return receivers == 0
@@ -28,7 +29,8 @@
       facts_(facts),
       digest_(members, facts),
       hmac_(HmacSha256::Make(options.key)),
-      budget_(options.bytes_per_second) {}
+      budget_(options.bytes_per_second),
+      random_(options.seed) {}
 
 int* GossipPacker::Left(Sends* sends, GossipScope scope) {
   return scope == GossipScope::kDomain ? &sends->domain : &sends->other;
@@ -129,6 +131,48 @@
   return Seal(message, to, now);
 }
 
+std::vector<GossipItem> GossipPacker::Differing(
+    const std::vector<std::uint32_t>& buckets) {
+  const std::vector<std::uint32_t> own = digest_.Buckets();
+  std::vector<GossipItem> names;
+  std::vector<GossipItem> keys;
+  for (const auto& [name, record] : members_->Records()) {
+    const std::size_t n = GossipDigest::BucketOf(name);
+    if (own[n] != buckets[n]) {
+      names.emplace_back(name);
+    }
+  }
+  for (const auto& [key, fact] : facts_->All()) {
+    const std::size_t n = GossipDigest::BucketOf(key);
+    if (own[n] != buckets[n]) {
+      keys.emplace_back(key);
+    }
+  }
+  std::shuffle(names.begin(), names.end(), random_);
+  std::shuffle(keys.begin(), keys.end(), random_);
+  // Members go first, since facts of unknown origins are not taken.
+  names.insert(names.end(), keys.begin(), keys.end());
+  return names;
+}
+
+std::vector<Datagram> GossipPacker::PackDiffering(
+    const std::vector<std::uint32_t>& buckets, const Address& to, Time now) {
+  std::vector<Datagram> out;
+  if (buckets.size() != kDigestBuckets) {
+    return out;
+  }
+  const std::vector<GossipItem> items = Differing(buckets);
+  std::size_t next = 0;
+  while (out.size() < kSyncDatagrams && next < items.size()) {
+    std::optional<Datagram> datagram = PackItems(items, &next, to, now);
+    if (!datagram) {
+      break;
+    }
+    out.push_back(std::move(*datagram));
+  }
+  return out;
+}
+
 std::optional<Datagram> GossipPacker::PackItems(
     const std::vector<GossipItem>& items, std::size_t* next, const Address& to,
     Time now) {
--- a/src/member/gossip_packer.h
+++ b/src/member/gossip_packer.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <variant>
 #include <vector>
@@ -43,11 +44,11 @@
   std::optional<Datagram> Pack(GossipMessage message, const Address& to,
                                GossipScope scope, Time now);
 
-  /// Datagram with as many of `items` from index `*next` as fit; moves `*next`
-  /// on.
-  std::optional<Datagram> PackItems(const std::vector<GossipItem>& items,
-                                    std::size_t* next, const Address& to,
-                                    Time now);
+  /// Datagrams with items of the buckets that differ from `buckets`, as many
+  /// as fit into a few; in another order each time, so that repetition brings
+  /// all over.
+  std::vector<Datagram> PackDiffering(const std::vector<std::uint32_t>& buckets,
+                                      const Address& to, Time now);
 
   /// Verifies and decodes a datagram; nothing if `*counters` says why not.
   std::optional<GossipMessage> Open(std::string_view bytes,
@@ -65,6 +66,10 @@
 
   static int* Left(Sends* sends, GossipScope scope);
   std::vector<GossipItem> MostNews(GossipScope scope) const;
+  std::vector<GossipItem> Differing(const std::vector<std::uint32_t>& buckets);
+  std::optional<Datagram> PackItems(const std::vector<GossipItem>& items,
+                                    std::size_t* next, const Address& to,
+                                    Time now);
   std::size_t Room(const GossipMessage& message, std::size_t reserve, Time now);
   bool AddItem(const GossipItem& item, std::size_t* room,
                GossipMessage* message) const;
@@ -80,6 +85,7 @@
   std::unique_ptr<HmacSha256> hmac_;
   ByteBudget budget_;
   std::map<GossipItem, Sends> news_;
+  std::mt19937_64 random_;
   std::uint64_t sequence_ = 0;
   std::uint64_t bytes_sent_ = 0;
 };
--- a/src/member/member_table.cc
+++ b/src/member/member_table.cc
@@ -47,6 +47,25 @@
   return it == records_.end() ? nullptr : &it->second;
 }
 
+const MemberRecord* MemberTable::FindDead(const Address& address) const {
+  for (const auto& [name, record] : records_) {
+    if (record.member.address == address &&
+        record.member.state == MemberState::kDead) {
+      return &record;
+    }
+  }
+  return nullptr;
+}
+
+std::vector<Member> MemberTable::List() const {
+  std::vector<Member> out;
+  out.reserve(records_.size());
+  for (const auto& [name, record] : records_) {
+    out.push_back(record.member);
+  }
+  return out;
+}
+
 bool MemberTable::Wins(const MemberRecord& a, const MemberRecord& b) const {
   return std::make_tuple(a.member.incarnation, a.refutations,
                          Rank(a.member.state)) >
@@ -164,6 +183,11 @@
   return out;
 }
 
+bool MemberTable::IsRelay() const {
+  const std::vector<std::string> relays = Relays(Self().member.failure_domain);
+  return std::find(relays.begin(), relays.end(), self_) != relays.end();
+}
+
 std::vector<std::string> MemberTable::OtherDomains() const {
   std::set<std::string> out;
   for (const auto& [name, record] : records_) {
--- a/src/member/member_table.h
+++ b/src/member/member_table.h
@@ -38,6 +38,11 @@
 
   const MemberRecord& Self() const { return records_.at(self_); }
   const MemberRecord* Find(const std::string& name) const;
+  /// The dead member at `address`, or nullptr.
+  const MemberRecord* FindDead(const Address& address) const;
+
+  std::vector<Member> List() const;
+
   const std::map<std::string, MemberRecord>& Records() const {
     return records_;
   }
@@ -51,6 +56,9 @@
   /// The members up in `domain` that carry items to other domains.
   std::vector<std::string> Relays(const std::string& domain) const;
 
+  /// Whether this member is such a relay.
+  bool IsRelay() const;
+
   /// Failure domains with a member up, this member's own excluded.
   std::vector<std::string> OtherDomains() const;
 
--- a/src/member/membership.cc
+++ b/src/member/membership.cc
@@ -1,11 +1,10 @@
 #include "hornbeamcleat/member/membership.h"
 
-#include <algorithm>
-#include <random>
 #include <utility>
 
 #include "hornbeamcleat/base/error.h"
 #include "src/member/gossip_packer.h"
+#include "src/member/probe_schedule.h"
 #include "src/member/replay_guard.h"
 
 namespace hornbeamcleat {
@@ -13,13 +12,10 @@
 
 constexpr std::size_t kMaxSelfBytes = 400;
 constexpr std::uint64_t kMaxIncarnation = std::uint64_t{1} << 43;
-constexpr int kProbeTimeouts = 2;  // probe periods until a member is suspect
-constexpr std::size_t kHelpers = 2;
+constexpr int kProbeTimeouts = 2;   // probe periods until a member is suspect
 constexpr std::size_t kPushes = 2;  // datagrams of news in one tick
 constexpr std::size_t kLeavePushes = 8;
-constexpr std::size_t kSyncDatagrams = 2;
 constexpr std::size_t kMaxForwards = 256;
-constexpr int kRelayShare = 4;  // one probe in so many goes to no relay
 constexpr Duration kReachPeriod = std::chrono::seconds(2);
 
 struct Probe {
@@ -41,7 +37,7 @@
         max_fact_bytes_(options.max_datagram / 2),
         members_(self, options),
         packer_(options, &members_, &facts_),
-        random_(options.seed) {}
+        schedule_(options, &members_) {}
 
   std::vector<Datagram> OnDatagram(const Address&, std::string_view bytes,
                                    Time now) override {
@@ -83,27 +79,13 @@
       throw Error("set fact", key, "it is too large for a datagram");
     }
     if (facts_.Set(Self(), key, value, expires)) {
-      packer_.AddNews(FactTable::Key{key, Self().name}, IsRelay());
+      packer_.AddNews(FactTable::Key{key, Self().name}, members_.IsRelay());
     }
   }
 
-  std::vector<Fact> Facts() const override {
-    std::vector<Fact> out;
-    out.reserve(facts_.All().size());
-    for (const auto& [key, fact] : facts_.All()) {
-      out.push_back(fact);
-    }
-    return out;
-  }
+  std::vector<Fact> Facts() const override { return facts_.List(); }
 
-  std::vector<Member> Members() const override {
-    std::vector<Member> out;
-    out.reserve(members_.Records().size());
-    for (const auto& [name, record] : members_.Records()) {
-      out.push_back(record.member);
-    }
-    return out;
-  }
+  std::vector<Member> Members() const override { return members_.List(); }
 
   std::uint64_t Generation() const override {
     return members_.Generation() + facts_.Generation();
@@ -112,9 +94,9 @@
   std::vector<Datagram> Leave(Time now) override {
     out_.clear();
     members_.LeaveSelf();
-    packer_.AddNews(Self().name, IsRelay());
-    for (const std::string& name :
-         Sample(members_.Peers(Self().failure_domain), kLeavePushes)) {
+    packer_.AddNews(Self().name, members_.IsRelay());
+    for (const std::string& name : schedule_.Sample(
+             members_.Peers(Self().failure_domain), kLeavePushes)) {
       Send({}, GossipType::kPush, name, now);
     }
     PushToOtherDomains(kLeavePushes, now);
@@ -122,7 +104,7 @@
   }
 
   void Hint(const std::vector<Address>& addresses) override {
-    hints_ = addresses;
+    schedule_.Hint(addresses);
   }
 
   MembershipCounters Counters() const override {
@@ -134,19 +116,6 @@
  private:
   const Member& Self() const { return members_.Self().member; }
 
-  bool IsRelay() const {
-    const std::vector<std::string> relays =
-        members_.Relays(Self().failure_domain);
-    return std::find(relays.begin(), relays.end(), Self().name) != relays.end();
-  }
-
-  std::vector<std::string> Sample(std::vector<std::string> from,
-                                  std::size_t n) {
-    std::shuffle(from.begin(), from.end(), random_);
-    from.resize(std::min(n, from.size()));
-    return from;
-  }
-
   GossipScope ScopeOf(const Member& member) const {
     return member.failure_domain == Self().failure_domain
                ? GossipScope::kDomain
@@ -187,7 +156,7 @@
       members_changed |= merged != MemberTable::Merged::kNothing;
       if (merged == MemberTable::Merged::kRefuted ||
           (merged == MemberTable::Merged::kChanged && news)) {
-        packer_.AddNews(record.member.name, IsRelay());
+        packer_.AddNews(record.member.name, members_.IsRelay());
       }
       if (Self().incarnation != incarnation) {
         facts_.Renew(Self());
@@ -198,7 +167,8 @@
     }
     for (const Fact& fact : message.facts) {
       if (facts_.Merge(fact, members_) && (news || !fact.expires)) {
-        packer_.AddNews(FactTable::Key{fact.key, fact.origin}, IsRelay());
+        packer_.AddNews(FactTable::Key{fact.key, fact.origin},
+                        members_.IsRelay());
       }
     }
   }
@@ -283,40 +253,9 @@
   }
 
   void SendDiffering(const GossipMessage& message, Time now) {
-    if (message.buckets.size() != kDigestBuckets) {
-      return;
-    }
-    const std::vector<std::uint32_t> own = packer_.Digest().Buckets();
-    std::vector<GossipItem> items;
-    for (const auto& [name, record] : members_.Records()) {
-      const std::size_t n = GossipDigest::BucketOf(name);
-      if (own[n] != message.buckets[n]) {
-        items.emplace_back(name);
-      }
-    }
-    for (const auto& [key, fact] : facts_.All()) {
-      const std::size_t n = GossipDigest::BucketOf(key);
-      if (own[n] != message.buckets[n]) {
-        items.emplace_back(key);
-      }
-    }
-    // Members go first, since facts of unknown origins are not taken.
-    const std::ptrdiff_t facts_from =
-        std::count_if(items.begin(), items.end(), [](const GossipItem& item) {
-          return std::holds_alternative<std::string>(item);
-        });
-    std::shuffle(items.begin(), items.begin() + facts_from, random_);
-    std::shuffle(items.begin() + facts_from, items.end(), random_);
-    const Address to = message.members.front().member.address;
-    std::size_t next = 0;
-    for (std::size_t n = 0; n < kSyncDatagrams && next < items.size(); ++n) {
-      std::optional<Datagram> datagram =
-          packer_.PackItems(items, &next, to, now);
-      if (!datagram) {
-        return;
-      }
-      out_.push_back(std::move(*datagram));
-    }
+    const std::vector<Datagram> datagrams = packer_.PackDiffering(
+        message.buckets, message.members.front().member.address, now);
+    out_.insert(out_.end(), datagrams.begin(), datagrams.end());
   }
 
   // After a pause of this process, silence says nothing about the others.
@@ -334,7 +273,7 @@
       if (members_.Find(name) == nullptr) {
         replays_.Forget(name);
       } else {
-        packer_.AddNews(name, IsRelay());
+        packer_.AddNews(name, members_.IsRelay());
       }
     }
     if (!changed.empty()) {
@@ -349,7 +288,7 @@
       const Duration silent = now - it->second.sent;
       if (silent >= kProbeTimeouts * options_.probe_period) {
         if (members_.Suspect(it->second.target, now)) {
-          packer_.AddNews(it->second.target, IsRelay());
+          packer_.AddNews(it->second.target, members_.IsRelay());
         }
         it = probes_.erase(it);
         continue;
@@ -371,10 +310,7 @@
     if (record == nullptr) {
       return;
     }
-    std::vector<std::string> helpers =
-        members_.Peers(record->member.failure_domain);
-    std::erase(helpers, target);
-    for (const std::string& helper : Sample(helpers, kHelpers)) {
+    for (const std::string& helper : schedule_.Helpers(record->member)) {
       GossipMessage message;
       message.subject = record->member.address.ToString();
       message.answers = probe;
@@ -387,9 +323,9 @@
       return;
     }
     next_probe_ = now + options_.probe_period;
-    ProbeOne(NextInDomain(), now);
-    if (IsRelay()) {
-      ProbeOne(NextInOtherDomain(), now);
+    ProbeOne(schedule_.NextInDomain(), now);
+    if (members_.IsRelay()) {
+      ProbeOne(schedule_.NextInOtherDomain(), now);
     }
   }
 
@@ -399,87 +335,29 @@
     }
   }
 
-  // Each peer once a round, in random order, bounds the time to detection.
-  std::string NextInDomain() {
-    if (round_.empty()) {
-      const std::vector<std::string> peers =
-          members_.Peers(Self().failure_domain);
-      round_ = Sample(peers, peers.size());
-    }
-    while (!round_.empty()) {
-      std::string name = round_.back();
-      round_.pop_back();
-      const MemberRecord* record = members_.Find(name);
-      if (record != nullptr && MemberTable::IsUp(*record)) {
-        return name;
-      }
-    }
-    return "";
-  }
-
-  std::string NextInOtherDomain() {
-    if (domains_.empty()) {
-      const std::vector<std::string> all = members_.OtherDomains();
-      domains_ = Sample(all, all.size());
-    }
-    if (domains_.empty()) {
-      return "";
-    }
-    const std::string domain = domains_.back();
-    domains_.pop_back();
-    const bool any = random_() % kRelayShare == 0;
-    const std::vector<std::string> found =
-        Sample(any ? members_.Peers(domain) : members_.Relays(domain), 1);
-    return found.empty() ? "" : found.front();
-  }
-
-  // Tries addresses behind which nobody is known to be up: seeds, the
-  // platform's hints and the dead. So a fresh member joins and a cut heals.
   void ReachIfDue(Time now) {
     if (now < next_reach_) {
       return;
     }
-    std::vector<Address> up;
-    std::vector<Address> wanted = options_.seeds;
-    wanted.insert(wanted.end(), hints_.begin(), hints_.end());
-    for (const auto& [name, record] : members_.Records()) {
-      if (MemberTable::IsUp(record)) {
-        up.push_back(record.member.address);
-      } else if (record.member.state == MemberState::kDead) {
-        wanted.push_back(record.member.address);
-      }
-    }
-    next_reach_ = now + (up.size() > 1 ? kReachPeriod : options_.probe_period);
-    std::erase_if(wanted, [&up](const Address& it) {
-      return std::find(up.begin(), up.end(), it) != up.end();
-    });
-    if (wanted.empty()) {
-      return;
+    const bool alone = members_.Peers(Self().failure_domain).empty() &&
+                       members_.OtherDomains().empty();
+    next_reach_ = now + (alone ? options_.probe_period : kReachPeriod);
+    if (const std::optional<Address> to = schedule_.NextToReach()) {
+      Reach(*to, now);
     }
-    Reach(wanted[random_() % wanted.size()], now);
   }
 
   void Reach(const Address& to, Time now) {
     GossipMessage message;
-    for (const auto& [name, record] : members_.Records()) {
-      if (record.member.address == to &&
-          record.member.state == MemberState::kDead) {
-        message.members.push_back(record);
-        break;
-      }
+    if (const MemberRecord* dead = members_.FindDead(to)) {
+      message.members.push_back(*dead);
     }
     SendTo(message, to, GossipScope::kOtherDomain, now);
   }
 
   void PushNews(Time now) {
     if (packer_.HasNews(GossipScope::kDomain)) {
-      const std::string& domain = Self().failure_domain;
-      std::vector<std::string> targets =
-          Sample(members_.Peers(domain), kPushes);
-      if (!IsRelay() && !targets.empty()) {
-        targets.front() = Sample(members_.Relays(domain), 1).front();
-      }
-      for (const std::string& name : targets) {
+      for (const std::string& name : schedule_.NewsReceivers()) {
         Send({}, GossipType::kPush, name, now);
       }
     }
@@ -489,8 +367,10 @@
   }
 
   void PushToOtherDomains(std::size_t n, Time now) {
-    for (const std::string& domain : Sample(members_.OtherDomains(), n)) {
-      for (const std::string& name : Sample(members_.Relays(domain), 1)) {
+    for (const std::string& domain :
+         schedule_.Sample(members_.OtherDomains(), n)) {
+      for (const std::string& name :
+           schedule_.Sample(members_.Relays(domain), 1)) {
         Send({}, GossipType::kPush, name, now);
       }
     }
@@ -501,14 +381,11 @@
   MemberTable members_;
   FactTable facts_;
   GossipPacker packer_;
+  ProbeSchedule schedule_;
   ReplayGuard replays_;
-  std::mt19937_64 random_;
   MembershipCounters counters_;
-  std::vector<Address> hints_;
   std::map<std::uint64_t, Probe> probes_;      // by sequence of the ping
   std::map<std::uint64_t, Forward> forwards_;  // by sequence of the ping
-  std::vector<std::string> round_;             // still to be probed
-  std::vector<std::string> domains_;           // still to be probed
   std::vector<Datagram> out_;
   Time last_tick_ = Time::min();
   Time next_probe_ = Time::min();
