--- a/model/lease.pml
+++ b/model/lease.pml
@@ -25,7 +25,8 @@
 #else
 #define RECORDS 4
 #endif
-#define TTL 1
+#define TTL 2
+#define SENDS 2 /* records that a member sends at most */
 #define LONGEST 1
 
 byte writer[RECORDS + 1];  /* incarnation that wrote each record, from 1 */
@@ -37,6 +38,7 @@
 
 byte life[MEMBERS];
 bool sent[MEMBERS]; /* an append that may still land */
+byte sends[MEMBERS];
 byte sent_life[MEMBERS];
 byte sent_read_to[MEMBERS];
 byte sent_age[MEMBERS];
@@ -72,6 +74,7 @@
 /* What nobody can read any more is cleared, which merges equal states. */
 #define EXPIRE d_step { oldest < next -> \
     writer[oldest] = 0;                  \
+    own_read[oldest] = false;            \
     read_to[oldest] = 0;                 \
     age[oldest] = 0;                     \
     oldest++ }
@@ -148,7 +151,7 @@
 end:
   do
   /* Claims or renews. */
-  :: d_step { !sent[self] &&
+  :: d_step { !sent[self] && sends[self] < SENDS &&
 #ifdef BROKEN_RIVAL_WAIT
               true ->
 #else
@@ -156,6 +159,7 @@
                (anchored[self] && holder[self])) ->
 #endif
        sent[self] = true;
+       sends[self]++;
        sent_life[self] = life[self];
        sent_read_to[self] = position - 1;
        sent_age[self] = 0 }
