--- a/src/move/evidence_limits.h
+++ b/src/move/evidence_limits.h
@@ -18,7 +18,7 @@
 inline constexpr double kMaxLogGood = 1.5 * kLogGoodEnough;
 
 /// Logarithm of an e-value from which growth waits, though it proves nothing.
-inline constexpr double kLogSuspect = 2.3026;  // ln(10)
+inline constexpr double kLogSuspect = 2.9957;  // ln(20)
 
 }  // namespace hornbeamcleat
 
--- a/src/move/move_controller.cc
+++ b/src/move/move_controller.cc
@@ -17,8 +17,14 @@
 // Requests in flight at one entry on a version that has only its first share.
 constexpr int kCanaryInFlight = 8;
 constexpr std::chrono::milliseconds kLookPeriod{1'000};
-// Part of the move's traffic that a short share above the first may add.
-constexpr double kLoadBudget = 0.006;
+// While the share is small, a look costs more than a few seconds' delay.
+constexpr std::chrono::milliseconds kSmallShareLookPeriod{3'000};
+constexpr int kSmallSharePermille = 20;
+// Part of the move's traffic that the share which meets full load may add.
+constexpr double kLoadBudget = 0.005;
+// Part of the move's traffic from which a suspect version gets the first share
+// again.
+constexpr double kSuspectBudget = 0.016;
 
 bool Final(MovePhase phase) {
   return phase == MovePhase::kDone || phase == MovePhase::kRolledBack;
@@ -42,6 +48,7 @@
   Duration Remaining(const MoveState& state, WallTime now) const;
   void Grow(const MoveState& state, const MoveInput& input,
             const Verdict& verdict, MoveDecision* out) const;
+  bool StepBack(const MoveState& state, const Verdict& verdict) const;
   void GrowTo(int index, const MoveInput& input, MoveDecision* out) const;
   std::string Obstacle(const MoveState& state, WallTime now,
                        const Verdict& verdict) const;
@@ -172,6 +179,14 @@
   return verdict.good || verdict.plausible ? "" : verdict.reason;
 }
 
+// The share that meets full load is dear: a version that isn't cleared within
+// its budget is watched further at the first share.
+bool AutomaticController::StepBack(const MoveState& state,
+                                   const Verdict& verdict) const {
+  return spec_.steps_permille.empty() && StepIndex(state.share_permille) == 1 &&
+         verdict.suspect && verdict.fresh_ratio >= kSuspectBudget;
+}
+
 void AutomaticController::GrowTo(int index, const MoveInput& input,
                                  MoveDecision* out) const {
   const int share = steps_[index];
@@ -190,6 +205,12 @@
 void AutomaticController::Grow(const MoveState& state, const MoveInput& input,
                                const Verdict& verdict,
                                MoveDecision* out) const {
+  if (StepBack(state, verdict)) {
+    out->reason = "the evidence leans against the new version";
+    out->advance =
+        MoveState{MovePhase::kGrowing, steps_[0], input.now, out->reason};
+    return;
+  }
   out->reason = Obstacle(state, input.now, verdict);
   if (out->reason.empty()) {
     GrowTo(StepIndex(state.share_permille) + 1, input, out);
@@ -213,7 +234,9 @@
 MoveDecision AutomaticController::Decide(const MoveState& state,
                                          const MoveInput& input) {
   MoveDecision out;
-  out.next_look = input.now + kLookPeriod;
+  const bool small = state.phase != MovePhase::kBaking &&
+                     state.share_permille <= kSmallSharePermille;
+  out.next_look = input.now + (small ? kSmallShareLookPeriod : kLookPeriod);
   if (Final(state.phase)) {
     out.reason = state.reason;
     return out;
--- a/src/move/move_schedule.h
+++ b/src/move/move_schedule.h
@@ -9,7 +9,7 @@
 namespace hornbeamcleat {
 
 /// Share of the first step of an automatic move, in permille.
-inline constexpr int kCanaryPermille = 10;
+inline constexpr int kCanaryPermille = 12;
 
 /// Share at which an automatic move bakes. The rest stays on the old version
 /// as a control group, so that a fault shared by both still shows as shared.
--- a/src/move/version_judge.cc
+++ b/src/move/version_judge.cc
@@ -188,6 +188,9 @@
   verdict.plausible = true;
   verdict.exposed = all_.faults.Ends() > 0;
   verdict.ends = all_.faults.Ends();
+  const double all_ends = static_cast<double>(verdict.ends + all_.old_ends);
+  verdict.fresh_ratio =
+      static_cast<double>(verdict.ends) / std::max(1.0, all_ends);
   const double tests = static_cast<double>(routes_.size() + 2) * kTestsPerRoute;
   const double threshold = std::log(tests / kFalsePositiveRate);
   JudgeBad(all_, "over all routes", threshold, &verdict);
--- a/src/move/version_judge.h
+++ b/src/move/version_judge.h
@@ -24,7 +24,9 @@
   bool exposed = false;    ///< served on every route with traffic
   bool met_load = true;    ///< met high load, if the old version did
   std::uint64_t ends = 0;  ///< requests of the new version that ended
-  std::string reason;      ///< of bad, else of what is lacking
+  /// Those as a part of both versions' since the move began.
+  double fresh_ratio = 0;
+  std::string reason;  ///< of bad, else of what is lacking
 
   bool operator==(const Verdict&) const = default;
 };
