--- a/src/trial/trial_daemon.cc
+++ b/src/trial/trial_daemon.cc
@@ -30,7 +30,7 @@
   input.withdrawn = withdrawn;
   input.log_available = !log.Down();
   input.started = WallTime();
-  const MoveDecision decision = controller_->Decide(log.State(), input);
+  MoveDecision decision = controller_->Decide(log.State(), input);
   next_look_ = decision.next_look;
   return decision;
 }
--- a/src/trial/trial_grid.cc
+++ b/src/trial/trial_grid.cc
@@ -70,6 +70,7 @@
     }
   };
   std::vector<std::jthread> threads;
+  threads.reserve(static_cast<std::size_t>(jobs));
   for (int n = 0; n < jobs; ++n) {
     threads.emplace_back(work);
   }
