--- a/src/move/move_controller.cc
+++ b/src/move/move_controller.cc
@@ -16,6 +16,7 @@
     "Loading", "Growing", "Baking", "Done", "RolledBack"};
 // Requests in flight at one entry on a version that has only its first share.
 constexpr int kCanaryInFlight = 8;
+constexpr std::chrono::milliseconds kMinLookPeriod{250};
 constexpr std::chrono::milliseconds kLookPeriod{1'000};
 // While the share is small, a look costs more than a few seconds' delay.
 constexpr std::chrono::milliseconds kSmallShareLookPeriod{3'000};
@@ -40,6 +41,7 @@
 
  private:
   void Prepare(const MoveInput& input);
+  std::chrono::milliseconds LookPeriod(const MoveState& state) const;
   int StepIndex(int share_permille) const;
   void RollBack(const MoveInput& input, const std::string& reason,
                 MoveDecision* out) const;
@@ -76,6 +78,16 @@
       MoveSchedule::Make(spec_, *started_, static_cast<int>(steps_.size()));
 }
 
+std::chrono::milliseconds AutomaticController::LookPeriod(
+    const MoveState& state) const {
+  const bool small = state.phase != MovePhase::kBaking &&
+                     state.share_permille <= kSmallSharePermille;
+  const std::chrono::milliseconds step =
+      std::chrono::floor<std::chrono::milliseconds>(schedule_.growth_step);
+  return std::clamp(step / 4, kMinLookPeriod,
+                    small ? kSmallShareLookPeriod : kLookPeriod);
+}
+
 int AutomaticController::StepIndex(int share_permille) const {
   const std::vector<int>::const_iterator it =
       std::lower_bound(steps_.begin(), steps_.end(), share_permille);
@@ -234,14 +246,13 @@
 MoveDecision AutomaticController::Decide(const MoveState& state,
                                          const MoveInput& input) {
   MoveDecision out;
-  const bool small = state.phase != MovePhase::kBaking &&
-                     state.share_permille <= kSmallSharePermille;
-  out.next_look = input.now + (small ? kSmallShareLookPeriod : kLookPeriod);
+  out.next_look = input.now + kSmallShareLookPeriod;
   if (Final(state.phase)) {
     out.reason = state.reason;
     return out;
   }
   Prepare(input);
+  out.next_look = input.now + LookPeriod(state);
   const Duration spacing =
       (spec_.deadline - *started_) / ChangeMixture::kMaxStartPoints;
   const bool start_point =
--- a/src/move/move_schedule.h
+++ b/src/move/move_schedule.h
@@ -16,7 +16,7 @@
 inline constexpr int kBakePermille = 950;
 
 /// Shortest time that any step lasts.
-inline constexpr Duration kMinStep = std::chrono::seconds(1);
+inline constexpr Duration kMinStep = std::chrono::seconds(2);
 
 /// Shares of a move, rising; the last one is the share of the bake.
 /// @param targets that shall run the new version; sets the share at which one
--- /dev/null
+++ b/tests/move/order_planner_test.cc
@@ -0,0 +1,165 @@
+#include "hornbeamcleat/move/order_planner.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace hornbeamcleat {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+using testing::ElementsAre;
+using testing::IsEmpty;
+
+class OrderPlannerTest : public testing::Test {
+ protected:
+  OrderPlannerTest() {
+    options_.max_loading = 2;
+    planner_ = OrderPlanner::Make("llm", "v2", options_);
+    input_.fencing = 7;
+    input_.wanted = 2;
+    input_.held_since = Time(seconds(0));
+    for (const char* name : {"t1", "t2", "t3"}) {
+      ObservedTarget target;
+      target.target = name;
+      target.state = LoadState::kAbsent;
+      target.checks_fencing = true;
+      input_.candidates.push_back(target);
+    }
+  }
+
+  /// Reads all targets at `since` and plans loads then.
+  OrderPlan Plan(Duration since) {
+    for (ObservedTarget& target : input_.candidates) {
+      target.observed = Time(since);
+    }
+    return PlanUnread(since);
+  }
+
+  /// Plans loads without a new read.
+  OrderPlan PlanUnread(Duration since) {
+    input_.now = Time(since);
+    return planner_->PlanLoads(input_);
+  }
+
+  static std::vector<TargetName> Targets(const OrderPlan& plan) {
+    std::vector<TargetName> out;
+    for (const LoadOrder& order : plan.orders) {
+      out.push_back(order.target);
+    }
+    return out;
+  }
+
+  OrderPlannerOptions options_;
+  std::unique_ptr<OrderPlanner> planner_;
+  OrderInput input_;
+};
+
+TEST_F(OrderPlannerTest, WantedTargetsAreOrderedWithTheFencingNumber) {
+  const OrderPlan plan = Plan(seconds(10));
+  EXPECT_THAT(plan.orders, ElementsAre(LoadOrder{"t1", "llm", "v2", true, 7},
+                                       LoadOrder{"t2", "llm", "v2", true, 7}));
+}
+
+TEST_F(OrderPlannerTest, StoreRateBoundsLoadsAtOnce) {
+  options_.max_loading = 1;
+  planner_ = OrderPlanner::Make("llm", "v2", options_);
+  EXPECT_THAT(Targets(Plan(seconds(10))), ElementsAre("t1"));
+  input_.candidates[0].state = LoadState::kLoading;
+  EXPECT_THAT(Targets(Plan(seconds(20))), IsEmpty());
+  input_.candidates[0].state = LoadState::kLoaded;
+  EXPECT_THAT(Targets(Plan(seconds(30))), ElementsAre("t2"));
+}
+
+TEST_F(OrderPlannerTest, OldReadDoesNotRepeatAnOrder) {
+  Plan(seconds(10));
+  EXPECT_THAT(Targets(PlanUnread(minutes(5))), IsEmpty());
+}
+
+TEST_F(OrderPlannerTest, ReadWhileTheOrderMayBeUnderWayDoesNotRepeatIt) {
+  Plan(seconds(10));
+  EXPECT_THAT(Targets(Plan(seconds(14))), IsEmpty());
+}
+
+TEST_F(OrderPlannerTest, LostOrderIsRepeatedAfterAFreshRead) {
+  Plan(seconds(10));
+  EXPECT_THAT(Targets(Plan(seconds(15))), ElementsAre("t1", "t2"));
+}
+
+TEST_F(OrderPlannerTest, LostAnswerOfAnOrderThatWorkedIsNotRepeated) {
+  Plan(seconds(10));
+  input_.candidates[0].state = LoadState::kLoading;
+  input_.candidates[1].state = LoadState::kLoaded;
+  const OrderPlan plan = Plan(seconds(15));
+  EXPECT_THAT(plan.orders, IsEmpty());
+  EXPECT_EQ(plan.ready, 1);
+}
+
+TEST_F(OrderPlannerTest, TargetThatDiesWhileLoadingIsReplaced) {
+  Plan(seconds(10));
+  input_.candidates[0].live = false;
+  input_.candidates[1].state = LoadState::kLoading;
+  const OrderPlan plan = Plan(seconds(20));
+  EXPECT_THAT(Targets(plan), ElementsAre("t3"));
+  EXPECT_EQ(plan.attainable, 2);
+}
+
+TEST_F(OrderPlannerTest, DeadTargetWithoutReplacementIsLeftOut) {
+  input_.wanted = 3;
+  input_.candidates[0].live = false;
+  EXPECT_EQ(Plan(seconds(10)).attainable, 2);
+}
+
+TEST_F(OrderPlannerTest, TargetThatNeverLoadsIsLeftOut) {
+  options_.max_loading = 3;
+  planner_ = OrderPlanner::Make("llm", "v2", options_);
+  input_.candidates[1].state = LoadState::kLoaded;
+  input_.candidates[2].state = LoadState::kLoaded;
+  input_.wanted = 3;
+  for (int n = 1; n <= options_.max_orders; ++n) {
+    EXPECT_THAT(Targets(Plan(seconds(10 * n))), ElementsAre("t1"));
+  }
+  const OrderPlan plan = Plan(minutes(1));
+  EXPECT_THAT(plan.orders, IsEmpty());
+  EXPECT_THAT(plan.left_out, ElementsAre("t1"));
+  EXPECT_EQ(plan.attainable, 2);
+}
+
+TEST_F(OrderPlannerTest, EndlessLoadIsLeftOutAndReplaced) {
+  Plan(seconds(10));
+  input_.candidates[0].state = LoadState::kLoading;
+  input_.candidates[1].state = LoadState::kLoaded;
+  Plan(seconds(20));
+  const OrderPlan plan = Plan(seconds(21) + options_.load_timeout);
+  EXPECT_THAT(plan.left_out, ElementsAre("t1"));
+  EXPECT_THAT(Targets(plan), ElementsAre("t3"));
+}
+
+TEST_F(OrderPlannerTest, FormerHoldersOrdersAreWaitedOutWithoutFencing) {
+  input_.candidates[0].checks_fencing = false;
+  input_.held_since = Time(seconds(10));
+  EXPECT_THAT(Targets(Plan(seconds(14))), ElementsAre("t2"));
+  input_.candidates[1].state = LoadState::kLoading;
+  EXPECT_THAT(Targets(PlanUnread(seconds(16))), IsEmpty());
+  EXPECT_THAT(Targets(Plan(seconds(16))), ElementsAre("t1"));
+}
+
+TEST_F(OrderPlannerTest, UnknownStateGetsNoOrder) {
+  input_.candidates[0].state = LoadState::kUnknown;
+  EXPECT_THAT(Targets(Plan(seconds(10))), ElementsAre("t2"));
+}
+
+TEST_F(OrderPlannerTest, UnloadKeepsTheTargetsStillWanted) {
+  for (ObservedTarget& target : input_.candidates) {
+    target.state = LoadState::kLoaded;
+    target.observed = Time(seconds(10));
+  }
+  input_.now = Time(seconds(10));
+  input_.wanted = 1;
+  const OrderPlan plan = planner_->PlanUnloads(input_);
+  EXPECT_THAT(plan.orders, ElementsAre(LoadOrder{"t2", "llm", "v2", false, 7},
+                                       LoadOrder{"t3", "llm", "v2", false, 7}));
+}
+
+}  // namespace
+}  // namespace hornbeamcleat
