--- a/src/move/move_controller.cc
+++ b/src/move/move_controller.cc
@@ -16,9 +16,16 @@
     "Loading", "Growing", "Baking", "Done", "RolledBack"};
 // Requests in flight at one entry on a version that has only its first share.
 constexpr int kCanaryInFlight = 8;
+constexpr std::chrono::milliseconds kMinLookPeriod{250};
 constexpr std::chrono::milliseconds kLookPeriod{1'000};
-// Part of the move's traffic that a short share above the first may add.
-constexpr double kLoadBudget = 0.006;
+// While the share is small, a look costs more than a few seconds' delay.
+constexpr std::chrono::milliseconds kSmallShareLookPeriod{3'000};
+constexpr int kSmallSharePermille = 20;
+// Part of the move's traffic that the share which meets full load may add.
+constexpr double kLoadBudget = 0.005;
+// Part of the move's traffic from which a suspect version gets the first share
+// again.
+constexpr double kSuspectBudget = 0.016;
 
 bool Final(MovePhase phase) {
   return phase == MovePhase::kDone || phase == MovePhase::kRolledBack;
@@ -34,6 +41,7 @@
 
  private:
   void Prepare(const MoveInput& input);
+  std::chrono::milliseconds LookPeriod(const MoveState& state) const;
   int StepIndex(int share_permille) const;
   void RollBack(const MoveInput& input, const std::string& reason,
                 MoveDecision* out) const;
@@ -42,6 +50,7 @@
   Duration Remaining(const MoveState& state, WallTime now) const;
   void Grow(const MoveState& state, const MoveInput& input,
             const Verdict& verdict, MoveDecision* out) const;
+  bool StepBack(const MoveState& state, const Verdict& verdict) const;
   void GrowTo(int index, const MoveInput& input, MoveDecision* out) const;
   std::string Obstacle(const MoveState& state, WallTime now,
                        const Verdict& verdict) const;
@@ -69,6 +78,16 @@
       MoveSchedule::Make(spec_, *started_, static_cast<int>(steps_.size()));
 }
 
+std::chrono::milliseconds AutomaticController::LookPeriod(
+    const MoveState& state) const {
+  const bool small = state.phase != MovePhase::kBaking &&
+                     state.share_permille <= kSmallSharePermille;
+  const std::chrono::milliseconds step =
+      std::chrono::floor<std::chrono::milliseconds>(schedule_.growth_step);
+  return std::clamp(step / 4, kMinLookPeriod,
+                    small ? kSmallShareLookPeriod : kLookPeriod);
+}
+
 int AutomaticController::StepIndex(int share_permille) const {
   const std::vector<int>::const_iterator it =
       std::lower_bound(steps_.begin(), steps_.end(), share_permille);
@@ -172,6 +191,14 @@
   return verdict.good || verdict.plausible ? "" : verdict.reason;
 }
 
+// The share that meets full load is dear: a version that isn't cleared within
+// its budget is watched further at the first share.
+bool AutomaticController::StepBack(const MoveState& state,
+                                   const Verdict& verdict) const {
+  return spec_.steps_permille.empty() && StepIndex(state.share_permille) == 1 &&
+         verdict.suspect && verdict.fresh_ratio >= kSuspectBudget;
+}
+
 void AutomaticController::GrowTo(int index, const MoveInput& input,
                                  MoveDecision* out) const {
   const int share = steps_[index];
@@ -190,6 +217,12 @@
 void AutomaticController::Grow(const MoveState& state, const MoveInput& input,
                                const Verdict& verdict,
                                MoveDecision* out) const {
+  if (StepBack(state, verdict)) {
+    out->reason = "the evidence leans against the new version";
+    out->advance =
+        MoveState{MovePhase::kGrowing, steps_[0], input.now, out->reason};
+    return;
+  }
   out->reason = Obstacle(state, input.now, verdict);
   if (out->reason.empty()) {
     GrowTo(StepIndex(state.share_permille) + 1, input, out);
@@ -213,12 +246,13 @@
 MoveDecision AutomaticController::Decide(const MoveState& state,
                                          const MoveInput& input) {
   MoveDecision out;
-  out.next_look = input.now + kLookPeriod;
+  out.next_look = input.now + kSmallShareLookPeriod;
   if (Final(state.phase)) {
     out.reason = state.reason;
     return out;
   }
   Prepare(input);
+  out.next_look = input.now + LookPeriod(state);
   const Duration spacing =
       (spec_.deadline - *started_) / ChangeMixture::kMaxStartPoints;
   const bool start_point =
--- a/src/move/move_schedule.h
+++ b/src/move/move_schedule.h
@@ -9,14 +9,14 @@
 namespace hornbeamcleat {
 
 /// Share of the first step of an automatic move, in permille.
-inline constexpr int kCanaryPermille = 10;
+inline constexpr int kCanaryPermille = 12;
 
 /// Share at which an automatic move bakes. The rest stays on the old version
 /// as a control group, so that a fault shared by both still shows as shared.
 inline constexpr int kBakePermille = 950;
 
 /// Shortest time that any step lasts.
-inline constexpr Duration kMinStep = std::chrono::seconds(1);
+inline constexpr Duration kMinStep = std::chrono::seconds(2);
 
 /// Shares of a move, rising; the last one is the share of the bake.
 /// @param targets that shall run the new version; sets the share at which one
