--- a/include/hornbeamcleat/schedule/scheduler.h
+++ b/include/hornbeamcleat/schedule/scheduler.h
@@ -15,14 +15,31 @@
 
 namespace hornbeamcleat {
 
+/// How targets are chosen and work is ordered. All but kFull are baselines for
+/// measurement; the rules on dispatch, retry and outcome hold under each.
+enum class SchedulePolicy {
+  kFull,           ///< tiers, limits, prediction and prefix caches
+  kRandom,         ///< any target at once, without a queue
+  kLeastReported,  ///< the target with the least reported load, at once
+  kOneQueue,       ///< one queue without tiers; the least loaded target
+};
+
 /// Tunables of a scheduler.
 struct SchedulerOptions {
+  SchedulePolicy policy = SchedulePolicy::kFull;
   std::uint64_t seed = 1;  ///< of come-back times and tie breaks
   int max_queued = 10'000;
   int max_attempts = 4;  ///< dispatches that ended in "not run"
   int poison_limit = 2;  ///< distinct targets lost to one content
   Duration poison_expiry = std::chrono::minutes(10);
   Duration stall_time = std::chrono::seconds(2);  ///< without progress
+  /// Longest time that a closed rank takes to reach all entries in contact.
+  Duration floor_settle = std::chrono::seconds(1);
+  /// A rank stays closed this long after higher work last ran short.
+  Duration floor_hold = std::chrono::seconds(5);
+  /// Times that a target's limit keeps to.
+  Duration first_part_target = std::chrono::milliseconds(740);
+  Duration part_gap_target = std::chrono::milliseconds(73);
 
   bool operator==(const SchedulerOptions&) const = default;
 };
--- /dev/null
+++ b/src/schedule/admission.cc
@@ -0,0 +1,79 @@
+#include "src/schedule/admission.h"
+
+#include <algorithm>
+
+namespace hornbeamcleat {
+namespace {
+
+/// Part of the spare time that may go into waiting before ranks close.
+constexpr double kShortage = 0.5;
+/// Greatest load by higher tiers that is still divided by.
+constexpr double kMaxHigherLoad = 0.95;
+/// Answers after which a length counts as learned.
+constexpr int kLeastSamples = 8;
+/// Settle times between the warning and the latest start.
+constexpr double kWarnSettles = 1.5;
+
+}  // namespace
+
+void Admission::Predict(RequestState* request) const {
+  const PoolSummary& pool = request->model->pool;
+  request->length = lengths_.Predict(request->route, request->spec.max_tokens);
+  request->cost = pool.mean_first_part + request->length.mean * pool.mean_gap;
+  request->latest_start = request->deadline;
+  if (options_.policy == SchedulePolicy::kFull) {
+    // What is only guessed of a length is no ground for a refusal.
+    const bool learned = request->length.samples >= kLeastSamples;
+    const double parts = learned ? request->length.median : 1;
+    request->latest_start -=
+        FromSeconds(pool.best_first_part + parts * pool.best_gap);
+  }
+}
+
+double Admission::Wait(const RequestState& request, Time now) const {
+  const ModelState& model = *request.model;
+  const double ahead = model.lanes[0].SecondsAhead(request.route.rank) +
+                       model.lanes[1].SecondsAhead(request.route.rank);
+  if (ahead <= 0) {
+    return 0;
+  }
+  const double credits = std::max(1, model.pool.credits);
+  const double higher =
+      model.admitted.RateBelow(request.route.rank, now) / credits;
+  return ahead / credits / (1 - std::min(higher, kMaxHigherLoad));
+}
+
+bool Admission::RunsShort(const RequestState& request, double wait,
+                          Time now) const {
+  return options_.policy == SchedulePolicy::kFull && wait > 0 &&
+         wait > kShortage * Slack(request, now);
+}
+
+std::optional<Reason> Admission::Refusal(const RequestState& request,
+                                         double wait, Time now) const {
+  const TierFloor& floor = request.model->floor;
+  const double slack = Slack(request, now);
+  if (slack < 0) {
+    return Reason::kDeadline;
+  }
+  if (floor.Closed(request.route.rank)) {
+    return Reason::kTierClosed;
+  }
+  if (wait > slack && floor.MayShed(request.route.rank, now)) {
+    return Reason::kDeadline;
+  }
+  return std::nullopt;
+}
+
+Time Admission::WarnAt(const RequestState& request, Time now) const {
+  const Duration lead =
+      FromSeconds(kWarnSettles * ToSeconds(options_.floor_settle));
+  const Duration half = (request.latest_start - now) / 2;
+  return std::max(request.latest_start - lead, now + half);
+}
+
+double Admission::Slack(const RequestState& request, Time now) const {
+  return ToSeconds(request.latest_start - now);
+}
+
+}  // namespace hornbeamcleat
--- a/src/schedule/dispatcher.cc
+++ b/src/schedule/dispatcher.cc
@@ -1,52 +1,104 @@
 #include "src/schedule/dispatcher.h"
 
 #include <algorithm>
+#include <limits>
+#include <utility>
+#include <variant>
+#include <vector>
 
 namespace hornbeamcleat {
+namespace {
+
+constexpr std::size_t kNoLane = 2;
+
+std::set<int> RanksOf(const ConfigState& config) {
+  std::set<int> ranks;
+  const ResourceKey first("Tier", "");
+  for (auto it = config.resources.lower_bound(first);
+       it != config.resources.end() && it->first.first == "Tier"; ++it) {
+    if (const TierSpec* tier = std::get_if<TierSpec>(&it->second.spec)) {
+      ranks.insert(tier->rank);
+    }
+  }
+  return ranks;
+}
+
+}  // namespace
 
 Dispatcher::Dispatcher(const SchedulerOptions& options)
-    : options_(options), random_(options.seed) {}
+    : options_(options),
+      targets_(options),
+      chooser_(options, &targets_, &versions_, &prefixes_) {}
 
 void Dispatcher::SetView(const std::shared_ptr<const ClusterView>& view) {
-  targets_.SetView(*view);
+  for (const TargetState* gone : targets_.SetView(*view)) {
+    prefixes_.Drop(gone);
+  }
   versions_.SetView(view);
-  for (auto& [model, lanes] : lanes_by_model_) {
-    Rearrange(&lanes);
+  view_ = view;
+  ranks_.clear();
+  if (view->config != nullptr) {
+    ranks_ = RanksOf(*view->config);
+  }
+  for (auto& [name, model] : models_) {
+    TakeView(&model);
+    Rearrange(&model);
+  }
+}
+
+void Dispatcher::Tick(Time now) {
+  for (auto& [name, model] : models_) {
+    model.pool = targets_.Summarize(name);
+    model.floor.Tick(now);
+  }
+}
+
+ModelState* Dispatcher::Model(const std::string& name) {
+  const auto known = models_.find(name);
+  if (known != models_.end()) {
+    return &known->second;
   }
+  const bool tiers = options_.policy == SchedulePolicy::kFull;
+  ModelState& model = models_
+                          .try_emplace(name, name, tiers, options_.floor_settle,
+                                       options_.floor_hold)
+                          .first->second;
+  TakeView(&model);
+  return &model;
 }
 
-bool Dispatcher::HasTarget(const RequestState& request) const {
-  const TargetTable::Pool& pool = targets_.OfModel(request.route.model);
-  return std::any_of(pool.begin(), pool.end(), [&](const TargetState* target) {
-    return target->Open() && versions_.Allows(*target, request.prefers_new);
-  });
+void Dispatcher::TakeView(ModelState* model) const {
+  model->floor.SetRanks(ranks_);
+  model->pool = targets_.Summarize(model->name);
+  if (view_ != nullptr) {
+    const auto closed = view_->peer_closed_rank.find(model->name);
+    model->floor.SetPeerClosed(
+        closed == view_->peer_closed_rank.end() ? kNoFloor : closed->second);
+  }
+}
+
+void Dispatcher::ChooseVersion(RequestState* request) const {
+  request->prefers_new =
+      versions_.PrefersNew(request->route.model, request->spec.id);
 }
 
 void Dispatcher::Push(RequestState* request) {
   request->phase = Phase::kQueued;
   request->queued = true;
-  request->prefers_new =
-      versions_.PrefersNew(request->route.model, request->spec.id);
-  lanes_by_model_[request->route.model][request->prefers_new ? 1 : 0].Push(
-      request);
+  ChooseVersion(request);
+  request->model->lanes[request->prefers_new ? 1 : 0].Push(request);
   ++queued_;
 }
 
 void Dispatcher::Remove(RequestState* request) {
-  lanes_by_model_.at(request->route.model)[request->prefers_new ? 1 : 0].Remove(
-      request);
+  request->model->lanes[request->prefers_new ? 1 : 0].Remove(request);
   request->queued = false;
   --queued_;
 }
 
-RequestState* Dispatcher::Displaceable(const std::string& model,
-                                       int rank) const {
-  const auto it = lanes_by_model_.find(model);
-  if (it == lanes_by_model_.end()) {
-    return nullptr;
-  }
+RequestState* Dispatcher::Displaceable(const ModelState& model, int rank) {
   RequestState* found = nullptr;
-  for (const TierQueue& lane : it->second) {
+  for (const TierQueue& lane : model.lanes) {
     RequestState* last = lane.Last();
     if (last != nullptr && last->route.rank > rank &&
         (found == nullptr || last->route.rank > found->route.rank)) {
@@ -56,32 +108,29 @@
   return found;
 }
 
-void Dispatcher::Dispatch(const std::string& model, Time now,
-                          Actions* actions) {
-  const auto it = lanes_by_model_.find(model);
-  if (it == lanes_by_model_.end()) {
-    return;
-  }
-  std::array<bool, 2> blocked = {false, false};
-  TierQueue* lane = BestLane(&it->second, blocked);
-  while (lane != nullptr) {
-    RequestState* request = lane->Head();
-    TargetState* target = PickTarget(*request, now);
+void Dispatcher::Dispatch(ModelState* model, Time now, Actions* actions) {
+  LeastRanks least_ranks;
+  least_ranks.fill(std::numeric_limits<int>::min());
+  std::size_t lane = BestLane(*model, least_ranks);
+  while (lane != kNoLane) {
+    RequestState* request = model->lanes[lane].Head(least_ranks[lane]);
+    TargetState* target = chooser_.Choose(*request, *model, now);
     if (target == nullptr) {
-      blocked[static_cast<std::size_t>(lane - it->second.data())] = true;
+      // Work of a greater rank may still fit a target that this can't use.
+      least_ranks[lane] = request->route.rank + 1;
     } else {
-      lane->PopHead();
+      model->lanes[lane].Pop(request);
       request->queued = false;
       --queued_;
       Start(request, target, now, actions);
     }
-    lane = BestLane(&it->second, blocked);
+    lane = BestLane(*model, least_ranks);
   }
 }
 
 void Dispatcher::DispatchAll(Time now, Actions* actions) {
-  for (const auto& [model, lanes] : lanes_by_model_) {
-    Dispatch(model, now, actions);
+  for (auto& [name, model] : models_) {
+    Dispatch(&model, now, actions);
   }
 }
 
@@ -89,7 +138,10 @@
   request->phase = Phase::kDispatched;
   request->dispatched = now;
   request->last_progress = now;
-  const TargetState& target = *request->target;
+  TargetState& target = *request->target;
+  if (options_.policy == SchedulePolicy::kFull) {
+    prefixes_.OnDispatch(&target, request->spec.prefix_blocks);
+  }
   actions->emplace_back(DispatchAction{request->spec.id, target.name,
                                        target.spec.address, target.spec.version,
                                        request->deadline - now});
@@ -101,64 +153,33 @@
     return;
   }
   --target->in_flight;
-  if (versions_.IsNew(*target)) {
-    --in_flight_on_new_[target->spec.model];
-  }
+  target->suspects_in_flight -= request->suspect ? 1 : 0;
+  request->model->in_flight_on_new -= request->on_new ? 1 : 0;
+  request->on_new = false;
   request->target = nullptr;
 }
 
-TierQueue* Dispatcher::BestLane(Lanes* lanes,
-                                const std::array<bool, 2>& blocked) const {
-  TierQueue* best = nullptr;
-  for (std::size_t i = 0; i < lanes->size(); ++i) {
-    TierQueue& lane = (*lanes)[i];
-    if (blocked[i] || lane.Size() == 0) {
-      continue;
-    }
-    if (best == nullptr || lane.Head()->route.rank < best->Head()->route.rank) {
-      best = &lane;
-    }
-  }
-  return best;
-}
-
-TargetState* Dispatcher::PickTarget(const RequestState& request, Time now) {
-  const bool new_full = NewVersionFull(request.route.model);
-  TargetState* best = nullptr;
-  double best_load = 0;
-  for (TargetState* target : targets_.OfModel(request.route.model)) {
-    const bool is_new = versions_.IsNew(*target);
-    if (!target->Open() || target->paused_until > now ||
-        target->in_flight >= target->credits ||
-        !versions_.Allows(*target, request.prefers_new) ||
-        (is_new && new_full)) {
-      continue;
-    }
-    // The version that the share chose goes first.
-    const double load =
-        static_cast<double>(target->in_flight) / target->credits +
-        (request.prefers_new && !is_new ? 1 : 0);
-    if (best == nullptr || load < best_load) {
-      best = target;
-      best_load = load;
+std::size_t Dispatcher::BestLane(const ModelState& model,
+                                 const LeastRanks& least_ranks) {
+  std::size_t best = kNoLane;
+  int best_rank = 0;
+  for (std::size_t i = 0; i < model.lanes.size(); ++i) {
+    const RequestState* head = model.lanes[i].Head(least_ranks[i]);
+    if (head != nullptr && (best == kNoLane || head->route.rank < best_rank)) {
+      best = i;
+      best_rank = head->route.rank;
     }
   }
   return best;
 }
 
-bool Dispatcher::NewVersionFull(const std::string& model) const {
-  const int cap = versions_.MaxInFlightOnNew(model);
-  const auto it = in_flight_on_new_.find(model);
-  return cap > 0 && it != in_flight_on_new_.end() && it->second >= cap;
-}
-
 void Dispatcher::Start(RequestState* request, TargetState* target, Time now,
                        Actions* actions) {
   request->target = target;
+  request->on_new = versions_.IsNew(*target);
   ++target->in_flight;
-  if (versions_.IsNew(*target)) {
-    ++in_flight_on_new_[target->spec.model];
-  }
+  target->suspects_in_flight += request->suspect ? 1 : 0;
+  request->model->in_flight_on_new += request->on_new ? 1 : 0;
   if (!request->route.idempotent && !request->intent_held) {
     request->phase = Phase::kIntent;
     actions->emplace_back(
@@ -168,20 +189,22 @@
   Send(request, now, actions);
 }
 
-void Dispatcher::Rearrange(Lanes* lanes) {
-  std::vector<RequestState*> waiting;
-  for (TierQueue& lane : *lanes) {
-    while (RequestState* head = lane.Head()) {
-      lane.Remove(head);
-      waiting.push_back(head);
+void Dispatcher::Rearrange(ModelState* model) {
+  std::vector<RequestState*> moved;
+  for (TierQueue& lane : model->lanes) {
+    for (RequestState* request : lane.All()) {
+      const bool before = request->prefers_new;
+      if (versions_.PrefersNew(model->name, request->spec.id) != before) {
+        moved.push_back(request);
+      }
     }
   }
-  std::sort(waiting.begin(), waiting.end(),
+  std::sort(moved.begin(), moved.end(),
             [](const RequestState* a, const RequestState* b) {
               return a->sequence < b->sequence;
             });
-  queued_ -= static_cast<int>(waiting.size());
-  for (RequestState* request : waiting) {
+  for (RequestState* request : moved) {
+    Remove(request);
     Push(request);
   }
 }
--- /dev/null
+++ b/src/schedule/explain_log.h
@@ -0,0 +1,51 @@
+#ifndef HORNBEAMCLEAT_SRC_SCHEDULE_EXPLAIN_LOG_H_
+#define HORNBEAMCLEAT_SRC_SCHEDULE_EXPLAIN_LOG_H_
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "hornbeamcleat/schedule/outcome.h"
+#include "src/schedule/request_state.h"
+
+namespace hornbeamcleat {
+
+/// Facts of a request's last decision.
+struct ExplainRecord {
+  RequestId id;
+  std::string model;
+  TargetName target;  ///< last one; empty if none
+  std::string version;
+  int rank = 0;
+  int attempts = 0;
+  double waited = 0;          ///< seconds from arrival to dispatch or refusal
+  double predicted_wait = 0;  ///< seconds, on arrival
+  double predicted_service = 0;  ///< seconds, on arrival
+  bool refused = false;
+  Outcome outcome = Outcome::kNotRun;
+  Reason reason = Reason::kNotReady;
+
+  bool operator==(const ExplainRecord&) const = default;
+};
+
+/// Keeps the last decisions on a bounded number of requests and puts them into
+/// words when asked.
+class ExplainLog {
+ public:
+  static constexpr std::size_t kMaxRecords = 4'096;
+
+  /// Keeps a record in place of an earlier one of the same request.
+  void Put(ExplainRecord record);
+
+  /// One or two sentences; empty if the request is not known any more.
+  std::string Text(const RequestId& id) const;
+
+ private:
+  std::vector<ExplainRecord> ring_;
+  std::unordered_map<RequestId, std::size_t> index_;
+  std::size_t next_ = 0;
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_SCHEDULE_EXPLAIN_LOG_H_
--- a/src/schedule/fair_queue.cc
+++ b/src/schedule/fair_queue.cc
@@ -5,7 +5,7 @@
 namespace hornbeamcleat {
 
 void FairQueue::Push(RequestState* request) {
-  const std::string& workspace = request->route.workspace;
+  const std::string workspace = Key(*request);
   const auto [it, is_new] = flows_.try_emplace(workspace);
   Flow& flow = it->second;
   if (flow.waiting.empty()) {
@@ -41,7 +41,7 @@
 }
 
 void FairQueue::Remove(RequestState* request) {
-  const auto it = flows_.find(request->route.workspace);
+  const auto it = flows_.find(Key(*request));
   it->second.waiting.erase(request->place);
   --size_;
   if (it->second.waiting.empty()) {
@@ -57,6 +57,16 @@
   return flows_.at(active_.rbegin()->second).waiting.back();
 }
 
+void FairQueue::AppendAll(std::vector<RequestState*>* all) const {
+  for (const auto& [workspace, flow] : flows_) {
+    all->insert(all->end(), flow.waiting.begin(), flow.waiting.end());
+  }
+}
+
+std::string FairQueue::Key(const RequestState& request) const {
+  return fair_ ? request.route.workspace : std::string();
+}
+
 void FairQueue::Deactivate(Flows::iterator it) {
   idle_.emplace(it->second.start, it->first);
   DropIdle();
--- a/src/schedule/fair_queue.h
+++ b/src/schedule/fair_queue.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "src/schedule/request_state.h"
 
@@ -18,6 +19,9 @@
 /// share. All operations are logarithmic in the number of such workspaces.
 class FairQueue {
  public:
+  /// @param fair false keeps one queue for all workspaces
+  explicit FairQueue(bool fair) : fair_(fair) {}
+
   /// Adds a request at the end of its workspace's queue.
   void Push(RequestState* request);
 
@@ -34,6 +38,9 @@
   /// furthest ahead of its share; nullptr if empty.
   RequestState* Last() const;
 
+  /// Appends all waiting requests, in no order.
+  void AppendAll(std::vector<RequestState*>* all) const;
+
   std::size_t Size() const { return size_; }
 
   /// Workspaces with state.
@@ -46,9 +53,11 @@
   };
   using Flows = std::map<std::string, Flow>;
 
+  std::string Key(const RequestState& request) const;
   void Deactivate(Flows::iterator it);
   void DropIdle();
 
+  bool fair_;
   Flows flows_;
   std::set<std::pair<double, std::string>> active_;
   std::set<std::pair<double, std::string>> idle_;
--- /dev/null
+++ b/src/schedule/length_predictor.cc
@@ -0,0 +1,71 @@
+#include "src/schedule/length_predictor.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hornbeamcleat {
+namespace {
+
+/// Weight of one sample once enough have been seen.
+constexpr double kLeastGain = 0.02;
+/// Greatest step of a quantile per sample, as a factor's logarithm.
+constexpr double kFirstStep = 1.0;
+/// First guess of p90 over the median.
+constexpr double kFirstSpread = 1.5;
+
+double Stepped(double value, double sample, double quantile, double step) {
+  const double direction = sample > value ? quantile : quantile - 1;
+  return std::max(1.0, value * std::exp(step * direction));
+}
+
+}  // namespace
+
+void LengthPredictor::OnDone(const Route& route, std::uint32_t parts) {
+  const double length = std::max(1.0, static_cast<double>(parts));
+  Learn(&by_model_[route.model], length);
+  const std::pair<std::string, std::string> key(route.workspace,
+                                                route.application);
+  if (by_pair_.size() < kMaxPairs || by_pair_.contains(key)) {
+    Learn(&by_pair_[key], length);
+  }
+}
+
+LengthEstimate LengthPredictor::Predict(const Route& route,
+                                        std::uint32_t max_parts) const {
+  const auto pair = by_pair_.find({route.workspace, route.application});
+  LengthEstimate found;
+  if (pair != by_pair_.end()) {
+    found = pair->second;
+  } else {
+    found = PredictModel(route.model);
+    found.samples = 0;
+  }
+  if (max_parts > 0) {
+    const double cap = max_parts;
+    found.mean = std::min(found.mean, cap);
+    found.median = std::min(found.median, cap);
+    found.p90 = std::min(found.p90, cap);
+  }
+  return found;
+}
+
+LengthEstimate LengthPredictor::PredictModel(const std::string& model) const {
+  const auto it = by_model_.find(model);
+  return it == by_model_.end() ? LengthEstimate{} : it->second;
+}
+
+void LengthPredictor::Learn(LengthEstimate* estimate, double parts) {
+  if (estimate->samples == 0) {
+    *estimate = LengthEstimate{parts, parts, parts * kFirstSpread, 0};
+  } else {
+    const double gain = std::max(kLeastGain, 1.0 / (estimate->samples + 1));
+    estimate->mean += gain * (parts - estimate->mean);
+    const double step =
+        2 * std::max(kLeastGain, kFirstStep / estimate->samples);
+    estimate->median = Stepped(estimate->median, parts, 0.5, step);
+    estimate->p90 = Stepped(estimate->p90, parts, 0.9, step);
+  }
+  ++estimate->samples;
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/schedule/poison_table.cc
@@ -0,0 +1,50 @@
+#include "src/schedule/poison_table.h"
+
+#include <algorithm>
+
+namespace hornbeamcleat {
+
+void PoisonTable::OnTargetLost(std::uint64_t fingerprint,
+                               const TargetName& target, Time now) {
+  if (entries_.size() >= kMaxEntries && !entries_.contains(fingerprint)) {
+    DropOldest();
+  }
+  Entry& entry = entries_[fingerprint];
+  entry.targets.insert(target);
+  entry.last = now;
+}
+
+int PoisonTable::Lost(std::uint64_t fingerprint, Time now) const {
+  int lost = 0;
+  const auto own = entries_.find(fingerprint);
+  if (own != entries_.end() && Live(own->second, now)) {
+    lost += static_cast<int>(own->second.targets.size());
+  }
+  const auto peers = peers_.find(fingerprint);
+  return peers == peers_.end() ? lost : lost + peers->second;
+}
+
+void PoisonTable::Expire(Time now) {
+  std::erase_if(entries_,
+                [&](const auto& item) { return !Live(item.second, now); });
+}
+
+std::map<std::uint64_t, int> PoisonTable::Own(Time now) const {
+  std::map<std::uint64_t, int> own;
+  for (const auto& [fingerprint, entry] : entries_) {
+    if (Live(entry, now)) {
+      own[fingerprint] = static_cast<int>(entry.targets.size());
+    }
+  }
+  return own;
+}
+
+void PoisonTable::DropOldest() {
+  const auto it = std::min_element(entries_.begin(), entries_.end(),
+                                   [](const auto& a, const auto& b) {
+                                     return a.second.last < b.second.last;
+                                   });
+  entries_.erase(it);
+}
+
+}  // namespace hornbeamcleat
--- a/src/schedule/request_state.h
+++ b/src/schedule/request_state.h
@@ -5,10 +5,12 @@
 #include <list>
 
 #include "hornbeamcleat/schedule/request.h"
+#include "src/schedule/length_predictor.h"
 #include "src/schedule/route.h"
 
 namespace hornbeamcleat {
 
+struct ModelState;
 struct TargetState;
 
 /// How far a request has come.
@@ -35,6 +37,14 @@
   Time dispatched;
   Time last_progress;
   Duration stall_wait{0};
+  Time last_parts;  ///< when parts were last received
+  ModelState* model = nullptr;
+  LengthEstimate length;
+  bool suspect = false;  ///< its content was there when a target crashed
+  bool overdue = false;  ///< likely to miss its deadline, not refused yet
+  bool on_new = false;   ///< counted against the cap of a move
+  bool lost_connection = false;
+  double predicted_wait = 0;  ///< seconds, on arrival
   double cost = 1;    ///< expected service time in seconds on a usual target
   Time latest_start;  ///< dispatched later, it would miss its deadline
   std::uint64_t sequence = 0;  ///< order of submission
--- /dev/null
+++ b/src/schedule/scheduler_ends.cc
@@ -0,0 +1,106 @@
+#include <algorithm>
+
+#include "src/schedule/scheduler_impl.h"
+
+namespace hornbeamcleat {
+namespace {
+
+/// Part of a pool's capacity that refused callers may come back with.
+constexpr double kReturnShare = 0.1;
+/// Returns per second where no pool sets the rate.
+constexpr double kReturnRate = 100;
+
+/// Whether sending the request again later may help.
+bool MayComeBack(Reason reason) {
+  switch (reason) {
+    case Reason::kNotReady:
+    case Reason::kDraining:
+    case Reason::kQueueFull:
+    case Reason::kTierClosed:
+    case Reason::kDisplaced:
+    case Reason::kDeadline:
+    case Reason::kNoTarget:
+    case Reason::kLogUnavailable:
+    case Reason::kTargetRefused:
+      return true;
+    case Reason::kUnknownWorkspace:
+    case Reason::kUnknownApplication:
+    case Reason::kBadRequest:
+    case Reason::kPoison:
+    case Reason::kKeyExpired:
+    case Reason::kDuplicate:
+    case Reason::kTargetFailed:
+    case Reason::kTargetLost:
+    case Reason::kCallerGone:
+      return false;
+  }
+  return false;
+}
+
+}  // namespace
+
+void SchedulerImpl::Refuse(RequestState* request, Outcome outcome,
+                           Reason reason, Time now, Actions* actions) {
+  const Duration retry_after = RetryAfter(request->model, outcome, reason, now);
+  const RefuseAction refusal{request->spec.id, outcome, reason, retry_after};
+  Explain(*request, &refusal, now);
+  actions->emplace_back(refusal);
+  Erase(request);
+}
+
+Duration SchedulerImpl::RetryAfter(ModelState* model, Outcome outcome,
+                                   Reason reason, Time now) {
+  if (outcome != Outcome::kNotRun || !MayComeBack(reason)) {
+    return Duration(0);
+  }
+  if (model == nullptr) {
+    return come_back_.Next(kReturnRate, now, &random_);
+  }
+  const PoolSummary& pool = model->pool;
+  const LengthEstimate usual = admission_.Lengths().PredictModel(model->name);
+  const double seconds = pool.mean_first_part + usual.mean * pool.mean_gap;
+  const double rate = kReturnShare * std::max(1, pool.credits) / seconds;
+  return model->come_back.Next(rate, now, &random_);
+}
+
+void SchedulerImpl::Erase(RequestState* request) {
+  if (request->queued) {
+    dispatcher_.Remove(request);
+  }
+  dispatcher_.Release(request);
+  timers_.erase({request->timer, request});
+  requests_.erase(RequestId(request->spec.id));
+}
+
+void SchedulerImpl::Explain(const RequestState& request,
+                            const RefuseAction* refusal, Time now) {
+  ExplainRecord record;
+  record.id = request.spec.id;
+  record.model = request.route.model;
+  if (request.target != nullptr && request.phase != Phase::kIntent) {
+    record.target = request.target->name;
+    record.version = request.target->spec.version;
+  }
+  record.rank = request.route.rank;
+  record.attempts = request.attempts;
+  const bool sent = !record.target.empty();
+  record.waited =
+      ToSeconds((sent ? request.dispatched : now) - request.spec.arrival);
+  record.predicted_wait = request.predicted_wait;
+  record.predicted_service = request.cost;
+  if (refusal != nullptr) {
+    record.refused = true;
+    record.outcome = refusal->outcome;
+    record.reason = refusal->reason;
+  }
+  dispatcher_.Log().Put(std::move(record));
+}
+
+void SchedulerImpl::GiveUpInFlight(RequestState* request, Reason reason,
+                                   Time now, Actions* actions) {
+  actions->emplace_back(CancelAction{request->spec.id, request->target->name,
+                                     request->target->spec.address});
+  Refuse(request, Outcome::kUnknown, reason, now, actions);
+}
+
+}  // namespace hornbeamcleat
--- a/src/schedule/scheduler_events.cc
+++ b/src/schedule/scheduler_events.cc
@@ -8,6 +8,8 @@
 
 /// Least time for which a target that did not run a request gets none.
 constexpr Duration kPauseAfterNotRun = std::chrono::milliseconds(100);
+/// A first part may take this many times the target's usual time.
+constexpr double kSlowFirstPart = 4;
 
 }  // namespace
 
@@ -20,9 +22,11 @@
     return actions;
   }
   RequestState* request = it->second.get();
-  const std::string model = request->route.model;
+  ModelState* model = request->model;
   std::visit([&](const auto& e) { On(e, request, now, &actions); }, event);
-  dispatcher_.Dispatch(model, now, &actions);
+  if (!std::holds_alternative<PartsReceived>(event)) {
+    dispatcher_.Dispatch(model, now, &actions);
+  }
   return actions;
 }
 
@@ -34,22 +38,23 @@
   switch (event.result) {
     case IntentResult::kWon:
       request->intent_held = true;
-      if (!request->target->Open()) {
+      if (request->target->Open() &&
+          !request->model->floor.Closed(request->route.rank)) {
+        dispatcher_.Send(request, now, actions);
+      } else {
         dispatcher_.Release(request);
-        dispatcher_.Push(request);
-        return;
+        Requeue(request, now, actions);
       }
-      dispatcher_.Send(request, now, actions);
       return;
     case IntentResult::kLost:
-      Refuse(request, Outcome::kUnknown, Reason::kDuplicate, actions);
+      Refuse(request, Outcome::kUnknown, Reason::kDuplicate, now, actions);
       return;
     case IntentResult::kUnavailable:
-      Refuse(request, Outcome::kNotRun, Reason::kLogUnavailable, actions);
+      Refuse(request, Outcome::kNotRun, Reason::kLogUnavailable, now, actions);
       return;
     case IntentResult::kExpired:
       // An attempt that the log has forgotten may have run.
-      Refuse(request, Outcome::kUnknown, Reason::kKeyExpired, actions);
+      Refuse(request, Outcome::kUnknown, Reason::kKeyExpired, now, actions);
       return;
   }
 }
@@ -66,61 +71,106 @@
   if (!before_sending && !after_sending) {
     return;
   }
-  request->target->paused_until =
-      now + std::max(event.retry_after, kPauseAfterNotRun);
+  TargetState* target = request->target;
+  target->paused_until = now + std::max(event.retry_after, kPauseAfterNotRun);
+  if (event.target_word) {
+    target->limit.OnPushBack();
+  } else {
+    OnTargetFault(request, now);
+  }
   dispatcher_.Release(request);
   ++request->attempts;
-  if (request->attempts >= options_.max_attempts) {
-    Refuse(request, Outcome::kNotRun, Reason::kTargetRefused, actions);
+  if (request->attempts >= options_.max_attempts || !retries_.Take()) {
+    Refuse(request, Outcome::kNotRun, Reason::kTargetRefused, now, actions);
+    return;
+  }
+  Requeue(request, now, actions);
+}
+
+void SchedulerImpl::Requeue(RequestState* request, Time now, Actions* actions) {
+  if (request->model->floor.Closed(request->route.rank)) {
+    Refuse(request, Outcome::kNotRun, Reason::kDisplaced, now, actions);
     return;
   }
   dispatcher_.Push(request);
-  SetTimer(request, request->latest_start);
+  SetTimer(request, std::max(now, request->latest_start));
 }
 
 void SchedulerImpl::On(const RequestSent&, RequestState* request, Time now,
                        Actions*) {
-  if (request->phase == Phase::kDispatched) {
-    request->phase = Phase::kSent;
-    request->stall_wait = options_.stall_time;
-    Progress(request, now);
+  if (request->phase != Phase::kDispatched) {
+    return;
   }
+  if (request->attempts == 0) {
+    retries_.OnFirstAttempt();
+  }
+  Explain(*request, nullptr, now);
+  request->phase = Phase::kSent;
+  request->stall_wait = std::max(
+      options_.stall_time,
+      FromSeconds(kSlowFirstPart * request->target->speed.FirstPart()));
+  Progress(request, now);
 }
 
 void SchedulerImpl::On(const PartsReceived& event, RequestState* request,
                        Time now, Actions*) {
-  if (request->phase == Phase::kQueued || request->phase == Phase::kIntent) {
+  if (request->target == nullptr || request->phase == Phase::kIntent) {
     return;
   }
-  if (request->parts == 0) {
-    evidence_.FirstPart(request->target->spec.version, request->route,
-                        now - request->dispatched);
-  }
-  request->parts = event.parts;
+  LearnParts(request, event.parts, now);
   request->phase = Phase::kSent;
   request->stall_wait = options_.stall_time;
   Progress(request, now);
 }
 
-void SchedulerImpl::On(const AnswerDone&, RequestState* request, Time now,
+void SchedulerImpl::LearnParts(RequestState* request, std::uint32_t parts,
+                               Time now) {
+  TargetState* target = request->target;
+  SpeedEstimate* generation =
+      dispatcher_.Targets().GenerationSpeed(target->spec);
+  if (request->parts == 0) {
+    const double seconds = ToSeconds(now - request->dispatched);
+    target->speed.OnFirstPart(seconds, now);
+    target->limit.OnFirstPart(seconds);
+    generation->OnFirstPart(seconds, now);
+    evidence_.FirstPart(target->spec.version, request->route,
+                        now - request->dispatched);
+  } else if (parts > request->parts) {
+    const double n = parts - request->parts;
+    const double gap = ToSeconds(now - request->last_parts) / n;
+    target->speed.OnGap(gap, n, now);
+    target->limit.OnGap(gap, n);
+    generation->OnGap(gap, n, now);
+  }
+  request->parts = std::max(request->parts, parts);
+  request->last_parts = now;
+}
+
+void SchedulerImpl::On(const AnswerDone& event, RequestState* request, Time now,
                        Actions*) {
   if (request->target != nullptr && request->phase != Phase::kIntent) {
-    if (request->parts == 0) {
-      evidence_.FirstPart(request->target->spec.version, request->route,
-                          now - request->dispatched);
-    }
+    LearnParts(request, std::max(event.parts, 1U), now);
+    admission_.Lengths().OnDone(request->route, event.parts);
+    ejection_.OnSuccess(request->target);
     evidence_.Done(request->target->spec.version, request->route);
   }
   Erase(request);
 }
 
-void SchedulerImpl::On(const TargetFailed&, RequestState* request, Time,
+void SchedulerImpl::On(const TargetFailed&, RequestState* request, Time now,
                        Actions* actions) {
   if (request->target == nullptr || request->phase == Phase::kIntent) {
     return;
   }
   evidence_.Fault(request->target->spec.version, request->route);
-  Refuse(request, Outcome::kFailed, Reason::kTargetFailed, actions);
+  OnTargetFault(request, now);
+  Refuse(request, Outcome::kFailed, Reason::kTargetFailed, now, actions);
+}
+
+void SchedulerImpl::OnTargetFault(RequestState* request, Time now) {
+  const TargetTable::Pool& pool =
+      dispatcher_.Targets().OfModel(request->route.model);
+  ejection_.OnFault(request->target, pool, now);
 }
 
 void SchedulerImpl::On(const ConnectionLost&, RequestState* request, Time now,
@@ -128,6 +178,7 @@
   switch (request->phase) {
     case Phase::kDispatched:
     case Phase::kSent:
+      request->lost_connection = true;
       Resume(request, now, actions);
       return;
     case Phase::kResuming:
@@ -145,27 +196,33 @@
     return;
   }
   request->phase = Phase::kSent;
+  request->lost_connection = false;
   // The target knows the request, so it is slow rather than lost.
   request->stall_wait *= 2;
   Progress(request, now);
 }
 
-void SchedulerImpl::On(const ResumeFailed&, RequestState* request, Time,
+void SchedulerImpl::On(const ResumeFailed&, RequestState* request, Time now,
                        Actions* actions) {
   if (request->phase != Phase::kResuming) {
     return;
   }
   evidence_.Fault(request->target->spec.version, request->route);
-  Refuse(request, Outcome::kUnknown, Reason::kTargetLost, actions);
+  if (request->lost_connection) {
+    // A silent target may be frozen or cut off; a broken one has crashed.
+    poison_.OnTargetLost(request->spec.fingerprint, request->target->name, now);
+  }
+  OnTargetFault(request, now);
+  Refuse(request, Outcome::kUnknown, Reason::kTargetLost, now, actions);
 }
 
-void SchedulerImpl::On(const CallerGone&, RequestState* request, Time,
+void SchedulerImpl::On(const CallerGone&, RequestState* request, Time now,
                        Actions* actions) {
   if (request->phase == Phase::kQueued || request->phase == Phase::kIntent) {
-    Refuse(request, Outcome::kNotRun, Reason::kCallerGone, actions);
+    Refuse(request, Outcome::kNotRun, Reason::kCallerGone, now, actions);
     return;
   }
-  GiveUpInFlight(request, Reason::kCallerGone, actions);
+  GiveUpInFlight(request, Reason::kCallerGone, now, actions);
 }
 
 void SchedulerImpl::Progress(RequestState* request, Time now) {
@@ -182,11 +239,4 @@
   SetTimer(request, std::max(now, request->deadline));
 }
 
-void SchedulerImpl::GiveUpInFlight(RequestState* request, Reason reason,
-                                   Actions* actions) {
-  actions->emplace_back(CancelAction{request->spec.id, request->target->name,
-                                     request->target->spec.address});
-  Refuse(request, Outcome::kUnknown, reason, actions);
-}
-
 }  // namespace hornbeamcleat
--- a/src/schedule/scheduler_impl.cc
+++ b/src/schedule/scheduler_impl.cc
@@ -1,7 +1,7 @@
 #include "src/schedule/scheduler_impl.h"
 
 #include <algorithm>
-#include <variant>
+#include <utility>
 
 namespace hornbeamcleat {
 namespace {
@@ -9,17 +9,29 @@
 /// An answer that still flows at its deadline may take this many times the
 /// time allotted to the request.
 constexpr int kLateAnswerFactor = 2;
+/// Time between looks at a request that is late but may not be shed yet.
+constexpr Duration kOverdueRecheck = std::chrono::milliseconds(100);
+/// Greatest queue while higher work may not be shed yet, as a multiple.
+constexpr int kMaxOvershoot = 2;
 
 }  // namespace
 
 SchedulerImpl::SchedulerImpl(const SchedulerOptions& options)
-    : options_(options), dispatcher_(options) {}
+    : options_(options),
+      dispatcher_(options),
+      admission_(options),
+      poison_(options.poison_limit, options.poison_expiry),
+      random_(options.seed) {}
 
 Actions SchedulerImpl::SetView(std::shared_ptr<const ClusterView> view,
                                Time now) {
   view_ = std::move(view);
   dispatcher_.SetView(view_);
+  poison_.SetPeers(view_->poison);
   Actions actions;
+  for (auto& [name, model] : dispatcher_.Models()) {
+    DisplaceClosed(&model, now, &actions);
+  }
   dispatcher_.DispatchAll(now, &actions);
   return actions;
 }
@@ -29,19 +41,21 @@
   Route route;
   Reason reason = Reason::kNotReady;
   if (!Resolve(spec, &route, &reason)) {
+    const Duration retry_after =
+        RetryAfter(nullptr, Outcome::kNotRun, reason, now);
     actions.emplace_back(
-        RefuseAction{spec.id, Outcome::kNotRun, reason, Duration(0)});
+        RefuseAction{spec.id, Outcome::kNotRun, reason, retry_after});
     return actions;
   }
   auto owned = std::make_unique<RequestState>();
   RequestState* request = owned.get();
   request->spec = spec;
   request->route = std::move(route);
+  request->model = dispatcher_.Model(request->route.model);
   request->deadline = spec.deadline == Time::max()
                           ? now + request->route.default_deadline
                           : spec.deadline;
   request->allotted = request->deadline - now;
-  request->latest_start = request->deadline;
   request->sequence = next_sequence_++;
   requests_.emplace(spec.id, std::move(owned));
   Enqueue(request, now, &actions);
@@ -68,36 +82,87 @@
 }
 
 void SchedulerImpl::Enqueue(RequestState* request, Time now, Actions* actions) {
-  if (request->deadline <= now) {
-    Refuse(request, Outcome::kNotRun, Reason::kDeadline, actions);
-    return;
+  dispatcher_.ChooseVersion(request);
+  admission_.Predict(request);
+  request->model->offered.Add(request->route.rank, request->cost, now);
+  request->predicted_wait = admission_.Wait(*request, now);
+  request->suspect = poison_.Lost(request->spec.fingerprint, now) > 0;
+  if (admission_.RunsShort(*request, request->predicted_wait, now)) {
+    OnShortage(*request, now, actions);
+    request->predicted_wait = admission_.Wait(*request, now);
   }
-  if (!dispatcher_.HasTarget(*request)) {
-    Refuse(request, Outcome::kNotRun, Reason::kNoTarget, actions);
+  const std::optional<Reason> reason = Refusal(request, now);
+  if (reason.has_value()) {
+    Refuse(request, Outcome::kNotRun, *reason, now, actions);
     return;
   }
-  if (dispatcher_.Queued() >= options_.max_queued) {
-    MakeRoom(*request, actions);
-  }
-  if (dispatcher_.Queued() >= options_.max_queued) {
-    Refuse(request, Outcome::kNotRun, Reason::kQueueFull, actions);
+  if (!MakeRoom(request, now, actions)) {
+    Refuse(request, Outcome::kNotRun, Reason::kQueueFull, now, actions);
     return;
   }
+  request->model->admitted.Add(request->route.rank, request->cost, now);
   dispatcher_.Push(request);
-  SetTimer(request, request->latest_start);
-  dispatcher_.Dispatch(request->route.model, now, actions);
+  SetTimer(request, admission_.WarnAt(*request, now));
+  dispatcher_.Dispatch(request->model, now, actions);
+}
+
+std::optional<Reason> SchedulerImpl::Refusal(RequestState* request,
+                                             Time now) const {
+  if (request->deadline <= now) {
+    return Reason::kDeadline;
+  }
+  if (!dispatcher_.HasTarget(*request)) {
+    return Reason::kNoTarget;
+  }
+  if (poison_.Refused(request->spec.fingerprint, now)) {
+    return Reason::kPoison;
+  }
+  if (options_.policy != SchedulePolicy::kFull) {
+    return std::nullopt;
+  }
+  return admission_.Refusal(*request, request->predicted_wait, now);
 }
 
-void SchedulerImpl::MakeRoom(const RequestState& request, Actions* actions) {
-  RequestState* last =
-      dispatcher_.Displaceable(request.route.model, request.route.rank);
+bool SchedulerImpl::MakeRoom(RequestState* request, Time now,
+                             Actions* actions) {
+  if (dispatcher_.Queued() < options_.max_queued) {
+    return true;
+  }
+  if (options_.policy != SchedulePolicy::kFull) {
+    return false;
+  }
+  const int rank = request->route.rank;
+  RequestState* last = Dispatcher::Displaceable(*request->model, rank);
   if (last != nullptr) {
-    Refuse(last, Outcome::kNotRun, Reason::kDisplaced, actions);
+    Refuse(last, Outcome::kNotRun, Reason::kDisplaced, now, actions);
+    return true;
+  }
+  OnShortage(*request, now, actions);
+  return !request->model->floor.MayShed(rank, now) &&
+         dispatcher_.Queued() < kMaxOvershoot * options_.max_queued;
+}
+
+void SchedulerImpl::OnShortage(const RequestState& request, Time now,
+                               Actions* actions) {
+  if (request.model->floor.OnShortage(request.route.rank, now)) {
+    DisplaceClosed(request.model, now, actions);
+  }
+}
+
+void SchedulerImpl::DisplaceClosed(ModelState* model, Time now,
+                                   Actions* actions) {
+  const int least = model->floor.LeastClosed();
+  RequestState* last = Dispatcher::Displaceable(*model, least - 1);
+  while (last != nullptr) {
+    Refuse(last, Outcome::kNotRun, Reason::kDisplaced, now, actions);
+    last = Dispatcher::Displaceable(*model, least - 1);
   }
 }
 
 Actions SchedulerImpl::Tick(Time now) {
   Actions actions;
+  UpdateLimits(now);
+  dispatcher_.Tick(now);
   while (!timers_.empty() && timers_.begin()->first <= now) {
     Due(timers_.begin()->second, now, &actions);
   }
@@ -105,19 +170,63 @@
   return actions;
 }
 
+void SchedulerImpl::UpdateLimits(Time now) {
+  poison_.Expire(now);
+  TargetTable& targets = dispatcher_.Targets();
+  for (const auto& [model, pool] : targets.Pools()) {
+    ejection_.Tick(pool, now);
+    for (TargetState* target : pool) {
+      const bool in_use = target->in_flight >= target->credits;
+      if (target->limit.Update(in_use, now)) {
+        targets.UpdateCredits(target);
+      }
+    }
+  }
+}
+
 void SchedulerImpl::Due(RequestState* request, Time now, Actions* actions) {
   const bool waits =
       request->phase == Phase::kQueued || request->phase == Phase::kIntent;
   if (waits) {
-    Refuse(request, Outcome::kNotRun, Reason::kDeadline, actions);
+    DueWaiting(request, now, actions);
+  } else {
+    DueInFlight(request, now, actions);
+  }
+}
+
+void SchedulerImpl::DueWaiting(RequestState* request, Time now,
+                               Actions* actions) {
+  if (now >= request->deadline) {
+    Refuse(request, Outcome::kNotRun, Reason::kDeadline, now, actions);
+    return;
+  }
+  if (request->phase == Phase::kIntent ||
+      options_.policy != SchedulePolicy::kFull) {
+    SetTimer(request, request->deadline);
     return;
   }
+  if (now < request->latest_start) {
+    OnShortage(*request, now, actions);
+    SetTimer(request, request->latest_start);
+    return;
+  }
+  if (request->model->floor.MayShed(request->route.rank, now)) {
+    Refuse(request, Outcome::kNotRun, Reason::kDeadline, now, actions);
+    return;
+  }
+  request->overdue = true;
+  OnShortage(*request, now, actions);
+  SetTimer(request, std::min(request->deadline, now + kOverdueRecheck));
+}
+
+void SchedulerImpl::DueInFlight(RequestState* request, Time now,
+                                Actions* actions) {
   const Time last_end =
       request->parts == 0
           ? request->deadline
           : request->deadline + (kLateAnswerFactor - 1) * request->allotted;
   if (now >= last_end) {
-    GiveUpInFlight(request, Reason::kDeadline, actions);
+    GiveUpInFlight(request, Reason::kDeadline, now, actions);
     return;
   }
   const Time stalled = request->last_progress + request->stall_wait;
@@ -134,22 +243,6 @@
   timers_.emplace(at, request);
 }
 
-void SchedulerImpl::Refuse(RequestState* request, Outcome outcome,
-                           Reason reason, Actions* actions) {
-  actions->emplace_back(
-      RefuseAction{request->spec.id, outcome, reason, Duration(0)});
-  Erase(request);
-}
-
-void SchedulerImpl::Erase(RequestState* request) {
-  if (request->phase == Phase::kQueued && request->queued) {
-    dispatcher_.Remove(request);
-  }
-  dispatcher_.Release(request);
-  timers_.erase({request->timer, request});
-  requests_.erase(RequestId(request->spec.id));
-}
-
 void SchedulerImpl::OnLoadReport(const LoadReport& report, Time) {
   TargetState* target = dispatcher_.Targets().Find(report.target);
   if (target != nullptr) {
@@ -158,11 +251,23 @@
   }
 }
 
-void SchedulerImpl::OnCacheEvents(const TargetName&,
-                                  const std::vector<CacheEvent>&, Time) {}
+void SchedulerImpl::OnCacheEvents(const TargetName& name,
+                                  const std::vector<CacheEvent>& events, Time) {
+  const TargetState* target = dispatcher_.Targets().Find(name);
+  if (target != nullptr) {
+    dispatcher_.Prefixes().OnEvents(target, events);
+  }
+}
 
-SchedulerFacts SchedulerImpl::Facts(Time) const {
+SchedulerFacts SchedulerImpl::Facts(Time now) const {
   SchedulerFacts facts;
+  for (const auto& [name, model] : dispatcher_.Models()) {
+    if (model.floor.OwnClosed() != kNoFloor) {
+      facts.closed_rank[name] = model.floor.OwnClosed();
+    }
+    facts.demand[name] = model.offered.Rate(now);
+  }
+  facts.poison = poison_.Own(now);
   facts.queued = dispatcher_.Queued();
   facts.in_flight = Open() - facts.queued;
   return facts;
@@ -172,6 +277,8 @@
   return evidence_.All();
 }
 
-std::string SchedulerImpl::Explain(const RequestId&) const { return ""; }
+std::string SchedulerImpl::Explain(const RequestId& id) const {
+  return dispatcher_.Log().Text(id);
+}
 
 }  // namespace hornbeamcleat
--- a/src/schedule/scheduler_impl.h
+++ b/src/schedule/scheduler_impl.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -11,9 +13,13 @@
 #include <vector>
 
 #include "hornbeamcleat/schedule/scheduler.h"
+#include "src/schedule/admission.h"
 #include "src/schedule/dispatcher.h"
 #include "src/schedule/evidence_table.h"
+#include "src/schedule/outlier_ejection.h"
+#include "src/schedule/poison_table.h"
 #include "src/schedule/request_state.h"
+#include "src/schedule/retry_budget.h"
 
 namespace hornbeamcleat {
 
@@ -42,7 +48,10 @@
 
   bool Resolve(const RequestSpec& spec, Route* route, Reason* reason) const;
   void Enqueue(RequestState* request, Time now, Actions* actions);
-  void MakeRoom(const RequestState& request, Actions* actions);
+  std::optional<Reason> Refusal(RequestState* request, Time now) const;
+  bool MakeRoom(RequestState* request, Time now, Actions* actions);
+  void OnShortage(const RequestState& request, Time now, Actions* actions);
+  void DisplaceClosed(ModelState* model, Time now, Actions* actions);
 
   void On(const IntentDecided& event, RequestState* request, Time now,
           Actions* actions);
@@ -67,16 +76,33 @@
 
   void Progress(RequestState* request, Time now);
   void Resume(RequestState* request, Time now, Actions* actions);
-  void GiveUpInFlight(RequestState* request, Reason reason, Actions* actions);
+  void GiveUpInFlight(RequestState* request, Reason reason, Time now,
+                      Actions* actions);
+  void Requeue(RequestState* request, Time now, Actions* actions);
+  void LearnParts(RequestState* request, std::uint32_t parts, Time now);
+  void OnTargetFault(RequestState* request, Time now);
   void Due(RequestState* request, Time now, Actions* actions);
+  void DueWaiting(RequestState* request, Time now, Actions* actions);
+  void DueInFlight(RequestState* request, Time now, Actions* actions);
   void SetTimer(RequestState* request, Time at);
-  void Refuse(RequestState* request, Outcome outcome, Reason reason,
+  void Refuse(RequestState* request, Outcome outcome, Reason reason, Time now,
               Actions* actions);
+  Duration RetryAfter(ModelState* model, Outcome outcome, Reason reason,
+                      Time now);
+  void Explain(const RequestState& request, const RefuseAction* refusal,
+               Time now);
+  void UpdateLimits(Time now);
   void Erase(RequestState* request);
 
   const SchedulerOptions options_;
   std::shared_ptr<const ClusterView> view_;
   Dispatcher dispatcher_;
+  Admission admission_;
+  OutlierEjection ejection_;
+  PoisonTable poison_;
+  RetryBudget retries_;
+  ComeBack come_back_;
+  std::mt19937_64 random_;
   EvidenceTable evidence_;
   std::unordered_map<RequestId, std::unique_ptr<RequestState>> requests_;
   Timers timers_;
--- /dev/null
+++ b/src/schedule/target_chooser.cc
@@ -0,0 +1,110 @@
+#include "src/schedule/target_chooser.h"
+
+#include <algorithm>
+
+namespace hornbeamcleat {
+namespace {
+
+/// Greatest random part of a score, so that entries spread.
+constexpr double kJitter = 0.15;
+/// Added to the score of the version that the share did not choose.
+constexpr double kOtherVersion = 1e6;
+/// Score of a target that would miss the deadline.
+constexpr double kTooLate = 1e9;
+/// Answers after which a length counts as learned.
+constexpr int kLeastSamples = 8;
+/// Factor for a target on which one answer in ten would be late.
+constexpr double kRiskWeight = 2;
+/// Weight of own use of a target's credits, so that hot prefixes spread.
+constexpr double kLoadWeight = 0.3;
+
+}  // namespace
+
+bool TargetChooser::HasTarget(const RequestState& request) const {
+  const TargetTable::Pool& pool = targets_->OfModel(request.route.model);
+  return std::any_of(pool.begin(), pool.end(), [&](const TargetState* target) {
+    return target->Open() && versions_->Allows(*target, request.prefers_new);
+  });
+}
+
+TargetState* TargetChooser::Choose(const RequestState& request,
+                                   const ModelState& model, Time now) {
+  const int cap = versions_->MaxInFlightOnNew(model.name);
+  const bool new_full = cap > 0 && model.in_flight_on_new >= cap;
+  const bool full = options_.policy == SchedulePolicy::kFull;
+  const PrefixIndex::Match match =
+      full ? prefixes_->Find(request.spec.prefix_blocks) : PrefixIndex::Match{};
+  TargetState* best = nullptr;
+  double best_score = 0;
+  for (TargetState* target : targets_->OfModel(model.name)) {
+    if (!Eligible(*target, request, new_full, now)) {
+      continue;
+    }
+    const bool other = request.prefers_new && !versions_->IsNew(*target);
+    const double score =
+        (full ? Score(*target, request, match.Blocks(target), now)
+              : BaselineScore(*target)) +
+        (other ? kOtherVersion : 0);
+    if (best == nullptr || score < best_score) {
+      best = target;
+      best_score = score;
+    }
+  }
+  return best_score >= kTooLate ? nullptr : best;
+}
+
+bool TargetChooser::Eligible(const TargetState& target,
+                             const RequestState& request, bool new_full,
+                             Time now) const {
+  if (!target.Open() || target.paused_until > now ||
+      !versions_->Allows(target, request.prefers_new) ||
+      (new_full && versions_->IsNew(target))) {
+    return false;
+  }
+  const bool unlimited = options_.policy == SchedulePolicy::kRandom ||
+                         options_.policy == SchedulePolicy::kLeastReported;
+  if (unlimited) {
+    return true;
+  }
+  const bool suspects_apart =
+      !request.suspect || target.suspects_in_flight == 0;
+  return target.in_flight < target.credits && suspects_apart;
+}
+
+double TargetChooser::Score(const TargetState& target,
+                            const RequestState& request,
+                            std::size_t cached_blocks, Time now) {
+  const std::size_t blocks = request.spec.prefix_blocks.size();
+  const double uncached = blocks == 0 ? 1
+                                      : 1 - static_cast<double>(cached_blocks) /
+                                                static_cast<double>(blocks);
+  const double seconds = target.speed.FirstPart() * uncached +
+                         request.length.median * target.speed.Gap();
+  const double remaining = ToSeconds(request.deadline - now);
+  if (seconds > remaining && !request.overdue &&
+      request.length.samples >= kLeastSamples) {
+    return kTooLate;
+  }
+  const double long_answer = target.speed.FirstPart() * uncached +
+                             request.length.p90 * target.speed.Gap();
+  const double risk = long_answer > remaining ? kRiskWeight : 1;
+  const double load = static_cast<double>(target.in_flight) / target.credits;
+  std::uniform_real_distribution<double> jitter(1, 1 + kJitter);
+  return risk * seconds * (1 + kLoadWeight * load) * jitter(random_);
+}
+
+double TargetChooser::BaselineScore(const TargetState& target) {
+  std::uniform_real_distribution<double> tie(0, 1);
+  switch (options_.policy) {
+    case SchedulePolicy::kLeastReported:
+      return target.report.running + target.report.waiting + tie(random_);
+    case SchedulePolicy::kOneQueue:
+      return target.in_flight + tie(random_);
+    case SchedulePolicy::kRandom:
+    case SchedulePolicy::kFull:
+      break;
+  }
+  return tie(random_);
+}
+
+}  // namespace hornbeamcleat
--- a/src/schedule/target_table.cc
+++ b/src/schedule/target_table.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr double kPermille = 1'000;
+/// Weight of a target without a credit in the averages of its pool.
+constexpr double kLeastWeight = 0.1;
 
 /// Places entries evenly in [0, 1), starting elsewhere for each target.
 double RoundingOffset(const TargetName& target, int entry_index) {
@@ -23,7 +25,7 @@
 
 }  // namespace
 
-void TargetTable::SetView(const ClusterView& view) {
+std::vector<const TargetState*> TargetTable::SetView(const ClusterView& view) {
   entry_count_ = std::max(1, view.entry_count);
   entry_index_ = view.entry_index;
   demand_permille_by_model_ = view.demand_permille_by_model;
@@ -33,7 +35,7 @@
   if (view.config != nullptr) {
     TakeTargets(*view.config);
   }
-  DropGone();
+  std::vector<const TargetState*> gone = DropGone();
   for (const auto& [name, target] : targets_) {
     const std::pair<std::string, std::string> key(target->spec.model,
                                                   target->spec.version);
@@ -44,6 +46,7 @@
     UpdateCredits(target.get());
   }
   IndexByModel();
+  return gone;
 }
 
 void TargetTable::TakeTargets(const ConfigState& config) {
@@ -54,20 +57,34 @@
     if (spec == nullptr) {
       continue;
     }
-    std::unique_ptr<TargetState>& target = targets_[it->first.second];
-    if (target == nullptr) {
-      target = std::make_unique<TargetState>();
-      target->name = it->first.second;
-    }
-    target->spec = *spec;
-    target->configured = true;
+    TakeSpec(it->first.second, *spec);
+  }
+}
+
+void TargetTable::TakeSpec(const TargetName& name, const TargetSpec& spec) {
+  std::unique_ptr<TargetState>& target = targets_[name];
+  if (target == nullptr) {
+    target = std::make_unique<TargetState>(name, options_);
+    target->speed = *GenerationSpeed(spec);
+  } else if (target->spec.hardware != spec.hardware ||
+             target->spec.version != spec.version) {
+    target->speed = *GenerationSpeed(spec);
   }
+  target->spec = spec;
+  target->configured = true;
 }
 
-void TargetTable::DropGone() {
-  std::erase_if(targets_, [](const auto& entry) {
-    return !entry.second->configured && entry.second->in_flight == 0;
-  });
+std::vector<const TargetState*> TargetTable::DropGone() {
+  std::vector<const TargetState*> gone;
+  for (auto it = targets_.begin(); it != targets_.end();) {
+    if (it->second->configured || it->second->in_flight > 0) {
+      ++it;
+      continue;
+    }
+    gone.push_back(it->second.get());
+    it = targets_.erase(it);
+  }
+  return gone;
 }
 
 void TargetTable::IndexByModel() {
@@ -80,9 +97,45 @@
 }
 
 const TargetTable::Pool& TargetTable::OfModel(const std::string& model) const {
-  static const Pool kNone;
+  static const Pool none;
   const auto it = by_model_.find(model);
-  return it == by_model_.end() ? kNone : it->second;
+  return it == by_model_.end() ? none : it->second;
+}
+
+PoolSummary TargetTable::Summarize(const std::string& model) const {
+  PoolSummary sum;
+  TargetState* spare = nullptr;
+  double gaps = 0;
+  double first_parts = 0;
+  double weights = 0;
+  for (TargetState* target : OfModel(model)) {
+    if (!target->Open()) {
+      continue;
+    }
+    const double gap = target->speed.Gap();
+    const double first_part = target->speed.FirstPart();
+    const bool first = sum.targets == 0;
+    sum.best_gap = first ? gap : std::min(sum.best_gap, gap);
+    sum.best_first_part =
+        first ? first_part : std::min(sum.best_first_part, first_part);
+    if (sum.targets % entry_count_ == entry_index_ % entry_count_ || first) {
+      spare = target;
+    }
+    ++sum.targets;
+    sum.credits += target->credits;
+    const double weight = target->credits + kLeastWeight;
+    gaps += weight * gap;
+    first_parts += weight * first_part;
+    weights += weight;
+  }
+  if (sum.targets > 0) {
+    sum.mean_gap = gaps / weights;
+    sum.mean_first_part = first_parts / weights;
+  }
+  if (sum.credits == 0 && spare != nullptr) {
+    spare->credits = sum.credits = 1;
+  }
+  return sum;
 }
 
 TargetState* TargetTable::Find(const TargetName& name) const {
@@ -95,7 +148,7 @@
   const double share = it == demand_permille_by_model_.end()
                            ? 1.0 / entry_count_
                            : it->second / kPermille;
-  const double exact = target->limit * share;
+  const double exact = target->limit.Limit() * share;
   target->credits = static_cast<int>(
       std::floor(exact + RoundingOffset(target->name, entry_index_)));
 }
--- a/src/schedule/target_table.h
+++ b/src/schedule/target_table.h
@@ -9,14 +9,19 @@
 #include "hornbeamcleat/config/resource.h"
 #include "hornbeamcleat/schedule/cluster_view.h"
 #include "hornbeamcleat/schedule/event.h"
+#include "hornbeamcleat/schedule/scheduler.h"
+#include "src/schedule/latency_limit.h"
+#include "src/schedule/outlier_ejection.h"
+#include "src/schedule/speed_estimate.h"
 
 namespace hornbeamcleat {
 
-/// Requests that one target may hold at once before anything is learned.
-inline constexpr double kFirstLimit = 8;
-
 /// Target as this entry sees it.
 struct TargetState {
+  TargetState(const TargetName& target_name, const SchedulerOptions& options)
+      : name(target_name),
+        limit(options.first_part_target, options.part_gap_target) {}
+
   TargetName name;
   TargetSpec spec;
   bool configured = true;       ///< still in the configuration
@@ -24,29 +29,60 @@
   bool report_leaving = false;  ///< from its own report
   bool withdrawn = false;       ///< its version is withdrawn
   int in_flight = 0;            ///< of this entry
+  int suspects_in_flight = 0;   ///< requests suspected of crashing targets
   int credits = 1;              ///< requests this entry may have in flight
-  double limit = kFirstLimit;   ///< requests of all entries together
-  Time paused_until;            ///< gets nothing before, after "not run"
+  LatencyLimit limit;           ///< requests of all entries together
+  SpeedEstimate speed;
+  TargetHealth health;
+  Time paused_until;  ///< gets nothing before, after "not run"
   LoadReport report;
 
   /// Whether it may get new work at all.
   bool Open() const {
-    return configured && !vm_leaving && !report_leaving && !withdrawn;
+    return configured && !vm_leaving && !report_leaving && !withdrawn &&
+           !health.ejected;
   }
 };
 
+/// What the open targets of a model can do for this entry.
+struct PoolSummary {
+  int targets = 0;  ///< open ones
+  int credits = 0;  ///< requests that this entry may have in flight
+  double mean_gap = 0.03;
+  double best_gap = 0.03;
+  double mean_first_part = 0.2;
+  double best_first_part = 0.2;
+
+  bool operator==(const PoolSummary&) const = default;
+};
+
 /// All targets that this entry knows, by name and by model. Pointers stay valid
 /// while a target is configured or has requests in flight.
 class TargetTable {
  public:
   using Pool = std::vector<TargetState*>;
 
+  explicit TargetTable(const SchedulerOptions& options) : options_(options) {}
+
   /// Takes over a view's configuration, leaving VMs, withdrawals and credits.
-  void SetView(const ClusterView& view);
+  /// @return targets that are gone; only to be compared with, not to be used
+  std::vector<const TargetState*> SetView(const ClusterView& view);
 
   /// Targets of a model; empty for an unknown one.
   const Pool& OfModel(const std::string& model) const;
 
+  const std::map<std::string, Pool>& Pools() const { return by_model_; }
+
+  /// What the open targets of a model can do. Gives this entry one credit if
+  /// rounding left it none.
+  PoolSummary Summarize(const std::string& model) const;
+
+  /// Learned speed of a model on a hardware generation, the first guess for a
+  /// target that has not run anything yet.
+  SpeedEstimate* GenerationSpeed(const TargetSpec& spec) {
+    return &speed_by_hardware_[spec.model + '/' + spec.hardware];
+  }
+
   /// The target, or nullptr.
   TargetState* Find(const TargetName& name) const;
 
@@ -55,10 +91,13 @@
 
  private:
   void TakeTargets(const ConfigState& config);
-  void DropGone();
+  void TakeSpec(const TargetName& name, const TargetSpec& spec);
+  std::vector<const TargetState*> DropGone();
   void IndexByModel();
 
+  const SchedulerOptions options_;
   std::map<TargetName, std::unique_ptr<TargetState>> targets_;
+  std::map<std::string, SpeedEstimate> speed_by_hardware_;
   std::map<std::string, Pool> by_model_;
   int entry_count_ = 1;
   int entry_index_ = 0;
--- /dev/null
+++ b/src/schedule/tier_floor.cc
@@ -0,0 +1,52 @@
+#include "src/schedule/tier_floor.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace hornbeamcleat {
+
+bool TierFloor::OnShortage(int rank, Time now) {
+  const auto above = ranks_.upper_bound(rank);
+  if (above == ranks_.end()) {
+    return false;
+  }
+  if (own_closed_ <= *above) {
+    // A shortage renews just the closing that it needs.
+    if (own_closed_ == *above) {
+      last_shortage_ = now;
+    }
+    return false;
+  }
+  if (own_closed_ != kNoFloor && now < closed_since_ + settle_) {
+    return false;
+  }
+  own_closed_ = *std::prev(ranks_.lower_bound(own_closed_));
+  closed_since_ = now;
+  last_shortage_ = now;
+  return true;
+}
+
+void TierFloor::Tick(Time now) {
+  if (own_closed_ == kNoFloor || now < last_shortage_ + hold_) {
+    return;
+  }
+  const auto next = ranks_.upper_bound(own_closed_);
+  own_closed_ = next == ranks_.end() ? kNoFloor : *next;
+  last_shortage_ = now;
+}
+
+bool TierFloor::Closed(int rank) const { return rank >= LeastClosed(); }
+
+int TierFloor::LeastClosed() const {
+  return std::min(own_closed_, peer_closed_);
+}
+
+bool TierFloor::MayShed(int rank, Time now) const {
+  const auto next = ranks_.upper_bound(rank);
+  if (next == ranks_.end()) {
+    return true;
+  }
+  return own_closed_ <= *next && now >= closed_since_ + settle_;
+}
+
+}  // namespace hornbeamcleat
--- a/src/schedule/tier_queue.cc
+++ b/src/schedule/tier_queue.cc
@@ -7,7 +7,7 @@
 }
 
 void TierQueue::Push(RequestState* request) {
-  Tier& tier = by_rank_[Key(*request)];
+  Tier& tier = by_rank_.try_emplace(Key(*request), tiers_).first->second;
   tier.queue.Push(request);
   tier.seconds += request->cost;
   ++size_;
@@ -19,17 +19,16 @@
   Took(it, request->cost);
 }
 
-RequestState* TierQueue::Head() const {
+RequestState* TierQueue::Head(int least_rank) const {
   for (const auto& [rank, tier] : by_rank_) {
-    if (tier.queue.Size() > 0) {
+    if (tier.queue.Size() > 0 && rank >= least_rank) {
       return tier.queue.Head();
     }
   }
   return nullptr;
 }
 
-void TierQueue::PopHead() {
-  RequestState* head = Head();
+void TierQueue::Pop(RequestState* head) {
   const auto it = by_rank_.find(Key(*head));
   it->second.queue.PopHead();
   Took(it, head->cost);
@@ -44,6 +43,15 @@
   return nullptr;
 }
 
+std::vector<RequestState*> TierQueue::All() const {
+  std::vector<RequestState*> all;
+  all.reserve(size_);
+  for (const auto& [rank, tier] : by_rank_) {
+    tier.queue.AppendAll(&all);
+  }
+  return all;
+}
+
 double TierQueue::SecondsAhead(int rank) const {
   double seconds = 0;
   for (const auto& [key, tier] : by_rank_) {
@@ -54,7 +62,7 @@
   return seconds;
 }
 
-void TierQueue::Took(std::map<int, Tier>::iterator it, double cost) {
+void TierQueue::Took(Tiers::iterator it, double cost) {
   --size_;
   it->second.seconds -= cost;
   if (it->second.queue.Size() == 0) {
--- a/src/schedule/tier_queue.h
+++ b/src/schedule/tier_queue.h
@@ -2,6 +2,7 @@
 #define HORNBEAMCLEAT_SRC_SCHEDULE_TIER_QUEUE_H_
 
 #include <map>
+#include <vector>
 
 #include "src/schedule/fair_queue.h"
 
@@ -10,19 +11,27 @@
 /// Waiting requests of one model by tier: a lower rank always goes first.
 class TierQueue {
  public:
-  /// @param tiers false keeps one queue for all tiers
-  explicit TierQueue(bool tiers = true) : tiers_(tiers) {}
+  /// @param tiers false keeps one queue for all, in order of arrival
+  explicit TierQueue(bool tiers) : tiers_(tiers) {}
 
   void Push(RequestState* request);
+
+  /// Removes a waiting request that is not served.
   void Remove(RequestState* request);
 
-  /// Next request to serve; nullptr if empty.
-  RequestState* Head() const;
-  void PopHead();
+  /// Next request to serve among ranks of at least `least_rank`; nullptr if
+  /// there is none.
+  RequestState* Head(int least_rank) const;
+
+  /// Removes a head that is served and charges its workspace.
+  void Pop(RequestState* head);
 
   /// Request of the greatest rank that gives way first; nullptr if empty.
   RequestState* Last() const;
 
+  /// All waiting requests, in no order.
+  std::vector<RequestState*> All() const;
+
   std::size_t Size() const { return size_; }
 
   /// Expected service time, in seconds, of waiting work that goes before a new
@@ -31,15 +40,18 @@
 
  private:
   struct Tier {
+    explicit Tier(bool fair) : queue(fair) {}
+
     FairQueue queue;
     double seconds = 0;
   };
+  using Tiers = std::map<int, Tier>;
 
   int Key(const RequestState& request) const;
-  void Took(std::map<int, Tier>::iterator it, double cost);
+  void Took(Tiers::iterator it, double cost);
 
   bool tiers_;
-  std::map<int, Tier> by_rank_;
+  Tiers by_rank_;
   std::size_t size_ = 0;
 };
 
