--- a/src/schedule/fair_queue.h
+++ b/src/schedule/fair_queue.h
@@ -1,11 +1,12 @@
 #ifndef HORNBEAMCLEAT_SRC_SCHEDULE_FAIR_QUEUE_H_
 #define HORNBEAMCLEAT_SRC_SCHEDULE_FAIR_QUEUE_H_
 
+#include <cstdint>
 #include <list>
-#include <map>
 #include <set>
-#include <string>
+#include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "src/schedule/request_state.h"
 
@@ -18,6 +19,9 @@
 /// share. All operations are logarithmic in the number of such workspaces.
 class FairQueue {
  public:
+  /// @param fair false keeps one queue for all workspaces
+  explicit FairQueue(bool fair) : fair_(fair) {}
+
   /// Adds a request at the end of its workspace's queue.
   void Push(RequestState* request);
 
@@ -34,6 +38,9 @@
   /// furthest ahead of its share; nullptr if empty.
   RequestState* Last() const;
 
+  /// Appends all waiting requests, in no order.
+  void AppendAll(std::vector<RequestState*>* all) const;
+
   std::size_t Size() const { return size_; }
 
   /// Workspaces with state.
@@ -44,14 +51,16 @@
     double start = 0;  ///< virtual time at which its next service starts
     std::list<RequestState*> waiting;
   };
-  using Flows = std::map<std::string, Flow>;
+  using Flows = std::unordered_map<std::uint64_t, Flow>;
 
+  std::uint64_t Key(const RequestState& request) const;
   void Deactivate(Flows::iterator it);
   void DropIdle();
 
+  bool fair_;
   Flows flows_;
-  std::set<std::pair<double, std::string>> active_;
-  std::set<std::pair<double, std::string>> idle_;
+  std::set<std::pair<double, std::uint64_t>> active_;
+  std::set<std::pair<double, std::uint64_t>> idle_;
   double virtual_time_ = 0;
   std::size_t size_ = 0;
 };
--- a/src/schedule/scheduler_impl.h
+++ b/src/schedule/scheduler_impl.h
@@ -4,16 +4,22 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "hornbeamcleat/schedule/scheduler.h"
+#include "src/schedule/admission.h"
 #include "src/schedule/dispatcher.h"
-#include "src/schedule/version_totals.h"
+#include "src/schedule/outlier_ejection.h"
+#include "src/schedule/poison_table.h"
 #include "src/schedule/request_state.h"
+#include "src/schedule/request_timers.h"
+#include "src/schedule/retry_budget.h"
+#include "src/schedule/version_totals.h"
 
 namespace hornbeamcleat {
 
@@ -36,13 +42,12 @@
   std::string Explain(const RequestId& id) const override;
 
  private:
-  /// When to look at a request again: expiry while it waits, else stall and
-  /// deadline checks.
-  using Timers = std::set<std::pair<Time, RequestState*>>;
-
-  bool Resolve(const RequestSpec& spec, Route* route, Reason* reason) const;
+  std::shared_ptr<const Route> Resolve(const RequestSpec& spec, Reason* reason);
   void Enqueue(RequestState* request, Time now, Actions* actions);
-  void MakeRoom(const RequestState& request, Actions* actions);
+  std::optional<Reason> Refusal(RequestState* request, Time now) const;
+  bool MakeRoom(RequestState* request, Time now, Actions* actions);
+  void OnShortage(const RequestState& request, Time now, Actions* actions);
+  void DisplaceClosed(ModelState* model, Time now, Actions* actions);
 
   void On(const IntentDecided& event, RequestState* request, Time now,
           Actions* actions);
@@ -67,19 +72,37 @@
 
   void Progress(RequestState* request, Time now);
   void Resume(RequestState* request, Time now, Actions* actions);
-  void GiveUpInFlight(RequestState* request, Reason reason, Actions* actions);
+  void GiveUpInFlight(RequestState* request, Reason reason, Time now,
+                      Actions* actions);
+  void Requeue(RequestState* request, Time now, Actions* actions);
+  void LearnParts(RequestState* request, std::uint32_t parts, Time now);
+  void OnTargetFault(RequestState* request, Time now);
   void Due(RequestState* request, Time now, Actions* actions);
-  void SetTimer(RequestState* request, Time at);
-  void Refuse(RequestState* request, Outcome outcome, Reason reason,
+  void DueWaiting(RequestState* request, Time now, Actions* actions);
+  void DueInFlight(RequestState* request, Time now, Actions* actions);
+  void Refuse(RequestState* request, Outcome outcome, Reason reason, Time now,
               Actions* actions);
+  Duration RetryAfter(ModelState* model, Outcome outcome, Reason reason,
+                      Time now);
+  void Explain(const RequestState& request, const RefuseAction* refusal,
+               Time now);
+  void UpdateLimits(Time now);
   void Erase(RequestState* request);
 
   const SchedulerOptions options_;
   std::shared_ptr<const ClusterView> view_;
+  RouteCache routes_;
   Dispatcher dispatcher_;
+  Admission admission_;
+  OutlierEjection ejection_;
+  PoisonTable poison_;
+  RetryBudget retries_;
+  ComeBack come_back_;
+  std::mt19937_64 random_;
   VersionTotals evidence_;
   std::unordered_map<RequestId, std::unique_ptr<RequestState>> requests_;
-  Timers timers_;
+  /// Expiry of what waits, stalls and deadlines of what is in flight.
+  RequestTimers timers_;
   std::uint64_t next_sequence_ = 0;
   bool draining_ = false;
 };
