Let a caller come back before its work is cancelled

Cause: a broken caller's connection cancelled the work at once, so an answer could not be resumed with its handle after a reset. Ruled out: cancelling never (wastes decoding for callers that left for good); asking the target whether someone reads (not in its protocol). Change: a grace period; an entry that resumes tells the one that gave the handle, which then leaves the target alone. A resume without an answer is given up after the stall time. Releases wait for the link.

--- a/src/entry/answer.cc
+++ b/src/entry/answer.cc
@@ -52,6 +52,10 @@
 }
 
 void Answer::Resume(const std::string& address) {
+  if (left_) {
+    return;
+  }
+  resume_begun_ = context_->clock->Now();
   address_ = address;
   TargetRequest request =
       MakeResumeCall(*context_, id_, address, sequence_.Last());
@@ -84,11 +88,26 @@
   finished_ = true;
 }
 
-void Answer::OnCallerGone() {
-  if (finished_) {
+void Answer::OnCallerLeft() {
+  if (finished_ || left_) {
     return;
   }
   context_->counts.Add(TrafficEvent::kGoneCallers);
+  if (!begun_) {
+    GiveUp();
+    return;
+  }
+  // The target keeps the parts meanwhile.
+  CloseExchanges();
+  context_->front->Abandon(CallerHandle());
+  left_ = true;
+  left_at_ = context_->clock->Now();
+}
+
+void Answer::GiveUp() {
+  if (finished_) {
+    return;
+  }
   CloseExchanges();
   if (scheduled_) {
     Notify(CallerGone{id_});
@@ -99,24 +118,58 @@
   finished_ = true;
 }
 
+void Answer::HandOver() {
+  CloseExchanges();
+  Notify(CallerGone{id_});
+  context_->front->Abandon(CallerHandle());
+  finished_ = true;
+}
+
 void Answer::Reattach(CallerRequest request, std::uint64_t last) {
   CloseExchanges();
   context_->front->Abandon(CallerHandle());
   request_ = std::move(request);
   begun_ = false;
+  left_ = false;
   quiet_resume_ = true;
   sequence_.Reset(last);
   Resume(address_);
 }
 
 void Answer::Tick(Time now) {
-  if (!scheduled_ && !finished_ &&
+  if (finished_) {
+    return;
+  }
+  if (left_) {
+    if (now - left_at_ >= context_->options->caller_grace) {
+      GiveUp();
+    }
+    return;
+  }
+  TickResume(now);
+  if (!scheduled_ &&
       now - last_progress_ > context_->options->scheduler.stall_time) {
     last_progress_ = now;
     TryAgain();
   }
 }
 
+// A resume that has no answer either is given up, so that the scheduler hears
+// of the target before the deadline.
+void Answer::TickResume(Time now) {
+  if (now - resume_begun_ <= context_->options->scheduler.stall_time) {
+    return;
+  }
+  for (const std::unique_ptr<TargetExchange>& exchange : exchanges_) {
+    if (!exchange->Closed() && !exchange->Streaming() &&
+        exchange->GetKind() == TargetExchange::Kind::kResume) {
+      CloseExchange(exchange.get());
+      Notify(ResumeFailed{id_, false});
+      return;
+    }
+  }
+}
+
 TargetExchange* Answer::Find(std::uint64_t handle) {
   for (const std::unique_ptr<TargetExchange>& exchange : exchanges_) {
     if (exchange->Handle() == handle) {
@@ -191,6 +244,7 @@
   handle.id = id_;
   handle.address = address_;
   handle.version = version_;
+  handle.entry = context_->front->Listening().ToString();
   handle.issued_unix_ms = context_->clock->WallNow().time_since_epoch().count();
   CallerAnswer head;
   head.content_type = "text/event-stream";
@@ -225,7 +279,7 @@
   context_->counts.Add(TrafficEvent::kParts);
   if (!context_->front->Write(CallerHandle(), FormatEvent(event))) {
     context_->counts.Add(TrafficEvent::kSlowCallers);
-    OnCallerGone();
+    OnCallerLeft();
     return;
   }
   ReportProgress();
--- a/src/entry/answer.h
+++ b/src/entry/answer.h
@@ -38,6 +38,9 @@
   /// Whether nothing remains to be done.
   bool Finished() const { return finished_; }
 
+  /// Whether the scheduler of this entry knows it.
+  bool Scheduled() const { return scheduled_; }
+
   void Dispatch(const DispatchAction& action);
   /// Opens a further connection to `address` for the parts still missing.
   void Resume(const std::string& address);
@@ -45,13 +48,20 @@
   void CloseExchanges();
   void Refuse(const RefuseAction& refusal);
 
-  /// The caller left, or asked to stop.
-  void OnCallerGone();
+  /// The caller's connection broke. Once parts were sent it may come back for
+  /// a while; then, or before any part, the work is given up.
+  void OnCallerLeft();
+
+  /// Gives the work up: the caller won't come back.
+  void GiveUp();
+
+  /// The caller resumed at another entry, which now looks after the answer.
+  void HandOver();
 
   /// Goes on after part `last` towards a new connection of the caller.
   void Reattach(CallerRequest request, std::uint64_t last);
 
-  /// Looks after an answer that the scheduler does not know.
+  /// Does what is due by time.
   void Tick(Time now);
 
   /// The exchange `handle`, or nullptr.
@@ -82,6 +92,7 @@
   void Lose(TargetExchange* exchange);
   void Notify(const RequestEvent& event);
   void TryAgain();
+  void TickResume(Time now);
 
   AnswerContext* context_;
   RequestId id_;
@@ -96,6 +107,9 @@
   bool finished_ = false;
   bool quiet_resume_ = false;  ///< the scheduler did not ask for the resume
   int resumes_in_row_ = 0;     ///< without a part between them
+  bool left_ = false;          ///< the caller's connection broke
+  Time left_at_;
+  Time resume_begun_;
   Time last_progress_;
   Time last_report_;
 };
--- a/src/entry/control_loop.cc
+++ b/src/entry/control_loop.cc
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr Duration kTickPeriod = std::chrono::milliseconds(20);
+constexpr std::size_t kMaxUnsentReleases = 10'000;
 constexpr Duration kReportPeriod = std::chrono::seconds(1);
 
 class SchedulerLoop : public ControlLoop,
@@ -79,7 +80,12 @@
     open_ = scheduler_->Open();
   }
 
-  void OnLinkUp() override { Report(); }
+  void OnLinkUp() override {
+    Report();
+    for (const ReleaseMessage& release : std::exchange(unsent_releases_, {})) {
+      SendRelease(release);
+    }
+  }
 
   void OnLinkMessage(const LinkMessage& message) override {
     if (const ViewMessage* view = std::get_if<ViewMessage>(&message)) {
@@ -214,14 +220,13 @@
     }
     if (refusal.outcome == Outcome::kNotRun &&
         refusal.reason != Reason::kDuplicate) {
-      link_->Send(ReleaseMessage{it->first, it->second});
+      SendRelease(ReleaseMessage{it->first, it->second});
     }
     keys_.erase(it);
   }
 
   void Propose(const RecordIntentAction& intent) {
-    const Time now = clock_->Now();
-    proposals_[intent.id] = now;
+    proposals_[intent.id] = clock_->Now();
     keys_[intent.id] = intent.key;
     if (!link_->Send(ProposeMessage{intent.id, intent.key})) {
       Decide(intent.id, IntentResult::kUnavailable);
@@ -235,6 +240,12 @@
     }
   }
 
+  void SendRelease(const ReleaseMessage& release) {
+    if (!link_->Send(release) && unsent_releases_.size() < kMaxUnsentReleases) {
+      unsent_releases_.push_back(release);
+    }
+  }
+
   void Flush() {
     if (!unsent_.empty()) {
       traffic_->Send(std::exchange(unsent_, Actions()));
@@ -304,6 +315,7 @@
   std::shared_ptr<const ClusterView> view_;
   std::vector<EntryAddress> entries_;
   std::map<RequestId, Time> proposals_;  // without a decision yet
+  std::vector<ReleaseMessage> unsent_releases_;
   std::map<RequestId, std::string> keys_;  // of proposed requests
   std::map<std::string, int> reported_rank_;
   Actions unsent_;
--- a/src/entry/entry_options.cc
+++ b/src/entry/entry_options.cc
@@ -86,6 +86,9 @@
               "Greatest number of open requests."),
       Bounded("limits", "max_buffered_bytes", kInteger, "262144", 4'096,
               16 * kMiB, "Bytes held for one slow caller before it is left."),
+      Bounded("limits", "caller_grace", kDuration, "1s", 0, 60 * kSecond,
+              "Time for a caller whose connection broke to resume its answer "
+              "before the work is cancelled."),
       Bounded("limits", "addresses_life", kDuration, "5s", 100 * kMs, kHour,
               "Time for which callers may keep the list of addresses."),
       Bounded("targets", "connect_timeout", kDuration, "1s", 10 * kMs,
@@ -129,6 +132,7 @@
   options.max_part = Size(settings, "max_part_bytes");
   options.max_open = Size(settings, "max_open");
   options.max_buffered = Size(settings, "max_buffered_bytes");
+  options.caller_grace = settings.GetDuration("limits", "caller_grace");
   options.addresses_life = settings.GetDuration("limits", "addresses_life");
   options.connect_timeout = settings.GetDuration("targets", "connect_timeout");
   options.load_period = settings.GetDuration("targets", "load_period");
--- a/src/entry/entry_options.h
+++ b/src/entry/entry_options.h
@@ -29,6 +29,7 @@
   Duration load_period{0};       ///< between load reports of one target
   Duration cache_period{0};      ///< between reads of one target's cache events
   Duration propose_timeout{0};   ///< for an intent's decision
+  Duration caller_grace{0};      ///< to come back before work is cancelled
   Duration addresses_life{0};    ///< callers may keep the address list for it
   SchedulerOptions scheduler;
 };
--- a/src/entry/resume_handle.cc
+++ b/src/entry/resume_handle.cc
@@ -57,7 +57,8 @@
 
 template <typename Archive>
 void serialize(Archive& ar, ResumeHandle& handle) {
-  ar(handle.id, handle.address, handle.version, handle.issued_unix_ms);
+  ar(handle.id, handle.address, handle.version, handle.entry,
+     handle.issued_unix_ms);
 }
 
 std::string SealHandle(const ResumeHandle& handle, std::string_view key) {
--- a/src/entry/resume_handle.h
+++ b/src/entry/resume_handle.h
@@ -16,6 +16,7 @@
   RequestId id;
   std::string address;  ///< of the target, IP:PORT
   std::string version;  ///< of the target
+  std::string entry;    ///< that gave it, IP:PORT
   std::int64_t issued_unix_ms = 0;
 
   bool operator==(const ResumeHandle&) const = default;
--- a/src/entry/target_calls.cc
+++ b/src/entry/target_calls.cc
@@ -66,6 +66,19 @@
   context->client->Begin(call);
 }
 
+TargetRequest MakeHandOverCall(AnswerContext* context,
+                               const ResumeHandle& handle,
+                               const std::string& sealed) {
+  TargetRequest call;
+  call.handle = ++context->last_exchange;
+  call.address = handle.entry;
+  call.method = "PUT";
+  call.path = "/v1/answers/" + handle.id;
+  call.headers["Resume-Handle"] = sealed;
+  call.connect_timeout = context->options->connect_timeout;
+  return call;
+}
+
 std::uint32_t CachedTokens(const std::string& data) {
   if (data.find("\"usage\"") == std::string::npos) {
     return 0;
--- a/src/entry/target_calls.h
+++ b/src/entry/target_calls.h
@@ -7,6 +7,7 @@
 #include "hornbeamcleat/schedule/action.h"
 #include "hornbeamcleat/schedule/request.h"
 #include "src/entry/answer_context.h"
+#include "src/entry/resume_handle.h"
 #include "src/net/caller_front.h"
 #include "src/net/target_client.h"
 
@@ -27,6 +28,13 @@
 void SendCancel(AnswerContext* context, const RequestId& id,
                 const std::string& address);
 
+/// Call that tells the entry which gave `handle` that its answer is resumed
+/// here.
+/// @param sealed the handle as the caller sent it
+TargetRequest MakeHandOverCall(AnswerContext* context,
+                               const ResumeHandle& handle,
+                               const std::string& sealed);
+
 /// Number of prompt tokens that the target had cached, from the usage in the
 /// last part of an answer; 0 if it has none.
 std::uint32_t CachedTokens(const std::string& last_part);
--- a/src/entry/traffic_loop.cc
+++ b/src/entry/traffic_loop.cc
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <atomic>
-#include <charconv>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -14,6 +14,7 @@
 #include "hornbeamcleat/base/error.h"
 #include "hornbeamcleat/base/log.h"
 #include "src/entry/answer.h"
+#include "src/entry/answer_call.h"
 #include "src/entry/problem.h"
 #include "src/entry/resume_handle.h"
 #include "src/entry/submission.h"
@@ -34,11 +35,6 @@
   return {id, Outcome::kNotRun, Reason::kBadRequest, Duration(0)};
 }
 
-std::string Header(const CallerRequest& request, const char* name) {
-  const auto it = request.headers.find(name);
-  return it == request.headers.end() ? "" : it->second;
-}
-
 class EpollTrafficLoop : public TrafficLoop,
                          public CallerHandler,
                          public TargetHandler {
@@ -111,7 +107,7 @@
     Answer* answer = it->second;
     by_caller_.erase(it);
     if (!sent_whole) {
-      answer->OnCallerGone();
+      answer->OnCallerLeft();
       Touch(answer);
     }
   }
@@ -176,15 +172,10 @@
   void OnAnswerRequest(CallerRequest request) {
     const std::string id =
         request.path.substr(std::string_view(kAnswersPrefix).size());
-    ResumeHandle handle;
-    std::uint64_t last = 0;
+    AnswerCall call;
     try {
-      handle = OpenHandle(Header(request, "resume-handle"), options_.handle_key,
-                          clock_->WallNow(), options_.handle_life);
-      last = ReadLastEventId(request);
-      if (handle.id != id) {
-        throw Error("open resume handle", "", "it is of another request");
-      }
+      call = ReadAnswerCall(request, id, options_.handle_key, clock_->WallNow(),
+                            options_.handle_life);
     } catch (const Error& e) {
       context_.counts.Add(TrafficEvent::kBadHandles);
       log_.Debug("A resume handle is refused. cause=\"{}\"", e.what());
@@ -194,27 +185,17 @@
       Refuse(request.handle, refusal);
       return;
     }
-    if (request.method == "GET") {
-      ResumeAnswer(handle, std::move(request), last);
+    if (request.method == "PUT") {
+      HandOver(id, request.handle);
+    } else if (request.method == "GET") {
+      ResumeAnswer(call.handle, std::move(request), call.last);
     } else if (request.method == "DELETE") {
-      CancelAnswer(handle, request.handle);
+      CancelAnswer(call.handle, request.handle);
     } else {
       Refuse(request.handle, BadRequest(id));
     }
   }
 
-  static std::uint64_t ReadLastEventId(const CallerRequest& request) {
-    const std::string text = Header(request, "last-event-id");
-    std::uint64_t last = 0;
-    const std::from_chars_result result =
-        std::from_chars(text.data(), text.data() + text.size(), last);
-    if (!text.empty() &&
-        (result.ec != std::errc() || result.ptr != text.data() + text.size())) {
-      throw Error("open resume handle", "", "Last-Event-ID is no number");
-    }
-    return last;
-  }
-
   void ResumeAnswer(const ResumeHandle& handle, CallerRequest request,
                     std::uint64_t last) {
     context_.counts.Add(TrafficEvent::kCallerResumes);
@@ -227,13 +208,33 @@
       return;
     }
     answers_.erase(handle.id);
+    if (!handle.entry.empty()) {
+      context_.client->Begin(MakeHandOverCall(
+          &context_, handle, request.headers["resume-handle"]));
+    }
     Add(std::make_unique<Answer>(&context_, handle, std::move(request), last));
   }
 
+  // Another entry has resumed the answer; its target goes on with the work.
+  void HandOver(const RequestId& id, std::uint64_t caller) {
+    const auto it = answers_.find(id);
+    if (it != answers_.end() && !it->second->Finished()) {
+      if (it->second->Scheduled()) {
+        handed_over_.insert(id);
+      }
+      it->second->HandOver();
+      Touch(it->second.get());
+    }
+    CallerAnswer answer;
+    answer.status = kStatusAccepted;
+    answer.body = "{}";
+    front_->Answer(caller, answer);
+  }
+
   void CancelAnswer(const ResumeHandle& handle, std::uint64_t caller) {
     const auto it = answers_.find(handle.id);
     if (it != answers_.end()) {
-      it->second->OnCallerGone();
+      it->second->GiveUp();
       Touch(it->second.get());
     } else {
       SendCancel(&context_, handle.id, handle.address);
@@ -286,6 +287,9 @@
   }
 
   void Do(const CancelAction& action) {
+    if (handed_over_.erase(action.id) > 0) {
+      return;
+    }
     if (Answer* answer = Find(action.id)) {
       answer->CloseExchanges();
     }
@@ -358,6 +362,7 @@
   std::unordered_map<RequestId, std::unique_ptr<Answer>> answers_;
   std::unordered_map<std::uint64_t, Answer*> by_caller_;
   std::vector<RequestId> touched_;
+  std::set<RequestId> handed_over_;  // to entries that go on with them
   FrontRefusals counted_;
   Time next_tick_;
   std::atomic<std::size_t> open_{0};
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -37,6 +37,7 @@
   options.load_period = std::chrono::milliseconds(200);
   options.cache_period = std::chrono::milliseconds(200);
   options.propose_timeout = std::chrono::seconds(3);
+  options.caller_grace = std::chrono::milliseconds(0);
   options.addresses_life = std::chrono::seconds(5);
   options.scheduler.max_attempts = 2;
   options.scheduler.stall_time = std::chrono::seconds(10);
