--- a/tests/entry/fake_control.h
+++ b/tests/entry/fake_control.h
@@ -1,6 +1,7 @@
 #ifndef HORNBEAMCLEAT_TESTS_ENTRY_FAKE_CONTROL_H_
 #define HORNBEAMCLEAT_TESTS_ENTRY_FAKE_CONTROL_H_
 
+#include <algorithm>
 #include <condition_variable>
 #include <mutex>
 #include <optional>
@@ -33,6 +34,15 @@
     });
   }
 
+  /// Waits until the key of attempt `id` was given back.
+  bool WaitForRelease(const RequestId& id) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    return received_.wait_for(lock, kTestPatience, [&] {
+      return std::find(released_.begin(), released_.end(), id) !=
+             released_.end();
+    });
+  }
+
  private:
   void Serve(SocketPeer& peer) {
     peer.Send(EncodeLink(view_));
@@ -60,6 +70,11 @@
       const std::lock_guard<std::mutex> lock(mutex_);
       reports_.push_back(*report);
       received_.notify_all();
+    } else if (const ReleaseMessage* release =
+                   std::get_if<ReleaseMessage>(&message)) {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      released_.push_back(release->id);
+      received_.notify_all();
     }
   }
 
@@ -68,6 +83,7 @@
   std::mutex mutex_;
   std::condition_variable received_;
   std::vector<ReportMessage> reports_;
+  std::vector<RequestId> released_;
   SocketServer server_;
 };
 
--- /dev/null
+++ b/tests/net/target_client_test.cc
@@ -0,0 +1,129 @@
+#include "src/net/target_client.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <optional>
+#include <thread>
+
+#include "tests/net/socket_peer.h"
+
+namespace hornbeamcleat {
+namespace {
+
+class TargetClientTest : public testing::Test, public TargetHandler {
+ protected:
+  void OnSending(std::uint64_t) override { sending_ = true; }
+  void OnHead(std::uint64_t, int status,
+              const std::map<std::string, std::string>&) override {
+    status_ = status;
+  }
+  void OnBody(std::uint64_t handle, std::string_view bytes) override {
+    body_ += bytes;
+    if (abort_in_body_) {
+      client_->Abort(handle);
+    }
+  }
+  void OnEnd(std::uint64_t, TargetEnd end, const std::string&) override {
+    end_ = end;
+  }
+
+  void Begin(const Address& address, const std::string& method = "POST") {
+    TargetRequest request;
+    request.handle = 1;
+    request.address = address.ToString();
+    request.method = method;
+    request.path = "/v1/x";
+    request.body = method == "POST" ? "body" : "";
+    client_->Begin(request);
+  }
+
+  template <typename Done>
+  void RunUntil(const Done& done) {
+    const std::chrono::steady_clock::time_point end =
+        std::chrono::steady_clock::now() + kTestPatience;
+    while (!done() && std::chrono::steady_clock::now() < end) {
+      client_->Run();
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+  }
+  void RunToEnd() {
+    RunUntil([this] { return end_.has_value(); });
+  }
+
+  std::unique_ptr<TargetClient> client_ = TargetClient::Make(this);
+  bool sending_ = false;
+  bool abort_in_body_ = false;
+  int status_ = 0;
+  std::string body_;
+  std::optional<TargetEnd> end_;
+};
+
+TEST_F(TargetClientTest, BeginClosedPortIsNotConnected) {
+  Address closed;
+  {
+    const SocketServer server([](SocketPeer&) {});
+    closed = server.Listening();
+  }
+  Begin(closed);
+  RunToEnd();
+  EXPECT_EQ(end_, TargetEnd::kNotConnected);
+  EXPECT_FALSE(sending_);
+}
+
+TEST_F(TargetClientTest, BeginPeerClosesWithoutAnswerIsBroken) {
+  std::atomic<int> connections{0};
+  const SocketServer server([&](SocketPeer& peer) {
+    ++connections;
+    peer.ReadUntil("body");
+  });
+  Begin(server.Listening());
+  RunToEnd();
+  EXPECT_EQ(end_, TargetEnd::kBroken);
+  EXPECT_TRUE(sending_);
+  EXPECT_EQ(connections, 1);
+}
+
+TEST_F(TargetClientTest, BeginRequestHasNothingAdded) {
+  std::string head;
+  const SocketServer server([&](SocketPeer& peer) {
+    head = peer.ReadUntil("body");
+    peer.Send(
+        "HTTP/1.1 302 Found\r\nLocation: /y\r\nContent-Length: 2\r\n\r\nok");
+  });
+  Begin(server.Listening());
+  RunToEnd();
+  EXPECT_EQ(end_, TargetEnd::kComplete);
+  EXPECT_EQ(status_, 302);
+  EXPECT_EQ(body_, "ok");
+  EXPECT_EQ(head.find("Expect"), std::string::npos);
+  EXPECT_EQ(head.find("Content-Type"), std::string::npos);
+}
+
+TEST_F(TargetClientTest, BeginTruncatedBodyIsBroken) {
+  const SocketServer server([](SocketPeer& peer) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+  });
+  Begin(server.Listening(), "GET");
+  RunToEnd();
+  EXPECT_EQ(end_, TargetEnd::kBroken);
+}
+
+TEST_F(TargetClientTest, AbortWithinBodyEndsSilently) {
+  std::atomic<bool> closed{false};
+  const SocketServer server([&](SocketPeer& peer) {
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+    peer.ReadToEnd();
+    closed = true;
+  });
+  abort_in_body_ = true;
+  Begin(server.Listening(), "GET");
+  RunUntil([&] { return closed.load(); });
+  EXPECT_TRUE(closed);
+  EXPECT_FALSE(end_.has_value());
+}
+
+}  // namespace
+}  // namespace hornbeamcleat
