--- a/src/entry/answer.cc
+++ b/src/entry/answer.cc
@@ -1,67 +1,24 @@
 #include "src/entry/answer.h"
 
-#include <cxxtools/serializationinfo.h>
-
 #include <algorithm>
 #include <utility>
 
-#include "hornbeamcleat/base/error.h"
 #include "hornbeamcleat/base/log.h"
-#include "src/base/json.h"
 #include "src/entry/problem.h"
+#include "src/entry/target_calls.h"
 
 namespace hornbeamcleat {
 namespace {
 
 constexpr Duration kReportPeriod = std::chrono::milliseconds(100);
 constexpr int kMaxResumesInRow = 3;
-constexpr std::size_t kMaxUsageBytes = 64 * 1024;
-
-// Callers' headers that targets are given.
-constexpr const char* kPassedHeaders[] = {
-    "accept",          "application", "authorization", "content-type",
-    "idempotency-key", "traceparent", "tracestate",    "workspace"};
-
 const Logger& Log() {
-  static const Logger kLog("answer");
-  return kLog;
-}
-
-std::uint32_t CachedTokens(const std::string& data) {
-  if (data.find("\"usage\"") == std::string::npos) {
-    return 0;
-  }
-  try {
-    const cxxtools::SerializationInfo json = ParseJson(data, kMaxUsageBytes);
-    const cxxtools::SerializationInfo* usage = json.findMember("usage");
-    return usage == nullptr ? 0
-                            : static_cast<std::uint32_t>(std::max(
-                                  0, JsonMember(*usage, "cached_tokens", 0)));
-  } catch (const Error&) {
-    return 0;
-  }
-}
-
-TargetRequest StreamRequest(const AnswerContext& context, const RequestId& id,
-                            const std::string& address) {
-  TargetRequest request;
-  request.address = address;
-  request.path = "/v1/streams/" + id;
-  request.headers["Request-Id"] = id;
-  request.connect_timeout = context.options->connect_timeout;
-  return request;
+  static const Logger log("answer");
+  return log;
 }
 
 }  // namespace
 
-void SendCancel(AnswerContext* context, const RequestId& id,
-                const std::string& address) {
-  TargetRequest request = StreamRequest(*context, id, address);
-  request.handle = ++context->last_exchange;
-  request.method = "DELETE";
-  context->client->Begin(request);
-}
-
 Answer::Answer(AnswerContext* context, RequestId id, CallerRequest request)
     : context_(context),
       id_(std::move(id)),
@@ -87,32 +44,22 @@
 void Answer::Dispatch(const DispatchAction& action) {
   address_ = action.address;
   version_ = action.version;
-  TargetRequest run;
+  TargetRequest run = MakeRunCall(*context_, request_, action);
   run.handle = AddExchange(TargetExchange::Kind::kRun)->Handle();
-  run.address = action.address;
-  run.path = request_.path;
-  run.body = request_.body;
-  run.connect_timeout = context_->options->connect_timeout;
-  for (const char* name : kPassedHeaders) {
-    const auto it = request_.headers.find(name);
-    if (it != request_.headers.end()) {
-      run.headers[name] = it->second;
-    }
-  }
-  run.headers["Request-Id"] = id_;
-  run.headers["Deadline-Ms"] = std::to_string(
-      std::chrono::ceil<std::chrono::milliseconds>(action.remaining).count());
   Log().Debug("A request is dispatched. request={} target={}", id_,
               action.target);
   context_->client->Begin(run);
 }
 
 void Answer::Resume(const std::string& address) {
+  if (left_) {
+    return;
+  }
+  resume_begun_ = context_->clock->Now();
   address_ = address;
-  TargetRequest request = StreamRequest(*context_, id_, address);
+  TargetRequest request =
+      MakeResumeCall(*context_, id_, address, sequence_.Last());
   request.handle = AddExchange(TargetExchange::Kind::kResume)->Handle();
-  request.method = "GET";
-  request.headers["Last-Event-ID"] = std::to_string(sequence_.Last());
   Log().Debug("An answer is resumed. request={} after={}", id_,
               sequence_.Last());
   context_->client->Begin(request);
@@ -141,11 +88,26 @@
   finished_ = true;
 }
 
-void Answer::OnCallerGone() {
-  if (finished_) {
+void Answer::OnCallerLeft() {
+  if (finished_ || left_) {
     return;
   }
   context_->counts.Add(TrafficEvent::kGoneCallers);
+  if (!begun_) {
+    GiveUp();
+    return;
+  }
+  // The target keeps the parts meanwhile.
+  CloseExchanges();
+  context_->front->Abandon(CallerHandle());
+  left_ = true;
+  left_at_ = context_->clock->Now();
+}
+
+void Answer::GiveUp() {
+  if (finished_) {
+    return;
+  }
   CloseExchanges();
   if (scheduled_) {
     Notify(CallerGone{id_});
@@ -156,24 +118,58 @@
   finished_ = true;
 }
 
+void Answer::HandOver() {
+  CloseExchanges();
+  Notify(CallerGone{id_});
+  context_->front->Abandon(CallerHandle());
+  finished_ = true;
+}
+
 void Answer::Reattach(CallerRequest request, std::uint64_t last) {
   CloseExchanges();
   context_->front->Abandon(CallerHandle());
   request_ = std::move(request);
   begun_ = false;
+  left_ = false;
   quiet_resume_ = true;
   sequence_.Reset(last);
   Resume(address_);
 }
 
 void Answer::Tick(Time now) {
-  if (!scheduled_ && !finished_ &&
+  if (finished_) {
+    return;
+  }
+  if (left_) {
+    if (now - left_at_ >= context_->options->caller_grace) {
+      GiveUp();
+    }
+    return;
+  }
+  TickResume(now);
+  if (!scheduled_ &&
       now - last_progress_ > context_->options->scheduler.stall_time) {
     last_progress_ = now;
     TryAgain();
   }
 }
 
+// A resume that has no answer either is given up, so that the scheduler hears
+// of the target before the deadline.
+void Answer::TickResume(Time now) {
+  if (now - resume_begun_ <= context_->options->scheduler.stall_time) {
+    return;
+  }
+  for (const std::unique_ptr<TargetExchange>& exchange : exchanges_) {
+    if (!exchange->Closed() && !exchange->Streaming() &&
+        exchange->GetKind() == TargetExchange::Kind::kResume) {
+      CloseExchange(exchange.get());
+      Notify(ResumeFailed{id_, false});
+      return;
+    }
+  }
+}
+
 TargetExchange* Answer::Find(std::uint64_t handle) {
   for (const std::unique_ptr<TargetExchange>& exchange : exchanges_) {
     if (exchange->Handle() == handle) {
@@ -219,11 +215,11 @@
 void Answer::CloseExchanges() { CloseOthers(nullptr); }
 
 bool Answer::HasResume() const {
-  return std::any_of(
-      exchanges_.begin(), exchanges_.end(),
-      [](const std::unique_ptr<TargetExchange>& x) {
-        return !x->Closed() && x->GetKind() == TargetExchange::Kind::kResume;
-      });
+  return std::any_of(exchanges_.begin(), exchanges_.end(),
+                     [](const std::unique_ptr<TargetExchange>& x) {
+                       return !x->Closed() &&
+                              x->GetKind() == TargetExchange::Kind::kResume;
+                     });
 }
 
 void Answer::OnSent(TargetExchange* exchange) {
@@ -248,8 +244,8 @@
   handle.id = id_;
   handle.address = address_;
   handle.version = version_;
-  handle.issued_unix_ms =
-      context_->clock->WallNow().time_since_epoch().count();
+  handle.entry = context_->front->Listening().ToString();
+  handle.issued_unix_ms = context_->clock->WallNow().time_since_epoch().count();
   CallerAnswer head;
   head.content_type = "text/event-stream";
   head.headers["Cache-Control"] = "no-cache";
@@ -283,7 +279,7 @@
   context_->counts.Add(TrafficEvent::kParts);
   if (!context_->front->Write(CallerHandle(), FormatEvent(event))) {
     context_->counts.Add(TrafficEvent::kSlowCallers);
-    OnCallerGone();
+    OnCallerLeft();
     return;
   }
   ReportProgress();
--- a/src/entry/entry_options.cc
+++ b/src/entry/entry_options.cc
@@ -61,10 +61,9 @@
 
 const std::vector<SettingRule>& EntrySettingRules() {
   using enum SettingType;
-  static const std::vector<SettingRule> kRules = {
+  static const std::vector<SettingRule> rules = {
       Required("entry", "name", kText, "Name, unique among entries."),
-      Required("entry", "failure_domain", kText,
-               "Failure domain of this VM."),
+      Required("entry", "failure_domain", kText, "Failure domain of this VM."),
       Required("entry", "listen", kAddress, "Address for callers."),
       Required("entry", "listen_admin", kAddress,
                "Address for health, metrics and explanations."),
@@ -77,8 +76,8 @@
                "characters."),
       Bounded("keys", "handle_life", kDuration, "1h", kSecond, 24 * kHour,
               "A resume handle is refused when older."),
-      Bounded("limits", "max_body_bytes", kInteger, "1048576", 1'024,
-              64 * kMiB, "Greatest request body."),
+      Bounded("limits", "max_body_bytes", kInteger, "1048576", 1'024, 64 * kMiB,
+              "Greatest request body."),
       Bounded("limits", "max_answer_bytes", kInteger, "4194304", 1'024,
               64 * kMiB, "Greatest answer of one part."),
       Bounded("limits", "max_part_bytes", kInteger, "262144", 1'024, 16 * kMiB,
@@ -87,6 +86,9 @@
               "Greatest number of open requests."),
       Bounded("limits", "max_buffered_bytes", kInteger, "262144", 4'096,
               16 * kMiB, "Bytes held for one slow caller before it is left."),
+      Bounded("limits", "caller_grace", kDuration, "1s", 0, 60 * kSecond,
+              "Time for a caller whose connection broke to resume its answer "
+              "before the work is cancelled."),
       Bounded("limits", "addresses_life", kDuration, "5s", 100 * kMs, kHour,
               "Time for which callers may keep the list of addresses."),
       Bounded("targets", "connect_timeout", kDuration, "1s", 10 * kMs,
@@ -109,7 +111,7 @@
               "tried."),
       Bounded("scheduler", "propose_timeout", kDuration, "3s", 100 * kMs,
               60 * kSecond, "Time for the decision on an intent.")};
-  return kRules;
+  return rules;
 }
 
 EntryOptions MakeEntryOptions(const Settings& settings) {
@@ -130,6 +132,7 @@
   options.max_part = Size(settings, "max_part_bytes");
   options.max_open = Size(settings, "max_open");
   options.max_buffered = Size(settings, "max_buffered_bytes");
+  options.caller_grace = settings.GetDuration("limits", "caller_grace");
   options.addresses_life = settings.GetDuration("limits", "addresses_life");
   options.connect_timeout = settings.GetDuration("targets", "connect_timeout");
   options.load_period = settings.GetDuration("targets", "load_period");
--- a/src/entry/resume_handle.cc
+++ b/src/entry/resume_handle.cc
@@ -57,7 +57,8 @@
 
 template <typename Archive>
 void serialize(Archive& ar, ResumeHandle& handle) {
-  ar(handle.id, handle.address, handle.version, handle.issued_unix_ms);
+  ar(handle.id, handle.address, handle.version, handle.entry,
+     handle.issued_unix_ms);
 }
 
 std::string SealHandle(const ResumeHandle& handle, std::string_view key) {
@@ -76,7 +77,7 @@
   if (CRYPTO_memcmp(tag.data(), sealed.data(), kTagBytes) != 0) {
     throw Error(kStep, "", "its signature is wrong");
   }
-  const ResumeHandle handle = DecodeBytes<ResumeHandle>(bytes);
+  ResumeHandle handle = DecodeBytes<ResumeHandle>(bytes);
   const WallTime issued{std::chrono::milliseconds(handle.issued_unix_ms)};
   if (issued + life < now || issued > now + kClockTolerance) {
     throw Error(kStep, "", "it is too old");
