--- a/src/load/answer_check.cc
+++ b/src/load/answer_check.cc
@@ -34,7 +34,6 @@
   if (event.data != kDone) {
     return TakePart(event.data);
   }
-  done_ = true;
   return direct_ ? TakeEnd("") : Took::kOther;
 }
 
@@ -56,6 +55,9 @@
 AnswerCheck::Took AnswerCheck::TakeUsage(const std::string& data) {
   const cxxtools::SerializationInfo value = ParseJson(data, kMaxPart);
   const cxxtools::SerializationInfo* usage = value.findMember("usage");
+  if (usage == nullptr) {
+    return Wrong("usage is not where it should be");
+  }
   prompt_tokens_ = JsonMember<std::int64_t>(*usage, "prompt_tokens", 0);
   cached_tokens_ = JsonMember<std::int64_t>(*usage, "cached_tokens", 0);
   has_usage_ = true;
--- a/src/load/answer_check.h
+++ b/src/load/answer_check.h
@@ -48,7 +48,6 @@
   std::int64_t prompt_tokens_ = 0;
   std::int64_t cached_tokens_ = 0;
   bool has_usage_ = false;
-  bool done_ = false;
   std::string fault_;
 };
 
--- a/src/standin/fake_engine.cc
+++ b/src/standin/fake_engine.cc
@@ -115,7 +115,7 @@
     if (!faults_.crash_marker.empty() &&
         request.body.find(faults_.crash_marker) != std::string::npos) {
       settings_.crash();
-      return;
+      return Front().Abandon(request.handle);
     }
     if (faults_.refuse || faults_.leaving || versions_.Current().empty()) {
       return RefuseNotRun(request);
--- a/src/standin/fake_platform.cc
+++ b/src/standin/fake_platform.cc
@@ -161,6 +161,9 @@
     }
     std::vector<std::string> payloads;
     for (const SerializationInfo& entry : *list) {
+      if (entry.category() != SerializationInfo::Value) {
+        throw Error("append", "", "a payload is not text");
+      }
       std::string& payload = payloads.emplace_back();
       entry.getValue(payload);
     }
