--- a/tests/ctl/flags_test.cc
+++ b/tests/ctl/flags_test.cc
@@ -18,6 +18,7 @@
   Flags::Next Parse(std::vector<std::string> words) {
     words.insert(words.begin(), "program");
     std::vector<char*> argv;
+    argv.reserve(words.size() + 1);
     for (std::string& word : words) {
       argv.push_back(word.data());
     }
