--- a/src/schedule/version_totals.cc
+++ b/src/schedule/version_totals.cc
@@ -47,7 +47,7 @@
   return rest == entries_.end() ? Add(key, version, shared) : &rest->second;
 }
 
-VersionEvidence* EvidenceTable::Add(std::uint64_t key,
+VersionEvidence* VersionTotals::Add(std::uint64_t key,
                                     const std::string& version,
                                     const Route& route) {
   VersionEvidence& entry = entries_[key];
