Take undated idempotency keys unless settings say otherwise

Cause: the demo's gold tier was refused key_expired for each booking: callers' keys are usually opaque (UUID version 4), and all of them were refused. Change: setting [intents] require_dated_keys, false by default: an undated key is recognised for key_life, a dated one is refused once it is older.

--- a/src/control/control_settings.cc
+++ b/src/control/control_settings.cc
@@ -68,6 +68,9 @@
        60 * kSecond, "Longest wait for the log's decision on an intent."},
       {"intents", "key_life", kDuration, "1h", false, kSecond, 24 * kHour,
        "Age at which a key is forgotten; less than the log's retention."},
+      {"intents", "require_dated_keys", kBoolean, "false", false, 0, 0,
+       "Refuses idempotency keys that carry no date; without it such a key is "
+       "recognised only for key_life."},
   };
   return kRules;
 }
@@ -116,6 +119,8 @@
   intents.batch_period = settings.GetDuration("intents", "batch_period");
   intents.decide_timeout = settings.GetDuration("intents", "decide_timeout");
   intents.key_life = settings.GetDuration("intents", "key_life");
+  intents.require_dated_keys =
+      settings.Boolean("intents", "require_dated_keys");
 
   const std::string& advertise = settings.Text("api", "advertise");
   out.core.api = advertise.empty() ? out.api.listen.ToString() : advertise;
