Raise the first share where traffic is small, and try the log down at the end

Change: the first share doubles while fewer than 20 requests have ended on the new version; a disturbance and a test for the log down across the deadline. Ruled out: growing without exposure, which the issue forbids. Seen failing before the change: none of the trials had the case; the test LittleTrafficRaisesTheFirstShare needs the new rule to compile its expectation of a doubled share and was not run against the old code.

--- a/src/move/move_controller.cc
+++ b/src/move/move_controller.cc
@@ -21,6 +21,9 @@
 // While the share is small, a look costs more than a few seconds' delay.
 constexpr std::chrono::milliseconds kSmallShareLookPeriod{3'000};
 constexpr int kSmallSharePermille = 20;
+// Requests that a new version may always be given, whatever their share.
+constexpr std::uint64_t kFewEnds = 20;
+constexpr int kFirstShareParts = 6;
 // Part of the move's traffic that the share which meets full load may add.
 constexpr double kLoadBudget = 0.005;
 // Part of the move's traffic from which a suspect version gets the first share
@@ -50,6 +53,8 @@
   Duration Remaining(const MoveState& state, WallTime now) const;
   void Grow(const MoveState& state, const MoveInput& input,
             const Verdict& verdict, MoveDecision* out) const;
+  bool RaiseFirst(const MoveState& state, WallTime now,
+                  const Verdict& verdict) const;
   bool StepBack(const MoveState& state, const Verdict& verdict) const;
   void GrowTo(int index, const MoveInput& input, MoveDecision* out) const;
   std::string Obstacle(const MoveState& state, WallTime now,
@@ -90,9 +95,8 @@
 
 int AutomaticController::StepIndex(int share_permille) const {
   const std::vector<int>::const_iterator it =
-      std::lower_bound(steps_.begin(), steps_.end(), share_permille);
-  const int last = static_cast<int>(steps_.size()) - 1;
-  return std::min(static_cast<int>(it - steps_.begin()), last);
+      std::upper_bound(steps_.begin(), steps_.end(), share_permille);
+  return std::max(0, static_cast<int>(it - steps_.begin()) - 1);
 }
 
 void AutomaticController::RollBack(const MoveInput& input,
@@ -191,6 +195,16 @@
   return verdict.good || verdict.plausible ? "" : verdict.reason;
 }
 
+// With little traffic a small share is hardly served at all, so it is doubled
+// until a few requests have been.
+bool AutomaticController::RaiseFirst(const MoveState& state, WallTime now,
+                                     const Verdict& verdict) const {
+  const Duration planned = schedule_.FirstShareEnd() - *started_;
+  return spec_.steps_permille.empty() && StepIndex(state.share_permille) == 0 &&
+         2 * state.share_permille < steps_[1] && verdict.ends < kFewEnds &&
+         now - state.step_since >= planned / kFirstShareParts;
+}
+
 // The share that meets full load is dear: a version that isn't cleared within
 // its budget is watched further at the first share.
 bool AutomaticController::StepBack(const MoveState& state,
@@ -217,6 +231,12 @@
 void AutomaticController::Grow(const MoveState& state, const MoveInput& input,
                                const Verdict& verdict,
                                MoveDecision* out) const {
+  if (RaiseFirst(state, input.now, verdict)) {
+    out->reason = "too little traffic for the first share";
+    out->advance = MoveState{MovePhase::kGrowing, 2 * state.share_permille,
+                             input.now, out->reason};
+    return;
+  }
   if (StepBack(state, verdict)) {
     out->reason = "the evidence leans against the new version";
     out->advance =
@@ -292,7 +312,7 @@
     return share;
   }
   const std::vector<int> steps = MoveSteps(spec_, targets_);
-  if (state.share_permille <= steps.front()) {
+  if (steps.size() > 1 && state.share_permille < steps[1]) {
     share.max_in_flight = kCanaryInFlight;
   }
   // As many targets as the share loads fully, at least one.
--- a/src/trial/move_trial.cc
+++ b/src/trial/move_trial.cc
@@ -17,7 +17,8 @@
     "slow",         "slow under load",         "one route",
     "one in fifty", "one in fifty, one route", "fails in bake"};
 constexpr std::array<const char*, kDisturbances> kDisturbanceNames = {
-    "none", "leader pause", "log outage", "entry kills", "all"};
+    "none",        "leader pause", "log outage",
+    "entry kills", "all",          "log down at end"};
 
 constexpr int kWitnesses = 2;
 constexpr std::int64_t kTicksPerSecond = std::chrono::seconds(1) / kTrialTick;
@@ -27,6 +28,7 @@
 constexpr std::int64_t kTakeoverSeconds = 11;
 constexpr std::int64_t kRestartSeconds = 30;
 constexpr std::int64_t kAfterEndSeconds = 5;
+constexpr std::int64_t kOutageAfterSeconds = 300;  // after the deadline
 constexpr int kKills = 3;
 constexpr std::uint64_t kDisturbanceStream = 0x9e3779b97f4a7c15;
 
@@ -136,6 +138,11 @@
   if (Has(Disturbance::kLogOutage)) {
     outage_ = RandomSpan(60, 900);
   }
+  if (spec_.disturbance == Disturbance::kLogDownAtEnd) {
+    std::uniform_int_distribution<std::int64_t> begin(0, deadline_tick_ / 2);
+    outage_ = {deadline_tick_ / 4 + begin(random_),
+               deadline_tick_ + kOutageAfterSeconds * kTicksPerSecond};
+  }
   if (!Has(Disturbance::kEntryKills)) {
     return;
   }
--- a/src/trial/move_trial.h
+++ b/src/trial/move_trial.h
@@ -26,12 +26,13 @@
 /// What else goes wrong during a trial.
 enum class Disturbance {
   kNone,
-  kLeaderPause,  ///< 1 to 10 minutes
-  kLogOutage,    ///< 1 to 15 minutes
-  kEntryKills,   ///< three entries with their control daemons, one by one
-  kAll,
+  kLeaderPause,   ///< 1 to 10 minutes
+  kLogOutage,     ///< 1 to 15 minutes
+  kEntryKills,    ///< three entries with their control daemons, one by one
+  kAll,           ///< the three above together
+  kLogDownAtEnd,  ///< from some instant to after the deadline
 };
-inline constexpr int kDisturbances = 5;
+inline constexpr int kDisturbances = 6;
 
 /// Name for tables, e.g. "one in fifty".
 const char* FaultKindName(FaultKind kind);
--- a/src/trial/trial_grid.cc
+++ b/src/trial/trial_grid.cc
@@ -53,7 +53,9 @@
     }
     for (int n = 0; n < kDisturbances; ++n) {
       const Disturbance disturbance = static_cast<Disturbance>(n);
-      if (disturbance != Disturbance::kAll || options.extras) {
+      const bool extra = disturbance == Disturbance::kAll ||
+                         disturbance == Disturbance::kLogDownAtEnd;
+      if (!extra || options.extras) {
         AddCell(options, kind, disturbance, &out);
       }
     }
--- a/tests/move/move_controller_test.cc
+++ b/tests/move/move_controller_test.cc
@@ -109,6 +109,19 @@
   EXPECT_FALSE(Step(minutes(30)).advance);
 }
 
+TEST_F(MoveControllerTest, LittleTrafficRaisesTheFirstShare) {
+  Begin();
+  Serve("v1", "w", 800, 0);
+  Serve("v2", "w", 9, 0);
+  const int before = state_.share_permille;
+  ASSERT_TRUE(Step(minutes(20)).advance);
+  EXPECT_EQ(state_.share_permille, 2 * before);
+  EXPECT_GT(controller_->Share(state_).max_in_flight, 0);
+  Serve("v1", "w", 800, 0);
+  Serve("v2", "w", 18, 0);
+  EXPECT_FALSE(Step(minutes(40)).advance);
+}
+
 TEST_F(MoveControllerTest, RouteWithTrafficAndNoExposureStopsGrowth) {
   Begin();
   Serve("v1", "w", 100 * kMany, 0);
--- a/tests/move/move_grid_test.cc
+++ b/tests/move/move_grid_test.cc
@@ -41,6 +41,18 @@
   EXPECT_EQ(result.after_withdrawal, 0U);
 }
 
+TEST_F(MoveGridTest, LogDownAcrossTheDeadlineTakesTheMoveBackBeforeIt) {
+  for (const FaultKind fault : {FaultKind::kNone, FaultKind::kOneInFifty}) {
+    TrialSpec spec;
+    spec.fault = fault;
+    spec.disturbance = Disturbance::kLogDownAtEnd;
+    const TrialResult result = RunTrial(spec);
+    EXPECT_EQ(result.end, MovePhase::kRolledBack);
+    EXPECT_TRUE(result.withdrawn);
+    EXPECT_EQ(result.after_withdrawal, 0U);
+  }
+}
+
 TEST_F(MoveGridTest, EqualSpecsGiveEqualResults) {
   TrialSpec spec;
   spec.fault = FaultKind::kOneRoute;
