--- a/src/load/load_runner.cc
+++ b/src/load/load_runner.cc
@@ -46,6 +46,8 @@
         [](const FaultEvent& a, const FaultEvent& b) { return a.at < b.at; });
     sessions_.reserve(plan_.size());
     start_ = clock_->Now();
+    session_options_ = {experiment.prompts, experiment.retries.max_retries,
+                        targets.direct, clock_->WallNow()};
   }
 
   LoadResult Run() {
@@ -130,8 +132,7 @@
     while (next_ < plan_.size() && plan_[next_].at <= now) {
       const PlannedRequest& plan = plan_[next_++];
       sessions_.push_back(std::make_unique<LoadSession>(
-          plan, experiment_.classes[plan.request_class], experiment_.prompts,
-          experiment_.retries.max_retries, targets_.direct));
+          plan, experiment_.classes[plan.request_class], session_options_));
       Send(sessions_.size() - 1, SessionStep::kSend);
     }
     while (!later_.empty() && later_.begin()->first <= now) {
@@ -238,6 +239,7 @@
   std::unique_ptr<Clock> clock_;
   std::unique_ptr<TargetClient> client_;
   Time start_;
+  SessionOptions session_options_;
   std::vector<std::unique_ptr<LoadSession>> sessions_;
   std::unordered_map<std::uint64_t, std::size_t> open_;  ///< by handle
   std::multimap<Duration, Later> later_;
--- a/src/load/load_session.cc
+++ b/src/load/load_session.cc
@@ -31,14 +31,12 @@
 
 LoadSession::LoadSession(const PlannedRequest& plan,
                          const RequestClass& request_class,
-                         const PromptShape& prompts, int max_retries,
-                         bool direct)
+                         const SessionOptions& options)
     : plan_(plan),
       class_(request_class),
-      prompts_(prompts),
-      retries_left_(max_retries),
-      direct_(direct),
-      check_(plan.id, plan.max_tokens, direct),
+      options_(options),
+      retries_left_(options.max_retries),
+      check_(plan.id, plan.max_tokens, options.direct),
       parser_(kMaxEvent) {
   record_.id = plan.id;
   record_.request_class = plan.request_class;
@@ -73,11 +71,19 @@
   out.headers["Deadline-Ms"] = std::to_string(
       std::max<std::int64_t>(1, left.count() / kMicrosecondsPerMs));
   if (class_.service) {
-    out.headers["Idempotency-Key"] = "key-" + plan_.id;
+    out.headers["Idempotency-Key"] = Key();
   }
   return out;
 }
 
+// The date of issue in front is what lets the system forget old keys.
+std::string LoadSession::Key() const {
+  const WallTime issued =
+      options_.run_start +
+      std::chrono::duration_cast<std::chrono::milliseconds>(plan_.at);
+  return fmt::format("{:013}-{}", issued.time_since_epoch().count(), plan_.id);
+}
+
 std::string LoadSession::Body() const {
   if (class_.service) {
     return fmt::format(R"({{"call":"{}"}})", plan_.id);
@@ -85,7 +91,7 @@
   return fmt::format(R"({{"model":"{}","stream":true,"max_tokens":{},)"
                      R"("messages":[{{"role":"user","content":"{}"}}]}})",
                      class_.model, plan_.max_tokens,
-                     PromptText(plan_, prompts_));
+                     PromptText(plan_, options_.prompts));
 }
 
 SessionStep LoadSession::TakeHead(
@@ -158,7 +164,7 @@
     return SessionStep::kDone;
   }
   retry_delay_ = kReconnectDelay;
-  const bool resumable = !direct_ && !resume_handle_.empty();
+  const bool resumable = !options_.direct && !resume_handle_.empty();
   if (resumable && (streaming_ || end != TargetEnd::kComplete)) {
     return record_.resumes < kMaxResumes
                ? SessionStep::kResume
--- a/src/load/load_session.h
+++ b/src/load/load_session.h
@@ -23,13 +23,22 @@
   kResume,  ///< resume the answer at another entry, after RetryDelay
 };
 
+/// What sessions of one run have in common.
+struct SessionOptions {
+  PromptShape prompts;
+  int max_retries = 0;
+  bool direct = false;  ///< exchanges go to an engine, without an entry
+  WallTime run_start;   ///< date of idempotency keys
+
+  bool operator==(const SessionOptions&) const = default;
+};
+
 /// One request of a run, over all its exchanges. No sockets and no clock:
 /// instants since the start of the run are passed in.
 class LoadSession {
  public:
-  /// @param direct whether exchanges go to an engine, without an entry
   LoadSession(const PlannedRequest& plan, const RequestClass& request_class,
-              const PromptShape& prompts, int max_retries, bool direct);
+              const SessionOptions& options);
 
   /// Request of the next exchange, to send to `address` now.
   TargetRequest Begin(SessionStep step, const std::string& address,
@@ -58,12 +67,12 @@
   SessionStep Finish(RequestEnd end, const std::string& reason, Duration now);
   SessionStep FinishWhole(Duration now);
   std::string Body() const;
+  std::string Key() const;
 
   PlannedRequest plan_;
   RequestClass class_;
-  PromptShape prompts_;
+  SessionOptions options_;
   int retries_left_;
-  bool direct_;
   RequestRecord record_;
   AnswerCheck check_;
   EventStreamParser parser_;
--- a/tests/load/load_session_test.cc
+++ b/tests/load/load_session_test.cc
@@ -17,7 +17,10 @@
   }
 
   LoadSession Make(int retries = 0) {
-    LoadSession session(plan_, class_, PromptShape(), retries, false);
+    SessionOptions options;
+    options.max_retries = retries;
+    options.run_start = WallTime(std::chrono::milliseconds(1'796'000'000'000));
+    LoadSession session(plan_, class_, options);
     session.Begin(SessionStep::kSend, "127.0.0.1:1", Ms(150));
     return session;
   }
@@ -140,6 +143,16 @@
   EXPECT_EQ(session.Record().reason, "queue_full");
 }
 
+TEST_F(LoadSessionTest, ServiceKeyCarriesDateOfIssue) {
+  class_.service = true;
+  SessionOptions options;
+  options.run_start = WallTime(std::chrono::milliseconds(1'796'000'000'000));
+  LoadSession session(plan_, class_, options);
+  const TargetRequest request =
+      session.Begin(SessionStep::kSend, "127.0.0.1:1", Ms(150));
+  EXPECT_EQ(request.headers.at("Idempotency-Key"), "1796000000100-r1");
+}
+
 TEST_F(LoadSessionTest, BytesMalformedNeverThrow) {
   for (int seed = 0; seed < 2'000; ++seed) {
     std::string bytes = Part(1) + Part(2) + Tail();
