Look behind work that no free target can finish in time

Cause: a long request at the head that only busy targets could finish in time kept its whole tier waiting while lower tiers took the free credits. A target that had not run anything for a while kept its last speed for good, and one that came back from ejection kept its old credits (FailingTargetIsEjectedAndComesBack failed: 2 requests, none after the return). A second loss of the same target to the same content did not count (PoisonIsRefusedAfterLimitOfDistinctTargets failed: 1 loss in place of 2).

Change: one pass looks behind up to eight such requests and puts them back in their place. Only work that is in time even at the last known speed tries a slow target again. A deadline that no idle target can meet is refused without closing lower tiers; one that only load makes impossible counts as a shortage. Losses of one target count again after five seconds; a lost target pauses for a second. The long length is the 97th percentile.

--- a/bench/schedule/overload_bench.cc
+++ b/bench/schedule/overload_bench.cc
@@ -39,7 +39,7 @@
                     static_cast<int>(SchedulePolicy::kLeastReported),
                     static_cast<int>(SchedulePolicy::kOneQueue)},
                    {80, 100, 120, 200},
-                   {1, 2, 3}})
+                   {1, 2, 3, 4, 5}})
     ->Iterations(1)
     ->Unit(benchmark::kSecond);
 
--- a/include/hornbeamcleat/schedule/scheduler.h
+++ b/include/hornbeamcleat/schedule/scheduler.h
@@ -30,7 +30,7 @@
   std::uint64_t seed = 1;  ///< of come-back times and tie breaks
   int max_queued = 10'000;
   int max_attempts = 4;  ///< dispatches that ended in "not run"
-  int poison_limit = 2;  ///< distinct targets lost to one content
+  int poison_limit = 2;  ///< losses of targets to one content
   Duration poison_expiry = std::chrono::minutes(10);
   Duration stall_time = std::chrono::seconds(2);  ///< without progress
   /// Longest time that a closed rank takes to reach all entries in contact.
--- a/src/schedule/admission.cc
+++ b/src/schedule/admission.cc
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-void Admission::Predict(RequestState* request) const {
+void Admission::Predict(RequestState* request, Time now) const {
   const PoolSummary& pool = request->model->pool;
   request->length = lengths_.Predict(*request->route, request->spec.max_tokens);
   request->cost = pool.mean_first_part + request->length.mean * pool.mean_gap;
@@ -27,6 +27,9 @@
     const double parts = learned ? request->length.median : 1;
     request->latest_start -=
         FromSeconds(pool.best_first_part + parts * pool.best_gap);
+    request->hopeless = request->deadline - FromSeconds(pool.idle_first_part +
+                                                        parts * pool.idle_gap) <
+                        now;
   }
 }
 
@@ -45,21 +48,22 @@
 
 bool Admission::RunsShort(const RequestState& request, double wait,
                           Time now) const {
-  return options_.policy == SchedulePolicy::kFull && wait > 0 &&
-         wait > kShortage * Slack(request, now);
+  const double slack = Slack(request, now);
+  return options_.policy == SchedulePolicy::kFull && !request.hopeless &&
+         (slack < 0 || (wait > 0 && wait > kShortage * slack));
 }
 
 std::optional<Reason> Admission::Refusal(const RequestState& request,
                                          double wait, Time now) const {
   const TierFloor& floor = request.model->floor;
-  const double slack = Slack(request, now);
-  if (slack < 0) {
+  // Not for lack of capacity, so lower tiers need not close for it.
+  if (request.hopeless) {
     return Reason::kDeadline;
   }
   if (floor.Closed(request.route->rank)) {
     return Reason::kTierClosed;
   }
-  if (wait > slack && floor.MayShed(request.route->rank, now)) {
+  if (wait > Slack(request, now) && floor.MayShed(request.route->rank, now)) {
     return Reason::kDeadline;
   }
   return std::nullopt;
@@ -69,7 +73,7 @@
   const Duration lead =
       FromSeconds(kWarnSettles * ToSeconds(options_.floor_settle));
   const Duration half = (request.latest_start - now) / 2;
-  return std::max(request.latest_start - lead, now + half);
+  return std::max({now, request.latest_start - lead, now + half});
 }
 
 double Admission::Slack(const RequestState& request, Time now) const {
--- a/src/schedule/admission.h
+++ b/src/schedule/admission.h
@@ -16,8 +16,8 @@
  public:
   explicit Admission(const SchedulerOptions& options) : options_(options) {}
 
-  /// Fills in length, cost and latest start.
-  void Predict(RequestState* request) const;
+  /// Fills in length, cost, latest start and whether there is any hope.
+  void Predict(RequestState* request, Time now) const;
 
   /// Seconds until a new request of this kind would be dispatched.
   double Wait(const RequestState& request, Time now) const;
--- a/src/schedule/dispatcher.cc
+++ b/src/schedule/dispatcher.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t kNoLane = 2;
+/// Waiting requests that one pass looks behind.
+constexpr std::size_t kMaxPassedOver = 8;
 
 std::set<int> RanksOf(const ConfigState& config) {
   std::set<int> ranks;
@@ -116,13 +118,17 @@
 void Dispatcher::Dispatch(ModelState* model, Time now, Actions* actions) {
   LeastRanks least_ranks;
   least_ranks.fill(std::numeric_limits<int>::min());
+  std::vector<RequestState*> passed_over;
   std::size_t lane =
       chooser_.AnyFree(*model, now) ? BestLane(*model, least_ranks) : kNoLane;
   while (lane != kNoLane) {
     RequestState* request = model->lanes[lane].Head(least_ranks[lane]);
     TargetState* target = chooser_.Choose(*request, *model, now);
-    if (target == nullptr) {
-      // Work of a greater rank may still fit a target that this can't use.
+    if (target == nullptr && passed_over.size() < kMaxPassedOver) {
+      // Work behind it may still fit a target that this can't use.
+      model->lanes[lane].Remove(request);
+      passed_over.push_back(request);
+    } else if (target == nullptr) {
       least_ranks[lane] = request->route->rank + 1;
     } else {
       model->lanes[lane].Pop(request);
@@ -130,11 +136,14 @@
       --queued_;
       Start(request, target, now, actions);
       if (!chooser_.AnyFree(*model, now)) {
-        return;
+        break;
       }
     }
     lane = BestLane(*model, least_ranks);
   }
+  for (auto it = passed_over.rbegin(); it != passed_over.rend(); ++it) {
+    model->lanes[(*it)->prefers_new ? 1 : 0].PushFront(*it);
+  }
 }
 
 void Dispatcher::DispatchAll(Time now, Actions* actions) {
--- a/src/schedule/fair_queue.cc
+++ b/src/schedule/fair_queue.cc
@@ -5,16 +5,26 @@
 namespace hornbeamcleat {
 
 void FairQueue::Push(RequestState* request) {
-  const std::uint64_t workspace = Key(*request);
-  const auto [it, is_new] = flows_.try_emplace(workspace);
-  Flow& flow = it->second;
+  Flow* flow = Activate(*request);
+  request->place = flow->waiting.insert(flow->waiting.end(), request);
+  ++size_;
+}
+
+void FairQueue::PushFront(RequestState* request) {
+  Flow* flow = Activate(*request);
+  request->place = flow->waiting.insert(flow->waiting.begin(), request);
+  ++size_;
+}
+
+FairQueue::Flow* FairQueue::Activate(const RequestState& request) {
+  const std::uint64_t workspace = Key(request);
+  Flow& flow = flows_[workspace];
   if (flow.waiting.empty()) {
     idle_.erase({flow.start, workspace});
     flow.start = std::max(flow.start, virtual_time_);
     active_.emplace(flow.start, workspace);
   }
-  request->place = flow.waiting.insert(flow.waiting.end(), request);
-  ++size_;
+  return &flow;
 }
 
 RequestState* FairQueue::Head() const {
--- a/src/schedule/fair_queue.h
+++ b/src/schedule/fair_queue.h
@@ -25,6 +25,9 @@
   /// Adds a request at the end of its workspace's queue.
   void Push(RequestState* request);
 
+  /// Puts a removed request back at the front of its workspace's queue.
+  void PushFront(RequestState* request);
+
   /// Next request to serve; nullptr if empty.
   RequestState* Head() const;
 
@@ -54,6 +57,7 @@
   using Flows = std::unordered_map<std::uint64_t, Flow>;
 
   std::uint64_t Key(const RequestState& request) const;
+  Flow* Activate(const RequestState& request);
   void Deactivate(Flows::iterator it);
   void DropIdle();
 
--- a/src/schedule/latency_limit.h
+++ b/src/schedule/latency_limit.h
@@ -39,6 +39,11 @@
 
   double Limit() const { return limit_; }
 
+  /// Least average gap and first-part time seen in a period, in seconds; 0 if
+  /// none was.
+  double LeastGap() const { return least_gap_; }
+  double LeastFirstPart() const { return least_first_part_; }
+
  private:
   double Overload();
 
--- a/src/schedule/length_predictor.cc
+++ b/src/schedule/length_predictor.cc
@@ -10,8 +10,8 @@
 constexpr double kLeastGain = 0.02;
 /// Greatest step of a quantile per sample, as a factor's logarithm.
 constexpr double kFirstStep = 1.0;
-/// First guess of p90 over the median.
-constexpr double kFirstSpread = 1.5;
+/// First guess of the 97th percentile over the median.
+constexpr double kFirstSpread = 2;
 
 double Stepped(double value, double sample, double quantile, double step) {
   const double direction = sample > value ? quantile : quantile - 1;
@@ -42,7 +42,7 @@
     const double cap = max_parts;
     found.mean = std::min(found.mean, cap);
     found.median = std::min(found.median, cap);
-    found.p90 = std::min(found.p90, cap);
+    found.p97 = std::min(found.p97, cap);
   }
   return found;
 }
@@ -61,7 +61,7 @@
     const double step =
         2 * std::max(kLeastGain, kFirstStep / estimate->samples);
     estimate->median = Stepped(estimate->median, parts, 0.5, step);
-    estimate->p90 = Stepped(estimate->p90, parts, 0.9, step);
+    estimate->p97 = Stepped(estimate->p97, parts, 0.97, step);
   }
   ++estimate->samples;
 }
--- a/src/schedule/length_predictor.h
+++ b/src/schedule/length_predictor.h
@@ -14,8 +14,8 @@
 struct LengthEstimate {
   double mean = 100;
   double median = 100;
-  double p90 = 200;
-  int samples = 0;  ///< of this very route
+  double p97 = 300;  ///< 97th percentile
+  int samples = 0;   ///< of this very route
 
   bool operator==(const LengthEstimate&) const = default;
 };
--- a/src/schedule/outlier_ejection.cc
+++ b/src/schedule/outlier_ejection.cc
@@ -41,15 +41,18 @@
   return true;
 }
 
-void OutlierEjection::Tick(const Pool& pool, Time now) {
+OutlierEjection::Pool OutlierEjection::Tick(const Pool& pool, Time now) {
+  Pool back;
   for (TargetState* target : pool) {
     if (target->health.ejected && now >= target->health.until) {
       target->health.ejected = false;
       target->health.faults_in_a_row = 0;
       target->health.fault_ratio = 0;
       target->limit.SlowStart();
+      back.push_back(target);
     }
   }
+  return back;
 }
 
 bool OutlierEjection::MayEject(const Pool& pool) {
--- a/src/schedule/outlier_ejection.h
+++ b/src/schedule/outlier_ejection.h
@@ -36,7 +36,8 @@
   bool OnFault(TargetState* target, const Pool& pool, Time now);
 
   /// Takes back the targets whose time is over.
-  void Tick(const Pool& pool, Time now);
+  /// @return the targets taken back, whose limit has changed
+  Pool Tick(const Pool& pool, Time now);
 
  private:
   static bool MayEject(const Pool& pool);
--- a/src/schedule/poison_table.cc
+++ b/src/schedule/poison_table.cc
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace hornbeamcleat {
+namespace {
+
+/// Losses of one target within this time are one.
+constexpr Duration kOneLoss = std::chrono::seconds(5);
+
+}  // namespace
 
 void PoisonTable::OnTargetLost(std::uint64_t fingerprint,
                                const TargetName& target, Time now) {
@@ -10,7 +16,11 @@
     DropOldest();
   }
   Entry& entry = entries_[fingerprint];
-  entry.targets.insert(target);
+  const auto [it, is_new] = entry.last_by_target.try_emplace(target, now);
+  if (is_new || now >= it->second + kOneLoss) {
+    ++entry.losses;
+  }
+  it->second = now;
   entry.last = now;
 }
 
@@ -18,7 +28,7 @@
   int lost = 0;
   const auto own = entries_.find(fingerprint);
   if (own != entries_.end() && Live(own->second, now)) {
-    lost += static_cast<int>(own->second.targets.size());
+    lost += own->second.losses;
   }
   const auto peers = peers_.find(fingerprint);
   return peers == peers_.end() ? lost : lost + peers->second;
@@ -33,7 +43,7 @@
   std::map<std::uint64_t, int> own;
   for (const auto& [fingerprint, entry] : entries_) {
     if (Live(entry, now)) {
-      own[fingerprint] = static_cast<int>(entry.targets.size());
+      own[fingerprint] = entry.losses;
     }
   }
   return own;
--- a/src/schedule/poison_table.h
+++ b/src/schedule/poison_table.h
@@ -3,17 +3,18 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 
 #include "hornbeamcleat/base/time.h"
 #include "hornbeamcleat/schedule/request.h"
 
 namespace hornbeamcleat {
 
-/// Contents that were running when targets were lost, by fingerprint. Content
-/// seen at one loss is suspect and runs on a target without another suspect, so
-/// that a second loss convicts no bystander; at the limit it is refused until
-/// the entry expires. Bounded in number; the oldest entries go first.
+/// Contents that were running when targets were lost, by fingerprint. Losses of
+/// one target within a short time are one loss, since equal contents may have
+/// run there side by side. Content seen at one loss is suspect and runs on a
+/// target without another suspect, so that a second loss convicts no bystander;
+/// at the limit it is refused until the entry expires. Bounded in number; the
+/// oldest entries go first.
 class PoisonTable {
  public:
   static constexpr std::size_t kMaxEntries = 4'096;
@@ -27,7 +28,7 @@
   void OnTargetLost(std::uint64_t fingerprint, const TargetName& target,
                     Time now);
 
-  /// Distinct targets lost to the content, here and at the peers.
+  /// Losses of targets to the content, here and at the peers.
   int Lost(std::uint64_t fingerprint, Time now) const;
 
   bool Refused(std::uint64_t fingerprint, Time now) const {
@@ -41,7 +42,8 @@
 
  private:
   struct Entry {
-    std::set<TargetName> targets;
+    std::map<TargetName, Time> last_by_target;
+    int losses = 0;
     Time last;
   };
 
--- a/src/schedule/request_state.h
+++ b/src/schedule/request_state.h
@@ -41,9 +41,10 @@
   Time last_parts;  ///< when parts were last received
   ModelState* model = nullptr;
   LengthEstimate length;
-  bool suspect = false;  ///< its content was there when a target crashed
-  bool overdue = false;  ///< likely to miss its deadline, not refused yet
-  bool on_new = false;   ///< counted against the cap of a move
+  bool suspect = false;   ///< its content was there when a target crashed
+  bool hopeless = false;  ///< no target could finish it in time, even idle
+  bool overdue = false;   ///< likely to miss its deadline, not refused yet
+  bool on_new = false;    ///< counted against the cap of a move
   bool lost_connection = false;
   double predicted_wait = 0;  ///< seconds, on arrival
   double cost = 1;    ///< expected service time in seconds on a usual target
--- a/src/schedule/scheduler_events.cc
+++ b/src/schedule/scheduler_events.cc
@@ -8,6 +8,8 @@
 
 /// Least time for which a target that did not run a request gets none.
 constexpr Duration kPauseAfterNotRun = std::chrono::milliseconds(100);
+/// Time for which a target that was lost gets nothing.
+constexpr Duration kPauseAfterLoss = std::chrono::seconds(1);
 /// A first part may take this many times the target's usual time.
 constexpr double kSlowFirstPart = 4;
 
@@ -203,8 +205,8 @@
   Progress(request, now);
 }
 
-void SchedulerImpl::On(const ResumeFailed&, RequestState* request, Time now,
-                       Actions* actions) {
+void SchedulerImpl::On(const ResumeFailed& event, RequestState* request,
+                       Time now, Actions* actions) {
   if (request->phase != Phase::kResuming) {
     return;
   }
@@ -213,6 +215,9 @@
     // A silent target may be frozen or cut off; a broken one has crashed.
     poison_.OnTargetLost(request->spec.fingerprint, request->target->name, now);
   }
+  if (!event.target_alive) {
+    request->target->paused_until = now + kPauseAfterLoss;
+  }
   OnTargetFault(request, now);
   Refuse(request, Outcome::kUnknown, Reason::kTargetLost, now, actions);
 }
--- a/src/schedule/scheduler_impl.cc
+++ b/src/schedule/scheduler_impl.cc
@@ -84,7 +84,7 @@
 
 void SchedulerImpl::Enqueue(RequestState* request, Time now, Actions* actions) {
   dispatcher_.ChooseVersion(request);
-  admission_.Predict(request);
+  admission_.Predict(request, now);
   request->model->offered.Add(request->route->rank, request->cost, now);
   request->predicted_wait = admission_.Wait(*request, now);
   request->suspect = poison_.Lost(request->spec.fingerprint, now) > 0;
@@ -175,7 +175,9 @@
   poison_.Expire(now);
   TargetTable& targets = dispatcher_.Targets();
   for (const auto& [model, pool] : targets.Pools()) {
-    ejection_.Tick(pool, now);
+    for (TargetState* back : ejection_.Tick(pool, now)) {
+      targets.UpdateCredits(back);
+    }
     for (TargetState* target : pool) {
       const bool in_use = target->in_flight >= target->credits;
       if (target->limit.Update(in_use, now)) {
--- a/src/schedule/target_chooser.cc
+++ b/src/schedule/target_chooser.cc
@@ -13,11 +13,18 @@
 constexpr double kTooLate = 1e9;
 /// Answers after which a length counts as learned.
 constexpr int kLeastSamples = 8;
-/// Factor for a target on which one answer in ten would be late.
+/// Factor for a target on which a long answer would be late.
 constexpr double kRiskWeight = 2;
+/// Age of a target's speed after which its generation's stands in, so that a
+/// target that was slow is tried again.
+constexpr Duration kStaleAfter = std::chrono::seconds(15);
 /// Weight of own use of a target's credits, so that hot prefixes spread.
 constexpr double kLoadWeight = 0.3;
 
+double Seconds(const SpeedEstimate& speed, double uncached, double parts) {
+  return speed.FirstPart() * uncached + parts * speed.Gap();
+}
+
 }  // namespace
 
 bool TargetChooser::HasTarget(const RequestState& request) const {
@@ -77,16 +84,21 @@
   const double uncached = blocks == 0 ? 1
                                       : 1 - static_cast<double>(cached_blocks) /
                                                 static_cast<double>(blocks);
-  const double seconds = target.speed.FirstPart() * uncached +
-                         request.length.median * target.speed.Gap();
   const double remaining = ToSeconds(request.deadline - now);
-  if (seconds > remaining && !request.overdue &&
+  const double own = Seconds(target.speed, uncached, request.length.median);
+  if (own > remaining && !request.overdue &&
       request.length.samples >= kLeastSamples) {
     return kTooLate;
   }
-  const double long_answer = target.speed.FirstPart() * uncached +
-                             request.length.p90 * target.speed.Gap();
-  const double risk = long_answer > remaining ? kRiskWeight : 1;
+  const double long_answer =
+      Seconds(target.speed, uncached, request.length.p97);
+  const bool risky = long_answer > remaining;
+  // Only work that would still be in time tries a target that was slow again.
+  const bool stale = !risky && now > target.speed.Updated() + kStaleAfter;
+  const double seconds =
+      stale ? Seconds(*target.generation, uncached, request.length.median)
+            : own;
+  const double risk = risky ? kRiskWeight : 1;
   const double load = static_cast<double>(target.in_flight) / target.credits;
   std::uniform_real_distribution<double> jitter(1, 1 + kJitter);
   return risk * seconds * (1 + kLoadWeight * load) * jitter(random_);
--- a/src/schedule/target_table.cc
+++ b/src/schedule/target_table.cc
@@ -118,6 +118,13 @@
     const double gap = target->speed.Gap();
     const double first_part = target->speed.FirstPart();
     const bool first = sum.targets == 0;
+    const double idle_gap = std::min(gap, target->limit.LeastGap());
+    const double idle_first_part =
+        std::min(first_part, target->limit.LeastFirstPart());
+    sum.idle_gap = first ? idle_gap : std::min(sum.idle_gap, idle_gap);
+    sum.idle_first_part = first
+                              ? idle_first_part
+                              : std::min(sum.idle_first_part, idle_first_part);
     sum.best_gap = first ? gap : std::min(sum.best_gap, gap);
     sum.best_first_part =
         first ? first_part : std::min(sum.best_first_part, first_part);
--- a/src/schedule/target_table.h
+++ b/src/schedule/target_table.h
@@ -59,6 +59,9 @@
   double best_gap = 0.03;
   double mean_first_part = 0.2;
   double best_first_part = 0.2;
+  /// Of the best target without load.
+  double idle_gap = 0.03;
+  double idle_first_part = 0.2;
 
   bool operator==(const PoolSummary&) const = default;
 };
--- a/src/schedule/tier_queue.cc
+++ b/src/schedule/tier_queue.cc
@@ -7,10 +7,18 @@
 }
 
 void TierQueue::Push(RequestState* request) {
+  Added(request)->queue.Push(request);
+}
+
+void TierQueue::PushFront(RequestState* request) {
+  Added(request)->queue.PushFront(request);
+}
+
+TierQueue::Tier* TierQueue::Added(RequestState* request) {
   Tier& tier = by_rank_.try_emplace(Key(*request), tiers_).first->second;
-  tier.queue.Push(request);
   tier.seconds += request->cost;
   ++size_;
+  return &tier;
 }
 
 void TierQueue::Remove(RequestState* request) {
--- a/src/schedule/tier_queue.h
+++ b/src/schedule/tier_queue.h
@@ -16,6 +16,9 @@
 
   void Push(RequestState* request);
 
+  /// Puts a removed request back before the others of its workspace.
+  void PushFront(RequestState* request);
+
   /// Removes a waiting request that is not served.
   void Remove(RequestState* request);
 
@@ -48,6 +51,7 @@
   using Tiers = std::map<int, Tier>;
 
   int Key(const RequestState& request) const;
+  Tier* Added(RequestState* request);
   void Took(Tiers::iterator it, double cost);
 
   bool tiers_;
