--- a/src/control/api_backend.h
+++ b/src/control/api_backend.h
@@ -27,6 +27,10 @@
   /// Configuration in force; null until it is known.
   virtual std::shared_ptr<const ConfigState> Config() = 0;
 
+  /// Why a resource would not be accepted now although it is valid, such as a
+  /// move that can't finish in time; empty if it would.
+  virtual std::string Objection(const Resource& resource) = 0;
+
   /// Proposes a change and waits for the log's decision.
   virtual ApplyAnswer Apply(const ConfigRecord& record) = 0;
 
--- a/src/control/api_router.cc
+++ b/src/control/api_router.cc
@@ -166,6 +166,10 @@
                      "kind and name differ between path and body");
     }
     ValidateResource(resource);
+    if (const std::string objection = backend_->Objection(resource);
+        !objection.empty()) {
+      return Problem(422, "Invalid", objection);
+    }
     const std::uint64_t expected = resource.version;
     resource.version = 0;
     return Answer(path, backend_->Apply(PutRecord{resource, expected}));
--- a/src/control/apply_tracker.cc
+++ b/src/control/apply_tracker.cc
@@ -3,9 +3,6 @@
 namespace hornbeamcleat {
 namespace {
 
-// Records that may be folded between an append and its answer.
-constexpr std::size_t kMaxFolded = 4'096;
-
 ApplyAnswer AnswerOf(FoldResult result, std::uint64_t offset) {
   switch (result) {
     case FoldResult::kApplied:
@@ -21,37 +18,28 @@
 
 }  // namespace
 
-void ApplyTracker::Begin(std::uint64_t token,
+void ApplyTracker::Begin(std::uint64_t token, const std::string& writer,
                          ControlCore::ApplyCallback callback, Time expires) {
-  waiting_[token] = {std::move(callback), expires, 0};
+  waiting_[token] = {std::move(callback), expires, writer};
 }
 
-bool ApplyTracker::OnAppendEnd(std::uint64_t token, AppendEnd end,
-                               std::uint64_t offset) {
+bool ApplyTracker::OnAppendEnd(std::uint64_t token, AppendEnd end) {
   const std::map<std::uint64_t, Waiting>::iterator it = waiting_.find(token);
   if (it == waiting_.end()) {
     return false;
   }
+  // Done or unknown, the record's tag is waited for.
   if (end == AppendEnd::kFailed) {
     Finish(it, {ApplyEnd::kUnavailable, 0, "the log is unavailable"});
-  } else if (end == AppendEnd::kUnknown) {
-    Finish(it, {ApplyEnd::kUnknown, 0, "the log's answer was lost"});
-  } else {
-    it->second.offset = offset;
-    TryFinish(it);
   }
   return true;
 }
 
-void ApplyTracker::OnFolded(std::uint64_t offset, FoldResult result) {
-  folded_.emplace_back(offset, result);
-  if (folded_.size() > kMaxFolded) {
-    folded_.pop_front();
-  }
+void ApplyTracker::OnFolded(const FoldedRecord& record) {
   for (std::map<std::uint64_t, Waiting>::iterator it = waiting_.begin();
        it != waiting_.end(); ++it) {
-    if (it->second.offset == offset) {
-      TryFinish(it);
+    if (it->second.writer == record.writer) {
+      Finish(it, AnswerOf(record.result, record.offset));
       return;
     }
   }
@@ -74,14 +62,4 @@
   callback(answer);
 }
 
-bool ApplyTracker::TryFinish(std::map<std::uint64_t, Waiting>::iterator it) {
-  for (const auto& [offset, result] : folded_) {
-    if (offset == it->second.offset) {
-      Finish(it, AnswerOf(result, offset));
-      return true;
-    }
-  }
-  return false;
-}
-
 }  // namespace hornbeamcleat
--- a/src/control/apply_tracker.h
+++ b/src/control/apply_tracker.h
@@ -2,11 +2,10 @@
 #define HORNBEAMCLEAT_SRC_CONTROL_APPLY_TRACKER_H_
 
 #include <cstdint>
-#include <deque>
 #include <map>
-#include <utility>
+#include <string>
 
-#include "hornbeamcleat/config/config_state.h"
+#include "hornbeamcleat/config/config_tail.h"
 #include "src/control/control_core.h"
 
 namespace hornbeamcleat {
@@ -16,14 +15,16 @@
 class ApplyTracker {
  public:
   /// Remembers a change whose append was started with `token`.
-  void Begin(std::uint64_t token, ControlCore::ApplyCallback callback,
-             Time expires);
+  /// @param writer tag of its record, by which it is found when the append's
+  ///   answer is lost
+  void Begin(std::uint64_t token, const std::string& writer,
+             ControlCore::ApplyCallback callback, Time expires);
 
   /// Takes the end of an append; false if `token` is not one of its own.
-  bool OnAppendEnd(std::uint64_t token, AppendEnd end, std::uint64_t offset);
+  bool OnAppendEnd(std::uint64_t token, AppendEnd end);
 
-  /// Takes the result of folding the record at `offset`.
-  void OnFolded(std::uint64_t offset, FoldResult result);
+  /// Takes the result of folding a record.
+  void OnFolded(const FoldedRecord& record);
 
   /// Answers "unknown" for what has waited too long.
   void Tick(Time now);
@@ -32,15 +33,13 @@
   struct Waiting {
     ControlCore::ApplyCallback callback;
     Time expires;
-    std::uint64_t offset = 0;  // 0 until the append is answered
+    std::string writer;
   };
 
   void Finish(std::map<std::uint64_t, Waiting>::iterator it,
               const ApplyAnswer& answer);
-  bool TryFinish(std::map<std::uint64_t, Waiting>::iterator it);
 
-  std::map<std::uint64_t, Waiting> waiting_;                 // by token
-  std::deque<std::pair<std::uint64_t, FoldResult>> folded_;  // latest last
+  std::map<std::uint64_t, Waiting> waiting_;  // by token
 };
 
 }  // namespace hornbeamcleat
--- /dev/null
+++ b/src/control/blocking_calls.cc
@@ -0,0 +1,89 @@
+#include "src/control/blocking_calls.h"
+
+#include <cxxtools/http/client.h>
+#include <cxxtools/http/request.h>
+#include <fmt/format.h>
+
+#include "hornbeamcleat/base/error.h"
+#include "src/base/json.h"
+
+namespace hornbeamcleat {
+namespace {
+
+using cxxtools::SerializationInfo;
+
+constexpr double kTimeoutMs = 2'000;
+constexpr unsigned kOk = 200;
+constexpr std::size_t kMaxState = 1024 * 1024;  // bytes
+
+std::string Exchange(const std::string& step, const Address& peer,
+                     const cxxtools::http::Request& request, bool tls) {
+  try {
+    cxxtools::http::Client client(peer.ip, peer.port, tls);
+    const cxxtools::Milliseconds timeout(kTimeoutMs);
+    client.execute(request, timeout, timeout);
+    client.readBody();
+    if (client.header().httpReturnCode() != kOk) {
+      throw Error(step, peer.ToString(),
+                  fmt::format("status {}", client.header().httpReturnCode()));
+    }
+    return client.body();
+  } catch (const Error&) {
+    throw;
+  } catch (const std::exception& e) {
+    throw Error(step, peer.ToString(), e.what());
+  }
+}
+
+bool Lists(const SerializationInfo& state, const std::string& member,
+           const TargetToObserve& target) {
+  const SerializationInfo* list = state.findMember(member);
+  if (list == nullptr) {
+    return false;
+  }
+  for (const SerializationInfo& entry : *list) {
+    if (JsonMember<std::string>(entry, "model", "") == target.model &&
+        JsonMember<std::string>(entry, "version", "") == target.version) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+std::string HttpGet(const std::string& step, const Address& peer,
+                    const std::string& url, const std::string& token,
+                    bool tls) {
+  cxxtools::http::Request request(url);
+  if (!token.empty()) {
+    request.setHeader("Authorization:", ("Bearer " + token).c_str());
+  }
+  return Exchange(step, peer, request, tls);
+}
+
+LoadState ObserveTarget(const TargetToObserve& target) {
+  const SerializationInfo state =
+      ParseJson(HttpGet("observe target", Address::Parse(target.address),
+                        "/admin/state", "", false),
+                kMaxState);
+  if (Lists(state, "loaded", target)) {
+    return LoadState::kLoaded;
+  }
+  return Lists(state, "loading", target) ? LoadState::kLoading
+                                         : LoadState::kAbsent;
+}
+
+void SendLoadOrder(const AddressedOrder& order) {
+  SerializationInfo value;
+  value.addValue("model", order.order.model);
+  value.addValue("version", order.order.version);
+  value.addValue("fencing", order.order.fencing);
+  cxxtools::http::Request request(order.order.load ? "/admin/load"
+                                                   : "/admin/unload");
+  request.method("POST");
+  request.body() << FormatJson(value);
+  Exchange("order target", Address::Parse(order.address), request, false);
+}
+
+}  // namespace hornbeamcleat
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -13,6 +13,7 @@
 #include "src/control/entry_fact.h"
 #include "src/control/evidence_exchange.h"
 #include "src/control/move_driver.h"
+#include "src/control/peer_facts.h"
 #include "src/control/view_builder.h"
 
 namespace hornbeamcleat {
@@ -22,27 +23,11 @@
 constexpr Duration kMovePeriod = std::chrono::milliseconds(200);
 constexpr Duration kFactPeriod = std::chrono::seconds(1);
 constexpr Duration kWithdrawRetry = std::chrono::seconds(1);
+constexpr Duration kSnapshotRetry = std::chrono::seconds(5);
 constexpr Duration kFetchRetry = std::chrono::seconds(1);
 constexpr int kMilli = 1'000;
 constexpr int kFullLoadOpen = 2'000;  // open answers at which an entry is full
 
-using VersionKey = std::pair<std::string, std::string>;
-
-std::string WithdrawnFactKey(const VersionKey& key) {
-  return fmt::format("{}{}/{}", kWithdrawnPrefix, key.first, key.second);
-}
-
-// Model and version of a withdrawal's key; the model has no slash.
-bool ParseWithdrawnKey(const std::string& key, VersionKey* out) {
-  const std::size_t prefix = std::string_view(kWithdrawnPrefix).size();
-  const std::size_t slash = key.find('/', prefix);
-  if (!key.starts_with(kWithdrawnPrefix) || slash == std::string::npos) {
-    return false;
-  }
-  *out = {key.substr(prefix, slash - prefix), key.substr(slash + 1)};
-  return true;
-}
-
 std::string HolderName(const Member& self) {
   return fmt::format("{}#{}", self.name, self.incarnation);
 }
@@ -58,32 +43,42 @@
         lease_(
             Lease::Make(kMoveLease, HolderName(options.self), options.lease)),
         intents_(Intents::Make(HolderName(options.self), options.intents)),
-        moves_(MoveDriver::Make(options.seed)) {}
+        moves_(MoveDriver::Make(options.seed)),
+        tail_(ConfigTail::Make(HolderName(options.self), options.config)),
+        facts_(options.self.name, evidence_.get(), metrics),
+        orders_(options.lease.longest_order) {}
 
   std::uint64_t NextOffset(const std::string& stream) const override {
+    if (stream == kConfigStream) {
+      return tail_->NextOffset();
+    }
     const std::map<std::string, std::uint64_t>::const_iterator it =
         next_offset_.find(stream);
     return it == next_offset_.end() ? 1 : it->second;
   }
 
-  void OnLogRead(const std::string& stream, const LogRead& read,
-                 Time now) override {
+  void OnLogRead(const std::string& stream, std::uint64_t from,
+                 const LogRead& read, Time now) override {
     if (stream == kConfigStream) {
       log_seen_ = now;
-      FoldConfig(read);
-    } else if (stream == kLeaseStream) {
-      for (const LogRecord& record : read.records) {
-        lease_->OnRecord(record.offset, record.payload, now);
+      // A peer's state may have moved the offset since the read began.
+      if (from == tail_->NextOffset()) {
+        TakeUpdate(tail_->OnRead(read), now);
       }
-    } else if (stream == kIntentStream) {
-      FoldIntents(read, now);
+      return;
+    }
+    for (const LogRecord& record : read.records) {
+      TakeRecord(stream, record, now);
     }
     Advance(stream, read);
+    if (stream == kIntentStream) {
+      intents_->OnCaughtUp(next_offset_[stream] >= read.next);
+    }
   }
 
   void OnAppendEnd(std::uint64_t token, AppendEnd end, std::uint64_t offset,
                    Time now) override {
-    if (applies_.OnAppendEnd(token, end, offset)) {
+    if (applies_.OnAppendEnd(token, end)) {
       return;
     }
     if (token == lease_token_) {
@@ -93,6 +88,8 @@
       batches_.erase(it);
     } else if (token == record_token_) {
       record_token_ = 0;
+    } else if (token == snapshot_token_) {
+      snapshot_token_ = 0;
     }
   }
 
@@ -126,25 +123,35 @@
   void OnVms(const std::vector<VmEntry>& vms) override { vms_ = vms; }
 
   void OnPeerState(const ConfigState& state, Time now) override {
-    if (config_ != nullptr && state.revision <= config_->revision) {
-      return;
+    const ConfigUpdate update = tail_->OnPeerState(state);
+    if (update.published) {
+      log_.Info("The configuration came from a peer. revision={}",
+                state.revision);
     }
-    const std::uint64_t next = state.revision + 1;
-    next_offset_[kConfigStream] = std::max(NextOffset(kConfigStream), next);
-    Replace(std::make_shared<const ConfigState>(state));
-    log_.Info("The configuration came from a peer. revision={}",
-              state.revision);
-    StateEntryFact(now);
+    TakeUpdate(update, now);
+  }
+
+  void OnObserved(const TargetToObserve& target, LoadState state,
+                  Time sent) override {
+    orders_.OnObserved(target, state, sent);
   }
 
-  void OnReadyTargets(const std::map<std::string, int>& ready) override {
-    ready_targets_ = ready;
+  std::vector<TargetToObserve> ToObserve(Time now) const override {
+    if (Config() == nullptr || !HoldsLease(now)) {
+      return {};
+    }
+    return orders_.ToObserve(*Config());
+  }
+
+  bool HoldsLease(Time now) const override {
+    return lease_->Holds(now) && !lease_->MustWait(now);
   }
 
   void Tick(Time now, WallTime wall) override {
     SendAll(membership_->Tick(now));
     TickLease(now);
     TickIntents(now, wall);
+    TickSnapshot(now, wall);
     ReadFacts();
     if (now >= next_move_look_) {
       next_move_look_ = now + kMovePeriod;
@@ -164,8 +171,11 @@
   void Apply(const ConfigRecord& record, ApplyCallback callback,
              Time now) override {
     const std::uint64_t token = ++last_token_;
-    applies_.Begin(token, std::move(callback), now + options_.apply_timeout);
-    effects_->Append(kConfigStream, {EncodeRecord(record)}, token);
+    const std::string writer = tail_->NextWriterTag();
+    applies_.Begin(token, writer, std::move(callback),
+                   now + options_.apply_timeout);
+    effects_->Append(kConfigStream, {EncodeRecord(WithWriter(record, writer))},
+                     token);
   }
 
   void Leave(Time now) override {
@@ -174,12 +184,14 @@
     SendAll(membership_->Leave(now));
   }
 
-  std::shared_ptr<const ConfigState> Config() const override { return config_; }
+  std::shared_ptr<const ConfigState> Config() const override {
+    return tail_->Current();
+  }
 
   ControlStatus Status() const override {
     ControlStatus out;
-    out.config_revision = config_ == nullptr ? 0 : config_->revision;
-    out.ready = config_ != nullptr;
+    out.config_revision = Revision();
+    out.ready = Config() != nullptr;
     out.log_available = log_available_;
     out.entry_connected = entry_connected_;
     out.lease_holder = lease_->Holder();
@@ -187,8 +199,8 @@
       MemberStatus status;
       status.member = member;
       const std::map<std::string, EntryFact>::const_iterator it =
-          entries_.find(member.name);
-      if (it != entries_.end()) {
+          facts_.Entries().find(member.name);
+      if (it != facts_.Entries().end()) {
         status.config_revision = it->second.config_revision;
         status.serving = it->second.serving;
       }
@@ -201,6 +213,20 @@
   }
 
  private:
+  static ConfigRecord WithWriter(ConfigRecord record,
+                                 const std::string& writer) {
+    if (PutRecord* put = std::get_if<PutRecord>(&record)) {
+      put->writer = writer;
+    } else if (DeleteRecord* deletion = std::get_if<DeleteRecord>(&record)) {
+      deletion->writer = writer;
+    }
+    return record;
+  }
+
+  std::uint64_t Revision() const {
+    return Config() == nullptr ? 0 : Config()->revision;
+  }
+
   void Advance(const std::string& stream, const LogRead& read) {
     std::uint64_t& next = next_offset_[stream];
     next = std::max({next, std::uint64_t{1}, read.oldest});
@@ -209,49 +235,25 @@
     }
   }
 
-  void FoldConfig(const LogRead& read) {
-    if (read.records.empty() && config_ != nullptr) {
-      return;
-    }
-    ConfigState state = config_ == nullptr ? loading_ : *config_;
-    for (const LogRecord& record : read.records) {
-      applies_.OnFolded(record.offset, FoldOne(record, &state));
-    }
-    const bool caught_up =
-        read.records.empty() || read.records.back().offset + 1 >= read.next;
-    if (config_ != nullptr || caught_up) {
-      Replace(std::make_shared<const ConfigState>(std::move(state)));
-    } else {
-      loading_ = std::move(state);
+  void TakeRecord(const std::string& stream, const LogRecord& record,
+                  Time now) {
+    if (stream == kLeaseStream) {
+      lease_->OnRecord(record.offset, record.payload, now);
+    } else if (stream == kIntentStream) {
+      SendDecisions(
+          intents_->OnRecord(record.offset, record.time, record.payload, now));
     }
   }
 
-  FoldResult FoldOne(const LogRecord& record, ConfigState* state) const {
-    try {
-      return Fold(DecodeRecord(record.payload), record.offset, state);
-    } catch (const Error& e) {
-      log_.Warning("A record is skipped. offset={} cause={}", record.offset,
-                   e.what());
-      metrics_->Count("config_records_skipped_total", "cause", "decode");
-      state->revision = std::max(state->revision, record.offset);
-      return FoldResult::kInvalid;
+  void TakeUpdate(const ConfigUpdate& update, Time now) {
+    for (const FoldedRecord& record : update.folded) {
+      applies_.OnFolded(record);
     }
-  }
-
-  void Replace(std::shared_ptr<const ConfigState> state) {
-    const std::shared_ptr<const ConfigState> before = config_;
-    config_ = std::move(state);
-    effects_->OnConfig(before, config_);
-  }
-
-  void FoldIntents(const LogRead& read, Time now) {
-    for (const LogRecord& record : read.records) {
-      SendDecisions(
-          intents_->OnRecord(record.offset, record.time, record.payload, now));
+    if (update.published) {
+      effects_->OnConfig(Config(), update);
+      StateEntryFact(now);
+      SendView(now);
     }
-    const bool caught_up =
-        read.records.empty() || read.records.back().offset + 1 >= read.next;
-    intents_->OnCaughtUp(caught_up);
   }
 
   void OnLeaseAppended(AppendEnd end, std::uint64_t offset) {
@@ -283,7 +285,7 @@
   }
 
   void TickLease(Time now) {
-    if (lease_token_ != 0 || config_ == nullptr) {
+    if (lease_token_ != 0 || Config() == nullptr) {
       return;
     }
     const std::optional<std::string> record = lease_->Due(now);
@@ -304,19 +306,30 @@
     SendDecisions(intents_->Tick(now, wall));
   }
 
+  // Re-appended before old records expire, so that a fresh VM finds it.
+  void TickSnapshot(Time now, WallTime wall) {
+    if (snapshot_token_ != 0 || !log_available_ || now < next_snapshot_ ||
+        !tail_->SnapshotDue(wall)) {
+      return;
+    }
+    next_snapshot_ = now + kSnapshotRetry;
+    snapshot_token_ = ++last_token_;
+    effects_->Append(kConfigStream, tail_->MakeSnapshot(wall), snapshot_token_);
+  }
+
   void TickMoves(Time now, WallTime wall) {
     log_available_ =
         now - log_seen_ < options_.log_stale_time && log_seen_ != Time();
-    if (config_ == nullptr) {
+    if (Config() == nullptr) {
       return;
     }
     MoveDriverInput input;
-    input.config = config_;
+    input.config = Config();
     input.evidence = evidence_->Merged();
     input.withdrawn = Withdrawn();
-    input.ready_targets = ready_targets_;
+    input.ready_targets = orders_.Ready(*input.config);
     input.log_available = log_available_;
-    input.holds_lease = lease_->Holds(now) && !lease_->MustWait(now);
+    input.holds_lease = HoldsLease(now);
     input.fencing = lease_->Fencing();
     input.now = wall;
     const MoveDriverOutput out = moves_->Decide(input);
@@ -325,6 +338,21 @@
       Withdraw(record, now);
     }
     AppendRecords(out.append, now);
+    TickOrders(now);
+  }
+
+  void TickOrders(Time now) {
+    if (!HoldsLease(now)) {
+      held_since_.reset();
+      return;
+    }
+    if (!held_since_) {
+      held_since_ = now;
+    }
+    for (const AddressedOrder& order :
+         orders_.Plan(*Config(), lease_->Fencing(), *held_since_, now)) {
+      effects_->SendOrder(order);
+    }
   }
 
   // In force here at once and at the peers by gossip; the log follows.
@@ -365,10 +393,10 @@
   std::map<VersionKey, std::string> UnrecordedWithdrawals(Time now) const {
     std::map<VersionKey, std::string> out = own_withdrawals_;
     if (lease_->Holds(now)) {
-      out.insert(gossiped_withdrawals_.begin(), gossiped_withdrawals_.end());
+      out.insert(facts_.Withdrawn().begin(), facts_.Withdrawn().end());
     }
     std::erase_if(out, [this](const auto& entry) {
-      return config_->withdrawn.contains(entry.first);
+      return Config()->withdrawn.contains(entry.first);
     });
     return out;
   }
@@ -378,7 +406,7 @@
     for (const auto& [key, reason] : own_withdrawals_) {
       out.insert(key);
     }
-    for (const auto& [key, reason] : gossiped_withdrawals_) {
+    for (const auto& [key, reason] : facts_.Withdrawn()) {
       out.insert(key);
     }
     return out;
@@ -389,36 +417,14 @@
       return;
     }
     facts_generation_ = membership_->Generation();
-    entries_.clear();
+    facts_.Read(membership_->Facts());
     intents_->SetWriters(membership_->Members().size());
-    for (const Fact& fact : membership_->Facts()) {
-      ReadFact(fact);
-    }
-  }
-
-  void ReadFact(const Fact& fact) {
-    VersionKey key;
-    try {
-      if (fact.key == kEntryFactKey) {
-        entries_[fact.origin] = DecodeEntryFact(fact.value);
-      } else if (ParseWithdrawnKey(fact.key, &key)) {
-        gossiped_withdrawals_.emplace(key, fact.value);
-      } else if (fact.key.starts_with(kEvidencePrefix) &&
-                 fact.origin != options_.self.name) {
-        const EvidenceReport report = DecodeEvidence(fact.value);
-        evidence_->Report(fact.origin, report.incarnation, report.evidence);
-      }
-    } catch (const Error& e) {
-      metrics_->Count("facts_refused_total", "cause", "decode");
-      log_.Warning("A fact can't be read. peer={} key={} cause={}", fact.origin,
-                   fact.key, e.what());
-    }
   }
 
   void StateEntryFact(Time now) {
     EntryFact fact;
     fact.serving = entry_connected_ && !report_.draining && !leaving_ &&
-                   config_ != nullptr && !report_.entry.empty();
+                   Config() != nullptr && !report_.entry.empty();
     fact.load_permille =
         std::min(kMilli, report_.open * kMilli / kFullLoadOpen);
     fact.closed_rank = report_.facts.closed_rank;
@@ -426,18 +432,17 @@
       fact.demand_milli[model] = static_cast<int>(demand * kMilli);
     }
     fact.poison = report_.facts.poison;
-    fact.config_revision = config_ == nullptr ? 0 : config_->revision;
+    fact.config_revision = Revision();
     fact.api = options_.api;
     membership_->SetFact(kEntryFactKey, EncodeEntryFact(fact), true, now);
   }
 
   void StateEvidence(Time now) {
-    if (config_ == nullptr) {
+    if (Config() == nullptr) {
       return;
     }
-    const std::vector<std::string> chunks =
-        EvidenceChunks({report_.incarnation, report_.evidence},
-                       MovingModels(*config_));
+    const std::vector<std::string> chunks = EvidenceChunks(
+        {report_.incarnation, report_.evidence}, MovingModels(*Config()));
     for (std::size_t i = 0; i < chunks.size(); ++i) {
       membership_->SetFact(fmt::format("{}{}", kEvidencePrefix, i), chunks[i],
                            true, now);
@@ -445,11 +450,11 @@
   }
 
   void FetchIfBehind(Time now) {
-    const std::uint64_t own = config_ == nullptr ? 0 : config_->revision;
-    if (log_available_ || now < next_fetch_) {
+    if (now < next_fetch_ || (log_available_ && !tail_->HasGap())) {
       return;
     }
-    for (const auto& [name, fact] : entries_) {
+    const std::uint64_t own = Revision();
+    for (const auto& [name, fact] : facts_.Entries()) {
       if (fact.config_revision > own && name != options_.self.name) {
         next_fetch_ = now + kFetchRetry;
         effects_->FetchState(fact.api);
@@ -463,10 +468,10 @@
       return;
     }
     ViewSources sources;
-    sources.config = config_;
+    sources.config = Config();
     sources.self = options_.self.name;
     sources.members = membership_->Members();
-    sources.entries = entries_;
+    sources.entries = facts_.Entries();
     sources.withdrawn = Withdrawn();
     sources.move_shares = move_shares_;
     sources.vms = vms_;
@@ -480,9 +485,8 @@
   }
 
   void CountMetrics(Time now) {
-    metrics_->Set(
-        "config_revision", "stream", kConfigStream,
-        config_ == nullptr ? 0 : static_cast<double>(config_->revision));
+    metrics_->Set("config_revision", "stream", kConfigStream,
+                  static_cast<double>(Revision()));
     metrics_->Set("lease_held", "lease", kMoveLease,
                   lease_->Holds(now) ? 1 : 0);
     const MembershipCounters counters = membership_->Counters();
@@ -519,16 +523,19 @@
   std::unique_ptr<Lease> lease_;
   std::unique_ptr<Intents> intents_;
   std::unique_ptr<MoveDriver> moves_;
+  std::unique_ptr<ConfigTail> tail_;
+  std::unique_ptr<EvidenceTable> evidence_ = EvidenceTable::Make();
+  PeerFacts facts_;
+  OrderBook orders_;
   ApplyTracker applies_;
 
   std::map<std::string, std::uint64_t> next_offset_;  // by stream
-  std::shared_ptr<const ConfigState> config_;
-  ConfigState loading_;
   Time log_seen_;
   bool log_available_ = false;
 
   std::uint64_t last_token_ = 0;
-  std::uint64_t lease_token_ = 0;   // 0 when no append is under way
+  std::uint64_t lease_token_ = 0;  // 0 when no append is under way
+  std::uint64_t snapshot_token_ = 0;
   std::uint64_t record_token_ = 0;  // likewise
   Time lease_sent_;
   std::map<std::uint64_t, std::uint64_t> batches_;  // token to batch id
@@ -539,17 +546,15 @@
   std::optional<ViewMessage> sent_view_;
 
   std::uint64_t facts_generation_ = 0;
-  std::map<std::string, EntryFact> entries_;  // by member name
-  std::unique_ptr<EvidenceTable> evidence_ = EvidenceTable::Make();
-  std::map<VersionKey, std::string> gossiped_withdrawals_;
   std::map<VersionKey, std::string> own_withdrawals_;
   std::map<std::string, VersionShare> move_shares_;
-  std::map<std::string, int> ready_targets_;
+  std::optional<Time> held_since_;
   std::vector<VmEntry> vms_;
 
   Time next_move_look_;
   Time next_fact_;
   Time next_fetch_;
+  Time next_snapshot_;
   Time next_withdraw_record_;
 };
 
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -12,9 +12,11 @@
 #include "hornbeamcleat/agree/intents.h"
 #include "hornbeamcleat/agree/lease.h"
 #include "hornbeamcleat/config/config_state.h"
+#include "hornbeamcleat/config/config_tail.h"
 #include "hornbeamcleat/member/membership.h"
 #include "hornbeamcleat/platform/log_service.h"
 #include "hornbeamcleat/platform/vm_list.h"
+#include "src/control/order_book.h"
 #include "src/link/link_message.h"
 
 namespace hornbeamcleat {
@@ -32,6 +34,7 @@
   MembershipOptions membership;
   LeaseOptions lease;
   IntentOptions intents;
+  ConfigTailOptions config;
   std::string api;  ///< address of this daemon's API, told to peers
   Duration log_stale_time =
       std::chrono::seconds(3);  ///< then it counts as down
@@ -73,11 +76,13 @@
                       std::uint64_t token) = 0;
   virtual void Send(const Datagram& datagram) = 0;
   virtual void SendToEntry(const LinkMessage& message) = 0;
+  /// Send an order to a target; its effect is read back.
+  virtual void SendOrder(const AddressedOrder& order) = 0;
   /// Get a peer's configuration from its API; answered with OnPeerState.
   virtual void FetchState(const std::string& api) = 0;
-  /// The configuration changed from `before` (may be null) to `after`.
-  virtual void OnConfig(std::shared_ptr<const ConfigState> before,
-                        std::shared_ptr<const ConfigState> after) = 0;
+  /// A new configuration is in force.
+  virtual void OnConfig(const std::shared_ptr<const ConfigState>& config,
+                        const ConfigUpdate& update) = 0;
 };
 
 /// State of one member for `status`.
@@ -116,8 +121,9 @@
   /// Offset at which the next read of `stream` should start.
   virtual std::uint64_t NextOffset(const std::string& stream) const = 0;
 
-  virtual void OnLogRead(const std::string& stream, const LogRead& read,
-                         Time now) = 0;
+  /// Takes the answer to a read that began at offset `from`.
+  virtual void OnLogRead(const std::string& stream, std::uint64_t from,
+                         const LogRead& read, Time now) = 0;
   virtual void OnAppendEnd(std::uint64_t token, AppendEnd end,
                            std::uint64_t offset, Time now) = 0;
   virtual void OnDatagram(const Address& from, std::string_view bytes,
@@ -126,12 +132,20 @@
   virtual void OnEntryMessage(const LinkMessage& message, Time now) = 0;
   virtual void OnVms(const std::vector<VmEntry>& vms) = 0;
   virtual void OnPeerState(const ConfigState& state, Time now) = 0;
-  /// Targets on which each version was seen ready, by version.
-  virtual void OnReadyTargets(const std::map<std::string, int>& ready) = 0;
+  /// Takes what a target said of a version; `sent` is when it was asked.
+  virtual void OnObserved(const TargetToObserve& target, LoadState state,
+                          Time sent) = 0;
+
+  /// Targets that should be read back now; none without the lease.
+  virtual std::vector<TargetToObserve> ToObserve(Time now) const = 0;
 
   /// Does what is due by time. Call every 100 ms.
   virtual void Tick(Time now, WallTime wall) = 0;
 
+  /// Whether this member holds the lease of the moves now. Ask again right
+  /// before an act outside.
+  virtual bool HoldsLease(Time now) const = 0;
+
   /// Proposes a change; `callback` is called once, when the log has decided.
   virtual void Apply(const ConfigRecord& record, ApplyCallback callback,
                      Time now) = 0;
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -1,12 +1,7 @@
 #include "src/control/control_daemon.h"
 
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/request.h>
-#include <fmt/format.h>
-
 #include <atomic>
 #include <future>
-#include <mutex>
 #include <utility>
 
 #include "hornbeamcleat/base/clock.h"
@@ -16,9 +11,12 @@
 #include "hornbeamcleat/base/timer_service.h"
 #include "src/base/poll_loop.h"
 #include "src/control/api_backend.h"
+#include "src/control/blocking_calls.h"
 #include "src/control/gossip_socket.h"
 #include "src/control/link_server.h"
 #include "src/control/log_tailer.h"
+#include "src/control/move_objection.h"
+#include "src/control/watch_hub.h"
 #include "src/control/worker.h"
 #include "src/platform/http_platform.h"
 
@@ -27,35 +25,10 @@
 
 constexpr Duration kTick = std::chrono::milliseconds(100);
 constexpr Duration kApiTimeout = std::chrono::seconds(15);
-constexpr Duration kHttpTimeout = std::chrono::seconds(2);
+constexpr Duration kObservePeriod = std::chrono::seconds(1);
+constexpr Duration kLeaseAnswer = std::chrono::milliseconds(500);
 constexpr Duration kLeaveTime = std::chrono::milliseconds(300);
 constexpr std::size_t kMaxJobs = 1'000;
-constexpr int kOk = 200;
-
-std::string HttpGet(const std::string& step, const Address& peer,
-                    const std::string& url, const std::string& token,
-                    bool tls) {
-  try {
-    cxxtools::http::Client client(peer.ip, peer.port, tls);
-    cxxtools::http::Request request(url);
-    if (!token.empty()) {
-      request.setHeader("Authorization:", ("Bearer " + token).c_str());
-    }
-    const cxxtools::Milliseconds timeout(ToSeconds(kHttpTimeout) * 1000.0);
-    client.execute(request, timeout, timeout);
-    client.readBody();
-    if (client.header().httpReturnCode() != kOk) {
-      throw Error(step, peer.ToString(),
-                  fmt::format("status {}", client.header().httpReturnCode()));
-    }
-    return client.body();
-  } catch (const Error&) {
-    throw;
-  } catch (const std::exception& e) {
-    throw Error(step, peer.ToString(), e.what());
-  }
-}
-
 class EpollControlDaemon : public ControlDaemon,
                            public ControlEffects,
                            public LinkHandler,
@@ -82,6 +55,7 @@
 
   ~EpollControlDaemon() override {
     closing_ = true;
+    watches_.Close();
     tailers_.clear();
     api_.reset();
   }
@@ -129,10 +103,21 @@
     });
   }
 
-  void OnConfig(std::shared_ptr<const ConfigState>,
-                std::shared_ptr<const ConfigState> after) override {
-    const std::lock_guard<std::mutex> lock(config_mutex_);
-    config_ = std::move(after);
+  void SendOrder(const AddressedOrder& order) override {
+    orderer_->Submit([this, order] {
+      // Asked again here: the job may have waited, or the process been stopped.
+      if (!HoldsLeaseNow()) {
+        return;
+      }
+      log_.Info("An order is sent. target={} version={} fencing={}",
+                order.order.target, order.order.version, order.order.fencing);
+      SendLoadOrder(order);
+    });
+  }
+
+  void OnConfig(const std::shared_ptr<const ConfigState>& config,
+                const ConfigUpdate& update) override {
+    watches_.Publish(config, update);
   }
 
   // LinkHandler, on the control thread.
@@ -152,8 +137,16 @@
   // ApiBackend, on the API's threads.
 
   std::shared_ptr<const ConfigState> Config() override {
-    const std::lock_guard<std::mutex> lock(config_mutex_);
-    return config_;
+    return watches_.Config();
+  }
+
+  std::string Objection(const Resource& resource) override {
+    const std::shared_ptr<const ConfigState> config = Config();
+    if (config == nullptr) {
+      return "";
+    }
+    return MoveObjection(resource, *config, options_.weight_bytes_per_second,
+                         clock_->WallNow());
   }
 
   ApplyAnswer Apply(const ConfigRecord& record) override {
@@ -172,8 +165,8 @@
     return future.get();
   }
 
-  WatchAnswer Watch(std::uint64_t from, Duration) override {
-    return {true, "[]", from};
+  WatchAnswer Watch(std::uint64_t from, Duration wait) override {
+    return watches_.Wait(from, wait);
   }
 
   ControlStatus Status() override {
@@ -201,6 +194,8 @@
     vm_list_ = MakeHttpVmList(options_.platform, options_.platform_timeout);
     appender_ = std::make_unique<Worker>("append", kMaxJobs);
     fetcher_ = std::make_unique<Worker>("fetch", 1);
+    orderer_ = std::make_unique<Worker>("order", kMaxJobs);
+    observer_ = std::make_unique<Worker>("observe", kMaxJobs);
     vm_reader_ = std::make_unique<Worker>("vms", 1);
   }
 
@@ -210,6 +205,8 @@
         now, kTick, [this](Time due) { core_->Tick(due, clock_->WallNow()); });
     vm_timer_ = loop_->Timers()->Every(now, options_.vm_list_period,
                                        [this](Time) { ReadVms(); });
+    observe_timer_ = loop_->Timers()->Every(
+        now, kObservePeriod, [this](Time due) { ObserveTargets(due); });
   }
 
   void StartTailers() {
@@ -217,20 +214,22 @@
       tailers_.push_back(std::make_unique<LogTailer>(
           MakeHttpLogService(options_.platform, options_.platform_timeout),
           stream, core_->NextOffset(stream),
-          [this, name = std::string(stream)](const LogRead& read) {
-            return Deliver(name, read);
+          [this, name = std::string(stream)](std::uint64_t from,
+                                             const LogRead& read) {
+            return Deliver(name, from, read);
           }));
     }
   }
 
   // Hands a read to the control thread and waits, so that reads stay in order
   // and the reader never runs ahead of the fold.
-  std::uint64_t Deliver(const std::string& stream, const LogRead& read) {
+  std::uint64_t Deliver(const std::string& stream, std::uint64_t from,
+                        const LogRead& read) {
     const std::shared_ptr<std::promise<std::uint64_t>> promise =
         std::make_shared<std::promise<std::uint64_t>>();
     std::future<std::uint64_t> future = promise->get_future();
-    loop_->Post([this, stream, read, promise] {
-      core_->OnLogRead(stream, read, clock_->Now());
+    loop_->Post([this, stream, from, read, promise] {
+      core_->OnLogRead(stream, from, read, clock_->Now());
       promise->set_value(core_->NextOffset(stream));
     });
     while (future.wait_for(kTick) != std::future_status::ready) {
@@ -272,6 +271,30 @@
     });
   }
 
+  void ObserveTargets(Time now) {
+    for (const TargetToObserve& target : core_->ToObserve(now)) {
+      observer_->Submit([this, target] {
+        const Time sent = clock_->Now();
+        const LoadState state = ObserveTarget(target);
+        loop_->Post([this, target, state, sent] {
+          core_->OnObserved(target, state, sent);
+        });
+      });
+    }
+  }
+
+  // On a worker's thread.
+  bool HoldsLeaseNow() {
+    const std::shared_ptr<std::promise<bool>> promise =
+        std::make_shared<std::promise<bool>>();
+    std::future<bool> future = promise->get_future();
+    loop_->Post([this, promise] {
+      promise->set_value(core_->HoldsLease(clock_->Now()));
+    });
+    return future.wait_for(kLeaseAnswer) == std::future_status::ready &&
+           future.get();
+  }
+
   ControlDaemonOptions options_;
   Logger log_{"control"};
   std::unique_ptr<Clock> clock_ = Clock::Make();
@@ -280,16 +303,18 @@
   std::unique_ptr<ControlCore> core_;
   std::unique_ptr<GossipSocket> gossip_;
   std::unique_ptr<LinkServer> link_;
-  std::mutex config_mutex_;
-  std::shared_ptr<const ConfigState> config_;
+  WatchHub watches_;
   std::unique_ptr<TimerService::Subscription> tick_;
   std::unique_ptr<TimerService::Subscription> vm_timer_;
+  std::unique_ptr<TimerService::Subscription> observe_timer_;
   std::unique_ptr<TimerService::Subscription> quit_timer_;
   std::atomic<bool> closing_{false};
   std::unique_ptr<LogService> append_log_;
   std::unique_ptr<VmList> vm_list_;
   std::unique_ptr<Worker> appender_;
   std::unique_ptr<Worker> fetcher_;
+  std::unique_ptr<Worker> orderer_;
+  std::unique_ptr<Worker> observer_;
   std::unique_ptr<Worker> vm_reader_;
   std::vector<std::unique_ptr<LogTailer>> tailers_;
   std::unique_ptr<ApiServer> api_;
--- a/src/control/control_settings.cc
+++ b/src/control/control_settings.cc
@@ -24,6 +24,8 @@
        "Longest wait for an answer of the platform."},
       {"platform", "vm_list_period", kDuration, "1s", false, 100 * kMs,
        600 * kSecond, "Time between reads of the VM list."},
+      {"platform", "weight_bytes_per_second", kInteger, "0", false, 0, 0,
+       "Rate of the weight store, all loads together; 0 means no limit."},
       {"gossip", "listen", kAddress, "", true, 0, 0,
        "UDP address for gossip with other VMs."},
       {"gossip", "peers", kAddressList, "", false, 0, 0,
@@ -85,6 +87,8 @@
   out.platform_timeout = settings.GetDuration("platform", "timeout");
   out.vm_list_period = settings.GetDuration("platform", "vm_list_period");
 
+  out.weight_bytes_per_second =
+      settings.Integer("platform", "weight_bytes_per_second");
   out.api.listen = settings.GetAddress("api", "listen");
   out.api.token = settings.Text("api", "token");
   out.api.certificate = settings.Text("api", "certificate");
--- a/src/control/control_settings.h
+++ b/src/control/control_settings.h
@@ -22,6 +22,7 @@
   Address link_listen;
   Address entry_admin;
   Duration vm_list_period{0};
+  std::int64_t weight_bytes_per_second = 0;  ///< 0 means no limit
 
   bool operator==(const ControlDaemonOptions&) const = default;
 };
--- a/src/control/log_tailer.cc
+++ b/src/control/log_tailer.cc
@@ -33,7 +33,7 @@
   bool reachable = true;
   while (!stopping_) {
     try {
-      next_ = sink_(log_->Read(stream_, next_, kMaxRecords, kReadWait));
+      next_ = sink_(next_, log_->Read(stream_, next_, kMaxRecords, kReadWait));
       if (!reachable) {
         log.Info("The log can be read again. stream={}", stream_);
       }
--- a/src/control/log_tailer.h
+++ b/src/control/log_tailer.h
@@ -14,8 +14,10 @@
 /// Thread that reads one stream of the log as it grows.
 class LogTailer {
  public:
-  /// Takes a read on the tailer's thread and returns the offset to go on from.
-  using Sink = std::function<std::uint64_t(const LogRead& read)>;
+  /// Takes a read that began at offset `from`, on the tailer's thread, and
+  /// returns the offset to go on from.
+  using Sink =
+      std::function<std::uint64_t(std::uint64_t from, const LogRead& read)>;
 
   /// @param log used by this thread alone
   /// @param from offset to begin with
--- /dev/null
+++ b/src/control/order_book.cc
@@ -0,0 +1,111 @@
+#include "src/control/order_book.h"
+
+#include <utility>
+
+#include "src/control/evidence_exchange.h"
+
+namespace hornbeamcleat {
+namespace {
+
+struct DeclaredTarget {
+  const Resource* resource;
+  const TargetSpec* spec;
+};
+
+// Targets that are declared with the new version of a move under way.
+std::vector<DeclaredTarget> TargetsOfMoves(const ConfigState& config) {
+  const std::set<std::string> models = MovingModels(config);
+  std::vector<DeclaredTarget> out;
+  for (const auto& [key, resource] : config.resources) {
+    const TargetSpec* spec = std::get_if<TargetSpec>(&resource.spec);
+    if (spec == nullptr || !models.contains(spec->model)) {
+      continue;
+    }
+    const auto serving = config.serving.find(spec->model);
+    if (serving == config.serving.end() || serving->second != spec->version) {
+      out.push_back({&resource, spec});
+    }
+  }
+  return out;
+}
+
+}  // namespace
+
+OrderBook::OrderBook(Duration longest_order) : longest_order_(longest_order) {}
+
+std::vector<TargetToObserve> OrderBook::ToObserve(
+    const ConfigState& config) const {
+  std::vector<TargetToObserve> out;
+  for (const DeclaredTarget& target : TargetsOfMoves(config)) {
+    if (target.spec->kind == TargetKind::kEngine) {
+      out.push_back({target.resource->name, target.spec->address,
+                     target.spec->model, target.spec->version});
+    }
+  }
+  return out;
+}
+
+void OrderBook::OnObserved(const TargetToObserve& target, LoadState state,
+                           Time sent) {
+  Seen& seen = seen_[{target.target, target.version}];
+  if (sent >= seen.sent) {
+    seen = {state, sent};
+  }
+}
+
+std::vector<AddressedOrder> OrderBook::Plan(const ConfigState& config,
+                                            std::uint64_t fencing,
+                                            Time held_since, Time now) {
+  std::map<std::string, OrderInput> inputs;  // by version
+  std::map<TargetName, std::string> addresses;
+  std::map<std::string, std::string> models;  // by version
+  for (const DeclaredTarget& target : TargetsOfMoves(config)) {
+    if (target.spec->kind != TargetKind::kEngine) {
+      continue;
+    }
+    OrderInput& input = inputs[target.spec->version];
+    const auto it = seen_.find({target.resource->name, target.spec->version});
+    ObservedTarget observed;
+    observed.target = target.resource->name;
+    observed.checks_fencing = target.spec->checks_fencing;
+    if (it != seen_.end()) {
+      observed.state = it->second.state;
+      observed.observed = it->second.sent;
+    }
+    input.candidates.push_back(observed);
+    addresses[target.resource->name] = target.spec->address;
+    models[target.spec->version] = target.spec->model;
+  }
+  std::vector<AddressedOrder> out;
+  for (auto& [version, input] : inputs) {
+    input.now = now;
+    input.fencing = fencing;
+    input.held_since = held_since;
+    input.wanted = static_cast<int>(input.candidates.size());
+    std::unique_ptr<OrderPlanner>& planner = planners_[version];
+    if (planner == nullptr) {
+      OrderPlannerOptions options;
+      options.longest_order = longest_order_;
+      planner = OrderPlanner::Make(models[version], version, options);
+    }
+    for (const LoadOrder& order : planner->PlanLoads(input).orders) {
+      out.push_back({order, addresses[order.target]});
+    }
+  }
+  return out;
+}
+
+std::map<std::string, int> OrderBook::Ready(const ConfigState& config) const {
+  std::map<std::string, int> out;
+  for (const DeclaredTarget& target : TargetsOfMoves(config)) {
+    const auto it = seen_.find({target.resource->name, target.spec->version});
+    const bool loaded =
+        it != seen_.end() && it->second.state == LoadState::kLoaded;
+    if (loaded || target.spec->kind == TargetKind::kService) {
+      ++out[target.spec->version];
+    }
+  }
+  return out;
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/control/peer_facts.h
@@ -0,0 +1,52 @@
+#ifndef HORNBEAMCLEAT_SRC_CONTROL_PEER_FACTS_H_
+#define HORNBEAMCLEAT_SRC_CONTROL_PEER_FACTS_H_
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "hornbeamcleat/member/membership.h"
+#include "src/control/entry_fact.h"
+
+namespace hornbeamcleat {
+
+class EvidenceTable;
+class Metrics;
+
+/// Model and version.
+using VersionKey = std::pair<std::string, std::string>;
+
+/// Key of the fact that withdraws a version.
+std::string WithdrawnFactKey(const VersionKey& key);
+
+/// Facts that came by gossip, decoded. Bad ones are counted and left out.
+class PeerFacts {
+ public:
+  /// @param evidence takes the peers' evidence
+  PeerFacts(std::string self, EvidenceTable* evidence, Metrics* metrics);
+
+  /// Reads all facts anew.
+  void Read(const std::vector<Fact>& facts);
+
+  /// What each member said of itself, this one included, by name.
+  const std::map<std::string, EntryFact>& Entries() const { return entries_; }
+
+  /// Versions that some member withdrew, with the reason. Only grows.
+  const std::map<VersionKey, std::string>& Withdrawn() const {
+    return withdrawn_;
+  }
+
+ private:
+  void ReadOne(const Fact& fact);
+
+  std::string self_;
+  EvidenceTable* evidence_;
+  Metrics* metrics_;
+  std::map<std::string, EntryFact> entries_;
+  std::map<VersionKey, std::string> withdrawn_;
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_CONTROL_PEER_FACTS_H_
--- a/tests/control/apply_tracker_test.cc
+++ b/tests/control/apply_tracker_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
 #include <vector>
 
 namespace hornbeamcleat {
@@ -11,7 +12,7 @@
  protected:
   void Begin(std::uint64_t token) {
     tracker_.Begin(
-        token,
+        token, "w" + std::to_string(token),
         [this](const ApplyAnswer& answer) { answers_.push_back(answer.end); },
         Time(std::chrono::seconds(10)));
   }
@@ -22,22 +23,31 @@
 
 TEST_F(ApplyTrackerTest, AnsweredAppendWaitsForTheFold) {
   Begin(1);
-  EXPECT_TRUE(tracker_.OnAppendEnd(1, AppendEnd::kDone, 7));
+  EXPECT_TRUE(tracker_.OnAppendEnd(1, AppendEnd::kDone));
   EXPECT_TRUE(answers_.empty());
-  tracker_.OnFolded(7, FoldResult::kConflict);
+  tracker_.OnFolded({7, FoldResult::kConflict, "w1"});
   EXPECT_EQ(answers_, std::vector<ApplyEnd>{ApplyEnd::kConflict});
 }
 
-TEST_F(ApplyTrackerTest, RecordFoldedBeforeTheAnswerIsFound) {
+TEST_F(ApplyTrackerTest, RecordFoldedBeforeTheAnswerDecides) {
   Begin(1);
-  tracker_.OnFolded(7, FoldResult::kApplied);
-  tracker_.OnAppendEnd(1, AppendEnd::kDone, 7);
+  tracker_.OnFolded({7, FoldResult::kApplied, "w1"});
+  EXPECT_FALSE(tracker_.OnAppendEnd(1, AppendEnd::kDone));
+  EXPECT_EQ(answers_, std::vector<ApplyEnd>{ApplyEnd::kApplied});
+}
+
+TEST_F(ApplyTrackerTest, LostAnswerIsResolvedByReading) {
+  Begin(1);
+  tracker_.OnAppendEnd(1, AppendEnd::kUnknown);
+  tracker_.OnFolded({6, FoldResult::kApplied, "other"});
+  EXPECT_TRUE(answers_.empty());
+  tracker_.OnFolded({7, FoldResult::kApplied, "w1"});
   EXPECT_EQ(answers_, std::vector<ApplyEnd>{ApplyEnd::kApplied});
 }
 
 TEST_F(ApplyTrackerTest, FailedAppendIsUnavailable) {
   Begin(1);
-  tracker_.OnAppendEnd(1, AppendEnd::kFailed, 0);
+  tracker_.OnAppendEnd(1, AppendEnd::kFailed);
   EXPECT_EQ(answers_, std::vector<ApplyEnd>{ApplyEnd::kUnavailable});
 }
 
@@ -48,7 +58,7 @@
 }
 
 TEST_F(ApplyTrackerTest, ForeignTokenIsLeftAlone) {
-  EXPECT_FALSE(tracker_.OnAppendEnd(5, AppendEnd::kDone, 7));
+  EXPECT_FALSE(tracker_.OnAppendEnd(5, AppendEnd::kDone));
 }
 
 }  // namespace
