--- a/tests/net/socket_peer.h
+++ b/tests/net/socket_peer.h
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <sys/time.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <functional>
