--- a/src/entry/answer.h
+++ b/src/entry/answer.h
@@ -4,44 +4,18 @@
 #include <cstdint>
 #include <memory>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
-#include "hornbeamcleat/base/clock.h"
 #include "hornbeamcleat/schedule/action.h"
 #include "hornbeamcleat/schedule/event.h"
-#include "src/entry/entry_options.h"
-#include "src/entry/loop_message.h"
+#include "src/entry/answer_context.h"
 #include "src/entry/part_sequence.h"
 #include "src/entry/resume_handle.h"
 #include "src/entry/target_exchange.h"
-#include "src/entry/traffic_counts.h"
 #include "src/net/caller_front.h"
-#include "src/net/mailbox.h"
-#include "src/net/target_client.h"
 
 namespace hornbeamcleat {
 
-class Answer;
-
-/// What the answers of one traffic thread share.
-struct AnswerContext {
-  const EntryOptions* options = nullptr;
-  const Clock* clock = nullptr;
-  CallerFront* front = nullptr;
-  TargetClient* client = nullptr;
-  Mailbox<ControlMessage>* control = nullptr;
-  TrafficCounts counts;
-  StandingMessage standing;
-  /// Answer of each open exchange with a target.
-  std::unordered_map<std::uint64_t, Answer*> by_exchange;
-  std::uint64_t last_exchange = 0;
-};
-
-/// Tells the target at `address` to stop work on request `id` and forget it.
-void SendCancel(AnswerContext* context, const RequestId& id,
-                const std::string& address);
-
 /// One caller's request and its answer on the traffic thread. Follows the
 /// scheduler's actions and reports events to it. An answer resumed with a
 /// handle has no place in this entry's scheduler and looks after itself.
@@ -64,6 +38,9 @@
   /// Whether nothing remains to be done.
   bool Finished() const { return finished_; }
 
+  /// Whether the scheduler of this entry knows it.
+  bool Scheduled() const { return scheduled_; }
+
   void Dispatch(const DispatchAction& action);
   /// Opens a further connection to `address` for the parts still missing.
   void Resume(const std::string& address);
@@ -71,13 +48,20 @@
   void CloseExchanges();
   void Refuse(const RefuseAction& refusal);
 
-  /// The caller left, or asked to stop.
-  void OnCallerGone();
+  /// The caller's connection broke. Once parts were sent it may come back for
+  /// a while; then, or before any part, the work is given up.
+  void OnCallerLeft();
+
+  /// Gives the work up: the caller won't come back.
+  void GiveUp();
+
+  /// The caller resumed at another entry, which now looks after the answer.
+  void HandOver();
 
   /// Goes on after part `last` towards a new connection of the caller.
   void Reattach(CallerRequest request, std::uint64_t last);
 
-  /// Looks after an answer that the scheduler does not know.
+  /// Does what is due by time.
   void Tick(Time now);
 
   /// The exchange `handle`, or nullptr.
@@ -88,8 +72,7 @@
   void OnSent(TargetExchange* exchange) override;
   void OnStream(TargetExchange* exchange) override;
   void OnPart(TargetExchange* exchange, const StreamEvent& part) override;
-  void OnStreamDone(TargetExchange* exchange,
-                    const StreamEvent& last) override;
+  void OnStreamDone(TargetExchange* exchange, const StreamEvent& last) override;
   void OnPlainAnswer(TargetExchange* exchange,
                      const CallerAnswer& answer) override;
   void OnNotRun(TargetExchange* exchange, bool target_word,
@@ -109,6 +92,7 @@
   void Lose(TargetExchange* exchange);
   void Notify(const RequestEvent& event);
   void TryAgain();
+  void TickResume(Time now);
 
   AnswerContext* context_;
   RequestId id_;
@@ -123,6 +107,9 @@
   bool finished_ = false;
   bool quiet_resume_ = false;  ///< the scheduler did not ask for the resume
   int resumes_in_row_ = 0;     ///< without a part between them
+  bool left_ = false;          ///< the caller's connection broke
+  Time left_at_;
+  Time resume_begun_;
   Time last_progress_;
   Time last_report_;
 };
--- a/src/move/move_controller.cc
+++ b/src/move/move_controller.cc
@@ -16,9 +16,19 @@
     "Loading", "Growing", "Baking", "Done", "RolledBack"};
 // Requests in flight at one entry on a version that has only its first share.
 constexpr int kCanaryInFlight = 8;
+constexpr std::chrono::milliseconds kMinLookPeriod{250};
 constexpr std::chrono::milliseconds kLookPeriod{1'000};
-// Part of the move's traffic that a short share above the first may add.
-constexpr double kLoadBudget = 0.006;
+// While the share is small, a look costs more than a few seconds' delay.
+constexpr std::chrono::milliseconds kSmallShareLookPeriod{3'000};
+constexpr int kSmallSharePermille = 20;
+// Requests that a new version may always be given, whatever their share.
+constexpr std::uint64_t kFewEnds = 20;
+constexpr int kFirstShareParts = 6;
+// Part of the move's traffic that the share which meets full load may add.
+constexpr double kLoadBudget = 0.005;
+// Part of the move's traffic from which a suspect version gets the first share
+// again.
+constexpr double kSuspectBudget = 0.016;
 
 bool Final(MovePhase phase) {
   return phase == MovePhase::kDone || phase == MovePhase::kRolledBack;
@@ -34,6 +44,7 @@
 
  private:
   void Prepare(const MoveInput& input);
+  std::chrono::milliseconds LookPeriod(const MoveState& state) const;
   int StepIndex(int share_permille) const;
   void RollBack(const MoveInput& input, const std::string& reason,
                 MoveDecision* out) const;
@@ -42,6 +53,9 @@
   Duration Remaining(const MoveState& state, WallTime now) const;
   void Grow(const MoveState& state, const MoveInput& input,
             const Verdict& verdict, MoveDecision* out) const;
+  bool RaiseFirst(const MoveState& state, WallTime now,
+                  const Verdict& verdict) const;
+  bool StepBack(const MoveState& state, const Verdict& verdict) const;
   void GrowTo(int index, const MoveInput& input, MoveDecision* out) const;
   std::string Obstacle(const MoveState& state, WallTime now,
                        const Verdict& verdict) const;
@@ -69,11 +83,20 @@
       MoveSchedule::Make(spec_, *started_, static_cast<int>(steps_.size()));
 }
 
+std::chrono::milliseconds AutomaticController::LookPeriod(
+    const MoveState& state) const {
+  const bool small = state.phase != MovePhase::kBaking &&
+                     state.share_permille <= kSmallSharePermille;
+  const std::chrono::milliseconds step =
+      std::chrono::floor<std::chrono::milliseconds>(schedule_.growth_step);
+  return std::clamp(step / 4, kMinLookPeriod,
+                    small ? kSmallShareLookPeriod : kLookPeriod);
+}
+
 int AutomaticController::StepIndex(int share_permille) const {
   const std::vector<int>::const_iterator it =
-      std::lower_bound(steps_.begin(), steps_.end(), share_permille);
-  const int last = static_cast<int>(steps_.size()) - 1;
-  return std::min(static_cast<int>(it - steps_.begin()), last);
+      std::upper_bound(steps_.begin(), steps_.end(), share_permille);
+  return std::max(0, static_cast<int>(it - steps_.begin()) - 1);
 }
 
 void AutomaticController::RollBack(const MoveInput& input,
@@ -172,6 +195,24 @@
   return verdict.good || verdict.plausible ? "" : verdict.reason;
 }
 
+// With little traffic a small share is hardly served at all, so it is doubled
+// until a few requests have been.
+bool AutomaticController::RaiseFirst(const MoveState& state, WallTime now,
+                                     const Verdict& verdict) const {
+  const Duration planned = schedule_.FirstShareEnd() - *started_;
+  return spec_.steps_permille.empty() && StepIndex(state.share_permille) == 0 &&
+         2 * state.share_permille < steps_[1] && verdict.ends < kFewEnds &&
+         now - state.step_since >= planned / kFirstShareParts;
+}
+
+// The share that meets full load is dear: a version that isn't cleared within
+// its budget is watched further at the first share.
+bool AutomaticController::StepBack(const MoveState& state,
+                                   const Verdict& verdict) const {
+  return spec_.steps_permille.empty() && StepIndex(state.share_permille) == 1 &&
+         verdict.suspect && verdict.fresh_ratio >= kSuspectBudget;
+}
+
 void AutomaticController::GrowTo(int index, const MoveInput& input,
                                  MoveDecision* out) const {
   const int share = steps_[index];
@@ -190,6 +231,18 @@
 void AutomaticController::Grow(const MoveState& state, const MoveInput& input,
                                const Verdict& verdict,
                                MoveDecision* out) const {
+  if (RaiseFirst(state, input.now, verdict)) {
+    out->reason = "too little traffic for the first share";
+    out->advance = MoveState{MovePhase::kGrowing, 2 * state.share_permille,
+                             input.now, out->reason};
+    return;
+  }
+  if (StepBack(state, verdict)) {
+    out->reason = "the evidence leans against the new version";
+    out->advance =
+        MoveState{MovePhase::kGrowing, steps_[0], input.now, out->reason};
+    return;
+  }
   out->reason = Obstacle(state, input.now, verdict);
   if (out->reason.empty()) {
     GrowTo(StepIndex(state.share_permille) + 1, input, out);
@@ -213,12 +266,13 @@
 MoveDecision AutomaticController::Decide(const MoveState& state,
                                          const MoveInput& input) {
   MoveDecision out;
-  out.next_look = input.now + kLookPeriod;
+  out.next_look = input.now + kSmallShareLookPeriod;
   if (Final(state.phase)) {
     out.reason = state.reason;
     return out;
   }
   Prepare(input);
+  out.next_look = input.now + LookPeriod(state);
   const Duration spacing =
       (spec_.deadline - *started_) / ChangeMixture::kMaxStartPoints;
   const bool start_point =
@@ -258,7 +312,7 @@
     return share;
   }
   const std::vector<int> steps = MoveSteps(spec_, targets_);
-  if (state.share_permille <= steps.front()) {
+  if (steps.size() > 1 && state.share_permille < steps[1]) {
     share.max_in_flight = kCanaryInFlight;
   }
   // As many targets as the share loads fully, at least one.
--- a/src/schedule/fair_queue.cc
+++ b/src/schedule/fair_queue.cc
@@ -5,16 +5,26 @@
 namespace hornbeamcleat {
 
 void FairQueue::Push(RequestState* request) {
-  const std::string& workspace = request->route.workspace;
-  const auto [it, is_new] = flows_.try_emplace(workspace);
-  Flow& flow = it->second;
+  Flow* flow = Activate(*request);
+  request->place = flow->waiting.insert(flow->waiting.end(), request);
+  ++size_;
+}
+
+void FairQueue::PushFront(RequestState* request) {
+  Flow* flow = Activate(*request);
+  request->place = flow->waiting.insert(flow->waiting.begin(), request);
+  ++size_;
+}
+
+FairQueue::Flow* FairQueue::Activate(const RequestState& request) {
+  const std::uint64_t workspace = Key(request);
+  Flow& flow = flows_[workspace];
   if (flow.waiting.empty()) {
     idle_.erase({flow.start, workspace});
     flow.start = std::max(flow.start, virtual_time_);
     active_.emplace(flow.start, workspace);
   }
-  request->place = flow.waiting.insert(flow.waiting.end(), request);
-  ++size_;
+  return &flow;
 }
 
 RequestState* FairQueue::Head() const {
@@ -30,7 +40,7 @@
   const RequestState* request = flow.waiting.front();
   active_.erase(active_.begin());
   virtual_time_ = std::max(virtual_time_, flow.start);
-  flow.start += request->cost / request->route.weight;
+  flow.start += request->cost / request->route->weight;
   flow.waiting.pop_front();
   --size_;
   if (flow.waiting.empty()) {
@@ -41,7 +51,7 @@
 }
 
 void FairQueue::Remove(RequestState* request) {
-  const auto it = flows_.find(request->route.workspace);
+  const auto it = flows_.find(Key(*request));
   it->second.waiting.erase(request->place);
   --size_;
   if (it->second.waiting.empty()) {
@@ -57,6 +67,16 @@
   return flows_.at(active_.rbegin()->second).waiting.back();
 }
 
+void FairQueue::AppendAll(std::vector<RequestState*>* all) const {
+  for (const auto& [workspace, flow] : flows_) {
+    all->insert(all->end(), flow.waiting.begin(), flow.waiting.end());
+  }
+}
+
+std::uint64_t FairQueue::Key(const RequestState& request) const {
+  return fair_ ? request.route->workspace_hash : 0;
+}
+
 void FairQueue::Deactivate(Flows::iterator it) {
   idle_.emplace(it->second.start, it->first);
   DropIdle();
--- a/src/schedule/request_state.h
+++ b/src/schedule/request_state.h
@@ -3,12 +3,15 @@
 
 #include <cstdint>
 #include <list>
+#include <memory>
 
 #include "hornbeamcleat/schedule/request.h"
+#include "src/schedule/length_predictor.h"
 #include "src/schedule/route.h"
 
 namespace hornbeamcleat {
 
+struct ModelState;
 struct TargetState;
 
 /// How far a request has come.
@@ -23,7 +26,7 @@
 /// Open request.
 struct RequestState {
   RequestSpec spec;
-  Route route;
+  std::shared_ptr<const Route> route;
   Time deadline;
   Duration allotted{0};  ///< from submission to deadline
   Phase phase = Phase::kQueued;
@@ -35,10 +38,20 @@
   Time dispatched;
   Time last_progress;
   Duration stall_wait{0};
+  Time last_parts;  ///< when parts were last received
+  ModelState* model = nullptr;
+  LengthEstimate length;
+  bool suspect = false;   ///< its content was there when a target crashed
+  bool hopeless = false;  ///< no target could finish it in time, even idle
+  bool overdue = false;   ///< likely to miss its deadline, not refused yet
+  bool on_new = false;    ///< counted against the cap of a move
+  bool lost_connection = false;
+  double predicted_wait = 0;  ///< seconds, on arrival
   double cost = 1;    ///< expected service time in seconds on a usual target
   Time latest_start;  ///< dispatched later, it would miss its deadline
   std::uint64_t sequence = 0;  ///< order of submission
   Time timer;                  ///< when it is looked at again
+  Time armed = Time::max();    ///< earliest entry among the timers
   bool queued = false;         ///< is in a queue
   /// Place in its workspace's queue while queued.
   std::list<RequestState*>::iterator place;
