Supervise the control core and keep evidence facts within a datagram

Cause: the first move under load ended the control daemons: a chunk of evidence was larger than a fact may be, the error left the loop and ended the process. Change: the core is a part under the supervisor and is made anew after a failure; chunks of 400 bytes; a fact that does not fit is counted and left out; the fetch of a peer's state sends its token in the header that the API reads.

--- a/src/control/blocking_calls.cc
+++ b/src/control/blocking_calls.cc
@@ -57,7 +57,7 @@
                     bool tls) {
   cxxtools::http::Request request(url);
   if (!token.empty()) {
-    request.setHeader("Authorization:", ("Bearer " + token).c_str());
+    request.addHeader("Authorization", ("Bearer " + token).c_str());
   }
   return Exchange(step, peer, request, tls);
 }
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -25,6 +25,8 @@
 constexpr Duration kWithdrawRetry = std::chrono::seconds(1);
 constexpr Duration kSnapshotRetry = std::chrono::seconds(5);
 constexpr Duration kFetchRetry = std::chrono::seconds(1);
+constexpr std::size_t kMaxReasonBytes = 200;
+constexpr std::size_t kMaxPoisonFacts = 8;
 constexpr int kMilli = 1'000;
 constexpr int kFullLoadOpen = 2'000;  // open answers at which an entry is full
 
@@ -67,6 +69,10 @@
       }
       return;
     }
+    // A core made anew reads from the start again.
+    if (from != NextOffset(stream)) {
+      return;
+    }
     for (const LogRecord& record : read.records) {
       TakeRecord(stream, record, now);
     }
@@ -359,7 +365,8 @@
   void Withdraw(const WithdrawRecord& record, Time now) {
     const VersionKey key = {record.model, record.version};
     own_withdrawals_[key] = record.reason;
-    membership_->SetFact(WithdrawnFactKey(key), record.reason, false, now);
+    State(WithdrawnFactKey(key), record.reason.substr(0, kMaxReasonBytes),
+          false, now);
     metrics_->Count("versions_withdrawn_total", "model", record.model);
     SendAll(membership_->Tick(now));
   }
@@ -421,6 +428,17 @@
     intents_->SetWriters(membership_->Members().size());
   }
 
+  // A fact that does not fit a datagram is left out, not a failure of the core.
+  void State(const std::string& key, const std::string& value, bool expires,
+             Time now) {
+    try {
+      membership_->SetFact(key, value, expires, now);
+    } catch (const Error& e) {
+      metrics_->Count("facts_refused_total", "cause", "too_large");
+      log_.Warning("A fact can't be stated. cause={}", e.what());
+    }
+  }
+
   void StateEntryFact(Time now) {
     EntryFact fact;
     fact.serving = entry_connected_ && !report_.draining && !leaving_ &&
@@ -431,10 +449,14 @@
     for (const auto& [model, demand] : report_.facts.demand) {
       fact.demand_milli[model] = static_cast<int>(demand * kMilli);
     }
-    fact.poison = report_.facts.poison;
+    for (const auto& [fingerprint, n] : report_.facts.poison) {
+      if (fact.poison.size() < kMaxPoisonFacts) {
+        fact.poison[fingerprint] = n;
+      }
+    }
     fact.config_revision = Revision();
     fact.api = options_.api;
-    membership_->SetFact(kEntryFactKey, EncodeEntryFact(fact), true, now);
+    State(kEntryFactKey, EncodeEntryFact(fact), true, now);
   }
 
   void StateEvidence(Time now) {
@@ -444,8 +466,7 @@
     const std::vector<std::string> chunks = EvidenceChunks(
         {report_.incarnation, report_.evidence}, MovingModels(*Config()));
     for (std::size_t i = 0; i < chunks.size(); ++i) {
-      membership_->SetFact(fmt::format("{}{}", kEvidencePrefix, i), chunks[i],
-                           true, now);
+      State(fmt::format("{}{}", kEvidencePrefix, i), chunks[i], true, now);
     }
   }
 
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -1,13 +1,16 @@
 #include "src/control/control_daemon.h"
 
 #include <atomic>
+#include <functional>
 #include <future>
+#include <optional>
 #include <utility>
 
 #include "hornbeamcleat/base/clock.h"
 #include "hornbeamcleat/base/error.h"
 #include "hornbeamcleat/base/log.h"
 #include "hornbeamcleat/base/metrics.h"
+#include "hornbeamcleat/base/supervisor.h"
 #include "hornbeamcleat/base/timer_service.h"
 #include "src/base/poll_loop.h"
 #include "src/control/api_backend.h"
@@ -37,13 +40,18 @@
   explicit EpollControlDaemon(const ControlDaemonOptions& options)
       : options_(options),
         loop_(PollLoop::Make(clock_.get())),
-        core_(ControlCore::Make(options.core, this, metrics_.get())),
+        supervisor_(
+            Supervisor::Make("control", RestartPolicy{}, loop_->Timers())),
         gossip_(GossipSocket::Make(
             options.gossip_listen, loop_.get(),
             [this](const Address& from, std::string_view bytes) {
-              core_->OnDatagram(from, bytes, clock_->Now());
+              WithCore([&](ControlCore* core) {
+                core->OnDatagram(from, bytes, clock_->Now());
+              });
             })),
         link_(LinkServer::Make(options.link_listen, loop_.get(), this)) {
+    supervisor_->Add([this] { return std::make_unique<CorePart>(this); });
+    supervisor_->Start(clock_->Now());
     StartWorkers();
     StartTimers();
     StartTailers();
@@ -61,17 +69,23 @@
   }
 
   int Run() override {
-    loop_->Run();
+    while (!quit_) {
+      supervisor_->Guard("core", clock_->Now(),
+                         [this] { loop_->RunOnce(kTick); });
+      if (supervisor_->GaveUp()) {
+        return 1;
+      }
+    }
     return 0;
   }
 
   void Quit() override {
     loop_->Post([this] {
       log_.Info("Stopping.");
-      core_->Leave(clock_->Now());
+      supervisor_->Drain(clock_->Now());
       // Time for the announcement to travel.
       quit_timer_ = loop_->Timers()->At(clock_->Now() + kLeaveTime,
-                                        [this](Time) { loop_->Quit(); });
+                                        [this](Time) { quit_ = true; });
     });
   }
 
@@ -98,15 +112,19 @@
       const std::string body =
           HttpGet("fetch the configuration", Address::Parse(api), "/api/state",
                   options_.api.token, !options_.api.certificate.empty());
-      const ConfigState state = DecodeState(body);
-      loop_->Post([this, state] { core_->OnPeerState(state, clock_->Now()); });
+      PostToCore([this, state = DecodeState(body)](ControlCore* core) {
+        core->OnPeerState(state, clock_->Now());
+      });
     });
   }
 
   void SendOrder(const AddressedOrder& order) override {
     orderer_->Submit([this, order] {
       // Asked again here: the job may have waited, or the process been stopped.
-      if (!HoldsLeaseNow()) {
+      const std::optional<bool> holds = Ask<bool>(
+          [this](ControlCore* core) { return core->HoldsLease(clock_->Now()); },
+          kLeaseAnswer);
+      if (!holds.value_or(false)) {
         return;
       }
       log_.Info("An order is sent. target={} version={} fencing={}",
@@ -124,14 +142,16 @@
 
   void OnLinkUp() override {
     log_.Info("The entry connected.");
-    core_->OnEntryConnected(true, clock_->Now());
+    SetEntryConnected(true);
   }
   void OnLinkDown() override {
     log_.Warning("The entry is gone.");
-    core_->OnEntryConnected(false, clock_->Now());
+    SetEntryConnected(false);
   }
   void OnLinkMessage(const LinkMessage& message) override {
-    core_->OnEntryMessage(message, clock_->Now());
+    WithCore([&](ControlCore* core) {
+      core->OnEntryMessage(message, clock_->Now());
+    });
   }
 
   // ApiBackend, on the API's threads.
@@ -153,16 +173,14 @@
     const std::shared_ptr<std::promise<ApplyAnswer>> promise =
         std::make_shared<std::promise<ApplyAnswer>>();
     std::future<ApplyAnswer> future = promise->get_future();
-    loop_->Post([this, record, promise] {
-      core_->Apply(
+    PostToCore([this, record, promise](ControlCore* core) {
+      core->Apply(
           record,
           [promise](const ApplyAnswer& answer) { promise->set_value(answer); },
           clock_->Now());
     });
-    if (future.wait_for(kApiTimeout) != std::future_status::ready) {
-      return {ApplyEnd::kUnknown, 0, "the daemon took too long"};
-    }
-    return future.get();
+    return Await(&future, kApiTimeout)
+        .value_or(ApplyAnswer{ApplyEnd::kUnknown, 0, "the daemon is busy"});
   }
 
   WatchAnswer Watch(std::uint64_t from, Duration wait) override {
@@ -170,14 +188,12 @@
   }
 
   ControlStatus Status() override {
-    const std::shared_ptr<std::promise<ControlStatus>> promise =
-        std::make_shared<std::promise<ControlStatus>>();
-    std::future<ControlStatus> future = promise->get_future();
-    loop_->Post([this, promise] { promise->set_value(core_->Status()); });
-    if (future.wait_for(kApiTimeout) != std::future_status::ready) {
-      throw Error("read status", "", "the daemon took too long");
+    const std::optional<ControlStatus> status = Ask<ControlStatus>(
+        [](ControlCore* core) { return core->Status(); }, kApiTimeout);
+    if (!status) {
+      throw Error("read status", "", "the daemon is busy");
     }
-    return future.get();
+    return *status;
   }
 
   std::string Explain(const std::string& request_id) override {
@@ -188,6 +204,72 @@
   std::string ExposeMetrics() override { return metrics_->Expose(); }
 
  private:
+  // The core under supervision. After a failure it is made anew, and the log
+  // readers begin again from the start.
+  class CorePart : public Part {
+   public:
+    explicit CorePart(EpollControlDaemon* daemon) : daemon_(daemon) {}
+
+    const char* Name() const override { return "core"; }
+    void Start(Time now) override { daemon_->MakeCore(now); }
+    void Drain(Time now) override { daemon_->core_->Leave(now); }
+    bool Drained() const override { return true; }
+    void Stop() override { daemon_->core_.reset(); }
+
+   private:
+    EpollControlDaemon* daemon_;
+  };
+
+  void MakeCore(Time now) {
+    core_ = ControlCore::Make(options_.core, this, metrics_.get());
+    core_->OnEntryConnected(entry_connected_, now);
+    // The next core is another life; peers must not take it for this one.
+    ++options_.core.self.incarnation;
+  }
+
+  // On the control thread. Nothing is done while the core is made anew.
+  void WithCore(const std::function<void(ControlCore*)>& work) {
+    if (core_ != nullptr) {
+      work(core_.get());
+    }
+  }
+
+  void PostToCore(std::function<void(ControlCore*)> work) {
+    loop_->Post([this, work = std::move(work)] { WithCore(work); });
+  }
+
+  // Waits on another thread; nothing if the core dropped the promise.
+  template <typename T>
+  std::optional<T> Await(std::future<T>* future, Duration longest) const {
+    if (future->wait_for(longest) != std::future_status::ready) {
+      return std::nullopt;
+    }
+    try {
+      return future->get();
+    } catch (const std::future_error&) {
+      return std::nullopt;
+    }
+  }
+
+  template <typename T>
+  std::optional<T> Ask(std::function<T(ControlCore*)> question,
+                       Duration longest) {
+    const std::shared_ptr<std::promise<T>> promise =
+        std::make_shared<std::promise<T>>();
+    std::future<T> future = promise->get_future();
+    PostToCore([promise, question](ControlCore* core) {
+      promise->set_value(question(core));
+    });
+    return Await(&future, longest);
+  }
+
+  void SetEntryConnected(bool connected) {
+    entry_connected_ = connected;
+    WithCore([&](ControlCore* core) {
+      core->OnEntryConnected(connected, clock_->Now());
+    });
+  }
+
   void StartWorkers() {
     append_log_ =
         MakeHttpLogService(options_.platform, options_.platform_timeout);
@@ -201,8 +283,9 @@
 
   void StartTimers() {
     const Time now = clock_->Now();
-    tick_ = loop_->Timers()->Every(
-        now, kTick, [this](Time due) { core_->Tick(due, clock_->WallNow()); });
+    tick_ = loop_->Timers()->Every(now, kTick, [this](Time due) {
+      WithCore([&](ControlCore* core) { core->Tick(due, clock_->WallNow()); });
+    });
     vm_timer_ = loop_->Timers()->Every(now, options_.vm_list_period,
                                        [this](Time) { ReadVms(); });
     observe_timer_ = loop_->Timers()->Every(
@@ -213,7 +296,7 @@
     for (const char* stream : {kConfigStream, kLeaseStream, kIntentStream}) {
       tailers_.push_back(std::make_unique<LogTailer>(
           MakeHttpLogService(options_.platform, options_.platform_timeout),
-          stream, core_->NextOffset(stream),
+          stream, 1,
           [this, name = std::string(stream)](std::uint64_t from,
                                              const LogRead& read) {
             return Deliver(name, from, read);
@@ -228,16 +311,16 @@
     const std::shared_ptr<std::promise<std::uint64_t>> promise =
         std::make_shared<std::promise<std::uint64_t>>();
     std::future<std::uint64_t> future = promise->get_future();
-    loop_->Post([this, stream, from, read, promise] {
-      core_->OnLogRead(stream, from, read, clock_->Now());
-      promise->set_value(core_->NextOffset(stream));
+    PostToCore([this, stream, from, read, promise](ControlCore* core) {
+      core->OnLogRead(stream, from, read, clock_->Now());
+      promise->set_value(core->NextOffset(stream));
     });
-    while (future.wait_for(kTick) != std::future_status::ready) {
-      if (closing_) {
-        return 1;
+    while (!closing_) {
+      if (future.wait_for(kTick) == std::future_status::ready) {
+        return Await(&future, kTick).value_or(1);
       }
     }
-    return future.get();
+    return 1;
   }
 
   void AppendNow(const std::string& stream,
@@ -246,6 +329,7 @@
     try {
       ReportAppend(token, AppendEnd::kDone,
                    append_log_->AppendBatch(stream, payloads));
+      metrics_->Count("log_appends_total", "end", "done");
     } catch (const AppendUnknown& e) {
       log_.Warning("An append's answer was lost. stream={} cause={}", stream,
                    e.what());
@@ -259,40 +343,33 @@
   }
 
   void ReportAppend(std::uint64_t token, AppendEnd end, std::uint64_t offset) {
-    loop_->Post([this, token, end, offset] {
-      core_->OnAppendEnd(token, end, offset, clock_->Now());
+    PostToCore([this, token, end, offset](ControlCore* core) {
+      core->OnAppendEnd(token, end, offset, clock_->Now());
     });
   }
 
   void ReadVms() {
     vm_reader_->Submit([this] {
-      const std::vector<VmEntry> vms = vm_list_->Get();
-      loop_->Post([this, vms] { core_->OnVms(vms); });
+      PostToCore(
+          [vms = vm_list_->Get()](ControlCore* core) { core->OnVms(vms); });
     });
   }
 
   void ObserveTargets(Time now) {
-    for (const TargetToObserve& target : core_->ToObserve(now)) {
-      observer_->Submit([this, target] {
-        const Time sent = clock_->Now();
-        const LoadState state = ObserveTarget(target);
-        loop_->Post([this, target, state, sent] {
-          core_->OnObserved(target, state, sent);
-        });
-      });
-    }
+    WithCore([&](ControlCore* core) {
+      for (const TargetToObserve& target : core->ToObserve(now)) {
+        observer_->Submit([this, target] { Observe(target); });
+      }
+    });
   }
 
   // On a worker's thread.
-  bool HoldsLeaseNow() {
-    const std::shared_ptr<std::promise<bool>> promise =
-        std::make_shared<std::promise<bool>>();
-    std::future<bool> future = promise->get_future();
-    loop_->Post([this, promise] {
-      promise->set_value(core_->HoldsLease(clock_->Now()));
+  void Observe(const TargetToObserve& target) {
+    const Time sent = clock_->Now();
+    const LoadState state = ObserveTarget(target);
+    PostToCore([target, state, sent](ControlCore* core) {
+      core->OnObserved(target, state, sent);
     });
-    return future.wait_for(kLeaseAnswer) == std::future_status::ready &&
-           future.get();
   }
 
   ControlDaemonOptions options_;
@@ -300,7 +377,10 @@
   std::unique_ptr<Clock> clock_ = Clock::Make();
   std::unique_ptr<Metrics> metrics_ = Metrics::Make();
   std::unique_ptr<PollLoop> loop_;
-  std::unique_ptr<ControlCore> core_;
+  std::unique_ptr<Supervisor> supervisor_;
+  std::unique_ptr<ControlCore> core_;  // null while it is made anew
+  bool entry_connected_ = false;
+  bool quit_ = false;
   std::unique_ptr<GossipSocket> gossip_;
   std::unique_ptr<LinkServer> link_;
   WatchHub watches_;
--- a/src/control/evidence_exchange.cc
+++ b/src/control/evidence_exchange.cc
@@ -5,7 +5,7 @@
 namespace hornbeamcleat {
 namespace {
 
-constexpr std::size_t kMaxChunkBytes = 700;
+constexpr std::size_t kMaxChunkBytes = 400;
 
 bool Ended(const ConfigState& config, const std::string& move) {
   const std::map<std::string, MoveProgressRecord>::const_iterator it =
--- a/tools/hornbeamcleat-control/main.cc
+++ b/tools/hornbeamcleat-control/main.cc
@@ -102,7 +102,12 @@
     sigwait(&signals, &signal);
     daemon->Quit();
   });
-  const int exit_code = daemon->Run();
+  int exit_code = 1;
+  try {
+    exit_code = daemon->Run();
+  } catch (const std::exception& e) {
+    Logger("control").Error("The daemon failed. cause={}", e.what());
+  }
   // Ends the thread also when the daemon gave up by itself.
   pthread_kill(stopper.native_handle(), SIGTERM);
   stopper.join();
