Take a move back in the log first when its time runs out

Change: the controller proposes the rollback, and withdraws only with the log down or after half of the reserve. Seen failing before: LogUpNearTheDeadlineRollsBackInTheLogFirst, whose first decision withdrew. Ruled out: never withdrawing, which leaves a move undecided whose holder is gone.

--- a/src/move/move_controller.cc
+++ b/src/move/move_controller.cc
@@ -127,7 +127,9 @@
   if (input.now >= schedule_.rollback_by) {
     RollBack(input, "the deadline is too near to finish", out);
     // With the log down, or its holder gone, only gossip still takes it back.
-    out->withdraw = true;
+    const Duration late = input.now - schedule_.rollback_by;
+    out->withdraw = !input.log_available ||
+                    2 * late >= spec_.deadline - schedule_.rollback_by;
     return true;
   }
   if (input.now + Remaining(state, input.now) > schedule_.rollback_by &&
--- a/tests/move/move_controller_test.cc
+++ b/tests/move/move_controller_test.cc
@@ -242,6 +242,22 @@
   EXPECT_TRUE(Look(minutes(120) - seconds(29)).withdraw);
 }
 
+TEST_F(MoveControllerTest, LogUpNearTheDeadlineRollsBackInTheLogFirst) {
+  Begin();
+  state_.phase = MovePhase::kBaking;
+  state_.step_since = At(minutes(100));
+  Serve("v1", "w", kMany, 2);
+  Step(minutes(101));
+  Serve("v2", "w", 200, 4);
+  const MoveDecision held = Look(minutes(115));
+  ASSERT_FALSE(held.advance);
+  const MoveDecision first = Look(minutes(120) - seconds(29));
+  ASSERT_TRUE(first.advance);
+  EXPECT_EQ(first.advance->phase, MovePhase::kRolledBack);
+  EXPECT_FALSE(first.withdraw);
+  EXPECT_TRUE(Look(minutes(120) - seconds(14)).withdraw);
+}
+
 TEST_F(MoveControllerTest, BakeIsCountedFromTheLogAfterATakeover) {
   state_ = {MovePhase::kBaking, 950, At(minutes(90)), ""};
   Serve("v1", "w", kMany, 0);
