Let each trial daemon append with the term it believes in

Cause: the stand-in decided by the daemon's number who may append. Change: a daemon keeps the fencing number of its last term, so that a paused holder's late append meets the fold.

--- a/src/trial/move_trial.cc
+++ b/src/trial/move_trial.cc
@@ -88,6 +88,7 @@
   int holder_ = 0;
   std::uint64_t fencing_ = 1;
   std::int64_t holder_seen_ = 0;  ///< last tick at which the holder ran
+  /// Fencing number of the term that each daemon believes to hold; 0: none.
   std::array<std::uint64_t, kWitnesses> known_fencing_{};
   Span pause_;
   Span outage_;
@@ -120,7 +121,7 @@
   for (int n = 0; n < kWitnesses; ++n) {
     daemons_.emplace_back(MoveOf(spec));
   }
-  known_fencing_.fill(fencing_);
+  known_fencing_[holder_] = fencing_;
   PlanDisturbances();
 }
 
@@ -246,9 +247,8 @@
   if (decision.withdraw) {
     Withdraw(decision.reason);
   }
-  const bool believes = daemon == holder_ || known_fencing_[daemon] != 0;
-  const bool was_holder = daemon == holder_ || daemon == 0;
-  if (decision.advance && believes && was_holder) {
+  // A daemon that lost its term while paused still believes in it.
+  if (decision.advance && known_fencing_[daemon] != 0) {
     AppendProgress(known_fencing_[daemon], *decision.advance);
   }
 }
