Steady the credits and order work by time to start

Cause: the top tier's shortest requests waited 4.7 s with hardly any work ahead of them: credits jumped with demand measured over 5 s, a limit shrank by 30% at once and then had to drain, a workspace's short requests were held back for its last long answer, and lower tiers' long answers held every credit.

Change: demand over 30 s, a fifth of the credits shared out equally, gentle shrinking unless latency is far above its target, an aim of 0.9 of the target times, a tenth of the credits at most kept for higher tiers, a cap on what a workspace is held back for past service, order within a workspace by a tenth of the spare time, and a short wait for a target on which a long answer would be in time too.

--- a/src/schedule/admission.cc
+++ b/src/schedule/admission.cc
@@ -11,6 +11,9 @@
 constexpr double kMaxHigherLoad = 0.95;
 /// Answers after which a length counts as learned.
 constexpr int kLeastSamples = 8;
+/// Part of the spare time after which a request is due to start. Short work
+/// goes ahead of long, but not for as long as the long could wait.
+constexpr double kStartGoal = 0.1;
 /// Settle times between the warning and the latest start.
 constexpr double kWarnSettles = 1.5;
 
@@ -27,6 +30,7 @@
     const double parts = learned ? request->length.median : 1;
     request->latest_start -=
         FromSeconds(pool.best_first_part + parts * pool.best_gap);
+    request->start_goal = now + FromSeconds(kStartGoal * Slack(*request, now));
     request->hopeless = request->deadline - FromSeconds(pool.idle_first_part +
                                                         parts * pool.idle_gap) <
                         now;
@@ -35,8 +39,8 @@
 
 double Admission::Wait(const RequestState& request, Time now) const {
   const ModelState& model = *request.model;
-  const double ahead = model.lanes[0].SecondsAhead(request.route->rank) +
-                       model.lanes[1].SecondsAhead(request.route->rank);
+  const double ahead = model.lanes[0].SecondsAhead(request) +
+                       model.lanes[1].SecondsAhead(request);
   if (ahead <= 0) {
     return 0;
   }
--- a/src/schedule/demand_meter.cc
+++ b/src/schedule/demand_meter.cc
@@ -4,15 +4,10 @@
 #include <limits>
 
 namespace hornbeamcleat {
-namespace {
-
-constexpr double kMemorySeconds = 5;
-
-}  // namespace
 
 void DemandMeter::Add(int rank, double seconds, Time now) {
   Sum& sum = by_rank_[rank];
-  sum.seconds = RateOf(sum, now) * kMemorySeconds + seconds;
+  sum.seconds = RateOf(sum, now) * memory_seconds_ + seconds;
   sum.updated = now;
 }
 
@@ -30,9 +25,9 @@
   return RateBelow(std::numeric_limits<int>::max(), now);
 }
 
-double DemandMeter::RateOf(const Sum& sum, Time now) {
+double DemandMeter::RateOf(const Sum& sum, Time now) const {
   const double age = ToSeconds(now - sum.updated);
-  return sum.seconds / kMemorySeconds * std::exp(-age / kMemorySeconds);
+  return sum.seconds / memory_seconds_ * std::exp(-age / memory_seconds_);
 }
 
 }  // namespace hornbeamcleat
--- a/src/schedule/demand_meter.h
+++ b/src/schedule/demand_meter.h
@@ -11,6 +11,10 @@
 /// forgets exponentially.
 class DemandMeter {
  public:
+  /// @param memory_seconds time over which old work loses most of its weight
+  explicit DemandMeter(double memory_seconds)
+      : memory_seconds_(memory_seconds) {}
+
   void Add(int rank, double seconds, Time now);
 
   /// Rate of work of ranks below `rank`.
@@ -25,8 +29,9 @@
     Time updated;
   };
 
-  static double RateOf(const Sum& sum, Time now);
+  double RateOf(const Sum& sum, Time now) const;
 
+  double memory_seconds_;
   std::map<int, Sum> by_rank_;
 };
 
--- a/src/schedule/dispatcher.cc
+++ b/src/schedule/dispatcher.cc
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr std::size_t kNoLane = 2;
+/// Credits kept free for higher tiers, as a part of what their demand uses and
+/// at most as a part of all.
+constexpr double kKeptOfDemand = 0.15;
+constexpr double kMaxKept = 0.1;
 /// Waiting requests that one pass looks behind.
 constexpr std::size_t kMaxPassedOver = 8;
 
@@ -123,6 +127,9 @@
       chooser_.AnyFree(*model, now) ? BestLane(*model, least_ranks) : kNoLane;
   while (lane != kNoLane) {
     RequestState* request = model->lanes[lane].Head(least_ranks[lane]);
+    if (KeptForHigher(*request, now)) {
+      break;
+    }
     TargetState* target = chooser_.Choose(*request, *model, now);
     if (target == nullptr && passed_over.size() < kMaxPassedOver) {
       // Work behind it may still fit a target that this can't use.
@@ -141,9 +148,20 @@
     }
     lane = BestLane(*model, least_ranks);
   }
-  for (auto it = passed_over.rbegin(); it != passed_over.rend(); ++it) {
-    model->lanes[(*it)->prefers_new ? 1 : 0].PushFront(*it);
+  for (RequestState* request : passed_over) {
+    model->lanes[request->prefers_new ? 1 : 0].Push(request);
+  }
+}
+
+bool Dispatcher::KeptForHigher(const RequestState& request, Time now) const {
+  const ModelState& model = *request.model;
+  if (options_.policy != SchedulePolicy::kFull) {
+    return false;
   }
+  const double higher = model.offered.RateBelow(request.route->rank, now);
+  const double kept =
+      std::min(kKeptOfDemand * higher, kMaxKept * model.pool.credits);
+  return model.in_flight + kept >= model.pool.credits;
 }
 
 void Dispatcher::DispatchAll(Time now, Actions* actions) {
@@ -171,6 +189,7 @@
     return;
   }
   --target->in_flight;
+  --request->model->in_flight;
   target->suspects_in_flight -= request->suspect ? 1 : 0;
   request->model->in_flight_on_new -= request->on_new ? 1 : 0;
   request->on_new = false;
@@ -196,6 +215,7 @@
   request->target = target;
   request->on_new = target->on_new;
   ++target->in_flight;
+  ++request->model->in_flight;
   target->suspects_in_flight += request->suspect ? 1 : 0;
   request->model->in_flight_on_new += request->on_new ? 1 : 0;
   if (!request->route->idempotent && !request->intent_held) {
--- a/src/schedule/dispatcher.h
+++ b/src/schedule/dispatcher.h
@@ -75,6 +75,9 @@
 
   static std::size_t BestLane(const ModelState& model,
                               const LeastRanks& least_ranks);
+  /// Whether the credits still free are kept for work of higher tiers, which
+  /// would otherwise wait for long answers of lower ones to end.
+  bool KeptForHigher(const RequestState& request, Time now) const;
   void Start(RequestState* request, TargetState* target, Time now,
              Actions* actions);
   void TakeView(ModelState* model) const;
--- a/src/schedule/fair_queue.cc
+++ b/src/schedule/fair_queue.cc
@@ -1,47 +1,51 @@
 #include "src/schedule/fair_queue.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace hornbeamcleat {
+namespace {
 
-void FairQueue::Push(RequestState* request) {
-  Flow* flow = Activate(*request);
-  request->place = flow->waiting.insert(flow->waiting.end(), request);
-  ++size_;
-}
+/// Service, in seconds, for which a workspace is held back at most when it has
+/// work again, so that one long answer does not make its short ones late.
+constexpr double kMaxDebt = 2;
 
-void FairQueue::PushFront(RequestState* request) {
-  Flow* flow = Activate(*request);
-  request->place = flow->waiting.insert(flow->waiting.begin(), request);
-  ++size_;
+}  // namespace
+
+bool FairQueue::Earlier::operator()(const RequestState* a,
+                                    const RequestState* b) const {
+  return std::tie(a->start_goal, a->sequence) <
+         std::tie(b->start_goal, b->sequence);
 }
 
-FairQueue::Flow* FairQueue::Activate(const RequestState& request) {
-  const std::uint64_t workspace = Key(request);
+void FairQueue::Push(RequestState* request) {
+  const std::uint64_t workspace = Key(*request);
   Flow& flow = flows_[workspace];
   if (flow.waiting.empty()) {
     idle_.erase({flow.start, workspace});
-    flow.start = std::max(flow.start, virtual_time_);
+    flow.start =
+        std::clamp(flow.start, virtual_time_, virtual_time_ + kMaxDebt);
     active_.emplace(flow.start, workspace);
   }
-  return &flow;
+  flow.waiting.insert(request);
+  ++size_;
 }
 
 RequestState* FairQueue::Head() const {
   if (active_.empty()) {
     return nullptr;
   }
-  return flows_.at(active_.begin()->second).waiting.front();
+  return *flows_.at(active_.begin()->second).waiting.begin();
 }
 
 void FairQueue::PopHead() {
   const auto it = flows_.find(active_.begin()->second);
   Flow& flow = it->second;
-  const RequestState* request = flow.waiting.front();
+  const RequestState* request = *flow.waiting.begin();
   active_.erase(active_.begin());
   virtual_time_ = std::max(virtual_time_, flow.start);
   flow.start += request->cost / request->route->weight;
-  flow.waiting.pop_front();
+  flow.waiting.erase(flow.waiting.begin());
   --size_;
   if (flow.waiting.empty()) {
     Deactivate(it);
@@ -52,7 +56,7 @@
 
 void FairQueue::Remove(RequestState* request) {
   const auto it = flows_.find(Key(*request));
-  it->second.waiting.erase(request->place);
+  it->second.waiting.erase(request);
   --size_;
   if (it->second.waiting.empty()) {
     active_.erase({it->second.start, it->first});
@@ -64,7 +68,7 @@
   if (active_.empty()) {
     return nullptr;
   }
-  return flows_.at(active_.rbegin()->second).waiting.back();
+  return *flows_.at(active_.rbegin()->second).waiting.rbegin();
 }
 
 void FairQueue::AppendAll(std::vector<RequestState*>* all) const {
--- a/src/schedule/fair_queue.h
+++ b/src/schedule/fair_queue.h
@@ -2,7 +2,6 @@
 #define HORNBEAMCLEAT_SRC_SCHEDULE_FAIR_QUEUE_H_
 
 #include <cstdint>
-#include <list>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -14,20 +13,18 @@
 
 /// Queue of one tier, fair among workspaces by start-time fair queueing: each
 /// workspace gets service in proportion to its weight while it has work, and
-/// what one leaves idle goes to the others. First come, first served within a
-/// workspace. Keeps state only for workspaces that wait or are ahead of their
-/// share. All operations are logarithmic in the number of such workspaces.
+/// what one leaves idle goes to the others. Within a workspace the request that
+/// has the earliest start goal goes first. Keeps state only for
+/// workspaces that wait or are ahead of their share. All operations are
+/// logarithmic in the number of such workspaces.
 class FairQueue {
  public:
   /// @param fair false keeps one queue for all workspaces
   explicit FairQueue(bool fair) : fair_(fair) {}
 
-  /// Adds a request at the end of its workspace's queue.
+  /// Adds a request; its start goal must not change while it waits.
   void Push(RequestState* request);
 
-  /// Puts a removed request back at the front of its workspace's queue.
-  void PushFront(RequestState* request);
-
   /// Next request to serve; nullptr if empty.
   RequestState* Head() const;
 
@@ -50,14 +47,16 @@
   std::size_t Workspaces() const { return flows_.size(); }
 
  private:
+  struct Earlier {
+    bool operator()(const RequestState* a, const RequestState* b) const;
+  };
   struct Flow {
     double start = 0;  ///< virtual time at which its next service starts
-    std::list<RequestState*> waiting;
+    std::set<RequestState*, Earlier> waiting;
   };
   using Flows = std::unordered_map<std::uint64_t, Flow>;
 
   std::uint64_t Key(const RequestState& request) const;
-  Flow* Activate(const RequestState& request);
   void Deactivate(Flows::iterator it);
   void DropIdle();
 
--- a/src/schedule/latency_limit.cc
+++ b/src/schedule/latency_limit.cc
@@ -9,14 +9,22 @@
 /// Parts or first parts that a period needs to count.
 constexpr double kLeastParts = 8;
 /// Latency under this part of its target lets the limit grow.
-constexpr double kRoom = 0.85;
+constexpr double kRoom = 0.93;
 constexpr double kGrowth = 0.5;
 constexpr double kGrowthRatio = 0.05;
+/// Part of the target time that the average keeps to, so that most requests
+/// keep to the whole.
+constexpr double kAim = 0.9;
 /// Latency over its least that is always allowed.
 constexpr double kGapRoom = 1.5;
 constexpr double kFirstPartRoom = 2.5;
-/// Least factor by which one period shrinks the limit.
+/// Least factor by which one period shrinks the limit, when latency is somewhat
+/// above its target and when it is far above it.
+constexpr double kGentleShrink = 0.93;
 constexpr double kShrink = 0.7;
+constexpr double kFarAbove = 1.5;
+/// A target that refuses work counts as this far above its target time.
+constexpr double kPushBackOverload = 1.4;
 
 }  // namespace
 
@@ -37,9 +45,10 @@
     return false;
   }
   const double before = limit_;
-  const double overload = pushed_back_ ? 1 / kShrink : Overload();
+  const double overload = pushed_back_ ? kPushBackOverload : Overload();
   if (overload > 1) {
-    limit_ *= std::max(kShrink, 1 / overload);
+    const bool far_above = overload > kFarAbove;
+    limit_ *= std::max(far_above ? kShrink : kGentleShrink, 1 / overload);
   } else if (overload < kRoom && was_in_use_) {
     limit_ += std::max(kGrowth, kGrowthRatio * limit_);
   }
@@ -58,14 +67,14 @@
   if (gap_parts_ >= kLeastParts) {
     const double gap = gap_seconds_ / gap_parts_;
     least_gap_ = least_gap_ == 0 ? gap : std::min(least_gap_, gap);
-    overload = gap / std::max(gap_target_, kGapRoom * least_gap_);
+    overload = gap / std::max(kAim * gap_target_, kGapRoom * least_gap_);
   }
   if (first_parts_ > 0) {
     const double first = first_part_seconds_ / first_parts_;
     least_first_part_ =
         least_first_part_ == 0 ? first : std::min(least_first_part_, first);
     const double target =
-        std::max(first_part_target_, kFirstPartRoom * least_first_part_);
+        std::max(kAim * first_part_target_, kFirstPartRoom * least_first_part_);
     overload = std::max(overload, first / target);
   }
   return overload;
--- a/src/schedule/length_predictor.h
+++ b/src/schedule/length_predictor.h
@@ -1,6 +1,7 @@
 #ifndef HORNBEAMCLEAT_SRC_SCHEDULE_LENGTH_PREDICTOR_H_
 #define HORNBEAMCLEAT_SRC_SCHEDULE_LENGTH_PREDICTOR_H_
 
+#include <cmath>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -17,6 +18,10 @@
   double p97 = 300;  ///< 97th percentile
   int samples = 0;   ///< of this very route
 
+  /// Length between the median and the 97th percentile that most answers keep
+  /// to, without the cost of planning for the longest.
+  double Likely() const { return std::sqrt(median * p97); }
+
   bool operator==(const LengthEstimate&) const = default;
 };
 
--- a/src/schedule/model_state.h
+++ b/src/schedule/model_state.h
@@ -24,10 +24,12 @@
   /// Requests whose share chose the old version and the new one.
   std::array<TierQueue, 2> lanes;
   TierFloor floor;
-  DemandMeter offered;
-  DemandMeter admitted;
+  /// Long, since credits follow it and long answers make it uneven.
+  DemandMeter offered{30};
+  DemandMeter admitted{5};
   ComeBack come_back;
   PoolSummary pool;
+  int in_flight = 0;
   int in_flight_on_new = 0;
 
   std::size_t Queued() const { return lanes[0].Size() + lanes[1].Size(); }
--- a/src/schedule/request_state.h
+++ b/src/schedule/request_state.h
@@ -2,7 +2,6 @@
 #define HORNBEAMCLEAT_SRC_SCHEDULE_REQUEST_STATE_H_
 
 #include <cstdint>
-#include <list>
 #include <memory>
 
 #include "hornbeamcleat/schedule/request.h"
@@ -48,13 +47,12 @@
   bool lost_connection = false;
   double predicted_wait = 0;  ///< seconds, on arrival
   double cost = 1;    ///< expected service time in seconds on a usual target
+  Time start_goal;    ///< orders the requests of a workspace
   Time latest_start;  ///< dispatched later, it would miss its deadline
   std::uint64_t sequence = 0;  ///< order of submission
   Time timer;                  ///< when it is looked at again
   Time armed = Time::max();    ///< earliest entry among the timers
   bool queued = false;         ///< is in a queue
-  /// Place in its workspace's queue while queued.
-  std::list<RequestState*>::iterator place;
 };
 
 }  // namespace hornbeamcleat
--- a/src/schedule/target_chooser.cc
+++ b/src/schedule/target_chooser.cc
@@ -1,6 +1,7 @@
 #include "src/schedule/target_chooser.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hornbeamcleat {
 namespace {
@@ -13,8 +14,10 @@
 constexpr double kTooLate = 1e9;
 /// Answers after which a length counts as learned.
 constexpr int kLeastSamples = 8;
-/// Factor for a target on which a long answer would be late.
-constexpr double kRiskWeight = 2;
+/// Added to the score of a target on which a long answer would be late.
+constexpr double kRisky = 1e4;
+/// Part of its time for which a request waits for a target without that risk.
+constexpr double kPatience = 0.1;
 /// Age of a target's speed after which its generation's stands in, so that a
 /// target that was slow is tried again.
 constexpr Duration kStaleAfter = std::chrono::seconds(15);
@@ -74,7 +77,20 @@
       best_score = score;
     }
   }
-  return best_score >= kTooLate ? nullptr : best;
+  if (best_score >= kTooLate) {
+    return nullptr;
+  }
+  const bool risky = full && std::fmod(best_score, kOtherVersion) >= kRisky;
+  return risky && MayWait(request, model, now) ? nullptr : best;
+}
+
+bool TargetChooser::MayWait(const RequestState& request,
+                            const ModelState& model, Time now) {
+  const double patience = kPatience * ToSeconds(request.allotted);
+  const double waited = ToSeconds(now - request.spec.arrival);
+  const double long_answer =
+      model.pool.best_first_part + request.length.p97 * model.pool.best_gap;
+  return waited < patience && long_answer < ToSeconds(request.deadline - now);
 }
 
 double TargetChooser::Score(const TargetState& target,
@@ -98,10 +114,10 @@
   const double seconds =
       stale ? Seconds(*target.generation, uncached, request.length.median)
             : own;
-  const double risk = risky ? kRiskWeight : 1;
   const double load = static_cast<double>(target.in_flight) / target.credits;
   std::uniform_real_distribution<double> jitter(1, 1 + kJitter);
-  return risk * seconds * (1 + kLoadWeight * load) * jitter(random_);
+  return seconds * (1 + kLoadWeight * load) * jitter(random_) +
+         (risky ? kRisky : 0);
 }
 
 double TargetChooser::BaselineScore(const TargetState& target) {
--- a/src/schedule/target_chooser.h
+++ b/src/schedule/target_chooser.h
@@ -37,6 +37,10 @@
                       Time now);
 
  private:
+  /// Whether the request can afford to wait for a better target, and there is
+  /// one.
+  static bool MayWait(const RequestState& request, const ModelState& model,
+                      Time now);
   bool Free(const TargetState& target, Time now) const;
   double Score(const TargetState& target, const RequestState& request,
                std::size_t cached_blocks, Time now);
--- a/src/schedule/target_table.cc
+++ b/src/schedule/target_table.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr double kPermille = 1'000;
+/// Part of the credits that does not follow demand.
+constexpr double kEqualPart = 0.2;
 /// Weight of a target without a credit in the averages of its pool.
 constexpr double kLeastWeight = 0.1;
 
@@ -155,9 +157,11 @@
 
 void TargetTable::UpdateCredits(TargetState* target) const {
   const auto it = demand_permille_by_model_.find(target->spec.model);
-  const double share = it == demand_permille_by_model_.end()
-                           ? 1.0 / entry_count_
-                           : it->second / kPermille;
+  const double equal = 1.0 / entry_count_;
+  const double demand =
+      it == demand_permille_by_model_.end() ? equal : it->second / kPermille;
+  // Demand over a short time says little, so a part is shared out equally.
+  const double share = kEqualPart * equal + (1 - kEqualPart) * demand;
   const double exact = target->limit.Limit() * share;
   target->credits = static_cast<int>(
       std::floor(exact + RoundingOffset(target->name, entry_index_)));
--- a/src/schedule/tier_queue.cc
+++ b/src/schedule/tier_queue.cc
@@ -1,5 +1,9 @@
 #include "src/schedule/tier_queue.h"
 
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
 namespace hornbeamcleat {
 
 int TierQueue::Key(const RequestState& request) const {
@@ -7,24 +11,17 @@
 }
 
 void TierQueue::Push(RequestState* request) {
-  Added(request)->queue.Push(request);
-}
-
-void TierQueue::PushFront(RequestState* request) {
-  Added(request)->queue.PushFront(request);
-}
-
-TierQueue::Tier* TierQueue::Added(RequestState* request) {
   Tier& tier = by_rank_.try_emplace(Key(*request), tiers_).first->second;
-  tier.seconds += request->cost;
+  tier.queue.Push(request);
+  tier.seconds[Urgency(*request)] += request->cost;
   ++size_;
-  return &tier;
 }
 
 void TierQueue::Remove(RequestState* request) {
-  const auto it = by_rank_.find(Key(*request));
-  it->second.queue.Remove(request);
-  Took(it, request->cost);
+  Tier& tier = by_rank_.at(Key(*request));
+  tier.queue.Remove(request);
+  Took(&tier, *request);
+  --size_;
 }
 
 RequestState* TierQueue::Head(int least_rank) const {
@@ -37,9 +34,10 @@
 }
 
 void TierQueue::Pop(RequestState* head) {
-  const auto it = by_rank_.find(Key(*head));
-  it->second.queue.PopHead();
-  Took(it, head->cost);
+  Tier& tier = by_rank_.at(Key(*head));
+  tier.queue.PopHead();
+  Took(&tier, *head);
+  --size_;
 }
 
 RequestState* TierQueue::Last() const {
@@ -60,22 +58,28 @@
   return all;
 }
 
-double TierQueue::SecondsAhead(int rank) const {
+double TierQueue::SecondsAhead(const RequestState& request) const {
   double seconds = 0;
-  for (const auto& [key, tier] : by_rank_) {
-    if (!tiers_ || key <= rank) {
-      seconds += tier.seconds;
+  for (const auto& [rank, tier] : by_rank_) {
+    if (rank > Key(request)) {
+      break;
     }
+    const std::size_t last =
+        rank < Key(request) ? kUrgencies - 1 : Urgency(request);
+    seconds += std::accumulate(tier.seconds.begin(),
+                               tier.seconds.begin() + last + 1, 0.0);
   }
   return seconds;
 }
 
-void TierQueue::Took(Tiers::iterator it, double cost) {
-  --size_;
-  it->second.seconds -= cost;
-  if (it->second.queue.Size() == 0) {
-    it->second.seconds = 0;
-  }
+std::size_t TierQueue::Urgency(const RequestState& request) {
+  const double seconds = std::max(1.0, ToSeconds(request.allotted));
+  return std::min(kUrgencies - 1, static_cast<std::size_t>(std::log2(seconds)));
+}
+
+void TierQueue::Took(Tier* tier, const RequestState& request) {
+  double& seconds = tier->seconds[Urgency(request)];
+  seconds = tier->queue.Size() == 0 ? 0 : std::max(0.0, seconds - request.cost);
 }
 
 }  // namespace hornbeamcleat
--- a/src/schedule/tier_queue.h
+++ b/src/schedule/tier_queue.h
@@ -1,6 +1,8 @@
 #ifndef HORNBEAMCLEAT_SRC_SCHEDULE_TIER_QUEUE_H_
 #define HORNBEAMCLEAT_SRC_SCHEDULE_TIER_QUEUE_H_
 
+#include <array>
+#include <cstddef>
 #include <map>
 #include <vector>
 
@@ -16,9 +18,6 @@
 
   void Push(RequestState* request);
 
-  /// Puts a removed request back before the others of its workspace.
-  void PushFront(RequestState* request);
-
   /// Removes a waiting request that is not served.
   void Remove(RequestState* request);
 
@@ -38,21 +37,24 @@
   std::size_t Size() const { return size_; }
 
   /// Expected service time, in seconds, of waiting work that goes before a new
-  /// request of `rank`.
-  double SecondsAhead(int rank) const;
+  /// request: lower ranks, and its own rank if allotted no more time.
+  double SecondsAhead(const RequestState& request) const;
 
  private:
+  static constexpr std::size_t kUrgencies = 12;
+
   struct Tier {
     explicit Tier(bool fair) : queue(fair) {}
 
     FairQueue queue;
-    double seconds = 0;
+    /// Work by binary logarithm of the time allotted to it, in seconds.
+    std::array<double, kUrgencies> seconds{};
   };
   using Tiers = std::map<int, Tier>;
 
   int Key(const RequestState& request) const;
-  Tier* Added(RequestState* request);
-  void Took(Tiers::iterator it, double cost);
+  static std::size_t Urgency(const RequestState& request);
+  static void Took(Tier* tier, const RequestState& request);
 
   bool tiers_;
   Tiers by_rank_;
--- a/tests/schedule/overload_test.cc
+++ b/tests/schedule/overload_test.cc
@@ -42,7 +42,7 @@
   EXPECT_GT(RunAt(2, SchedulePolicy::kOneQueue).inversions, 0);
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, OverloadTest, testing::Values(1, 2, 3));
+INSTANTIATE_TEST_SUITE_P(Seeds, OverloadTest, testing::Values(1, 2, 3, 4, 5));
 
 }  // namespace
 }  // namespace hornbeamcleat
--- a/tests/schedule/target_choice_test.cc
+++ b/tests/schedule/target_choice_test.cc
@@ -232,7 +232,7 @@
 
 class PrefixIndexTest : public testing::Test {
  protected:
-  const SchedulerOptions options_;
+  const SchedulerOptions options_{};
   const TargetState one_{"one", options_};
   const TargetState two_{"two", options_};
   PrefixIndex index_;
