Close tiers early enough to settle before a deadline

Ruled out: closing both ranks at once, which refuses the middle one while the lowest is still served elsewhere.

--- a/src/schedule/admission.cc
+++ b/src/schedule/admission.cc
@@ -14,8 +14,6 @@
 /// Part of the spare time after which a request is due to start. Short work
 /// goes ahead of long, but not for as long as the long could wait.
 constexpr double kStartGoal = 0.1;
-/// Settle times between the warning and the latest start.
-constexpr double kWarnSettles = 1.5;
 
 }  // namespace
 
@@ -74,8 +72,8 @@
 }
 
 Time Admission::WarnAt(const RequestState& request, Time now) const {
-  const Duration lead =
-      FromSeconds(kWarnSettles * ToSeconds(options_.floor_settle));
+  const Duration lead = request.model->floor.TimeToClose(request.route->rank) +
+                        options_.floor_settle / 2;
   const Duration half = (request.latest_start - now) / 2;
   return std::max({now, request.latest_start - lead, now + half});
 }
--- a/src/schedule/scheduler_impl.cc
+++ b/src/schedule/scheduler_impl.cc
@@ -210,7 +210,9 @@
   }
   if (now < request->latest_start) {
     OnShortage(*request, now, actions);
-    timers_.Set(request, request->latest_start);
+    // Ranks close one per settle time.
+    timers_.Set(request,
+                std::min(request->latest_start, now + options_.floor_settle));
     return;
   }
   if (request->model->floor.MayShed(request->route->rank, now)) {
--- a/src/schedule/tier_floor.cc
+++ b/src/schedule/tier_floor.cc
@@ -37,6 +37,10 @@
 
 bool TierFloor::Closed(int rank) const { return rank >= LeastClosed(); }
 
+Duration TierFloor::TimeToClose(int rank) const {
+  return std::distance(ranks_.upper_bound(rank), ranks_.end()) * settle_;
+}
+
 int TierFloor::LeastClosed() const {
   return std::min(own_closed_, peer_closed_);
 }
--- a/src/schedule/tier_floor.h
+++ b/src/schedule/tier_floor.h
@@ -39,6 +39,9 @@
   /// Whether work of `rank` may be refused for lack of capacity.
   bool MayShed(int rank, Time now) const;
 
+  /// Time that it takes to close all ranks above `rank`, if none is closed yet.
+  Duration TimeToClose(int rank) const;
+
   /// Least rank that gets no new dispatch, or kNoFloor.
   int LeastClosed() const;
 
