--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -57,6 +57,9 @@
     if (std::holds_alternative<MoveSpec>(resource.spec)) {
       state->moves.erase(resource.name);
     }
+    if (const VersionSpec* version = std::get_if<VersionSpec>(&resource.spec)) {
+      state->serving.emplace(version->model, resource.name);
+    }
     state->resources[key] = resource;
     return FoldResult::kApplied;
   }
@@ -104,6 +107,9 @@
       return FoldResult::kInvalid;
     }
     state->moves[record.move] = record;
+    if (record.phase == kDonePhase) {
+      state->serving[spec.model] = spec.to_version;
+    }
     return FoldResult::kApplied;
   }
 };
@@ -119,6 +125,8 @@
   value.addValue("fencing", record.fencing);
   value.addValue("sharePermille", record.share_permille);
   value.addValue("phase", record.phase);
+  value.addValue("sinceUnixMs", static_cast<std::int64_t>(
+                                    record.since.time_since_epoch().count()));
   value.addValue("reason", record.reason);
   return value;
 }
@@ -137,6 +145,7 @@
     SerializationInfo value;
     value.addValue("type", std::string("Put"));
     value.addValue("expectedVersion", record.expected_version);
+    value.addValue("writer", record.writer);
     SerializationInfo& member = value.addMember("resource");
     member = ResourceValue(record.resource);
     member.setName("resource");
@@ -148,6 +157,7 @@
     value.addValue("kind", record.kind);
     value.addValue("name", record.name);
     value.addValue("expectedVersion", record.expected_version);
+    value.addValue("writer", record.writer);
     return value;
   }
   SerializationInfo operator()(const WithdrawRecord& record) const {
@@ -163,6 +173,8 @@
           RequiredJsonMember<std::uint64_t>(value, "fencing"),
           RequiredJsonMember<int>(value, "sharePermille"),
           RequiredJsonMember<std::string>(value, "phase"),
+          WallTime(std::chrono::milliseconds(
+              JsonMember<std::int64_t>(value, "sinceUnixMs", 0))),
           JsonMember<std::string>(value, "reason", "")};
 }
 
@@ -181,13 +193,15 @@
     }
     return PutRecord{
         ParseResource(FormatJson(*resource)),
-        RequiredJsonMember<std::uint64_t>(value, "expectedVersion")};
+        RequiredJsonMember<std::uint64_t>(value, "expectedVersion"),
+        JsonMember<std::string>(value, "writer", "")};
   }
   if (type == "Delete") {
     return DeleteRecord{
         RequiredJsonMember<std::string>(value, "kind"),
         RequiredJsonMember<std::string>(value, "name"),
-        RequiredJsonMember<std::uint64_t>(value, "expectedVersion")};
+        RequiredJsonMember<std::uint64_t>(value, "expectedVersion"),
+        JsonMember<std::string>(value, "writer", "")};
   }
   if (type == "Withdraw") {
     return ParseWithdraw(value);
@@ -259,6 +273,11 @@
   for (const auto& [name, record] : state.moves) {
     moves.addMember() = ProgressValue(record);
   }
+  SerializationInfo& serving = value.addMember("serving");
+  serving.setCategory(SerializationInfo::Object);
+  for (const auto& [model, version] : state.serving) {
+    serving.addValue(model, version);
+  }
   return FormatJson(value);
 }
 
@@ -268,6 +287,9 @@
     ConfigState state;
     state.revision = RequiredJsonMember<std::uint64_t>(value, "revision");
     for (const SerializationInfo& entry : Array(value, "resources")) {
+      if (!IsKnownKind(RequiredJsonMember<std::string>(entry, "kind"))) {
+        continue;
+      }
       const Resource resource = ParseResource(FormatJson(entry));
       state.resources[{KindName(resource.spec), resource.name}] = resource;
     }
@@ -279,6 +301,9 @@
       const MoveProgressRecord record = ParseProgress(entry);
       state.moves[record.move] = record;
     }
+    for (const SerializationInfo& entry : Array(value, "serving")) {
+      entry.getValue(state.serving[entry.name()]);
+    }
     return state;
   } catch (const Error& e) {
     throw Error(kStep, "", e.what());
--- /dev/null
+++ b/src/control/control_core.cc
@@ -0,0 +1,569 @@
+#include "src/control/control_core.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "hornbeamcleat/base/log.h"
+#include "hornbeamcleat/base/metrics.h"
+#include "hornbeamcleat/move/evidence_table.h"
+#include "src/control/apply_tracker.h"
+#include "src/control/entry_fact.h"
+#include "src/control/evidence_exchange.h"
+#include "src/control/move_driver.h"
+#include "src/control/peer_facts.h"
+#include "src/control/view_builder.h"
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr char kMoveLease[] = "moves";
+constexpr Duration kMovePeriod = std::chrono::milliseconds(200);
+constexpr Duration kFactPeriod = std::chrono::seconds(1);
+constexpr Duration kWithdrawRetry = std::chrono::seconds(1);
+constexpr Duration kSnapshotRetry = std::chrono::seconds(5);
+constexpr Duration kFetchRetry = std::chrono::seconds(1);
+constexpr int kMilli = 1'000;
+constexpr int kFullLoadOpen = 2'000;  // open answers at which an entry is full
+
+std::string HolderName(const Member& self) {
+  return fmt::format("{}#{}", self.name, self.incarnation);
+}
+
+class LogControlCore : public ControlCore {
+ public:
+  LogControlCore(const ControlOptions& options, ControlEffects* effects,
+                 Metrics* metrics)
+      : options_(options),
+        effects_(effects),
+        metrics_(metrics),
+        membership_(Membership::Make(options.self, options.membership)),
+        lease_(
+            Lease::Make(kMoveLease, HolderName(options.self), options.lease)),
+        intents_(Intents::Make(HolderName(options.self), options.intents)),
+        moves_(MoveDriver::Make(options.seed)),
+        tail_(ConfigTail::Make(HolderName(options.self), options.config)),
+        facts_(options.self.name, evidence_.get(), metrics),
+        orders_(options.lease.longest_order) {}
+
+  std::uint64_t NextOffset(const std::string& stream) const override {
+    if (stream == kConfigStream) {
+      return tail_->NextOffset();
+    }
+    const std::map<std::string, std::uint64_t>::const_iterator it =
+        next_offset_.find(stream);
+    return it == next_offset_.end() ? 1 : it->second;
+  }
+
+  void OnLogRead(const std::string& stream, std::uint64_t from,
+                 const LogRead& read, Time now) override {
+    if (stream == kConfigStream) {
+      log_seen_ = now;
+      // A peer's state may have moved the offset since the read began.
+      if (from == tail_->NextOffset()) {
+        TakeUpdate(tail_->OnRead(read), now);
+      }
+      return;
+    }
+    for (const LogRecord& record : read.records) {
+      TakeRecord(stream, record, now);
+    }
+    Advance(stream, read);
+    if (stream == kIntentStream) {
+      intents_->OnCaughtUp(next_offset_[stream] >= read.next);
+    }
+  }
+
+  void OnAppendEnd(std::uint64_t token, AppendEnd end, std::uint64_t offset,
+                   Time now) override {
+    if (applies_.OnAppendEnd(token, end)) {
+      return;
+    }
+    if (token == lease_token_) {
+      OnLeaseAppended(end, offset);
+    } else if (const auto it = batches_.find(token); it != batches_.end()) {
+      OnBatchAppended(it->second, end, now);
+      batches_.erase(it);
+    } else if (token == record_token_) {
+      record_token_ = 0;
+    } else if (token == snapshot_token_) {
+      snapshot_token_ = 0;
+    }
+  }
+
+  void OnDatagram(const Address& from, std::string_view bytes,
+                  Time now) override {
+    SendAll(membership_->OnDatagram(from, bytes, now));
+  }
+
+  void OnEntryConnected(bool connected, Time now) override {
+    entry_connected_ = connected;
+    report_ = ReportMessage{};
+    sent_view_.reset();
+    StateEntryFact(now);
+  }
+
+  void OnEntryMessage(const LinkMessage& message, Time now) override {
+    if (const ReportMessage* report = std::get_if<ReportMessage>(&message)) {
+      OnReport(*report, now);
+    } else if (const ProposeMessage* propose =
+                   std::get_if<ProposeMessage>(&message)) {
+      if (const std::optional<IntentDecision> decision =
+              intents_->Propose(propose->id, propose->key, now)) {
+        effects_->SendToEntry(DecisionMessage{*decision});
+      }
+    } else if (const ReleaseMessage* release =
+                   std::get_if<ReleaseMessage>(&message)) {
+      intents_->Release(release->id, release->key);
+    }
+  }
+
+  void OnVms(const std::vector<VmEntry>& vms) override { vms_ = vms; }
+
+  void OnPeerState(const ConfigState& state, Time now) override {
+    const ConfigUpdate update = tail_->OnPeerState(state);
+    if (update.published) {
+      log_.Info("The configuration came from a peer. revision={}",
+                state.revision);
+    }
+    TakeUpdate(update, now);
+  }
+
+  void OnObserved(const TargetToObserve& target, LoadState state,
+                  Time sent) override {
+    orders_.OnObserved(target, state, sent);
+  }
+
+  std::vector<TargetToObserve> ToObserve(Time now) const override {
+    if (Config() == nullptr || !HoldsLease(now)) {
+      return {};
+    }
+    return orders_.ToObserve(*Config());
+  }
+
+  bool HoldsLease(Time now) const override {
+    return lease_->Holds(now) && !lease_->MustWait(now);
+  }
+
+  void Tick(Time now, WallTime wall) override {
+    SendAll(membership_->Tick(now));
+    TickLease(now);
+    TickIntents(now, wall);
+    TickSnapshot(now, wall);
+    ReadFacts();
+    if (now >= next_move_look_) {
+      next_move_look_ = now + kMovePeriod;
+      TickMoves(now, wall);
+    }
+    if (now >= next_fact_) {
+      next_fact_ = now + kFactPeriod;
+      StateEntryFact(now);
+      StateEvidence(now);
+    }
+    FetchIfBehind(now);
+    applies_.Tick(now);
+    SendView(now);
+    CountMetrics(now);
+  }
+
+  void Apply(const ConfigRecord& record, ApplyCallback callback,
+             Time now) override {
+    const std::uint64_t token = ++last_token_;
+    const std::string writer = tail_->NextWriterTag();
+    applies_.Begin(token, writer, std::move(callback),
+                   now + options_.apply_timeout);
+    effects_->Append(kConfigStream, {EncodeRecord(WithWriter(record, writer))},
+                     token);
+  }
+
+  void Leave(Time now) override {
+    leaving_ = true;
+    StateEntryFact(now);
+    SendAll(membership_->Leave(now));
+  }
+
+  std::shared_ptr<const ConfigState> Config() const override {
+    return tail_->Current();
+  }
+
+  ControlStatus Status() const override {
+    ControlStatus out;
+    out.config_revision = Revision();
+    out.ready = Config() != nullptr;
+    out.log_available = log_available_;
+    out.entry_connected = entry_connected_;
+    out.lease_holder = lease_->Holder();
+    for (const Member& member : membership_->Members()) {
+      MemberStatus status;
+      status.member = member;
+      const std::map<std::string, EntryFact>::const_iterator it =
+          facts_.Entries().find(member.name);
+      if (it != facts_.Entries().end()) {
+        status.config_revision = it->second.config_revision;
+        status.serving = it->second.serving;
+      }
+      out.members.push_back(status);
+    }
+    for (const VersionKey& key : Withdrawn()) {
+      out.withdrawn.push_back(key);
+    }
+    return out;
+  }
+
+ private:
+  static ConfigRecord WithWriter(ConfigRecord record,
+                                 const std::string& writer) {
+    if (PutRecord* put = std::get_if<PutRecord>(&record)) {
+      put->writer = writer;
+    } else if (DeleteRecord* deletion = std::get_if<DeleteRecord>(&record)) {
+      deletion->writer = writer;
+    }
+    return record;
+  }
+
+  std::uint64_t Revision() const {
+    return Config() == nullptr ? 0 : Config()->revision;
+  }
+
+  void Advance(const std::string& stream, const LogRead& read) {
+    std::uint64_t& next = next_offset_[stream];
+    next = std::max({next, std::uint64_t{1}, read.oldest});
+    if (!read.records.empty()) {
+      next = std::max(next, read.records.back().offset + 1);
+    }
+  }
+
+  void TakeRecord(const std::string& stream, const LogRecord& record,
+                  Time now) {
+    if (stream == kLeaseStream) {
+      lease_->OnRecord(record.offset, record.payload, now);
+    } else if (stream == kIntentStream) {
+      SendDecisions(
+          intents_->OnRecord(record.offset, record.time, record.payload, now));
+    }
+  }
+
+  void TakeUpdate(const ConfigUpdate& update, Time now) {
+    for (const FoldedRecord& record : update.folded) {
+      applies_.OnFolded(record);
+    }
+    if (update.published) {
+      effects_->OnConfig(Config(), update);
+      StateEntryFact(now);
+      SendView(now);
+    }
+  }
+
+  void OnLeaseAppended(AppendEnd end, std::uint64_t offset) {
+    lease_token_ = 0;
+    if (end == AppendEnd::kDone) {
+      lease_->OnAppended(offset, lease_sent_);
+    } else {
+      lease_->OnAppendLost(lease_sent_);
+    }
+  }
+
+  void OnBatchAppended(std::uint64_t batch, AppendEnd end, Time now) {
+    if (end == AppendEnd::kFailed) {
+      SendDecisions(intents_->OnAppendFailed(batch, now));
+    } else {
+      intents_->OnAppendSent(batch, now);
+    }
+  }
+
+  void OnReport(const ReportMessage& report, Time now) {
+    const bool urgent = report.facts.closed_rank != report_.facts.closed_rank ||
+                        report.draining != report_.draining;
+    report_ = report;
+    evidence_->Report(options_.self.name, report.incarnation, report.evidence);
+    if (urgent) {
+      StateEntryFact(now);
+      SendAll(membership_->Tick(now));
+    }
+  }
+
+  void TickLease(Time now) {
+    if (lease_token_ != 0 || Config() == nullptr) {
+      return;
+    }
+    const std::optional<std::string> record = lease_->Due(now);
+    if (!record) {
+      return;
+    }
+    lease_token_ = ++last_token_;
+    lease_sent_ = now;
+    effects_->Append(kLeaseStream, {*record}, lease_token_);
+  }
+
+  void TickIntents(Time now, WallTime wall) {
+    if (const std::optional<IntentBatch> batch = intents_->NextBatch(now)) {
+      const std::uint64_t token = ++last_token_;
+      batches_[token] = batch->batch_id;
+      effects_->Append(kIntentStream, {batch->payload}, token);
+    }
+    SendDecisions(intents_->Tick(now, wall));
+  }
+
+  // Re-appended before old records expire, so that a fresh VM finds it.
+  void TickSnapshot(Time now, WallTime wall) {
+    if (snapshot_token_ != 0 || !log_available_ || now < next_snapshot_ ||
+        !tail_->SnapshotDue(wall)) {
+      return;
+    }
+    next_snapshot_ = now + kSnapshotRetry;
+    snapshot_token_ = ++last_token_;
+    effects_->Append(kConfigStream, tail_->MakeSnapshot(wall), snapshot_token_);
+  }
+
+  void TickMoves(Time now, WallTime wall) {
+    log_available_ =
+        now - log_seen_ < options_.log_stale_time && log_seen_ != Time();
+    if (Config() == nullptr) {
+      return;
+    }
+    MoveDriverInput input;
+    input.config = Config();
+    input.evidence = evidence_->Merged();
+    input.withdrawn = Withdrawn();
+    input.ready_targets = orders_.Ready(*input.config);
+    input.log_available = log_available_;
+    input.holds_lease = HoldsLease(now);
+    input.fencing = lease_->Fencing();
+    input.now = wall;
+    const MoveDriverOutput out = moves_->Decide(input);
+    move_shares_ = out.shares;
+    for (const WithdrawRecord& record : out.withdraw) {
+      Withdraw(record, now);
+    }
+    AppendRecords(out.append, now);
+    TickOrders(now);
+  }
+
+  void TickOrders(Time now) {
+    if (!HoldsLease(now)) {
+      held_since_.reset();
+      return;
+    }
+    if (!held_since_) {
+      held_since_ = now;
+    }
+    for (const AddressedOrder& order :
+         orders_.Plan(*Config(), lease_->Fencing(), *held_since_, now)) {
+      effects_->SendOrder(order);
+    }
+  }
+
+  // In force here at once and at the peers by gossip; the log follows.
+  void Withdraw(const WithdrawRecord& record, Time now) {
+    const VersionKey key = {record.model, record.version};
+    own_withdrawals_[key] = record.reason;
+    membership_->SetFact(WithdrawnFactKey(key), record.reason, false, now);
+    metrics_->Count("versions_withdrawn_total", "model", record.model);
+    SendAll(membership_->Tick(now));
+  }
+
+  // One append of records at a time, so that a step is not proposed twice.
+  void AppendRecords(std::vector<ConfigRecord> records, Time now) {
+    if (record_token_ != 0 || !log_available_) {
+      return;
+    }
+    if (now >= next_withdraw_record_) {
+      for (const auto& [key, reason] : UnrecordedWithdrawals(now)) {
+        records.insert(records.begin(),
+                       WithdrawRecord{key.first, key.second, reason});
+        next_withdraw_record_ = now + kWithdrawRetry;
+      }
+    }
+    if (records.empty()) {
+      return;
+    }
+    std::vector<std::string> payloads;
+    payloads.reserve(records.size());
+    for (const ConfigRecord& record : records) {
+      payloads.push_back(EncodeRecord(record));
+    }
+    record_token_ = ++last_token_;
+    effects_->Append(kConfigStream, std::move(payloads), record_token_);
+  }
+
+  // The member that found a fault records it; the lease's holder does it for
+  // members that died before they could.
+  std::map<VersionKey, std::string> UnrecordedWithdrawals(Time now) const {
+    std::map<VersionKey, std::string> out = own_withdrawals_;
+    if (lease_->Holds(now)) {
+      out.insert(facts_.Withdrawn().begin(), facts_.Withdrawn().end());
+    }
+    std::erase_if(out, [this](const auto& entry) {
+      return Config()->withdrawn.contains(entry.first);
+    });
+    return out;
+  }
+
+  std::set<VersionKey> Withdrawn() const {
+    std::set<VersionKey> out;
+    for (const auto& [key, reason] : own_withdrawals_) {
+      out.insert(key);
+    }
+    for (const auto& [key, reason] : facts_.Withdrawn()) {
+      out.insert(key);
+    }
+    return out;
+  }
+
+  void ReadFacts() {
+    if (membership_->Generation() == facts_generation_) {
+      return;
+    }
+    facts_generation_ = membership_->Generation();
+    facts_.Read(membership_->Facts());
+    intents_->SetWriters(membership_->Members().size());
+  }
+
+  void StateEntryFact(Time now) {
+    EntryFact fact;
+    fact.serving = entry_connected_ && !report_.draining && !leaving_ &&
+                   Config() != nullptr && !report_.entry.empty();
+    fact.load_permille =
+        std::min(kMilli, report_.open * kMilli / kFullLoadOpen);
+    fact.closed_rank = report_.facts.closed_rank;
+    for (const auto& [model, demand] : report_.facts.demand) {
+      fact.demand_milli[model] = static_cast<int>(demand * kMilli);
+    }
+    fact.poison = report_.facts.poison;
+    fact.config_revision = Revision();
+    fact.api = options_.api;
+    membership_->SetFact(kEntryFactKey, EncodeEntryFact(fact), true, now);
+  }
+
+  void StateEvidence(Time now) {
+    if (Config() == nullptr) {
+      return;
+    }
+    const std::vector<std::string> chunks = EvidenceChunks(
+        {report_.incarnation, report_.evidence}, MovingModels(*Config()));
+    for (std::size_t i = 0; i < chunks.size(); ++i) {
+      membership_->SetFact(fmt::format("{}{}", kEvidencePrefix, i), chunks[i],
+                           true, now);
+    }
+  }
+
+  void FetchIfBehind(Time now) {
+    if (now < next_fetch_ || (log_available_ && !tail_->HasGap())) {
+      return;
+    }
+    const std::uint64_t own = Revision();
+    for (const auto& [name, fact] : facts_.Entries()) {
+      if (fact.config_revision > own && name != options_.self.name) {
+        next_fetch_ = now + kFetchRetry;
+        effects_->FetchState(fact.api);
+        return;
+      }
+    }
+  }
+
+  void SendView(Time now) {
+    if (!entry_connected_) {
+      return;
+    }
+    ViewSources sources;
+    sources.config = Config();
+    sources.self = options_.self.name;
+    sources.members = membership_->Members();
+    sources.entries = facts_.Entries();
+    sources.withdrawn = Withdrawn();
+    sources.move_shares = move_shares_;
+    sources.vms = vms_;
+    sources.log_available = now - log_seen_ < options_.log_stale_time;
+    const ViewMessage view = BuildView(sources);
+    if (sent_view_ && *sent_view_ == view) {
+      return;
+    }
+    sent_view_ = view;
+    effects_->SendToEntry(view);
+  }
+
+  void CountMetrics(Time now) {
+    metrics_->Set("config_revision", "stream", kConfigStream,
+                  static_cast<double>(Revision()));
+    metrics_->Set("lease_held", "lease", kMoveLease,
+                  lease_->Holds(now) ? 1 : 0);
+    const MembershipCounters counters = membership_->Counters();
+    metrics_->Set("gossip", "what", "received",
+                  static_cast<double>(counters.received));
+    metrics_->Set("gossip", "what", "malformed",
+                  static_cast<double>(counters.malformed));
+    metrics_->Set("gossip", "what", "unauthenticated",
+                  static_cast<double>(counters.unauthenticated));
+    metrics_->Set("gossip", "what", "replayed",
+                  static_cast<double>(counters.replayed));
+    metrics_->Set("gossip", "what", "bytes_sent",
+                  static_cast<double>(counters.bytes_sent));
+  }
+
+  void SendAll(const std::vector<Datagram>& datagrams) {
+    for (const Datagram& datagram : datagrams) {
+      effects_->Send(datagram);
+    }
+  }
+
+  void SendDecisions(const std::vector<IntentDecision>& decisions) {
+    for (const IntentDecision& decision : decisions) {
+      effects_->SendToEntry(DecisionMessage{decision});
+    }
+  }
+
+  ControlOptions options_;
+  ControlEffects* effects_;
+  Metrics* metrics_;
+  Logger log_{"control"};
+
+  std::unique_ptr<Membership> membership_;
+  std::unique_ptr<Lease> lease_;
+  std::unique_ptr<Intents> intents_;
+  std::unique_ptr<MoveDriver> moves_;
+  std::unique_ptr<ConfigTail> tail_;
+  std::unique_ptr<EvidenceTable> evidence_ = EvidenceTable::Make();
+  PeerFacts facts_;
+  OrderBook orders_;
+  ApplyTracker applies_;
+
+  std::map<std::string, std::uint64_t> next_offset_;  // by stream
+  Time log_seen_;
+  bool log_available_ = false;
+
+  std::uint64_t last_token_ = 0;
+  std::uint64_t lease_token_ = 0;  // 0 when no append is under way
+  std::uint64_t snapshot_token_ = 0;
+  std::uint64_t record_token_ = 0;  // likewise
+  Time lease_sent_;
+  std::map<std::uint64_t, std::uint64_t> batches_;  // token to batch id
+
+  bool entry_connected_ = false;
+  bool leaving_ = false;
+  ReportMessage report_;
+  std::optional<ViewMessage> sent_view_;
+
+  std::uint64_t facts_generation_ = 0;
+  std::map<VersionKey, std::string> own_withdrawals_;
+  std::map<std::string, VersionShare> move_shares_;
+  std::optional<Time> held_since_;
+  std::vector<VmEntry> vms_;
+
+  Time next_move_look_;
+  Time next_fact_;
+  Time next_fetch_;
+  Time next_snapshot_;
+  Time next_withdraw_record_;
+};
+
+}  // namespace
+
+std::unique_ptr<ControlCore> ControlCore::Make(const ControlOptions& options,
+                                               ControlEffects* effects,
+                                               Metrics* metrics) {
+  return std::make_unique<LogControlCore>(options, effects, metrics);
+}
+
+}  // namespace hornbeamcleat
--- a/src/link/link_message.cc
+++ b/src/link/link_message.cc
@@ -9,7 +9,7 @@
 template <typename Archive>
 void serialize(Archive& ar, VersionShare& share) {
   ar(share.model, share.from_version, share.to_version, share.share_permille,
-     share.max_in_flight);
+     share.max_in_flight, share.max_targets);
 }
 
 // The configuration is shared and immutable, so it is loaded into a fresh one.
@@ -53,8 +53,11 @@
 template <typename Archive>
 void serialize(Archive& ar, VersionEvidence& evidence) {
   ar(evidence.model, evidence.version, evidence.workspace, evidence.application,
-     evidence.tier_rank, evidence.done, evidence.faults,
-     evidence.first_part_sum, evidence.first_part_square_sum);
+     evidence.tier_rank, evidence.length_class, evidence.load_level,
+     evidence.done, evidence.faults, evidence.crashes, evidence.excluded,
+     evidence.first_part_sum, evidence.first_part_square_sum,
+     evidence.first_part_log_sum, evidence.first_part_log_square_sum,
+     evidence.gaps, evidence.gap_log_sum, evidence.gap_log_square_sum);
 }
 
 template <typename Archive>
@@ -79,10 +82,20 @@
 
 template <typename Archive>
 void serialize(Archive& ar, ReportMessage& message) {
-  ar(message.entry, message.facts, message.evidence, message.open,
+  ar(message.entry, message.incarnation, message.facts, message.evidence, message.open,
      message.draining);
 }
 
+template <typename Archive>
+void serialize(Archive& ar, ReleaseMessage& message) {
+  ar(message.id, message.key);
+}
+
+template <typename Archive>
+void serialize(Archive& ar, EvidenceReport& report) {
+  ar(report.incarnation, report.evidence);
+}
+
 std::string EncodeLink(const LinkMessage& message) {
   const std::string body = EncodeBytes(message);
   const std::uint32_t n = static_cast<std::uint32_t>(body.size());
@@ -92,6 +105,14 @@
   return frame;
 }
 
+std::string EncodeEvidence(const EvidenceReport& report) {
+  return EncodeBytes(report);
+}
+
+EvidenceReport DecodeEvidence(std::string_view bytes) {
+  return DecodeBytes<EvidenceReport>(bytes);
+}
+
 bool TakeLink(std::string* buffer, LinkMessage* message) {
   std::uint32_t n = 0;
   if (buffer->size() < sizeof(n)) {
--- a/src/schedule/scheduler_impl.h
+++ b/src/schedule/scheduler_impl.h
@@ -14,12 +14,12 @@
 #include "hornbeamcleat/schedule/scheduler.h"
 #include "src/schedule/admission.h"
 #include "src/schedule/dispatcher.h"
-#include "src/schedule/evidence_table.h"
 #include "src/schedule/outlier_ejection.h"
 #include "src/schedule/poison_table.h"
 #include "src/schedule/request_state.h"
 #include "src/schedule/request_timers.h"
 #include "src/schedule/retry_budget.h"
+#include "src/schedule/version_totals.h"
 
 namespace hornbeamcleat {
 
@@ -99,7 +99,7 @@
   RetryBudget retries_;
   ComeBack come_back_;
   std::mt19937_64 random_;
-  EvidenceTable evidence_;
+  VersionTotals evidence_;
   std::unordered_map<RequestId, std::unique_ptr<RequestState>> requests_;
   /// Expiry of what waits, stalls and deadlines of what is in flight.
   RequestTimers timers_;
--- a/src/schedule/evidence_table.cc
+++ b/src/schedule/version_totals.cc
@@ -1,18 +1,18 @@
-#include "src/schedule/evidence_table.h"
+#include "src/schedule/version_totals.h"
 
 #include "hornbeamcleat/base/hash.h"
 
 namespace hornbeamcleat {
 
-void EvidenceTable::Done(const std::string& version, const Route& route) {
+void VersionTotals::Done(const std::string& version, const Route& route) {
   ++Entry(version, route)->done;
 }
 
-void EvidenceTable::Fault(const std::string& version, const Route& route) {
+void VersionTotals::Fault(const std::string& version, const Route& route) {
   ++Entry(version, route)->faults;
 }
 
-void EvidenceTable::FirstPart(const std::string& version, const Route& route,
+void VersionTotals::FirstPart(const std::string& version, const Route& route,
                               Duration elapsed) {
   VersionEvidence* entry = Entry(version, route);
   const double seconds = ToSeconds(elapsed);
@@ -20,7 +20,7 @@
   entry->first_part_square_sum += seconds * seconds;
 }
 
-std::vector<VersionEvidence> EvidenceTable::All() const {
+std::vector<VersionEvidence> VersionTotals::All() const {
   std::vector<VersionEvidence> all;
   all.reserve(entries_.size());
   for (const auto& [key, entry] : entries_) {
@@ -29,7 +29,7 @@
   return all;
 }
 
-VersionEvidence* EvidenceTable::Entry(const std::string& version,
+VersionEvidence* VersionTotals::Entry(const std::string& version,
                                       const Route& route) {
   const auto known = entries_.find(Hash64(version, route.hash));
   if (known != entries_.end()) {
@@ -47,7 +47,7 @@
   return rest == entries_.end() ? Add(key, version, shared) : &rest->second;
 }
 
-VersionEvidence* EvidenceTable::Add(std::uint64_t key,
+VersionEvidence* VersionTotals::Add(std::uint64_t key,
                                     const std::string& version,
                                     const Route& route) {
   VersionEvidence& entry = entries_[key];
