--- a/src/load/load_runner.cc
+++ b/src/load/load_runner.cc
@@ -48,6 +48,7 @@
     start_ = clock_->Now();
     session_options_ = {experiment.prompts, experiment.retries.max_retries,
                         targets.direct, clock_->WallNow()};
+    NameRequests();
   }
 
   LoadResult Run() {
@@ -111,6 +112,15 @@
     SessionStep step;
   };
 
+  // Runs of one seed must not share ids: engines keep ended streams a while.
+  void NameRequests() {
+    const std::int64_t run =
+        session_options_.run_start.time_since_epoch().count();
+    for (PlannedRequest& each : plan_) {
+      each.id += fmt::format("-{:x}", run);
+    }
+  }
+
   Duration Now() const { return clock_->Now() - start_; }
 
   bool Idle() const { return open_.empty() && later_.empty(); }
