--- a/src/control/control_settings.cc
+++ b/src/control/control_settings.cc
@@ -24,6 +24,8 @@
        "Longest wait for an answer of the platform."},
       {"platform", "vm_list_period", kDuration, "1s", false, 100 * kMs,
        600 * kSecond, "Time between reads of the VM list."},
+      {"platform", "weight_bytes_per_second", kInteger, "0", false, 0, 0,
+       "Rate of the weight store, all loads together; 0 means no limit."},
       {"gossip", "listen", kAddress, "", true, 0, 0,
        "UDP address for gossip with other VMs."},
       {"gossip", "peers", kAddressList, "", false, 0, 0,
@@ -68,6 +70,9 @@
        60 * kSecond, "Longest wait for the log's decision on an intent."},
       {"intents", "key_life", kDuration, "1h", false, kSecond, 24 * kHour,
        "Age at which a key is forgotten; less than the log's retention."},
+      {"intents", "require_dated_keys", kBoolean, "false", false, 0, 0,
+       "Refuses idempotency keys that carry no date; without it such a key is "
+       "recognised only for key_life."},
   };
   return kRules;
 }
@@ -82,6 +87,8 @@
   out.platform_timeout = settings.GetDuration("platform", "timeout");
   out.vm_list_period = settings.GetDuration("platform", "vm_list_period");
 
+  out.weight_bytes_per_second =
+      settings.Integer("platform", "weight_bytes_per_second");
   out.api.listen = settings.GetAddress("api", "listen");
   out.api.token = settings.Text("api", "token");
   out.api.certificate = settings.Text("api", "certificate");
@@ -116,6 +123,8 @@
   intents.batch_period = settings.GetDuration("intents", "batch_period");
   intents.decide_timeout = settings.GetDuration("intents", "decide_timeout");
   intents.key_life = settings.GetDuration("intents", "key_life");
+  intents.require_dated_keys =
+      settings.Boolean("intents", "require_dated_keys");
 
   const std::string& advertise = settings.Text("api", "advertise");
   out.core.api = advertise.empty() ? out.api.listen.ToString() : advertise;
