Test settings, exit codes and draining of the entry process

A process that is told to end leaves the address list, finishes the answer in flight and exits 0; wrong settings exit 2.

--- a/bench/net/open_answers_bench.cc
+++ b/bench/net/open_answers_bench.cc
@@ -7,9 +7,9 @@
 #include <thread>
 #include <vector>
 
-#include "bench/net/entry_process.h"
 #include "bench/net/stream_callers.h"
 #include "bench/net/stream_target.h"
+#include "tests/entry/entry_process.h"
 #include "tests/entry/fake_control.h"
 
 namespace hornbeamcleat {
@@ -58,8 +58,7 @@
 }
 
 double Median(std::vector<double> values) {
-  std::nth_element(values.begin(), values.begin() + values.size() / 2,
-                   values.end());
+  std::sort(values.begin(), values.end());
   return values[values.size() / 2];
 }
 
--- a/bench/net/stream_callers.h
+++ b/bench/net/stream_callers.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "hornbeamcleat/base/clock.h"
+#include "hornbeamcleat/base/settings.h"
 #include "src/entry/loop_thread.h"
 #include "src/net/poller.h"
 #include "src/net/target_client.h"
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -66,6 +66,12 @@
 
   /// Starts control and entry; targets must have been added.
   void StartEntry(std::optional<IntentResult> intents = IntentResult::kWon) {
+    StartControl(intents);
+    StartEntryAlone();
+    WaitUntilReady();
+  }
+
+  void StartControl(std::optional<IntentResult> intents) {
     TierSpec tier;
     Put("gold", tier);
     WorkspaceSpec workspace;
@@ -83,8 +89,6 @@
     view.log_available = true;
     control_ = std::make_unique<FakeControl>(view, intents);
     options_.control = control_->Listening();
-    StartEntryAlone();
-    WaitUntilReady();
   }
 
   void StartEntryAlone() {
--- a/bench/net/entry_process.h
+++ b/tests/entry/entry_process.h
@@ -1,5 +1,5 @@
-#ifndef HORNBEAMCLEAT_BENCH_NET_ENTRY_PROCESS_H_
-#define HORNBEAMCLEAT_BENCH_NET_ENTRY_PROCESS_H_
+#ifndef HORNBEAMCLEAT_TESTS_ENTRY_ENTRY_PROCESS_H_
+#define HORNBEAMCLEAT_TESTS_ENTRY_ENTRY_PROCESS_H_
 
 #include <signal.h>
 #include <spawn.h>
@@ -13,31 +13,32 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include "tests/net/socket_peer.h"
 
 namespace hornbeamcleat {
 
-/// hornbeamcleat-entry as a process of its own, so that its processor time and
-/// memory are told apart from the bench's.
+/// hornbeamcleat-entry as a process of its own, so that its exit code,
+/// processor time and memory are its own.
 class EntryProcess {
  public:
-  /// Starts the program beside the bench's own, with its control daemon at
+  /// Starts the program beside the running one, with its control daemon at
   /// `control`.
   explicit EntryProcess(const Address& control) {
     const std::filesystem::path self =
         std::filesystem::read_symlink("/proc/self/exe");
     const std::string program = self.parent_path() / "hornbeamcleat-entry";
-    const std::string settings =
-        std::filesystem::temp_directory_path() /
-        ("entry-bench-" + std::to_string(getpid()) + ".ini");
+    const std::string settings = std::filesystem::temp_directory_path() /
+                                 ("entry-" + std::to_string(getpid()) + ".ini");
     listen_ = FreeAddress();
     admin_ = FreeAddress();
     std::ofstream(settings)
         << "[entry]\nname = entry-1\nfailure_domain = d\nlisten = "
         << listen_.ToString() << "\nlisten_admin = " << admin_.ToString()
         << "\ncontrol = " << control.ToString()
-        << "\nlog_level = warning\n[targets]\nload_period = 10s\n[keys]\nhandle_key = only-for-benches-0\n";
+        << "\nlog_level = warning\n[targets]\nload_period = "
+           "10s\n[keys]\nhandle_key = only-for-tests-00\n";
     std::string option = "--settings";
     std::string path = program;
     std::string file = settings;
@@ -51,8 +52,20 @@
   EntryProcess& operator=(const EntryProcess&) = delete;
 
   ~EntryProcess() {
-    kill(pid_, SIGTERM);
-    waitpid(pid_, nullptr, 0);
+    if (pid_ > 0) {
+      Terminate();
+      WaitForExit();
+    }
+  }
+
+  /// Sends SIGTERM.
+  void Terminate() const { kill(pid_, SIGTERM); }
+
+  /// Waits for the end; the exit code, or -1 if a signal ended it.
+  int WaitForExit() {
+    int status = 0;
+    waitpid(std::exchange(pid_, 0), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
   }
 
   const Address& Listening() const { return listen_; }
@@ -106,4 +119,4 @@
 
 }  // namespace hornbeamcleat
 
-#endif  // HORNBEAMCLEAT_BENCH_NET_ENTRY_PROCESS_H_
+#endif  // HORNBEAMCLEAT_TESTS_ENTRY_ENTRY_PROCESS_H_
