--- a/src/member/membership.cc
+++ b/src/member/membership.cc
@@ -18,18 +18,6 @@
 constexpr std::size_t kMaxForwards = 256;
 constexpr Duration kReachPeriod = std::chrono::seconds(2);
 
-struct Probe {
-  std::string target;
-  Time sent;
-  bool asked_helpers = false;
-};
-
-struct Forward {
-  Address to;
-  std::uint64_t answers = 0;
-  Time since;
-};
-
 class MembershipImpl : public Membership {
  public:
   MembershipImpl(const Member& self, const MembershipOptions& options)
--- a/src/member/probe_schedule.h
+++ b/src/member/probe_schedule.h
@@ -12,6 +12,20 @@
 
 namespace hornbeamcleat {
 
+/// Ping that was not answered yet.
+struct Probe {
+  std::string target;  ///< the member's name
+  Time sent;
+  bool asked_helpers = false;
+};
+
+/// Ping made for another member, which wants to know of the answer.
+struct Forward {
+  Address to;
+  std::uint64_t answers = 0;  ///< number of the other member's own ping
+  Time since;
+};
+
 /// Chooses whom to probe, to ask and to push news to.
 class ProbeSchedule {
  public:
