Send lasting facts before all other news

Cause: when facts that change often fill the byte budget, a withdrawal did not reach all members: news was ordered by sends alone, and the hashes differed in each bucket, so that what was missing was sent at random. Change: lasting facts go first, have buckets of their own and may use most of the reserve.

--- a/src/member/gossip_digest.cc
+++ b/src/member/gossip_digest.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr int kHalf = 32;  // bits
+constexpr std::size_t kLastingBuckets = kDigestBuckets / 2;
 
 std::uint64_t HashOf(const MemberRecord& record) {
   return Hash64(
@@ -21,11 +22,12 @@
 }  // namespace
 
 std::size_t GossipDigest::BucketOf(const std::string& member) {
-  return Hash64(member) % kDigestBuckets;
+  return Hash64(member) % kLastingBuckets;
 }
 
-std::size_t GossipDigest::BucketOf(const FactTable::Key& key) {
-  return Hash64(key.first, Hash64(key.second)) % kDigestBuckets;
+std::size_t GossipDigest::BucketOf(const Fact& fact) {
+  const std::size_t n = Hash64(fact.key, Hash64(fact.origin)) % kLastingBuckets;
+  return fact.expires ? kLastingBuckets + n : n;
 }
 
 void GossipDigest::Refresh() {
@@ -42,7 +44,7 @@
     }
   }
   for (const auto& [key, fact] : facts_->All()) {
-    buckets_[BucketOf(key)] ^= HashOf(fact);
+    buckets_[BucketOf(fact)] ^= HashOf(fact);
   }
 }
 
--- a/src/member/gossip_digest.h
+++ b/src/member/gossip_digest.h
@@ -26,9 +26,10 @@
   /// Hash of each bucket.
   std::vector<std::uint32_t> Buckets();
 
-  /// Bucket of an item.
+  /// Bucket of an item. Expiring facts have buckets of their own, so that
+  /// their many changes do not hide a difference in the rest.
   static std::size_t BucketOf(const std::string& member);
-  static std::size_t BucketOf(const FactTable::Key& key);
+  static std::size_t BucketOf(const Fact& fact);
 
  private:
   void Refresh();
--- a/src/member/gossip_packer.cc
+++ b/src/member/gossip_packer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <tuple>
 #include <utility>
 
 #include "hornbeamcleat/base/error.h"
@@ -11,6 +12,7 @@
 
 constexpr std::size_t kHeaderBytes = 28;      // IP and UDP
 constexpr std::size_t kProbeReserve = 1'024;  // bytes kept for pings and acks
+constexpr std::size_t kUrgentReserve = 256;   // the same beside lasting items
 constexpr int kExtraSends = 2;
 constexpr std::size_t kSyncDatagrams = 2;
 
@@ -53,19 +55,29 @@
                      });
 }
 
+bool GossipPacker::CanWait(const GossipItem& item) const {
+  const FactTable::Key* key = std::get_if<FactTable::Key>(&item);
+  if (key == nullptr) {
+    return false;
+  }
+  const std::map<FactTable::Key, Fact>::const_iterator it =
+      facts_->All().find(*key);
+  return it == facts_->All().end() || it->second.expires;
+}
+
 std::vector<GossipItem> GossipPacker::MostNews(GossipScope scope) const {
-  std::vector<std::pair<int, GossipItem>> ranked;
+  std::vector<std::tuple<bool, int, GossipItem>> ranked;
   for (std::pair<GossipItem, Sends> entry : news_) {
     const int left = *Left(&entry.second, scope);
     if (left > 0) {
-      ranked.emplace_back(-left, entry.first);
+      ranked.emplace_back(CanWait(entry.first), -left, entry.first);
     }
   }
   std::sort(ranked.begin(), ranked.end());
   std::vector<GossipItem> out;
   out.reserve(ranked.size());
-  for (const std::pair<int, GossipItem>& entry : ranked) {
-    out.push_back(entry.second);
+  for (const std::tuple<bool, int, GossipItem>& entry : ranked) {
+    out.push_back(std::get<GossipItem>(entry));
   }
   return out;
 }
@@ -135,6 +147,7 @@
     const std::vector<std::uint32_t>& buckets) {
   const std::vector<std::uint32_t> own = digest_.Buckets();
   std::vector<GossipItem> names;
+  std::vector<GossipItem> lasting;
   std::vector<GossipItem> keys;
   for (const auto& [name, record] : members_->Records()) {
     const std::size_t n = GossipDigest::BucketOf(name);
@@ -143,16 +156,18 @@
     }
   }
   for (const auto& [key, fact] : facts_->All()) {
-    const std::size_t n = GossipDigest::BucketOf(key);
+    const std::size_t n = GossipDigest::BucketOf(fact);
     if (own[n] != buckets[n]) {
-      keys.emplace_back(key);
+      (fact.expires ? keys : lasting).emplace_back(key);
     }
   }
   std::shuffle(names.begin(), names.end(), random_);
+  std::shuffle(lasting.begin(), lasting.end(), random_);
   std::shuffle(keys.begin(), keys.end(), random_);
-  // Members go first, since facts of unknown origins are not taken.
-  names.insert(names.end(), keys.begin(), keys.end());
-  return names;
+  // Members go before expiring facts, which are not taken of unknown origins.
+  lasting.insert(lasting.end(), names.begin(), names.end());
+  lasting.insert(lasting.end(), keys.begin(), keys.end());
+  return lasting;
 }
 
 std::vector<Datagram> GossipPacker::PackDiffering(
@@ -180,7 +195,9 @@
   message.type = GossipType::kItems;
   message.digest = digest_.Total();
   message.members.push_back(members_->Self());
-  std::size_t room = Room(message, kProbeReserve, now);
+  const bool can_wait = *next < items.size() && CanWait(items[*next]);
+  std::size_t room =
+      Room(message, can_wait ? kProbeReserve : kUrgentReserve, now);
   const std::size_t first = *next;
   while (*next < items.size() && AddItem(items[*next], &room, &message)) {
     ++*next;
--- a/src/member/gossip_packer.h
+++ b/src/member/gossip_packer.h
@@ -65,6 +65,8 @@
   };
 
   static int* Left(Sends* sends, GossipScope scope);
+  bool CanWait(const GossipItem& item) const;
+  /// Lasting facts and members first, then what was sent least.
   std::vector<GossipItem> MostNews(GossipScope scope) const;
   std::vector<GossipItem> Differing(const std::vector<std::uint32_t>& buckets);
   std::optional<Datagram> PackItems(const std::vector<GossipItem>& items,
--- a/tests/member/membership_test.cc
+++ b/tests/member/membership_test.cc
@@ -189,6 +189,27 @@
   EXPECT_EQ(network_.At(1).Counters().malformed, 0U);
 }
 
+TEST_F(MembershipTest, WithdrawalSpreadsWhileOtherFactsFillTheBudget) {
+  constexpr std::size_t kMembers = 33;
+  network_.StartAll(3, kMembers / 3);
+  ASSERT_TRUE(Converges(kMembers));
+  Duration taken{0};
+  for (int i = 0; i < 20 * 10; ++i) {
+    for (std::size_t n = 0; n < kMembers; ++n) {
+      network_.At(n).SetFact("entry", std::string(300, 'x') + std::to_string(i),
+                             true, network_.Now());
+    }
+    if (i == 10 * 10) {
+      network_.At(7).SetFact("withdrawn/llm/v2", "b", false, network_.Now());
+    }
+    network_.Run(std::chrono::milliseconds(100));
+    if (i >= 10 * 10 && network_.KnowFact("withdrawn/llm/v2", "b") < kMembers) {
+      taken += std::chrono::milliseconds(100);
+    }
+  }
+  EXPECT_LE(taken, seconds(3));  // virtual time
+}
+
 TEST_F(MembershipTest, OnDatagramReplayedOrForgedIsCountedAndDropped) {
   network_.StartAll(1, 2);
   const std::vector<Datagram> sent = network_.At(0).Tick(network_.Now());
