Count every refusal by reason, also those made without the scheduler

Cause: refusals of malformed submits, handles and resumed answers were not in refusals_total. Change: the traffic thread counts them by reason. An id whose answer was handed over is forgotten when its request ends.

--- a/src/entry/answer.cc
+++ b/src/entry/answer.cc
@@ -5,6 +5,7 @@
 
 #include "hornbeamcleat/base/log.h"
 #include "src/entry/problem.h"
+#include "src/entry/stream_head.h"
 #include "src/entry/target_calls.h"
 
 namespace hornbeamcleat {
@@ -70,6 +71,9 @@
     return;
   }
   CloseExchanges();
+  if (!scheduled_) {
+    context_->counts.AddRefusal(refusal.reason);
+  }
   const std::vector<EntryAddress> none;
   const std::vector<EntryAddress>& entries =
       refusal.reason == Reason::kDraining ? context_->standing.entries : none;
@@ -240,19 +244,7 @@
 }
 
 void Answer::BeginAnswer() {
-  ResumeHandle handle;
-  handle.id = id_;
-  handle.address = address_;
-  handle.version = version_;
-  handle.entry = context_->front->Listening().ToString();
-  handle.issued_unix_ms = context_->clock->WallNow().time_since_epoch().count();
-  CallerAnswer head;
-  head.content_type = "text/event-stream";
-  head.headers["Cache-Control"] = "no-cache";
-  head.headers["Request-Id"] = id_;
-  head.headers["Resume-Handle"] =
-      SealHandle(handle, context_->options->handle_key);
-  head.headers["Target-Version"] = version_;
+  const CallerAnswer head = MakeStreamHead(*context_, id_, address_, version_);
   context_->front->Begin(CallerHandle(), head);
   begun_ = true;
   // The target has the request now, so it is never sent again.
--- a/src/entry/control_loop.cc
+++ b/src/entry/control_loop.cc
@@ -153,6 +153,14 @@
                       static_cast<double>(n));
       }
     }
+    for (int i = 0; i < kReasonCount; ++i) {
+      const Reason reason = static_cast<Reason>(i);
+      const std::uint64_t n = message.counts.Refusals(reason);
+      if (n > 0) {
+        metrics_->Add("refusals_total", "reason", ReasonName(reason),
+                      static_cast<double>(n));
+      }
+    }
   }
 
   void Take(const DrainMessage&) {
--- a/src/entry/traffic_counts.h
+++ b/src/entry/traffic_counts.h
@@ -5,6 +5,8 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "hornbeamcleat/schedule/outcome.h"
+
 namespace hornbeamcleat {
 
 /// Events that the traffic thread counts.
@@ -32,7 +34,8 @@
 /// Name of `event` in snake_case, used as label.
 const char* TrafficEventName(TrafficEvent event);
 
-/// Number of occurrences by event.
+/// Number of occurrences by event, and of refusals that the scheduler did not
+/// decide by reason.
 class TrafficCounts {
  public:
   void Add(TrafficEvent event, std::uint64_t n = 1) {
@@ -42,10 +45,18 @@
     return counts_[static_cast<std::size_t>(event)];
   }
 
+  void AddRefusal(Reason reason) {
+    ++refusals_[static_cast<std::size_t>(reason)];
+  }
+  std::uint64_t Refusals(Reason reason) const {
+    return refusals_[static_cast<std::size_t>(reason)];
+  }
+
   bool operator==(const TrafficCounts&) const = default;
 
  private:
   std::array<std::uint64_t, kTrafficEventCount> counts_{};
+  std::array<std::uint64_t, kReasonCount> refusals_{};
 };
 
 }  // namespace hornbeamcleat
--- a/src/entry/traffic_loop.cc
+++ b/src/entry/traffic_loop.cc
@@ -26,6 +26,7 @@
 
 constexpr Duration kTickPeriod = std::chrono::milliseconds(100);
 constexpr int kStatusAccepted = 202;
+constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
 constexpr char kAddressesPath[] = "/v1/addresses";
 constexpr char kAnswersPrefix[] = "/v1/answers/";
@@ -92,10 +93,7 @@
                request.path.starts_with(kSubmitPrefix)) {
       OnSubmit(std::move(request));
     } else {
-      CallerAnswer answer =
-          MakeProblemAnswer(BadRequest(""), std::vector<EntryAddress>());
-      answer.status = kStatusNotFound;
-      front_->Answer(request.handle, answer);
+      Refuse(request.handle, BadRequest(""), kStatusNotFound);
     }
   }
 
@@ -180,9 +178,9 @@
       context_.counts.Add(TrafficEvent::kBadHandles);
       log_.Debug("A resume handle is refused. cause=\"{}\"", e.what());
       // The request itself may have run; only this call did nothing.
-      RefuseAction refusal{id, Outcome::kUnknown, Reason::kBadRequest,
-                           Duration(0)};
-      Refuse(request.handle, refusal);
+      Refuse(request.handle,
+             {id, Outcome::kUnknown, Reason::kBadRequest, Duration(0)},
+             kStatusBadRequest);
       return;
     }
     if (request.method == "PUT") {
@@ -251,9 +249,15 @@
     answers_[id] = std::move(answer);
   }
 
-  void Refuse(std::uint64_t caller, const RefuseAction& refusal) {
-    front_->Answer(caller,
-                   MakeProblemAnswer(refusal, std::vector<EntryAddress>()));
+  void Refuse(std::uint64_t caller, const RefuseAction& refusal,
+              int status = 0) {
+    context_.counts.AddRefusal(refusal.reason);
+    CallerAnswer answer =
+        MakeProblemAnswer(refusal, std::vector<EntryAddress>());
+    if (status != 0) {
+      answer.status = status;
+    }
+    front_->Answer(caller, answer);
   }
 
   void TakeMessages() {
@@ -297,6 +301,7 @@
   }
 
   void Do(const RefuseAction& action) {
+    handed_over_.erase(action.id);
     if (Answer* answer = Find(action.id)) {
       answer->Refuse(action);
       Touch(answer);
