Parse bodies on the control thread

Cause: the JSON parser takes 2.0 ms for a prompt of 32 KiB and 8.2 ms for 120 KiB (trial); on the traffic thread that held up the parts of all answers. Ruled out: parsing only short bodies (loses the prefix blocks of the prompts that gain most from them). Change: the submit message carries the body; the control thread reads it.

--- a/src/entry/control_loop.cc
+++ b/src/entry/control_loop.cc
@@ -14,6 +14,7 @@
 #include "src/entry/admin_server.h"
 #include "src/entry/control_link.h"
 #include "src/entry/request_metrics.h"
+#include "src/entry/submission.h"
 #include "src/entry/target_watch.h"
 #include "src/net/poller.h"
 
@@ -131,8 +132,10 @@
   }
 
   void Take(const SubmitMessage& message) {
-    request_metrics_.OnSubmit(message.request, TierOf(message.request));
-    Perform(scheduler_->Submit(message.request, clock_->Now()));
+    RequestSpec request = message.request;
+    ReadBody(message.body, &request);
+    request_metrics_.OnSubmit(request, TierOf(request));
+    Perform(scheduler_->Submit(request, clock_->Now()));
   }
 
   void Take(const RequestEvent& event) {
--- a/src/entry/loop_message.h
+++ b/src/entry/loop_message.h
@@ -1,6 +1,7 @@
 #ifndef HORNBEAMCLEAT_SRC_ENTRY_LOOP_MESSAGE_H_
 #define HORNBEAMCLEAT_SRC_ENTRY_LOOP_MESSAGE_H_
 
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -15,6 +16,7 @@
 /// A caller submitted a request.
 struct SubmitMessage {
   RequestSpec request;
+  std::string body;  ///< read by the control thread, away from the answers
 };
 
 /// Growth of the traffic thread's counters since the last message.
--- a/src/entry/submission.cc
+++ b/src/entry/submission.cc
@@ -21,7 +21,7 @@
 constexpr std::size_t kMaxPathLength = 512;
 constexpr std::size_t kBlockBytes = 64;
 constexpr std::size_t kBytesPerToken = 4;
-// Parsing is done on the traffic thread; a longer body goes unparsed.
+// Parsing delays other requests' decisions; a longer body goes unparsed.
 constexpr std::size_t kMaxParsedBytes = 128 * 1024;
 constexpr std::int64_t kMaxDeadlineMs = 24 * 3'600 * 1'000;
 constexpr int kMaxStatedTokens = 10'000'000;
@@ -81,26 +81,6 @@
   return text;
 }
 
-// A body of another form is no error: it passes through untouched.
-void ReadBody(const std::string& body, RequestSpec* spec) {
-  const std::size_t start = body.find_first_not_of(" \t\r\n");
-  if (start == std::string::npos || body[start] != '{') {
-    return;
-  }
-  try {
-    const cxxtools::SerializationInfo json = ParseJson(body, kMaxParsedBytes);
-    spec->max_tokens = static_cast<std::uint32_t>(std::clamp(
-        JsonMember<int>(json, "max_tokens", 0), 0, kMaxStatedTokens));
-    if (const std::optional<std::string> prompt = PromptText(json)) {
-      spec->prefix_blocks = PrefixBlocks(*prompt);
-      spec->prompt_tokens =
-          static_cast<std::uint32_t>(prompt->size() / kBytesPerToken);
-    }
-  } catch (const Error&) {
-    return;
-  }
-}
-
 }  // namespace
 
 RequestIdSource::RequestIdSource() {
@@ -147,10 +127,29 @@
   spec.prompt_tokens =
       static_cast<std::uint32_t>(request.body.size() / kBytesPerToken);
   spec.fingerprint = Hash64(request.body);
-  ReadBody(request.body, &spec);
   return spec;
 }
 
+// A body of another form is no error: it passes through untouched.
+void ReadBody(const std::string& body, RequestSpec* spec) {
+  const std::size_t start = body.find_first_not_of(" \t\r\n");
+  if (start == std::string::npos || body[start] != '{') {
+    return;
+  }
+  try {
+    const cxxtools::SerializationInfo json = ParseJson(body, kMaxParsedBytes);
+    spec->max_tokens = static_cast<std::uint32_t>(std::clamp(
+        JsonMember<int>(json, "max_tokens", 0), 0, kMaxStatedTokens));
+    if (const std::optional<std::string> prompt = PromptText(json)) {
+      spec->prefix_blocks = PrefixBlocks(*prompt);
+      spec->prompt_tokens =
+          static_cast<std::uint32_t>(prompt->size() / kBytesPerToken);
+    }
+  } catch (const Error&) {
+    return;
+  }
+}
+
 std::vector<std::uint64_t> PrefixBlocks(std::string_view prompt) {
   std::vector<std::uint64_t> blocks;
   blocks.reserve(prompt.size() / kBlockBytes);
--- a/src/entry/submission.h
+++ b/src/entry/submission.h
@@ -30,12 +30,16 @@
 /// Whether `path` may be sent to a target as it is.
 bool IsPlainPath(std::string_view path);
 
-/// What the scheduler needs of a submit.
+/// What the scheduler needs of a submit, but for what its body says.
 /// @param id given to the request if the caller gave none
 /// @throws Error with step "read request" if a header is missing or malformed
 RequestSpec ReadSubmission(const CallerRequest& request, const RequestId& id,
                            Time now);
 
+/// Adds the prompt's size and blocks and the stated length of the answer, if
+/// `body` is JSON that has them. Takes about 70 microseconds for each KiB.
+void ReadBody(const std::string& body, RequestSpec* spec);
+
 /// Chained hashes of the whole 64-byte blocks of `prompt`.
 std::vector<std::uint64_t> PrefixBlocks(std::string_view prompt);
 
--- a/src/entry/traffic_loop.cc
+++ b/src/entry/traffic_loop.cc
@@ -163,8 +163,9 @@
              {spec.id, Outcome::kUnknown, Reason::kDuplicate, Duration(0)});
       return;
     }
+    SubmitMessage message{spec, request.body};
     Add(std::make_unique<Answer>(&context_, spec.id, std::move(request)));
-    context_.control->Send(SubmitMessage{std::move(spec)});
+    context_.control->Send(std::move(message));
   }
 
   void OnAnswerRequest(CallerRequest request) {
--- a/tests/entry/submission_test.cc
+++ b/tests/entry/submission_test.cc
@@ -15,7 +15,11 @@
     request_.headers = {{"workspace", "w"}, {"application", "a"}};
   }
 
-  RequestSpec Read() const { return ReadSubmission(request_, "id1", now_); }
+  RequestSpec Read() const {
+    RequestSpec spec = ReadSubmission(request_, "id1", now_);
+    ReadBody(request_.body, &spec);
+    return spec;
+  }
 
   CallerRequest request_;
   Time now_{std::chrono::seconds(5)};
