--- a/src/schedule/tier_floor.cc
+++ b/src/schedule/tier_floor.cc
@@ -26,7 +26,18 @@
   return true;
 }
 
+void TierFloor::SetPeerClosed(int rank) {
+  peer_reported_ = rank;
+  peer_closed_ = std::min(peer_closed_, rank);
+}
+
 void TierFloor::Tick(Time now) {
+  if (peer_closed_ < peer_reported_ && now >= peer_raised_ + settle_) {
+    const auto above = ranks_.upper_bound(peer_closed_);
+    peer_closed_ = above == ranks_.end() ? peer_reported_
+                                         : std::min(*above, peer_reported_);
+    peer_raised_ = now;
+  }
   if (own_closed_ == kNoFloor || now < last_shortage_ + hold_) {
     return;
   }
--- a/src/schedule/tier_floor.h
+++ b/src/schedule/tier_floor.h
@@ -22,15 +22,18 @@
   /// Ranks that exist.
   void SetRanks(const std::set<int>& ranks) { ranks_ = ranks; }
 
-  /// Least rank that a peer has closed, or kNoFloor.
-  void SetPeerClosed(int rank) { peer_closed_ = rank; }
+  /// Least rank that a peer is known to have closed, or kNoFloor. A lower rank
+  /// holds at once; a greater one is reached rank by rank, one per settle time,
+  /// since entries may notice at different times that a peer was lost.
+  void SetPeerClosed(int rank);
 
   /// Work of `rank` runs short of capacity: closes the greatest open rank above
   /// it if the last closing has settled. Call again while the shortage lasts.
   /// @return whether a rank was closed that was open here
   bool OnShortage(int rank, Time now);
 
-  /// Reopens one rank if no shortage was seen for the hold time.
+  /// Lets peers' closings rise, and reopens one rank if no shortage was seen
+  /// for the hold time.
   void Tick(Time now);
 
   /// Whether work of `rank` gets no new dispatch.
@@ -53,7 +56,9 @@
   const Duration hold_;
   std::set<int> ranks_;
   int own_closed_ = kNoFloor;
+  int peer_reported_ = kNoFloor;
   int peer_closed_ = kNoFloor;
+  Time peer_raised_;
   Time closed_since_;
   Time last_shortage_;
 };
--- a/tests/schedule/tier_floor_test.cc
+++ b/tests/schedule/tier_floor_test.cc
@@ -53,6 +53,19 @@
   EXPECT_FALSE(floor_.MayShed(0, At(60'000)));
 }
 
+TEST_F(TierFloorTest, LostPeerClosingRisesOneRankPerSettleTime) {
+  floor_.SetPeerClosed(1);
+  floor_.SetPeerClosed(kNoFloor);
+  EXPECT_TRUE(floor_.Closed(1));
+  floor_.Tick(At(5'000));
+  EXPECT_FALSE(floor_.Closed(1));
+  EXPECT_TRUE(floor_.Closed(2));
+  floor_.Tick(At(5'900));
+  EXPECT_TRUE(floor_.Closed(2));
+  floor_.Tick(At(6'000));
+  EXPECT_FALSE(floor_.Closed(2));
+}
+
 class SchedulerFloorTest : public SchedulerFixture {
  protected:
   void CloseBronze() {
