--- a/src/schedule/dispatcher.cc
+++ b/src/schedule/dispatcher.cc
@@ -222,8 +222,7 @@
   request->model->in_flight_on_new += request->on_new ? 1 : 0;
   if (!request->route->idempotent && !request->intent_held) {
     request->phase = Phase::kIntent;
-    actions->emplace_back(
-        RecordIntentAction{
+    actions->emplace_back(RecordIntentAction{
         request->spec.id,
         ScopedKey(request->spec.idempotency_key, request->spec.workspace,
                   request->spec.application)});
