--- a/src/load/report.cc
+++ b/src/load/report.cc
@@ -139,9 +139,9 @@
   return out;
 }
 
-LoadReport MakeReport(const Experiment& experiment, const LoadResult& result,
+RunReport MakeReport(const Experiment& experiment, const LoadResult& result,
                       const EngineWork& work) {
-  LoadReport out;
+  RunReport out;
   std::map<std::string, std::vector<std::uint32_t>> first_parts;
   std::vector<std::uint32_t> all;
   for (const RequestRecord& record : result.records) {
@@ -169,7 +169,7 @@
   return out;
 }
 
-std::string FormatReport(const LoadReport& report) {
+std::string FormatReport(const RunReport& report) {
   std::string out = fmt::format(
       "{:<12} {:>7} {:>8} {:>6} {:>8} {:>6} {:>5} {:>8} {:>8} {:>8} {:>8}\n",
       "tier", "offered", "in time", "late", "refused", "wrong", "lost",
--- a/src/load/report.h
+++ b/src/load/report.h
@@ -42,7 +42,7 @@
 };
 
 /// Summary of a run.
-struct LoadReport {
+struct RunReport {
   std::map<std::string, TierReport> tiers;  ///< by "rank name"
   TierReport total;
   Quantiles between_parts;
@@ -52,16 +52,16 @@
   EngineWork work;
   double wasted_prefill_ratio = 0;
 
-  bool operator==(const LoadReport&) const = default;
+  bool operator==(const RunReport&) const = default;
 };
 
 /// Sums up a run.
 /// @param work what the engines did during the run
-LoadReport MakeReport(const Experiment& experiment, const LoadResult& result,
+RunReport MakeReport(const Experiment& experiment, const LoadResult& result,
                       const EngineWork& work);
 
 /// Report for a terminal.
-std::string FormatReport(const LoadReport& report);
+std::string FormatReport(const RunReport& report);
 
 /// One row for each request, with a heading. Times in milliseconds since the
 /// start.
--- a/tests/load/report_test.cc
+++ b/tests/load/report_test.cc
@@ -44,7 +44,7 @@
 };
 
 TEST_F(ReportTest, GoodputIsWeightedByClass) {
-  const LoadReport report = MakeReport(experiment_,
+  const RunReport report = MakeReport(experiment_,
                                        {{Record(0, 0, RequestEnd::kWholeInTime),
                                          Record(1, 1, RequestEnd::kWholeLate)},
                                         {}},
@@ -58,7 +58,7 @@
 TEST_F(ReportTest, PrefillOfLateAnswersIsWasted) {
   EngineWork work;
   work.prefill_tokens = 160;
-  const LoadReport report = MakeReport(experiment_,
+  const RunReport report = MakeReport(experiment_,
                                        {{Record(0, 0, RequestEnd::kWholeInTime),
                                          Record(1, 1, RequestEnd::kWholeLate)},
                                         {}},
--- a/tools/hornbeamcleat-load/main.cc
+++ b/tools/hornbeamcleat-load/main.cc
@@ -83,7 +83,7 @@
   const EngineWork before = ReadEngineWork(engines, Duration(0));
   const LoadResult result = RunLoad(experiment, options.targets);
   const EngineWork after = ReadEngineWork(engines, kEngineWait);
-  const LoadReport report =
+  const RunReport report =
       MakeReport(experiment, result, Subtract(after, before));
   fmt::print("{}", FormatReport(report));
   if (!options.csv.empty()) {
