Leave dead targets out of a move; gossip load and demand by steps

Cause: a target that never loads held a move in Loading to its deadline; load and demand, restated each second, filled the gossip's byte budget from nine members on (docs/design/23-membership.md). Change: OrderBook says how many targets can still load the version, and the move waits for those; the move driver honours next_look; load is told in steps of 100 permille and demand in powers of the square root of two.

--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -28,12 +29,23 @@
 constexpr std::size_t kMaxReasonBytes = 200;
 constexpr std::size_t kMaxPoisonFacts = 8;
 constexpr int kMilli = 1'000;
+constexpr int kLoadStep = 100;        // permille, of what peers are told
 constexpr int kFullLoadOpen = 2'000;  // open answers at which an entry is full
 
 std::string HolderName(const Member& self) {
   return fmt::format("{}#{}", self.name, self.incarnation);
 }
 
+// Thousandths, rounded to a power of the square root of two: gossip carries a
+// demand anew only when it moved by a step that matters.
+int RoundDemand(double demand) {
+  if (demand * kMilli < 1) {
+    return 0;
+  }
+  const double steps = std::round(2 * std::log2(demand * kMilli));
+  return static_cast<int>(std::exp2(steps / 2));
+}
+
 class LogControlCore : public ControlCore {
  public:
   LogControlCore(const ControlOptions& options, ControlEffects* effects,
@@ -142,6 +154,10 @@
     orders_.OnObserved(target, state, sent);
   }
 
+  void OnObserveFailed(const TargetToObserve& target) override {
+    orders_.OnObserveFailed(target);
+  }
+
   std::vector<TargetToObserve> ToObserve(Time now) const override {
     if (Config() == nullptr || !HoldsLease(now)) {
       return {};
@@ -334,6 +350,7 @@
     input.evidence = evidence_->Merged();
     input.withdrawn = Withdrawn();
     input.ready_targets = orders_.Ready(*input.config);
+    input.attainable_targets = orders_.Attainable();
     input.log_available = log_available_;
     input.holds_lease = HoldsLease(now);
     input.fencing = lease_->Fencing();
@@ -443,11 +460,11 @@
     EntryFact fact;
     fact.serving = entry_connected_ && !report_.draining && !leaving_ &&
                    Config() != nullptr && !report_.entry.empty();
-    fact.load_permille =
-        std::min(kMilli, report_.open * kMilli / kFullLoadOpen);
+    fact.load_permille = std::min(
+        kMilli, report_.open * kMilli / kFullLoadOpen / kLoadStep * kLoadStep);
     fact.closed_rank = report_.facts.closed_rank;
     for (const auto& [model, demand] : report_.facts.demand) {
-      fact.demand_milli[model] = static_cast<int>(demand * kMilli);
+      fact.demand_milli[model] = RoundDemand(demand);
     }
     for (const auto& [fingerprint, n] : report_.facts.poison) {
       if (fact.poison.size() < kMaxPoisonFacts) {
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -136,6 +136,9 @@
   virtual void OnObserved(const TargetToObserve& target, LoadState state,
                           Time sent) = 0;
 
+  /// A target could not be asked.
+  virtual void OnObserveFailed(const TargetToObserve& target) = 0;
+
   /// Targets that should be read back now; none without the lease.
   virtual std::vector<TargetToObserve> ToObserve(Time now) const = 0;
 
--- a/src/control/control_daemon.cc
+++ b/src/control/control_daemon.cc
@@ -366,10 +366,17 @@
   // On a worker's thread.
   void Observe(const TargetToObserve& target) {
     const Time sent = clock_->Now();
-    const LoadState state = ObserveTarget(target);
-    PostToCore([target, state, sent](ControlCore* core) {
-      core->OnObserved(target, state, sent);
-    });
+    try {
+      const LoadState state = ObserveTarget(target);
+      PostToCore([target, state, sent](ControlCore* core) {
+        core->OnObserved(target, state, sent);
+      });
+    } catch (const Error& e) {
+      log_.Warning("A target can't be read. target={} cause={}", target.target,
+                   e.what());
+      PostToCore(
+          [target](ControlCore* core) { core->OnObserveFailed(target); });
+    }
   }
 
   ControlDaemonOptions options_;
--- a/src/control/move_driver.cc
+++ b/src/control/move_driver.cc
@@ -11,6 +11,11 @@
 struct RunningMove {
   std::uint64_t resource_version = 0;
   std::unique_ptr<MoveController> controller;
+  // What the last decision was made on; until its next look the same holds.
+  MoveState state;
+  bool withdrawn = false;
+  bool held_lease = false;
+  MoveDecision decision;
 };
 
 MoveState StateOf(const ConfigState& config, const Resource& resource) {
@@ -85,13 +90,12 @@
       running_.erase(resource.name);
       return;
     }
-    MoveController* controller = ControllerOf(resource);
+    RunningMove* running = RunningOf(resource);
     const bool withdrawn =
         input.withdrawn.contains({spec.model, spec.to_version}) ||
         input.config->withdrawn.contains({spec.model, spec.to_version});
-    const MoveDecision decision =
-        controller->Decide(state, InputOf(input, spec, withdrawn));
-    VersionShare share = controller->Share(state);
+    const MoveDecision& decision = Look(input, spec, state, withdrawn, running);
+    VersionShare share = running->controller->Share(state);
     if (withdrawn || decision.withdraw) {
       share.share_permille = 0;
     }
@@ -107,15 +111,33 @@
     }
   }
 
-  MoveController* ControllerOf(const Resource& resource) {
+  // Looks again when the controller asked for it or something changed.
+  static const MoveDecision& Look(const MoveDriverInput& input,
+                                  const MoveSpec& spec, const MoveState& state,
+                                  bool withdrawn, RunningMove* running) {
+    const bool changed = !(running->state == state) ||
+                         running->withdrawn != withdrawn ||
+                         running->held_lease != input.holds_lease;
+    if (changed || input.now >= running->decision.next_look) {
+      running->decision =
+          running->controller->Decide(state, InputOf(input, spec, withdrawn));
+      running->state = state;
+      running->withdrawn = withdrawn;
+      running->held_lease = input.holds_lease;
+    }
+    return running->decision;
+  }
+
+  RunningMove* RunningOf(const Resource& resource) {
     RunningMove& running = running_[resource.name];
     if (running.controller == nullptr ||
         running.resource_version != resource.version) {
+      running = RunningMove();
       running.controller = MoveController::Make(
           resource.name, std::get<MoveSpec>(resource.spec), seed_);
       running.resource_version = resource.version;
     }
-    return running.controller.get();
+    return &running;
   }
 
   static MoveInput InputOf(const MoveDriverInput& input, const MoveSpec& spec,
@@ -123,7 +145,10 @@
     MoveInput out;
     out.now = input.now;
     out.evidence = EvidenceOf(input.evidence, spec);
-    out.wanted_targets = WantedTargets(*input.config, spec);
+    const auto attainable = input.attainable_targets.find(spec.to_version);
+    out.wanted_targets = attainable == input.attainable_targets.end()
+                             ? WantedTargets(*input.config, spec)
+                             : attainable->second;
     const std::map<std::string, int>::const_iterator it =
         input.ready_targets.find(spec.to_version);
     out.ready_targets = it == input.ready_targets.end() ? 0 : it->second;
--- a/src/control/move_driver.h
+++ b/src/control/move_driver.h
@@ -21,7 +21,10 @@
   std::vector<VersionEvidence> evidence;                    ///< of all entries
   std::set<std::pair<std::string, std::string>> withdrawn;  ///< log and gossip
   std::map<std::string, int> ready_targets;  ///< by version; observed
-  double load_ratio = 0;                     ///< of the new version's targets
+  /// Engines that can still come to have a version; a version that is missing
+  /// counts all its targets.
+  std::map<std::string, int> attainable_targets;
+  double load_ratio = 0;  ///< of the new version's targets
   bool log_available = false;
   bool holds_lease = false;
   std::uint64_t fencing = 0;
--- a/src/control/order_book.cc
+++ b/src/control/order_book.cc
@@ -7,6 +7,8 @@
 namespace hornbeamcleat {
 namespace {
 
+constexpr int kDeadAfterFailures = 5;  // reads, one a second
+
 struct DeclaredTarget {
   const Resource* resource;
   const TargetSpec* spec;
@@ -49,10 +51,14 @@
                            Time sent) {
   Seen& seen = seen_[{target.target, target.version}];
   if (sent >= seen.sent) {
-    seen = {state, sent};
+    seen = {state, sent, 0};
   }
 }
 
+void OrderBook::OnObserveFailed(const TargetToObserve& target) {
+  ++seen_[{target.target, target.version}].failures;
+}
+
 std::vector<AddressedOrder> OrderBook::Plan(const ConfigState& config,
                                             std::uint64_t fencing,
                                             Time held_since, Time now) {
@@ -71,6 +77,7 @@
     if (it != seen_.end()) {
       observed.state = it->second.state;
       observed.observed = it->second.sent;
+      observed.live = it->second.failures < kDeadAfterFailures;
     }
     input.candidates.push_back(observed);
     addresses[target.resource->name] = target.spec->address;
@@ -88,7 +95,9 @@
       options.longest_order = longest_order_;
       planner = OrderPlanner::Make(models[version], version, options);
     }
-    for (const LoadOrder& order : planner->PlanLoads(input).orders) {
+    const OrderPlan plan = planner->PlanLoads(input);
+    attainable_[version] = plan.attainable;
+    for (const LoadOrder& order : plan.orders) {
       out.push_back({order, addresses[order.target]});
     }
   }
--- a/src/control/order_book.h
+++ b/src/control/order_book.h
@@ -48,6 +48,13 @@
                                    std::uint64_t fencing, Time held_since,
                                    Time now);
 
+  /// Counts a target that could not be asked; after some it counts as dead.
+  void OnObserveFailed(const TargetToObserve& target);
+
+  /// Targets of each new version that can still come to have it. Those that
+  /// died or failed to load it are left out, so that they don't stop the move.
+  const std::map<std::string, int>& Attainable() const { return attainable_; }
+
   /// Targets ready with each new version.
   std::map<std::string, int> Ready(const ConfigState& config) const;
 
@@ -57,10 +64,12 @@
   struct Seen {
     LoadState state = LoadState::kUnknown;
     Time sent;
+    int failures = 0;  // in a row
   };
 
   Duration longest_order_;
   std::map<TargetVersion, Seen> seen_;
+  std::map<std::string, int> attainable_;                          // by version
   std::map<std::string, std::unique_ptr<OrderPlanner>> planners_;  // by version
 };
 
