Rank the entries that callers may use

Cause: the address list came in the order of names, so every caller that asked got the same entry first. Ruled out: strict order by load, since all callers would move together on a stale load.

--- a/src/entry/traffic_loop.cc
+++ b/src/entry/traffic_loop.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <map>
+#include <random>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -13,6 +15,7 @@
 #include "hornbeamcleat/base/clock.h"
 #include "hornbeamcleat/base/error.h"
 #include "hornbeamcleat/base/log.h"
+#include "src/entry/address_ranking.h"
 #include "src/entry/answer.h"
 #include "src/entry/answer_call.h"
 #include "src/entry/problem.h"
@@ -83,10 +86,7 @@
 
   void OnRequest(CallerRequest request) override {
     if (request.method == "GET" && request.path == kAddressesPath) {
-      CallerAnswer answer;
-      answer.body =
-          FormatAddresses(context_.standing.entries, options_.addresses_life);
-      front_->Answer(request.handle, answer);
+      OnAddresses(request);
     } else if (request.path.starts_with(kAnswersPrefix)) {
       OnAnswerRequest(std::move(request));
     } else if (request.method == "POST" &&
@@ -131,6 +131,19 @@
   }
 
  private:
+  // A caller that does not say where it is counts as near this entry.
+  void OnAddresses(const CallerRequest& request) {
+    const std::map<std::string, std::string>::const_iterator it =
+        request.query.find("failureDomain");
+    const std::string& domain =
+        it == request.query.end() ? options_.failure_domain : it->second;
+    CallerAnswer answer;
+    answer.body = FormatAddresses(
+        RankEntries(context_.standing.entries, domain, &random_),
+        options_.addresses_life);
+    front_->Answer(request.handle, answer);
+  }
+
   template <typename Work>
   void WithExchange(std::uint64_t handle, const Work& work) {
     const auto it = context_.by_exchange.find(handle);
@@ -368,6 +381,7 @@
   std::unordered_map<RequestId, std::unique_ptr<Answer>> answers_;
   std::unordered_map<std::uint64_t, Answer*> by_caller_;
   std::vector<RequestId> touched_;
+  std::mt19937_64 random_{std::random_device()()};
   std::set<RequestId> handed_over_;  // to entries that go on with them
   FrontRefusals counted_;
   Time next_tick_;
--- /dev/null
+++ b/tests/entry/address_ranking_test.cc
@@ -0,0 +1,75 @@
+#include "src/entry/address_ranking.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr int kCalls = 6'000;
+
+class AddressRankingTest : public testing::Test {
+ protected:
+  void Add(const std::string& name, const std::string& domain, int load) {
+    entries_.push_back({name, "http://" + name, domain, load});
+  }
+
+  // How often each entry comes first.
+  std::map<std::string, int> Firsts(const std::string& domain) {
+    std::map<std::string, int> out;
+    for (int i = 0; i < kCalls; ++i) {
+      ++out[RankEntries(entries_, domain, &random_).front().name];
+    }
+    return out;
+  }
+
+  std::mt19937_64 random_{1};
+  std::vector<EntryAddress> entries_;
+};
+
+TEST_F(AddressRankingTest, EqualEntriesSpreadEvenly) {
+  Add("a", "d1", 0);
+  Add("b", "d2", 0);
+  Add("c", "d3", 0);
+  for (const auto& [name, n] : Firsts("")) {
+    EXPECT_NEAR(n, kCalls / 3, kCalls / 20) << name;
+  }
+}
+
+TEST_F(AddressRankingTest, NearEntriesComeFirst) {
+  Add("far", "d1", 0);
+  Add("near", "d2", 500);
+  EXPECT_EQ(Firsts("d2")["near"], kCalls);
+}
+
+TEST_F(AddressRankingTest, FullEntryComesLastAlsoWhenNear) {
+  Add("full", "d2", kFullLoadPermille);
+  Add("far", "d1", 0);
+  EXPECT_EQ(RankEntries(entries_, "d2", &random_).back().name, "full");
+}
+
+TEST_F(AddressRankingTest, LoadedEntryIsOfferedInProportionToItsRoom) {
+  Add("idle", "d1", 0);
+  Add("loaded", "d1", 500);
+  EXPECT_NEAR(Firsts("d1")["loaded"], kCalls / 3, kCalls / 20);
+}
+
+TEST_F(AddressRankingTest, CallersOfALostEntrySpreadOverTheOthers) {
+  Add("a", "d1", 0);
+  Add("b", "d1", 0);
+  Add("c", "d1", 0);
+  std::map<std::string, int> seconds;
+  for (int i = 0; i < kCalls; ++i) {
+    const std::vector<EntryAddress> ranked =
+        RankEntries(entries_, "d1", &random_);
+    if (ranked[0].name == "a") {
+      ++seconds[ranked[1].name];
+    }
+  }
+  EXPECT_NEAR(seconds["b"], kCalls / 6, kCalls / 20);
+  EXPECT_NEAR(seconds["c"], kCalls / 6, kCalls / 20);
+}
+
+}  // namespace
+}  // namespace hornbeamcleat
