--- a/src/link/link_message.cc
+++ b/src/link/link_message.cc
@@ -82,8 +82,8 @@
 
 template <typename Archive>
 void serialize(Archive& ar, ReportMessage& message) {
-  ar(message.entry, message.incarnation, message.facts, message.evidence, message.open,
-     message.draining);
+  ar(message.entry, message.incarnation, message.facts, message.evidence,
+     message.open, message.draining);
 }
 
 template <typename Archive>
--- a/src/link/link_message.h
+++ b/src/link/link_message.h
@@ -78,9 +78,8 @@
   bool operator==(const ReportMessage&) const = default;
 };
 
-using LinkMessage =
-    std::variant<ViewMessage, ProposeMessage, DecisionMessage, ReportMessage,
-                 ReleaseMessage>;
+using LinkMessage = std::variant<ViewMessage, ProposeMessage, DecisionMessage,
+                                 ReportMessage, ReleaseMessage>;
 
 /// Frame of a message: four bytes of length, then a cereal archive.
 std::string EncodeLink(const LinkMessage& message);
--- a/src/load/report.cc
+++ b/src/load/report.cc
@@ -140,7 +140,7 @@
 }
 
 RunReport MakeReport(const Experiment& experiment, const LoadResult& result,
-                      const EngineWork& work) {
+                     const EngineWork& work) {
   RunReport out;
   std::map<std::string, std::vector<std::uint32_t>> first_parts;
   std::vector<std::uint32_t> all;
--- a/src/load/report.h
+++ b/src/load/report.h
@@ -58,7 +58,7 @@
 /// Sums up a run.
 /// @param work what the engines did during the run
 RunReport MakeReport(const Experiment& experiment, const LoadResult& result,
-                      const EngineWork& work);
+                     const EngineWork& work);
 
 /// Report for a terminal.
 std::string FormatReport(const RunReport& report);
--- a/tests/load/report_test.cc
+++ b/tests/load/report_test.cc
@@ -45,10 +45,10 @@
 
 TEST_F(ReportTest, GoodputIsWeightedByClass) {
   const RunReport report = MakeReport(experiment_,
-                                       {{Record(0, 0, RequestEnd::kWholeInTime),
-                                         Record(1, 1, RequestEnd::kWholeLate)},
-                                        {}},
-                                       EngineWork());
+                                      {{Record(0, 0, RequestEnd::kWholeInTime),
+                                        Record(1, 1, RequestEnd::kWholeLate)},
+                                       {}},
+                                      EngineWork());
   EXPECT_DOUBLE_EQ(report.total.GoodputRatio(), 0.75);
   EXPECT_DOUBLE_EQ(report.tiers.at("1 silver").GoodputRatio(), 0);
   EXPECT_DOUBLE_EQ(report.goodput_per_second, 1.5);
@@ -59,10 +59,10 @@
   EngineWork work;
   work.prefill_tokens = 160;
   const RunReport report = MakeReport(experiment_,
-                                       {{Record(0, 0, RequestEnd::kWholeInTime),
-                                         Record(1, 1, RequestEnd::kWholeLate)},
-                                        {}},
-                                       work);
+                                      {{Record(0, 0, RequestEnd::kWholeInTime),
+                                        Record(1, 1, RequestEnd::kWholeLate)},
+                                       {}},
+                                      work);
   EXPECT_DOUBLE_EQ(report.wasted_prefill_ratio, 0.5);
 }
 
