--- a/src/control/control_settings.cc
+++ b/src/control/control_settings.cc
@@ -11,7 +11,7 @@
 
 const std::vector<SettingRule>& ControlSettingRules() {
   using enum SettingType;
-  static const std::vector<SettingRule> kRules = {
+  static const std::vector<SettingRule> rules = {
       {"vm", "name", kText, "", true, 0, 0, "Name of this VM, unique."},
       {"vm", "failure_domain", kText, "", true, 0, 0,
        "Failure domain of this VM."},
@@ -74,7 +74,7 @@
        "Refuses idempotency keys that carry no date; without it such a key is "
        "recognised only for key_life."},
   };
-  return kRules;
+  return rules;
 }
 
 ControlDaemonOptions ReadControlOptions(const Settings& settings,
