Look at a move at once when its new version faults

Cause: since the driver honours next_look, a fault that arrived between looks waited up to 3 s for its withdrawal. Seen failing: ControlCoreTest.FaultSeenByOneIsWithdrawnEverywhereInASecondWithoutLog, no member had the withdrawal in its view 1 s after the report. Change: a new fault of the new version, a changed state or lease leads to a look. The test runs three control cores over an in-memory log in virtual time; others check that a change is in force everywhere within 3 s with one member cut off from the log, and that a withdrawal made during an outage is recorded after it.

--- a/src/control/move_driver.cc
+++ b/src/control/move_driver.cc
@@ -15,6 +15,7 @@
   MoveState state;
   bool withdrawn = false;
   bool held_lease = false;
+  std::uint64_t faults = 0;  // of the new version
   MoveDecision decision;
 };
 
@@ -62,6 +63,17 @@
   return out;
 }
 
+std::uint64_t FaultsOf(const std::vector<VersionEvidence>& all,
+                       const MoveSpec& spec) {
+  std::uint64_t faults = 0;
+  for (const VersionEvidence& evidence : all) {
+    if (evidence.model == spec.model && evidence.version == spec.to_version) {
+      faults += evidence.faults;
+    }
+  }
+  return faults;
+}
+
 class ControllerMoveDriver : public MoveDriver {
  public:
   explicit ControllerMoveDriver(std::uint64_t seed) : seed_(seed) {}
@@ -111,11 +123,14 @@
     }
   }
 
-  // Looks again when the controller asked for it or something changed.
+  // Looks again when the controller asked for it or something changed. A new
+  // fault is looked at once: a withdrawal must not wait for the next look.
   static const MoveDecision& Look(const MoveDriverInput& input,
                                   const MoveSpec& spec, const MoveState& state,
                                   bool withdrawn, RunningMove* running) {
+    const std::uint64_t faults = FaultsOf(input.evidence, spec);
     const bool changed = !(running->state == state) ||
+                         running->faults != faults ||
                          running->withdrawn != withdrawn ||
                          running->held_lease != input.holds_lease;
     if (changed || input.now >= running->decision.next_look) {
@@ -123,6 +138,7 @@
           running->controller->Decide(state, InputOf(input, spec, withdrawn));
       running->state = state;
       running->withdrawn = withdrawn;
+      running->faults = faults;
       running->held_lease = input.holds_lease;
     }
     return running->decision;
