--- a/src/schedule/latency_limit.cc
+++ b/src/schedule/latency_limit.cc
@@ -12,6 +12,10 @@
 constexpr double kRoom = 0.93;
 constexpr double kGrowth = 0.5;
 constexpr double kGrowthRatio = 0.05;
+/// Latency under this part of its target lets the limit grow faster, so that a
+/// new target is not kept idle for a minute.
+constexpr double kMuchRoom = 0.5;
+constexpr double kFastGrowthRatio = 0.3;
 /// Part of the target time that the average keeps to, so that most requests
 /// keep to the whole.
 constexpr double kAim = 0.9;
@@ -50,7 +54,8 @@
     const bool far_above = overload > kFarAbove;
     limit_ *= std::max(far_above ? kShrink : kGentleShrink, 1 / overload);
   } else if (overload < kRoom && was_in_use_) {
-    limit_ += std::max(kGrowth, kGrowthRatio * limit_);
+    const double ratio = overload < kMuchRoom ? kFastGrowthRatio : kGrowthRatio;
+    limit_ += std::max(kGrowth, ratio * limit_);
   }
   limit_ = std::clamp(limit_, kLeast, kGreatest);
   gap_seconds_ = gap_parts_ = first_part_seconds_ = 0;
