--- a/tests/control/control_core_test.cc
+++ b/tests/control/control_core_test.cc
@@ -90,7 +90,7 @@
       options.self.address = AddressOf(i);
       options.self.failure_domain = "d";
       options.self.incarnation = 1;
-      options.membership.seed = static_cast<std::uint64_t>(i + 1);
+      options.membership.seed = static_cast<std::uint64_t>(i) + 1;
       options.membership.key = "secret";
       options.membership.seeds = {AddressOf(0)};
       options.api = "api" + std::to_string(i);
--- a/tests/entry/address_ranking_test.cc
+++ b/tests/entry/address_ranking_test.cc
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr int kCalls = 6'000;
+constexpr int kThird = kCalls / 3;
+constexpr int kSixth = kCalls / 6;
+constexpr int kTolerance = kCalls / 20;
 
 class AddressRankingTest : public testing::Test {
  protected:
@@ -33,7 +36,7 @@
   Add("b", "d2", 0);
   Add("c", "d3", 0);
   for (const auto& [name, n] : Firsts("")) {
-    EXPECT_NEAR(n, kCalls / 3, kCalls / 20) << name;
+    EXPECT_NEAR(n, kThird, kTolerance) << name;
   }
 }
 
@@ -52,7 +55,7 @@
 TEST_F(AddressRankingTest, LoadedEntryIsOfferedInProportionToItsRoom) {
   Add("idle", "d1", 0);
   Add("loaded", "d1", 500);
-  EXPECT_NEAR(Firsts("d1")["loaded"], kCalls / 3, kCalls / 20);
+  EXPECT_NEAR(Firsts("d1")["loaded"], kThird, kTolerance);
 }
 
 TEST_F(AddressRankingTest, CallersOfALostEntrySpreadOverTheOthers) {
@@ -67,8 +70,8 @@
       ++seconds[ranked[1].name];
     }
   }
-  EXPECT_NEAR(seconds["b"], kCalls / 6, kCalls / 20);
-  EXPECT_NEAR(seconds["c"], kCalls / 6, kCalls / 20);
+  EXPECT_NEAR(seconds["b"], kSixth, kTolerance);
+  EXPECT_NEAR(seconds["c"], kSixth, kTolerance);
 }
 
 }  // namespace
--- a/tests/system/at_most_once_test.cc
+++ b/tests/system/at_most_once_test.cc
@@ -58,6 +58,7 @@
 
   void SendAll() {
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int i = 0; i < kCallers; ++i) {
       callers.emplace_back([this] {
         for (int key = next_key_++; key < kKeys; key = next_key_++) {
--- a/tests/system/child_process.cc
+++ b/tests/system/child_process.cc
@@ -28,6 +28,7 @@
   std::vector<std::string> words = {path};
   words.insert(words.end(), arguments.begin(), arguments.end());
   std::vector<char*> argv;
+  argv.reserve(words.size() + 1);
   for (std::string& word : words) {
     argv.push_back(word.data());
   }
--- a/tests/system/http_call.cc
+++ b/tests/system/http_call.cc
@@ -36,7 +36,7 @@
     std::string name = line.substr(0, colon);
     std::transform(name.begin(), name.end(), name.begin(),
                    [](unsigned char c) { return std::tolower(c); });
-    const std::size_t first = line.find_first_not_of(" ", colon + 1);
+    const std::size_t first = line.find_first_not_of(' ', colon + 1);
     const std::size_t end = line.find_last_not_of("\r\n ") + 1;
     if (first < end) {
       static_cast<HttpAnswer*>(user)->headers[name] =
@@ -57,7 +57,9 @@
   CURL* curl = curl_easy_init();
   curl_slist* list = nullptr;
   for (const auto& [name, value] : headers) {
-    list = curl_slist_append(list, (name + ": " + value).c_str());
+    std::string line = name;
+    line.append(": ").append(value);
+    list = curl_slist_append(list, line.c_str());
   }
   curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
   curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method.c_str());
--- a/tools/hornbeamcleat-control/main.cc
+++ b/tools/hornbeamcleat-control/main.cc
@@ -2,6 +2,7 @@
 #include <getopt.h>
 #include <pthread.h>
 #include <signal.h>
+#include <unistd.h>
 
 #include <cstdio>
 #include <exception>
@@ -38,7 +39,7 @@
 };
 
 CommandLine ParseCommandLine(int argc, char** argv) {
-  static const option kOptions[] = {
+  static const option options[] = {
       {"settings", required_argument, nullptr, 's'},
       {"check-settings", no_argument, nullptr, 'c'},
       {"print-settings-reference", no_argument, nullptr, 'r'},
@@ -47,7 +48,7 @@
       {nullptr, 0, nullptr, 0}};
   CommandLine out;
   int c = 0;
-  while ((c = getopt_long(argc, argv, "s:", kOptions, nullptr)) != -1) {
+  while ((c = getopt_long(argc, argv, "s:", options, nullptr)) != -1) {
     switch (c) {
       case 's':
         out.settings_file = optarg;
@@ -109,7 +110,7 @@
     Logger("control").Error("The daemon failed. cause={}", e.what());
   }
   // Ends the thread also when the daemon gave up by itself.
-  pthread_kill(stopper.native_handle(), SIGTERM);
+  kill(getpid(), SIGTERM);
   stopper.join();
   return exit_code;
 }
