--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 #include <utility>
 
@@ -14,6 +13,7 @@
 #include "src/control/entry_fact.h"
 #include "src/control/evidence_exchange.h"
 #include "src/control/move_driver.h"
+#include "src/control/own_facts.h"
 #include "src/control/peer_facts.h"
 #include "src/control/view_builder.h"
 
@@ -26,26 +26,11 @@
 constexpr Duration kWithdrawRetry = std::chrono::seconds(1);
 constexpr Duration kSnapshotRetry = std::chrono::seconds(5);
 constexpr Duration kFetchRetry = std::chrono::seconds(1);
-constexpr std::size_t kMaxReasonBytes = 200;
-constexpr std::size_t kMaxPoisonFacts = 8;
-constexpr int kMilli = 1'000;
-constexpr int kLoadStep = 100;        // permille, of what peers are told
-constexpr int kFullLoadOpen = 2'000;  // open answers at which an entry is full
 
 std::string HolderName(const Member& self) {
   return fmt::format("{}#{}", self.name, self.incarnation);
 }
 
-// Thousandths, rounded to a power of the square root of two: gossip carries a
-// demand anew only when it moved by a step that matters.
-int RoundDemand(double demand) {
-  if (demand * kMilli < 1) {
-    return 0;
-  }
-  const double steps = std::round(2 * std::log2(demand * kMilli));
-  return static_cast<int>(std::exp2(steps / 2));
-}
-
 class LogControlCore : public ControlCore {
  public:
   LogControlCore(const ControlOptions& options, ControlEffects* effects,
@@ -59,6 +44,7 @@
         intents_(Intents::Make(HolderName(options.self), options.intents)),
         moves_(MoveDriver::Make(options.seed)),
         tail_(ConfigTail::Make(HolderName(options.self), options.config)),
+        own_facts_(membership_.get(), metrics),
         facts_(options.self.name, evidence_.get(), metrics),
         orders_(options.lease.longest_order) {}
 
@@ -382,8 +368,7 @@
   void Withdraw(const WithdrawRecord& record, Time now) {
     const VersionKey key = {record.model, record.version};
     own_withdrawals_[key] = record.reason;
-    State(WithdrawnFactKey(key), record.reason.substr(0, kMaxReasonBytes),
-          false, now);
+    own_facts_.StateWithdrawal(key, record.reason, now);
     metrics_->Count("versions_withdrawn_total", "model", record.model);
     SendAll(membership_->Tick(now));
   }
@@ -445,45 +430,15 @@
     intents_->SetWriters(membership_->Members().size());
   }
 
-  // A fact that does not fit a datagram is left out, not a failure of the core.
-  void State(const std::string& key, const std::string& value, bool expires,
-             Time now) {
-    try {
-      membership_->SetFact(key, value, expires, now);
-    } catch (const Error& e) {
-      metrics_->Count("facts_refused_total", "cause", "too_large");
-      log_.Warning("A fact can't be stated. cause={}", e.what());
-    }
-  }
-
   void StateEntryFact(Time now) {
-    EntryFact fact;
-    fact.serving = entry_connected_ && !report_.draining && !leaving_ &&
-                   Config() != nullptr && !report_.entry.empty();
-    fact.load_permille = std::min(
-        kMilli, report_.open * kMilli / kFullLoadOpen / kLoadStep * kLoadStep);
-    fact.closed_rank = report_.facts.closed_rank;
-    for (const auto& [model, demand] : report_.facts.demand) {
-      fact.demand_milli[model] = RoundDemand(demand);
-    }
-    for (const auto& [fingerprint, n] : report_.facts.poison) {
-      if (fact.poison.size() < kMaxPoisonFacts) {
-        fact.poison[fingerprint] = n;
-      }
-    }
-    fact.config_revision = Revision();
-    fact.api = options_.api;
-    State(kEntryFactKey, EncodeEntryFact(fact), true, now);
+    const bool serving = entry_connected_ && !report_.draining && !leaving_ &&
+                         Config() != nullptr && !report_.entry.empty();
+    own_facts_.StateEntry(report_, serving, Revision(), options_.api, now);
   }
 
   void StateEvidence(Time now) {
-    if (Config() == nullptr) {
-      return;
-    }
-    const std::vector<std::string> chunks = EvidenceChunks(
-        {report_.incarnation, report_.evidence}, MovingModels(*Config()));
-    for (std::size_t i = 0; i < chunks.size(); ++i) {
-      State(fmt::format("{}{}", kEvidencePrefix, i), chunks[i], true, now);
+    if (Config() != nullptr) {
+      own_facts_.StateEvidence(report_, MovingModels(*Config()), now);
     }
   }
 
@@ -563,6 +518,7 @@
   std::unique_ptr<MoveDriver> moves_;
   std::unique_ptr<ConfigTail> tail_;
   std::unique_ptr<EvidenceTable> evidence_ = EvidenceTable::Make();
+  OwnFacts own_facts_;
   PeerFacts facts_;
   OrderBook orders_;
   ApplyTracker applies_;
--- /dev/null
+++ b/src/control/own_facts.cc
@@ -0,0 +1,86 @@
+#include "src/control/own_facts.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "hornbeamcleat/base/error.h"
+#include "hornbeamcleat/base/metrics.h"
+#include "hornbeamcleat/member/membership.h"
+#include "src/control/entry_fact.h"
+#include "src/control/evidence_exchange.h"
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr std::size_t kMaxReasonBytes = 200;
+constexpr std::size_t kMaxPoisonFacts = 8;
+constexpr int kMilli = 1'000;
+constexpr int kLoadStep = 100;        // permille, of what peers are told
+constexpr int kFullLoadOpen = 2'000;  // open answers at which an entry is full
+
+// Thousandths, rounded to a power of the square root of two.
+int RoundDemand(double demand) {
+  if (demand * kMilli < 1) {
+    return 0;
+  }
+  const double steps = std::round(2 * std::log2(demand * kMilli));
+  return static_cast<int>(std::exp2(steps / 2));
+}
+
+int RoundLoad(int open) {
+  const int permille = std::min(kMilli, open * kMilli / kFullLoadOpen);
+  return permille / kLoadStep * kLoadStep;
+}
+
+}  // namespace
+
+OwnFacts::OwnFacts(Membership* membership, Metrics* metrics)
+    : membership_(membership), metrics_(metrics) {}
+
+void OwnFacts::StateEntry(const ReportMessage& report, bool serving,
+                          std::uint64_t revision, const std::string& api,
+                          Time now) {
+  EntryFact fact;
+  fact.serving = serving;
+  fact.load_permille = RoundLoad(report.open);
+  fact.closed_rank = report.facts.closed_rank;
+  for (const auto& [model, demand] : report.facts.demand) {
+    fact.demand_milli[model] = RoundDemand(demand);
+  }
+  for (const auto& [fingerprint, n] : report.facts.poison) {
+    if (fact.poison.size() < kMaxPoisonFacts) {
+      fact.poison[fingerprint] = n;
+    }
+  }
+  fact.config_revision = revision;
+  fact.api = api;
+  State(kEntryFactKey, EncodeEntryFact(fact), true, now);
+}
+
+void OwnFacts::StateEvidence(const ReportMessage& report,
+                             const std::set<std::string>& models, Time now) {
+  const std::vector<std::string> chunks =
+      EvidenceChunks({report.incarnation, report.evidence}, models);
+  for (std::size_t i = 0; i < chunks.size(); ++i) {
+    State(fmt::format("{}{}", kEvidencePrefix, i), chunks[i], true, now);
+  }
+}
+
+void OwnFacts::StateWithdrawal(const VersionKey& key, const std::string& reason,
+                               Time now) {
+  State(WithdrawnFactKey(key), reason.substr(0, kMaxReasonBytes), false, now);
+}
+
+void OwnFacts::State(const std::string& key, const std::string& value,
+                     bool expires, Time now) {
+  try {
+    membership_->SetFact(key, value, expires, now);
+  } catch (const Error& e) {
+    metrics_->Count("facts_refused_total", "cause", "too_large");
+    log_.Warning("A fact can't be stated. cause={}", e.what());
+  }
+}
+
+}  // namespace hornbeamcleat
