Leave time for a long answer in the latest start

Ruled out: prediction of the gap alone (limits keep it near its target). Change: the latest start is moved forward by the 97th percentile of the learned length, by at most half of the spare time, so that little is refused for it.

--- a/src/schedule/admission.cc
+++ b/src/schedule/admission.cc
@@ -14,6 +14,9 @@
 /// Part of the spare time after which a request is due to start. Short work
 /// goes ahead of long, but not for as long as the long could wait.
 constexpr double kStartGoal = 0.1;
+/// Part of the time that an answer of median length leaves which may be given
+/// up so that a long one is still whole in time.
+constexpr double kLongAnswerReserve = 0.5;
 
 }  // namespace
 
@@ -28,6 +31,7 @@
     const double parts = learned ? request->length.median : 1;
     request->latest_start -=
         FromSeconds(pool.best_first_part + parts * pool.best_gap);
+    ReserveForLongAnswer(request, now);
     request->start_goal = now + FromSeconds(kStartGoal * Slack(*request, now));
     request->hopeless = request->deadline - FromSeconds(pool.idle_first_part +
                                                         parts * pool.idle_gap) <
@@ -35,6 +39,19 @@
   }
 }
 
+void Admission::ReserveForLongAnswer(RequestState* request, Time now) const {
+  if (request->length.samples < kLeastSamples || Slack(*request, now) <= 0) {
+    return;
+  }
+  const PoolSummary& pool = request->model->pool;
+  const Time for_long =
+      request->deadline -
+      FromSeconds(pool.mean_first_part + request->length.p97 * pool.mean_gap);
+  const Time least = request->latest_start -
+                     FromSeconds(kLongAnswerReserve * Slack(*request, now));
+  request->latest_start = std::clamp(for_long, least, request->latest_start);
+}
+
 double Admission::Wait(const RequestState& request, Time now) const {
   const ModelState& model = *request.model;
   const double ahead = model.lanes[0].SecondsAhead(request) +
--- a/src/schedule/admission.h
+++ b/src/schedule/admission.h
@@ -36,6 +36,10 @@
   LengthPredictor& Lengths() { return lengths_; }
 
  private:
+  // Moves the latest start forward, so that an answer far longer than the
+  // median does not end after its deadline and waste its prefill.
+  void ReserveForLongAnswer(RequestState* request, Time now) const;
+
   double Slack(const RequestState& request, Time now) const;
 
   const SchedulerOptions options_;
