Hold a fresh member's first view until it can have heard its peers

Cause: a joining entry must know the tiers that its peers have closed before it serves (model/tier_floor.pml, BROKEN_JOIN_EMPTY), but the first view went out as soon as the log had been read, before gossip. Seen failing: ControlCoreTest.FreshMemberGivesNoViewBeforeItCanHaveHeardItsPeers, a view with a configuration half a second after the start. Change: no view for the first 2 s of a member that has seeds.

--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -25,6 +25,7 @@
 constexpr Duration kFactPeriod = std::chrono::seconds(1);
 constexpr Duration kWithdrawRetry = std::chrono::seconds(1);
 constexpr Duration kSnapshotRetry = std::chrono::seconds(5);
+constexpr Duration kJoinTime = std::chrono::seconds(2);
 constexpr Duration kFetchRetry = std::chrono::seconds(1);
 
 std::string HolderName(const Member& self) {
@@ -456,8 +457,17 @@
     }
   }
 
+  // A fresh member first hears which tiers its peers have closed; with an empty
+  // table its entry would serve what they shed.
+  bool Joined(Time now) {
+    if (!started_) {
+      started_ = now;
+    }
+    return options_.membership.seeds.empty() || now - *started_ >= kJoinTime;
+  }
+
   void SendView(Time now) {
-    if (!entry_connected_) {
+    if (!Joined(now) || !entry_connected_) {
       return;
     }
     ViewSources sources;
@@ -545,6 +555,7 @@
   std::optional<Time> held_since_;
   std::vector<VmEntry> vms_;
 
+  std::optional<Time> started_;  // when the first view was due
   Time next_move_look_;
   Time next_fact_;
   Time next_fetch_;
--- a/tests/control/control_core_test.cc
+++ b/tests/control/control_core_test.cc
@@ -98,6 +98,8 @@
           ControlCore::Make(options, &effects_[i], metrics_.get()));
       cores_[i]->OnEntryConnected(true, now_);
     }
+    Run(kStep * 5);
+    early_view_ = effects_[1].last_view;
     Run(std::chrono::seconds(3));
   }
 
@@ -207,6 +209,7 @@
   FakeLog log_;
   std::set<int> cut_off_;  // members that can't read the log
   FakeEffects effects_[kMembers];
+  ViewMessage early_view_;  // half a second after the start
   std::unique_ptr<Metrics> metrics_ = Metrics::Make();
   std::vector<std::unique_ptr<ControlCore>> cores_;
 };
@@ -222,6 +225,11 @@
   }
 }
 
+TEST_F(ControlCoreTest, FreshMemberGivesNoViewBeforeItCanHaveHeardItsPeers) {
+  EXPECT_EQ(early_view_.view.config, nullptr);
+  EXPECT_NE(effects_[1].last_view.view.config, nullptr);
+}
+
 TEST_F(ControlCoreTest, ChangeWhileLogIsDownIsUnavailable) {
   log_.down = true;
   EXPECT_EQ(Put(0, "gold", TierSpec{0}), ApplyEnd::kUnavailable);
