--- a/src/standin/standin_loop.cc
+++ b/src/standin/standin_loop.cc
@@ -24,6 +24,8 @@
 namespace hornbeamcleat {
 namespace {
 
+constexpr int kFailedExit = 2;
+
 constexpr std::size_t kMaxBody = 4 * 1024 * 1024;      // bytes
 constexpr std::size_t kMaxOpen = 20'000;               // exchanges
 constexpr std::size_t kMaxBuffered = 8 * 1024 * 1024;  // bytes of one exchange
@@ -157,4 +159,14 @@
   return it == request.headers.end() ? "" : it->second;
 }
 
+int RunStandin(const char* name, int (*run)(int argc, char** argv), int argc,
+               char** argv) {
+  try {
+    return run(argc, argv);
+  } catch (const std::exception& e) {
+    fmt::print(stderr, "{}: {}\n", name, e.what());
+    return kFailedExit;
+  }
+}
+
 }  // namespace hornbeamcleat
--- a/src/standin/standin_loop.h
+++ b/src/standin/standin_loop.h
@@ -75,6 +75,11 @@
 /// Value of header `name` (lower case), or empty.
 std::string HeaderValue(const CallerRequest& request, const std::string& name);
 
+/// Main function of a stand-in: calls `run` and returns its exit code, or 2
+/// with the cause on standard error when it throws.
+int RunStandin(const char* name, int (*run)(int argc, char** argv), int argc,
+               char** argv);
+
 }  // namespace hornbeamcleat
 
 #endif  // HORNBEAMCLEAT_SRC_STANDIN_STANDIN_LOOP_H_
--- a/tools/fake-engine/main.cc
+++ b/tools/fake-engine/main.cc
@@ -1,8 +1,4 @@
-#include <fmt/format.h>
-
-#include <cstdio>
 #include <cstdlib>
-#include <exception>
 #include <string>
 
 #include "src/ctl/flags.h"
@@ -68,10 +64,6 @@
 }  // namespace hornbeamcleat
 
 int main(int argc, char** argv) {
-  try {
-    return hornbeamcleat::Run(argc, argv);
-  } catch (const std::exception& e) {
-    fmt::print(stderr, "fake-engine: {}\n", e.what());
-    return 2;
-  }
+  return hornbeamcleat::RunStandin("fake-engine", &hornbeamcleat::Run, argc,
+                                   argv);
 }
--- a/tools/fake-service/main.cc
+++ b/tools/fake-service/main.cc
@@ -1,7 +1,3 @@
-#include <fmt/format.h>
-
-#include <cstdio>
-#include <exception>
 #include <string>
 
 #include "src/ctl/flags.h"
@@ -29,10 +25,6 @@
 }  // namespace hornbeamcleat
 
 int main(int argc, char** argv) {
-  try {
-    return hornbeamcleat::Run(argc, argv);
-  } catch (const std::exception& e) {
-    fmt::print(stderr, "fake-service: {}\n", e.what());
-    return 2;
-  }
+  return hornbeamcleat::RunStandin("fake-service", &hornbeamcleat::Run, argc,
+                                   argv);
 }
