Take out a move input that nothing reads

Cause: load_ratio was passed to the move controller, filled by nobody and read by nobody; load is part of the evidence (load_level). Change: the field is gone. Measured: all built; build/control_tests 26 and build/move_tests 58 passed.

--- a/include/hornbeamcleat/move/move_controller.h
+++ b/include/hornbeamcleat/move/move_controller.h
@@ -43,7 +43,6 @@
   int wanted_targets = 0;  ///< that should
   bool withdrawn = false;  ///< the new version was withdrawn, by log or peer
   bool log_available = true;
-  double load_ratio = 0;  ///< of the new version's targets, 0 to 1
   /// When the log took the move's resource; nullopt means the first `now` that
   /// the controller sees. The schedule is laid out from here to the deadline.
   std::optional<WallTime> started;
--- a/src/control/move_driver.cc
+++ b/src/control/move_driver.cc
@@ -170,7 +170,6 @@
     out.ready_targets = it == input.ready_targets.end() ? 0 : it->second;
     out.withdrawn = withdrawn;
     out.log_available = input.log_available;
-    out.load_ratio = input.load_ratio;
     return out;
   }
 
--- a/src/control/move_driver.h
+++ b/src/control/move_driver.h
@@ -24,7 +24,6 @@
   /// Engines that can still come to have a version; a version that is missing
   /// counts all its targets.
   std::map<std::string, int> attainable_targets;
-  double load_ratio = 0;  ///< of the new version's targets
   bool log_available = false;
   bool holds_lease = false;
   std::uint64_t fencing = 0;
