--- a/cmake/areas.cmake
+++ b/cmake/areas.cmake
@@ -10,13 +10,19 @@
   add_library(${name} STATIC ${sources})
 endfunction()
 
+# Builds static library NAME from FOLDER/*.cc.
+function(hornbeamcleat_folder_library name folder)
+  file(GLOB files CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/${folder}/*.cc)
+  add_library(${name} STATIC ${files})
+endfunction()
+
 # Builds one program from each folder of tools/, named after the folder.
 function(hornbeamcleat_tools)
   file(GLOB folders CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tools/*)
   foreach(folder ${folders})
     get_filename_component(name ${folder} NAME)
     file(GLOB files CONFIGURE_DEPENDS ${folder}/*.cc)
-    if(files)
+    if(files AND NOT TARGET ${name})
       add_executable(${name} ${files})
       target_link_libraries(${name} PRIVATE hornbeamcleat_io)
     endif()
@@ -35,7 +41,7 @@
       target_compile_definitions(${area}_tests PRIVATE
         HORNBEAMCLEAT_BINARY_DIR="${PROJECT_BINARY_DIR}")
       target_link_libraries(${area}_tests PRIVATE hornbeamcleat_io
-        GTest::gmock GTest::gtest_main)
+        hornbeamcleat_platform GTest::gmock GTest::gtest_main)
       add_test(NAME ${area} COMMAND ${area}_tests)
     endif()
   endforeach()
--- a/include/hornbeamcleat/base/clock.h
+++ b/include/hornbeamcleat/base/clock.h
@@ -19,6 +19,9 @@
   /// Current instant of this process; never goes back.
   virtual Time Now() const = 0;
 
+  /// Like Now, but goes on while the VM is suspended.
+  virtual Time SuspendAwareNow() const { return Now(); }
+
   /// Current date; may jump when the VM's clock is set.
   virtual WallTime WallNow() const = 0;
 };
--- a/include/hornbeamcleat/base/log.h
+++ b/include/hornbeamcleat/base/log.h
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -18,9 +19,16 @@
 /// Sets the least level that is written; thread-safe.
 void SetLogLevel(LogLevel level);
 
-/// Writes lines of one part to standard error: time, level, the part's fixed
-/// prefix, a short sentence, then key=value pairs. Thread-safe; one write per
-/// line.
+/// Takes finished lines, newline included; called by any thread.
+using LogSink = std::function<void(std::string_view line)>;
+
+/// Sends all lines to `sink` in place of standard error. Call it before other
+/// threads start.
+void SetLogSink(LogSink sink);
+
+/// Writes lines of one part, by default to standard error: time, level, the
+/// part's fixed prefix, a short sentence, then key=value pairs. Thread-safe;
+/// one write per line.
 class Logger {
  public:
   /// @param prefix the part's name, e.g. "front"
--- a/src/base/clock.cc
+++ b/src/base/clock.cc
@@ -1,5 +1,7 @@
 #include "hornbeamcleat/base/clock.h"
 
+#include <time.h>
+
 namespace hornbeamcleat {
 namespace {
 
@@ -11,6 +13,14 @@
     return Time(std::chrono::duration_cast<Duration>(since_boot));
   }
 
+  Time SuspendAwareNow() const override {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return Time(std::chrono::duration_cast<Duration>(
+        std::chrono::seconds(now.tv_sec) +
+        std::chrono::nanoseconds(now.tv_nsec)));
+  }
+
   WallTime WallNow() const override {
     return std::chrono::time_point_cast<std::chrono::milliseconds>(
         std::chrono::system_clock::now());
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdio>
 #include <iterator>
+#include <utility>
 
 #include "hornbeamcleat/base/error.h"
 
@@ -15,6 +16,13 @@
 
 std::atomic<LogLevel> least_level{LogLevel::kInfo};
 
+LogSink& Sink() {
+  static LogSink sink = [](std::string_view line) {
+    std::fwrite(line.data(), 1, line.size(), stderr);
+  };
+  return sink;
+}
+
 const char* LevelName(LogLevel level) {
   switch (level) {
     case LogLevel::kDebug:
@@ -44,6 +52,8 @@
 
 void SetLogLevel(LogLevel level) { least_level = level; }
 
+void SetLogSink(LogSink sink) { Sink() = std::move(sink); }
+
 void Logger::Write(LogLevel level, fmt::string_view format,
                    fmt::format_args args) const {
   if (level < least_level.load(std::memory_order_relaxed)) {
@@ -60,7 +70,7 @@
                  (now - second).count(), LevelName(level), prefix_);
   fmt::vformat_to(std::back_inserter(line), format, args);
   line.push_back('\n');
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  Sink()({line.data(), line.size()});
 }
 
 }  // namespace hornbeamcleat
--- /dev/null
+++ b/src/relay/byte_stream.cc
@@ -0,0 +1,284 @@
+#include "src/relay/byte_stream.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "hornbeamcleat/base/error.h"
+#include "src/base/poll_loop.h"
+#include "src/base/socket_address.h"
+
+namespace hornbeamcleat {
+namespace {
+
+/// Bytes read at once; a slow reader never holds more of one connection.
+constexpr std::size_t kReadBytes = 16'384;
+/// Keep-alive probes that go unanswered before a connection counts as dead.
+constexpr int kKeepAliveProbes = 3;
+
+void SetOption(int fd, int level, int option, int value) {
+  // A socket without the option still works; it only notices loss later.
+  setsockopt(fd, level, option, &value, sizeof(value));
+}
+
+void SetSilenceLimit(int fd, Duration limit) {
+  const int ms = static_cast<int>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(limit).count());
+  const int seconds = std::max(1, ms / 1'000 / kKeepAliveProbes);
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, ms);
+  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, seconds);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+}
+
+class TcpStream : public ByteStream {
+ public:
+  TcpStream(PollLoop* loop, FileDescriptor fd, Address peer, bool is_connecting)
+      : loop_(loop),
+        fd_(std::move(fd)),
+        peer_(std::move(peer)),
+        is_connecting_(is_connecting) {
+    events_ = Wanted();
+    loop_->Watch(fd_.Get(), events_,
+                 [this](std::uint32_t events) { OnEvents(events); });
+  }
+
+  ~TcpStream() override {
+    *alive_ = false;
+    Close();
+  }
+
+  void SetCallbacks(Callbacks callbacks) override {
+    callbacks_ = std::move(callbacks);
+  }
+
+  void Write(std::string_view bytes) override {
+    if (is_closed_ || bytes.empty()) {
+      return;
+    }
+    out_.append(bytes);
+    if (!is_connecting_) {
+      Flush();
+      Update();
+    }
+  }
+
+  std::size_t Unsent() const override { return out_.size() - sent_; }
+  bool AnySent() const override { return any_sent_; }
+
+  void SetReading(bool is_reading) override {
+    is_reading_ = is_reading;
+    Update();
+  }
+
+  void FinishWriting() override {
+    finish_ = true;
+    if (!is_closed_ && !is_connecting_ && Unsent() == 0) {
+      shutdown(fd_.Get(), SHUT_WR);
+    }
+  }
+
+  void Abort() override {
+    if (is_closed_) {
+      return;
+    }
+    const linger now = {1, 0};
+    setsockopt(fd_.Get(), SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    Close();
+  }
+
+  Address Peer() const override { return peer_; }
+
+ private:
+  std::uint32_t Wanted() const {
+    std::uint32_t events = 0;
+    if (!saw_end_) {
+      events |= EPOLLRDHUP;
+    }
+    if (is_reading_ && !saw_end_) {
+      events |= EPOLLIN;
+    }
+    if (is_connecting_ || Unsent() > 0) {
+      events |= EPOLLOUT;
+    }
+    return events;
+  }
+
+  void Update() {
+    const std::uint32_t wanted = Wanted();
+    if (!is_closed_ && wanted != events_) {
+      events_ = wanted;
+      loop_->Change(fd_.Get(), events_);
+    }
+  }
+
+  void Close() {
+    if (!is_closed_) {
+      is_closed_ = true;
+      loop_->Forget(fd_.Get());
+      fd_.Reset();
+    }
+  }
+
+  void OnEvents(std::uint32_t events) {
+    const std::shared_ptr<bool> alive = alive_;
+    if (is_connecting_) {
+      OnConnect();
+      return;
+    }
+    if ((events & EPOLLOUT) != 0 && Unsent() > 0) {
+      Flush();
+      if (is_broken_) {
+        End(StreamEnd::kBroken);
+        return;
+      }
+      // Callbacks are copied before they run: they may replace themselves.
+      const std::function<void()> on_flushed = callbacks_.on_flushed;
+      if (Unsent() == 0 && on_flushed) {
+        on_flushed();
+        if (!*alive || is_closed_) {
+          return;
+        }
+      }
+    }
+    if ((events & EPOLLERR) != 0 && !is_reading_) {
+      End(StreamEnd::kBroken);
+      return;
+    }
+    if ((events & (EPOLLIN | EPOLLERR | EPOLLHUP)) != 0 && is_reading_) {
+      Read();
+    } else if ((events & (EPOLLRDHUP | EPOLLHUP)) != 0 && !saw_end_) {
+      End((events & EPOLLHUP) != 0 ? StreamEnd::kBroken : StreamEnd::kClean);
+    }
+    if (*alive) {
+      Update();
+    }
+  }
+
+  void OnConnect() {
+    int error = 0;
+    socklen_t size = sizeof(error);
+    getsockopt(fd_.Get(), SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) {
+      End(StreamEnd::kBroken);
+      return;
+    }
+    is_connecting_ = false;
+    const std::shared_ptr<bool> alive = alive_;
+    const std::function<void()> on_connected = callbacks_.on_connected;
+    if (on_connected) {
+      on_connected();
+    }
+    if (*alive && !is_closed_) {
+      Flush();
+      Update();
+    }
+  }
+
+  void Read() {
+    char buf[kReadBytes];
+    const ssize_t n = recv(fd_.Get(), buf, sizeof(buf), 0);
+    if (n > 0) {
+      const std::function<void(std::string_view)> on_bytes =
+          callbacks_.on_bytes;
+      if (on_bytes) {
+        on_bytes({buf, static_cast<std::size_t>(n)});
+      }
+      return;
+    }
+    if (n == 0) {
+      End(StreamEnd::kClean);
+    } else if (errno != EAGAIN && errno != EINTR) {
+      End(StreamEnd::kBroken);
+    }
+  }
+
+  void End(StreamEnd end) {
+    saw_end_ = true;
+    if (end == StreamEnd::kBroken) {
+      Close();
+    }
+    const std::function<void(StreamEnd)> on_end = callbacks_.on_end;
+    if (on_end) {
+      on_end(end);
+    }
+  }
+
+  // An error shows again as an event, where it ends the stream.
+  void Flush() {
+    while (Unsent() > 0) {
+      const ssize_t n =
+          send(fd_.Get(), out_.data() + sent_, Unsent(), MSG_NOSIGNAL);
+      if (n < 0) {
+        is_broken_ = errno != EAGAIN && errno != EINTR;
+        break;
+      }
+      any_sent_ = true;
+      sent_ += static_cast<std::size_t>(n);
+    }
+    if (Unsent() == 0) {
+      out_.clear();
+      sent_ = 0;
+      if (finish_) {
+        shutdown(fd_.Get(), SHUT_WR);
+      }
+    }
+  }
+
+  PollLoop* const loop_;
+  FileDescriptor fd_;
+  const Address peer_;
+  Callbacks callbacks_;
+  std::string out_;
+  std::size_t sent_ = 0;
+  std::uint32_t events_ = 0;
+  bool is_connecting_;
+  bool is_reading_ = true;
+  bool is_closed_ = false;
+  bool is_broken_ = false;
+  bool saw_end_ = false;
+  bool finish_ = false;
+  bool any_sent_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace
+
+std::unique_ptr<ByteStream> ByteStream::Accepted(PollLoop* loop,
+                                                 FileDescriptor fd,
+                                                 Duration silence_limit) {
+  SetSilenceLimit(fd.Get(), silence_limit);
+  sockaddr_in from{};
+  socklen_t size = sizeof(from);
+  getpeername(fd.Get(), reinterpret_cast<sockaddr*>(&from), &size);
+  return std::make_unique<TcpStream>(loop, std::move(fd),
+                                     FromSocketAddress(from), false);
+}
+
+std::unique_ptr<ByteStream> ByteStream::Connect(PollLoop* loop,
+                                                const Address& address,
+                                                Duration silence_limit) {
+  FileDescriptor fd(
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (fd.Get() < 0) {
+    throw Error("connect", address.ToString(), strerror(errno));
+  }
+  SetSilenceLimit(fd.Get(), silence_limit);
+  const sockaddr_in to = ToSocketAddress(address);
+  if (connect(fd.Get(), reinterpret_cast<const sockaddr*>(&to), sizeof(to)) !=
+          0 &&
+      errno != EINPROGRESS) {
+    throw Error("connect", address.ToString(), strerror(errno));
+  }
+  return std::make_unique<TcpStream>(loop, std::move(fd), address, true);
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/relay/caller_connection.cc
@@ -0,0 +1,312 @@
+#include "src/relay/caller_connection.h"
+
+#include <utility>
+
+#include "hornbeamcleat/base/clock.h"
+#include "hornbeamcleat/base/timer_service.h"
+#include "src/base/poll_loop.h"
+#include "src/relay/byte_stream.h"
+#include "src/relay/http_writer.h"
+
+namespace hornbeamcleat {
+namespace {
+
+/// Time for the caller to take the last answer and close its side.
+constexpr Duration kLingerTime = std::chrono::seconds(2);
+/// Bytes of further requests that are held while one is at work.
+constexpr std::size_t kMostPipelined = 65'536;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+class Connection : public CallerConnection, private AnswerSink {
+ public:
+  Connection(PollLoop* loop, const Clock* clock, FileDescriptor fd, Owner owner)
+      : loop_(loop), clock_(clock), owner_(std::move(owner)) {
+    options_ = owner_.options();
+    stream_ = ByteStream::Accepted(loop, std::move(fd), options_.silence_limit);
+    ByteStream::Callbacks callbacks;
+    callbacks.on_bytes = [this](std::string_view bytes) { OnBytes(bytes); };
+    callbacks.on_flushed = [this] { OnFlushed(); };
+    callbacks.on_end = [this](StreamEnd) { OnEnd(); };
+    stream_->SetCallbacks(std::move(callbacks));
+    AwaitRequest();
+  }
+
+  ~Connection() override {
+    *alive_ = false;
+    handler_.reset();
+  }
+
+  bool IsBusy() const override {
+    return state_ == State::kHandling ||
+           (state_ == State::kReading && parser_->Started());
+  }
+
+  std::size_t Buffered() const override {
+    return state_ == State::kReading ? parser_->Body()->size() : request_bytes_;
+  }
+
+  void CloseIfIdle() override {
+    if (state_ == State::kReading && !parser_->Started()) {
+      Linger();
+    }
+  }
+
+ private:
+  enum class State {
+    kReading,
+    kHandling,
+    kLingering,  ///< the last answer is on its way out
+    kClosed,
+  };
+
+  void AwaitRequest() {
+    options_ = owner_.options();
+    parser_ = HttpParser::ForRequest(
+        {options_.limits.max_header_bytes, options_.limits.max_body_bytes});
+    state_ = State::kReading;
+    continue_sent_ = false;
+    request_bytes_ = 0;
+    SetTimer(options_.limits.idle_timeout, [this] { Linger(); });
+  }
+
+  void SetTimer(Duration after, std::function<void()> work) {
+    timer_ = loop_->Timers()->At(clock_->Now() + after,
+                                 [work = std::move(work)](Time) { work(); });
+  }
+
+  void OnBytes(std::string_view bytes) {
+    if (state_ == State::kHandling) {
+      pipelined_.append(bytes);
+      if (pipelined_.size() > kMostPipelined) {
+        stream_->SetReading(false);
+      }
+    } else if (state_ == State::kReading) {
+      Parse(bytes);
+    }
+  }
+
+  void Parse(std::string_view bytes) {
+    if (!parser_->Started()) {
+      arrival_ = clock_->Now();
+      SetTimer(options_.limits.header_timeout, [this] { Reject(408); });
+    }
+    const std::size_t n = parser_->Feed(bytes);
+    bytes.remove_prefix(n);
+    switch (parser_->Error()) {
+      case ParseError::kNone:
+        break;
+      case ParseError::kMalformed:
+        Reject(400);
+        return;
+      case ParseError::kHeaderTooLong:
+        Reject(431);
+        return;
+      case ParseError::kBodyTooLong:
+        Reject(413);
+        return;
+    }
+    if (parser_->HeadDone() && !parser_->Done()) {
+      OnBodyProgress();
+      return;
+    }
+    if (parser_->Done()) {
+      pipelined_.append(bytes);
+      Handle();
+    }
+  }
+
+  void OnBodyProgress() {
+    // A body that stalls ends the wait for it; the header came in time.
+    SetTimer(options_.limits.idle_timeout, [this] { Reject(408); });
+    if (!owner_.may_buffer(parser_->Body()->size())) {
+      Reject(503);
+      return;
+    }
+    const std::string* expect = FindHeader(parser_->Head().headers, "Expect");
+    if (expect != nullptr && !continue_sent_ &&
+        SameName(*expect, "100-continue")) {
+      continue_sent_ = true;
+      stream_->Write(kContinue);
+    }
+  }
+
+  void Handle() {
+    timer_.reset();
+    CallerRequest request;
+    request.head = parser_->Head();
+    request.body = std::move(*parser_->Body());
+    request.arrival = arrival_;
+    request_bytes_ = request.body.size();
+    // An HTTP/1.0 caller would need to be told that its connection is kept.
+    keep_alive_ = request.head.keep_alive && request.head.minor_version >= 1;
+    minor_version_ = request.head.minor_version;
+    is_head_ = request.head.method == "HEAD";
+    state_ = State::kHandling;
+    is_chunked_ = false;
+    const std::shared_ptr<bool> alive = alive_;
+    std::unique_ptr<RequestHandler> handler =
+        owner_.handle(std::move(request), this);
+    if (*alive && state_ == State::kHandling && !answered_) {
+      handler_ = std::move(handler);
+    } else if (*alive) {
+      answered_ = false;
+    }
+  }
+
+  // The connection is out of step, so it ends with this answer.
+  void Reject(int status) {
+    timer_.reset();
+    owner_.on_rejected(ReasonPhrase(status));
+    keep_alive_ = false;
+    HeaderList headers;
+    if (status == 503) {
+      headers.push_back({"Retry-After", "1"});
+    }
+    stream_->Write(FormatAnswerHead(status, "", headers, {0, false, true}));
+    Linger();
+  }
+
+  bool ClosesAfter() const { return !keep_alive_ || owner_.is_draining(); }
+
+  void SendWhole(int status, std::string_view reason, const HeaderList& headers,
+                 std::string_view body) override {
+    closing_ = ClosesAfter();
+    std::string bytes = FormatAnswerHead(status, reason, headers,
+                                         {body.size(), false, closing_});
+    if (!is_head_) {
+      bytes.append(body);
+    }
+    stream_->Write(bytes);
+    Complete();
+  }
+
+  void BeginBody(int status, std::string_view reason, const HeaderList& headers,
+                 std::optional<std::uint64_t> length) override {
+    is_chunked_ = !length.has_value() && minor_version_ >= 1;
+    closing_ = ClosesAfter() || (!length.has_value() && !is_chunked_);
+    stream_->Write(FormatAnswerHead(status, reason, headers,
+                                    {length, is_chunked_, closing_}));
+  }
+
+  void SendBody(std::string_view bytes) override {
+    if (is_head_) {
+      return;
+    }
+    if (is_chunked_) {
+      stream_->Write(FormatChunk(bytes));
+    } else {
+      stream_->Write(bytes);
+    }
+  }
+
+  void EndBody() override {
+    if (is_chunked_ && !is_head_) {
+      stream_->Write(kLastChunk);
+    }
+    Complete();
+  }
+
+  void BreakOff() override {
+    stream_->Abort();
+    Close();
+  }
+
+  std::size_t Unsent() const override { return stream_->Unsent(); }
+
+  void Complete() {
+    answered_ = handler_ == nullptr;
+    // The handler may be running; it is freed from the loop.
+    Later([handler = std::shared_ptr<RequestHandler>(std::move(handler_))] {});
+    if (closing_) {
+      Linger();
+      return;
+    }
+    Later([this] { NextRequest(); });
+  }
+
+  void NextRequest() {
+    answered_ = false;
+    if (state_ != State::kHandling) {
+      return;
+    }
+    AwaitRequest();
+    stream_->SetReading(true);
+    if (!pipelined_.empty()) {
+      const std::string bytes = std::move(pipelined_);
+      pipelined_.clear();
+      Parse(bytes);
+    }
+  }
+
+  // Runs work on the loop unless the connection is gone by then.
+  void Later(std::function<void()> work) {
+    loop_->Post([alive = alive_, work = std::move(work)] {
+      if (*alive) {
+        work();
+      }
+    });
+  }
+
+  void OnFlushed() {
+    if (handler_ != nullptr) {
+      handler_->OnFlushed();
+    }
+  }
+
+  void Linger() {
+    if (state_ == State::kClosed) {
+      return;
+    }
+    state_ = State::kLingering;
+    stream_->FinishWriting();
+    stream_->SetReading(true);
+    SetTimer(kLingerTime, [this] { Close(); });
+  }
+
+  // A caller that closes its side has left, whatever is at work for it.
+  void OnEnd() { Close(); }
+
+  void Close() {
+    if (state_ == State::kClosed) {
+      return;
+    }
+    state_ = State::kClosed;
+    timer_.reset();
+    Later([handler = std::shared_ptr<RequestHandler>(std::move(handler_))] {});
+    const std::function<void()> on_closed = owner_.on_closed;
+    on_closed();
+  }
+
+  PollLoop* const loop_;
+  const Clock* const clock_;
+  const Owner owner_;
+  Options options_;
+  std::unique_ptr<ByteStream> stream_;
+  std::unique_ptr<HttpParser> parser_;
+  std::unique_ptr<RequestHandler> handler_;
+  std::unique_ptr<TimerService::Subscription> timer_;
+  std::string pipelined_;
+  std::size_t request_bytes_ = 0;
+  State state_ = State::kReading;
+  Time arrival_;
+  bool keep_alive_ = true;
+  bool is_head_ = false;
+  bool is_chunked_ = false;
+  bool closing_ = false;
+  bool continue_sent_ = false;
+  bool answered_ = false;  ///< before its handler was returned
+  int minor_version_ = 1;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace
+
+std::unique_ptr<CallerConnection> CallerConnection::Make(PollLoop* loop,
+                                                         const Clock* clock,
+                                                         FileDescriptor fd,
+                                                         Owner owner) {
+  return std::make_unique<Connection>(loop, clock, std::move(fd),
+                                      std::move(owner));
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/relay/http_parser.cc
@@ -0,0 +1,210 @@
+#include "src/relay/http_parser.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <optional>
+
+namespace hornbeamcleat {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+std::string ToString(beast::string_view text) {
+  return std::string(text.data(), text.size());
+}
+
+template <bool kIsRequest>
+class BeastParser : public http::basic_parser<kIsRequest> {
+  using Base = http::basic_parser<kIsRequest>;
+
+ public:
+  MessageHead head;
+  std::string body;
+
+ private:
+  // Names of the overridden functions are Beast's.
+  // NOLINTBEGIN(readability-identifier-naming)
+  void on_request_impl(http::verb, beast::string_view method,
+                       beast::string_view target, int version,
+                       beast::error_code& ec) override {
+    ec = {};
+    head.method = ToString(method);
+    head.target = ToString(target);
+    head.minor_version = version % 10;
+  }
+
+  void on_response_impl(int status, beast::string_view reason, int version,
+                        beast::error_code& ec) override {
+    ec = {};
+    head.status = status;
+    head.reason = ToString(reason);
+    head.minor_version = version % 10;
+  }
+
+  void on_field_impl(http::field, beast::string_view name,
+                     beast::string_view value, beast::error_code& ec) override {
+    ec = {};
+    head.headers.push_back({ToString(name), ToString(value)});
+  }
+
+  void on_header_impl(beast::error_code& ec) override {
+    ec = {};
+    head.keep_alive = this->keep_alive();
+    const std::string* coding = FindHeader(head.headers, "Transfer-Encoding");
+    // Beast skips the body of an unknown transfer coding.
+    if (coding != nullptr &&
+        (!SameName(*coding, "chunked") ||
+         CountHeader(head.headers, "Transfer-Encoding") != 1)) {
+      ec = http::error::bad_transfer_encoding;
+      return;
+    }
+    if (kIsRequest && CountHeader(head.headers, "Host") != 1) {
+      ec = http::error::bad_field;
+      return;
+    }
+    if (this->chunked()) {
+      head.framing = BodyFraming::kChunked;
+    } else if (this->content_length().has_value()) {
+      head.framing = BodyFraming::kLength;
+      head.content_length = *this->content_length();
+    } else if (!kIsRequest && this->need_eof()) {
+      head.framing = BodyFraming::kUntilClose;
+    }
+  }
+
+  void on_body_init_impl(const boost::optional<std::uint64_t>&,
+                         beast::error_code& ec) override {
+    ec = {};
+  }
+
+  std::size_t on_body_impl(beast::string_view bytes,
+                           beast::error_code& ec) override {
+    ec = {};
+    body.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+
+  void on_chunk_header_impl(std::uint64_t, beast::string_view,
+                            beast::error_code& ec) override {
+    ec = {};
+  }
+
+  std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view bytes,
+                                 beast::error_code& ec) override {
+    return on_body_impl(bytes, ec);
+  }
+
+  void on_finish_impl(beast::error_code& ec) override { ec = {}; }
+  // NOLINTEND(readability-identifier-naming)
+};
+
+ParseError Classify(const beast::error_code& ec) {
+  if (ec == http::error::header_limit) {
+    return ParseError::kHeaderTooLong;
+  }
+  if (ec == http::error::body_limit) {
+    return ParseError::kBodyTooLong;
+  }
+  return ParseError::kMalformed;
+}
+
+template <bool kIsRequest>
+class Incremental : public HttpParser {
+ public:
+  Incremental(const MessageLimits& limits, bool has_no_body)
+      : max_header_bytes_(limits.max_header_bytes) {
+    parser_.eager(true);
+    parser_.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
+    parser_.body_limit(limits.max_body_bytes);
+    if constexpr (!kIsRequest) {
+      parser_.skip(has_no_body);
+    }
+  }
+
+  // Beast wants a whole line in one buffer, so an unfinished one is kept.
+  std::size_t Feed(std::string_view bytes) override {
+    if (bytes.empty() || Done() || error_ != ParseError::kNone) {
+      return 0;
+    }
+    started_ = true;
+    const std::size_t held = pending_.size();
+    pending_.append(bytes);
+    std::size_t used = 0;
+    while (used < pending_.size() && !Done()) {
+      beast::error_code ec;
+      const std::size_t n = parser_.put(
+          boost::asio::buffer(pending_.data() + used, pending_.size() - used),
+          ec);
+      used += n;
+      if (ec == http::error::need_more) {
+        if (n == 0) {
+          break;
+        }
+        continue;
+      }
+      if (ec) {
+        error_ = Classify(ec);
+        break;
+      }
+    }
+    if (Done()) {
+      pending_.clear();
+      return used > held ? used - held : 0;
+    }
+    pending_.erase(0, used);
+    CheckLineLength();
+    return bytes.size();
+  }
+
+  void FeedEnd() override {
+    beast::error_code ec;
+    if (Done() || error_ != ParseError::kNone) {
+      return;
+    }
+    if (!parser_.got_some()) {
+      return;
+    }
+    parser_.put_eof(ec);
+    if (ec) {
+      error_ = ParseError::kMalformed;
+    }
+  }
+
+  bool Started() const override { return started_; }
+  bool HeadDone() const override { return parser_.is_header_done(); }
+  bool Done() const override { return parser_.is_done(); }
+  ParseError Error() const override { return error_; }
+  const MessageHead& Head() const override { return parser_.head; }
+  std::string* Body() override { return &parser_.body; }
+
+ private:
+  void CheckLineLength() {
+    if (error_ == ParseError::kNone && !HeadDone() &&
+        pending_.size() > max_header_bytes_) {
+      error_ = ParseError::kHeaderTooLong;
+    }
+  }
+
+  const std::size_t max_header_bytes_;
+  BeastParser<kIsRequest> parser_;
+  std::string pending_;
+  bool started_ = false;
+  ParseError error_ = ParseError::kNone;
+};
+
+}  // namespace
+
+std::unique_ptr<HttpParser> HttpParser::ForRequest(
+    const MessageLimits& limits) {
+  return std::make_unique<Incremental<true>>(limits, false);
+}
+
+std::unique_ptr<HttpParser> HttpParser::ForAnswer(const MessageLimits& limits,
+                                                  bool has_no_body) {
+  return std::make_unique<Incremental<false>>(limits, has_no_body);
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/relay/listener.h
@@ -0,0 +1,56 @@
+#ifndef HORNBEAMCLEAT_SRC_RELAY_LISTENER_H_
+#define HORNBEAMCLEAT_SRC_RELAY_LISTENER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "hornbeamcleat/base/settings.h"
+#include "src/net/file_descriptor.h"
+#include "src/relay/caller_connection.h"
+
+namespace hornbeamcleat {
+
+class Clock;
+class PollLoop;
+
+/// Listening address with the connections that it has accepted.
+class Listener {
+ public:
+  /// @param owner what connections need; on_closed is set by the listener
+  /// @throws Error with step "listen"
+  Listener(PollLoop* loop, const Clock* clock, const Address& address,
+           int max_connections, CallerConnection::Owner owner);
+  ~Listener();
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+
+  /// Address with the port that was picked.
+  Address Bound() const;
+  int Connections() const { return static_cast<int>(connections_.size()); }
+  int Busy() const;
+  /// Bytes of requests that are held for all connections.
+  std::size_t Buffered() const;
+  void CloseIdle();
+  void StopAccepting();
+
+ private:
+  void Accept();
+  void OnClosed(std::uint64_t number);
+
+  PollLoop* const loop_;
+  const Clock* const clock_;
+  const int max_connections_;
+  const CallerConnection::Owner owner_;
+  FileDescriptor fd_;
+  bool is_accepting_ = true;
+  bool is_full_ = false;
+  std::uint64_t next_number_ = 0;
+  std::map<std::uint64_t, std::unique_ptr<CallerConnection>> connections_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_RELAY_LISTENER_H_
--- /dev/null
+++ b/src/relay/peer_link.cc
@@ -0,0 +1,127 @@
+#include "src/relay/peer_link.h"
+
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "hornbeamcleat/base/error.h"
+#include "src/base/codec.h"
+#include "src/base/poll_loop.h"
+#include "src/base/socket_address.h"
+#include "src/net/file_descriptor.h"
+
+namespace hornbeamcleat {
+
+template <typename Archive>
+void serialize(Archive& ar, TargetUse& use) {
+  ar(use.target, use.running, use.unread_tokens, use.slowness,
+     use.slowness_samples, use.failures, use.answers);
+}
+
+template <typename Archive>
+void serialize(Archive& ar, WaitingRank& rank) {
+  ar(rank.rank, rank.waited_ms, rank.left_ms);
+}
+
+template <typename Archive>
+void serialize(Archive& ar, ServiceQueue& queue) {
+  ar(queue.service, queue.waiting, queue.first);
+}
+
+template <typename Archive>
+void serialize(Archive& ar, WorkspaceUse& use) {
+  ar(use.workspace, use.admitted);
+}
+
+template <typename Archive>
+void serialize(Archive& ar, ContentLoss& loss) {
+  ar(loss.fingerprint, loss.losses);
+}
+
+template <typename Archive>
+void serialize(Archive& ar, PeerState& state) {
+  ar(state.incarnation, state.sequence, state.front, state.failure_domain,
+     state.link, state.is_ready, state.uses, state.queues, state.quotas,
+     state.losses, state.peers);
+}
+
+namespace {
+
+/// Largest datagram of IPv4.
+constexpr std::size_t kMostBytes = 65'507;
+/// Datagrams read before other work gets its turn.
+constexpr int kReadsPerTurn = 64;
+
+class UdpLink : public PeerLink {
+ public:
+  UdpLink(PollLoop* loop, const Address& listen,
+          std::function<void(const PeerState&)> on_state)
+      : loop_(loop),
+        fd_(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
+        on_state_(std::move(on_state)) {
+    const sockaddr_in address = ToSocketAddress(listen);
+    if (fd_.Get() < 0 ||
+        bind(fd_.Get(), reinterpret_cast<const sockaddr*>(&address),
+             sizeof(address)) != 0) {
+      throw Error("open link", listen.ToString(), strerror(errno));
+    }
+    loop_->Watch(fd_.Get(), EPOLLIN, [this](std::uint32_t) { Receive(); });
+  }
+
+  ~UdpLink() override { loop_->Forget(fd_.Get()); }
+
+  void Send(const PeerState& state,
+            const std::vector<std::string>& links) override {
+    const std::string bytes = EncodeBytes(state);
+    for (const std::string& link : links) {
+      const sockaddr_in to = ToSocketAddress(Address::Parse(link));
+      if (sendto(fd_.Get(), bytes.data(), bytes.size(), MSG_NOSIGNAL,
+                 reinterpret_cast<const sockaddr*>(&to), sizeof(to)) < 0) {
+        ++errors_;
+      }
+    }
+  }
+
+  int Errors() const override { return errors_; }
+
+ private:
+  void Receive() {
+    for (int i = 0; i < kReadsPerTurn; ++i) {
+      const ssize_t n = recv(fd_.Get(), buf_.data(), buf_.size(), 0);
+      if (n < 0) {
+        return;
+      }
+      PeerState state;
+      try {
+        state = DecodeBytes<PeerState>(
+            std::string_view(buf_.data(), static_cast<std::size_t>(n)));
+        Address::Parse(state.link);
+      } catch (const Error&) {
+        ++errors_;
+        continue;
+      }
+      on_state_(state);
+    }
+  }
+
+  PollLoop* const loop_;
+  const FileDescriptor fd_;
+  const std::function<void(const PeerState&)> on_state_;
+  std::string buf_ = std::string(kMostBytes, '\0');
+  int errors_ = 0;
+};
+
+}  // namespace
+
+std::unique_ptr<PeerLink> PeerLink::Open(
+    PollLoop* loop, const Address& listen,
+    std::function<void(const PeerState&)> on_state) {
+  return std::make_unique<UdpLink>(loop, listen, std::move(on_state));
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/relay/peer_link.h
@@ -0,0 +1,36 @@
+#ifndef HORNBEAMCLEAT_SRC_RELAY_PEER_LINK_H_
+#define HORNBEAMCLEAT_SRC_RELAY_PEER_LINK_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "hornbeamcleat/base/settings.h"
+#include "hornbeamcleat/serving/peer_state.h"
+
+namespace hornbeamcleat {
+
+class PollLoop;
+
+/// Sends and receives the states of VMs as datagrams. A lost datagram is made
+/// good by the next, since each holds the whole state.
+class PeerLink {
+ public:
+  /// @throws Error with step "open link"
+  static std::unique_ptr<PeerLink> Open(
+      PollLoop* loop, const Address& listen,
+      std::function<void(const PeerState&)> on_state);
+
+  virtual ~PeerLink() = default;
+
+  virtual void Send(const PeerState& state,
+                    const std::vector<std::string>& links) = 0;
+
+  /// Datagrams that could not be read or sent.
+  virtual int Errors() const = 0;
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_RELAY_PEER_LINK_H_
--- /dev/null
+++ b/src/relay/relay.h
@@ -0,0 +1,53 @@
+#ifndef HORNBEAMCLEAT_SRC_RELAY_RELAY_H_
+#define HORNBEAMCLEAT_SRC_RELAY_RELAY_H_
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "hornbeamcleat/base/time.h"
+#include "hornbeamcleat/serving/serving_source.h"
+#include "src/relay/relay_options.h"
+
+namespace hornbeamcleat {
+
+class Clock;
+class Dialect;
+class Metrics;
+class PollLoop;
+
+/// Traffic side of one VM: takes requests from callers, places them at targets
+/// together with its peers, and passes the answers on. Everything runs on one
+/// loop; what the control thread learns is posted there.
+class Relay {
+ public:
+  /// Opens all addresses.
+  /// @param remove_member called on the loop for a VM that is gone for good
+  /// @throws Error with step "listen" or "open link"
+  static std::unique_ptr<Relay> Make(
+      PollLoop* loop, const Clock* clock, const Dialect* dialect,
+      Metrics* metrics, const RelayOptions& options,
+      std::function<void(const VmRecord&)> remove_member);
+
+  virtual ~Relay() = default;
+
+  virtual void SetConfig(std::shared_ptr<const RouteTable> table) = 0;
+  virtual void OnConfirmed(Time sent) = 0;
+  virtual void SetTargets(const std::vector<TargetSpec>& targets) = 0;
+  virtual void SetMembers(const std::vector<VmRecord>& members) = 0;
+
+  /// Applies what may change while running: limits, bounds and budgets.
+  virtual void SetOptions(const RelayOptions& options) = 0;
+
+  /// Begins a planned stop: not ready, then no new work.
+  virtual void Drain() = 0;
+  /// Whether the planned stop is over and the process may exit.
+  virtual bool Drained() const = 0;
+
+  /// This VM, as announced to others.
+  virtual VmRecord Self() const = 0;
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_RELAY_RELAY_H_
--- /dev/null
+++ b/src/relay/relay_daemon.cc
@@ -0,0 +1,227 @@
+#include "src/relay/relay_daemon.h"
+
+#include <fcntl.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+#include "hornbeamcleat/base/clock.h"
+#include "hornbeamcleat/base/error.h"
+#include "hornbeamcleat/base/log.h"
+#include "hornbeamcleat/base/metrics.h"
+#include "hornbeamcleat/base/timer_service.h"
+#include "hornbeamcleat/serving/serving_source.h"
+#include "src/base/log_buffer.h"
+#include "src/base/poll_loop.h"
+#include "src/net/file_descriptor.h"
+#include "src/relay/dialect.h"
+#include "src/relay/relay.h"
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr Duration kLogFlush = std::chrono::milliseconds(100);
+/// Settings may change without a signal.
+constexpr Duration kSettingsCheck = std::chrono::seconds(2);
+constexpr Duration kDrainCheck = std::chrono::milliseconds(50);
+constexpr char kDrainByte = 'd';
+constexpr char kReloadByte = 'r';
+
+const Logger& Log() {
+  static const Logger log("daemon");
+  return log;
+}
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream in(path);
+  std::ostringstream text;
+  text << in.rdbuf();
+  if (!in) {
+    throw Error("read settings", path, "the file can't be read");
+  }
+  return text.str();
+}
+
+RelayOptions ParseOptions(const std::string& text, const std::string& path) {
+  std::istringstream in(text);
+  return MakeRelayOptions(Settings::Parse(in, path, RelaySettingRules()));
+}
+
+// Thread that follows the store; passes what it learns to the traffic loop.
+class ControlThread : private ServingListener {
+ public:
+  ControlThread(PollLoop* traffic_loop, const Clock* clock, Relay* relay,
+                const Deployment* deployment, const RelayOptions& options)
+      : traffic_loop_(traffic_loop),
+        relay_(relay),
+        loop_(PollLoop::Make(clock)),
+        source_(deployment->MakeSource(loop_.get(), clock, options, this)) {
+    source_->Announce(relay->Self());
+    thread_ = std::thread([this] { loop_->Run(); });
+  }
+
+  ~ControlThread() override {
+    loop_->Quit();
+    thread_.join();
+  }
+
+  void Withdraw() {
+    loop_->Post([this] { source_->Withdraw(); });
+  }
+
+  void Remove(const VmRecord& gone) {
+    loop_->Post([this, gone] { source_->Remove(gone); });
+  }
+
+ private:
+  void OnConfig(std::shared_ptr<const RouteTable> table) override {
+    traffic_loop_->Post([this, table] { relay_->SetConfig(table); });
+  }
+  void OnConfirmed(Time sent) override {
+    traffic_loop_->Post([this, sent] { relay_->OnConfirmed(sent); });
+  }
+  void OnTargets(const std::vector<TargetSpec>& targets) override {
+    traffic_loop_->Post([this, targets] { relay_->SetTargets(targets); });
+  }
+  void OnMembers(const std::vector<VmRecord>& members) override {
+    traffic_loop_->Post([this, members] { relay_->SetMembers(members); });
+  }
+
+  PollLoop* const traffic_loop_;
+  Relay* const relay_;
+  const std::unique_ptr<PollLoop> loop_;
+  const std::unique_ptr<ServingSource> source_;
+  std::thread thread_;
+};
+
+class LiveDaemon : public RelayDaemon {
+ public:
+  LiveDaemon(std::string settings_path, const Deployment* deployment)
+      : settings_path_(std::move(settings_path)),
+        settings_text_(ReadFile(settings_path_)),
+        options_(ParseOptions(settings_text_, settings_path_)),
+        log_buffer_(STDOUT_FILENO),
+        clock_(Clock::Make()),
+        metrics_(Metrics::Make()),
+        loop_(PollLoop::Make(clock_.get())),
+        dialect_(deployment->MakeDialect()) {
+    SetLogSink([this](std::string_view line) { log_buffer_.Add(line); });
+    OpenSignalPipe();
+    relay_ = Relay::Make(loop_.get(), clock_.get(), dialect_.get(),
+                         metrics_.get(), options_,
+                         [this](const VmRecord& vm) { control_->Remove(vm); });
+    control_ = std::make_unique<ControlThread>(
+        loop_.get(), clock_.get(), relay_.get(), deployment, options_);
+    const Time now = clock_->Now();
+    flush_ = loop_->Timers()->Every(now, kLogFlush,
+                                    [this](Time) { log_buffer_.Flush(); });
+    check_ = loop_->Timers()->Every(now + kSettingsCheck, kSettingsCheck,
+                                    [this](Time) { Reload(); });
+  }
+
+  ~LiveDaemon() override {
+    control_.reset();
+    loop_->Forget(signal_read_.Get());
+    log_buffer_.Flush();
+    SetLogSink([](std::string_view) {});
+  }
+
+  void Run() override {
+    Log().Info("event=start vm={} failure_domain={} front={} pid={}",
+               options_.name, options_.failure_domain,
+               options_.front.ToString(), getpid());
+    loop_->Run();
+    Log().Info("event=stop vm={}", options_.name);
+  }
+
+  void RequestDrain() override { Signal(kDrainByte); }
+  void RequestReload() override { Signal(kReloadByte); }
+
+ private:
+  void OpenSignalPipe() {
+    int fds[2] = {-1, -1};
+    if (pipe2(fds, O_CLOEXEC | O_NONBLOCK) != 0) {
+      throw Error("open signal pipe", "", "no descriptor");
+    }
+    signal_read_ = FileDescriptor(fds[0]);
+    signal_write_ = FileDescriptor(fds[1]);
+    loop_->Watch(fds[0], EPOLLIN, [this](std::uint32_t) { OnSignal(); });
+  }
+
+  void Signal(char byte) const {
+    // A full pipe already holds signals to come.
+    [[maybe_unused]] const ssize_t n = write(signal_write_.Get(), &byte, 1);
+  }
+
+  void OnSignal() {
+    char buf[16];
+    const ssize_t n = read(signal_read_.Get(), buf, sizeof(buf));
+    for (ssize_t i = 0; i < n; ++i) {
+      if (buf[i] == kReloadByte) {
+        Log().Info("event=reload_requested");
+        Reload();
+      } else {
+        Drain();
+      }
+    }
+  }
+
+  // Wrong settings leave the last ones in force.
+  void Reload() {
+    try {
+      std::string text = ReadFile(settings_path_);
+      if (text == settings_text_) {
+        return;
+      }
+      const RelayOptions options = ParseOptions(text, settings_path_);
+      settings_text_ = std::move(text);
+      relay_->SetOptions(options);
+      Log().Info("event=reload outcome=applied");
+    } catch (const Error& e) {
+      Log().Error("event=reload outcome=refused error=\"{}\"", e.what());
+    }
+  }
+
+  void Drain() {
+    if (drain_check_ != nullptr) {
+      return;
+    }
+    relay_->Drain();
+    control_->Withdraw();
+    drain_check_ =
+        loop_->Timers()->Every(clock_->Now(), kDrainCheck, [this](Time) {
+          if (relay_->Drained()) {
+            loop_->Quit();
+          }
+        });
+  }
+
+  const std::string settings_path_;
+  std::string settings_text_;
+  RelayOptions options_;
+  LogBuffer log_buffer_;
+  const std::unique_ptr<Clock> clock_;
+  const std::unique_ptr<Metrics> metrics_;
+  const std::unique_ptr<PollLoop> loop_;
+  const std::unique_ptr<Dialect> dialect_;
+  FileDescriptor signal_read_;
+  FileDescriptor signal_write_;
+  std::unique_ptr<Relay> relay_;
+  std::unique_ptr<ControlThread> control_;
+  std::unique_ptr<TimerService::Subscription> flush_;
+  std::unique_ptr<TimerService::Subscription> check_;
+  std::unique_ptr<TimerService::Subscription> drain_check_;
+};
+
+}  // namespace
+
+std::unique_ptr<RelayDaemon> RelayDaemon::Make(const std::string& settings_path,
+                                               const Deployment* deployment) {
+  return std::make_unique<LiveDaemon>(settings_path, deployment);
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/relay/relay_options.cc
@@ -0,0 +1,110 @@
+#include "src/relay/relay_options.h"
+
+#include <algorithm>
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr std::int64_t kMs = 1'000;  // microseconds
+constexpr std::int64_t kMinute = 60'000 * kMs;
+constexpr double kPercent = 100;
+constexpr std::int64_t kMiB = 1'024 * 1'024;
+/// Part of the time that a leaving target takes work for which a target that
+/// vanished is used; the rest covers reads that lag.
+constexpr int kVanishedPercent = 60;
+
+SettingRule Rule(const char* section, const char* key, SettingType type,
+                 const char* fallback, std::int64_t max, const char* help) {
+  SettingRule rule;
+  rule.section = section;
+  rule.key = key;
+  rule.type = type;
+  rule.default_value = fallback;
+  rule.required = rule.default_value.empty();
+  rule.max = max;
+  rule.help = help;
+  return rule;
+}
+
+}  // namespace
+
+std::vector<SettingRule> RelaySettingRules() {
+  const SettingType address = SettingType::kAddress;
+  const SettingType duration = SettingType::kDuration;
+  const SettingType integer = SettingType::kInteger;
+  return {
+      Rule("vm", "name", SettingType::kText, "", 0, "Name of this VM in logs."),
+      Rule("vm", "failure_domain", SettingType::kText, "", 0,
+           "Failure domain of this VM."),
+      Rule("vm", "listen_front", address, "", 0, "Address for callers."),
+      Rule("vm", "listen_ready", address, "", 0,
+           "Address that answers whether this VM is ready."),
+      Rule("vm", "listen_directory", address, "", 0,
+           "Address that answers which VMs callers may use."),
+      Rule("vm", "link", address, "", 0, "UDP address for the other VMs."),
+      Rule("vm", "listen_metrics", address, "", 0,
+           "Address of the metrics page."),
+      Rule("vm", "memory_mb", integer, "256", 0,
+           "Memory that the process may use, in MiB."),
+      Rule("vm", "max_descriptors", integer, "1024", 0,
+           "File descriptors that the process may use."),
+      Rule("store", "address", address, "", 0, "The platform's store."),
+      Rule("callers", "directory_keep", duration, "1s", kMinute,
+           "How long callers keep a directory answer; whole seconds."),
+      Rule("callers", "grace", duration, "8s", kMinute,
+           "Time from SIGTERM until the process is killed."),
+      Rule("targets", "drain_use", duration, "2s", kMinute,
+           "How long a target that leaves may still be given work."),
+      Rule("targets", "retry_percent", integer, "20", 100,
+           "Retries for each hundred requests of a service, over all VMs."),
+      Rule("targets", "retry_slack", integer, "50", 0,
+           "Further retries of a service, over all VMs."),
+      Rule("keys", "fail_closed", SettingType::kBoolean, "true", 0,
+           "Whether keys without proof of freshness are refused."),
+      Rule("keys", "limit", duration, "5s", kMinute,
+           "Longest time that a key works after it was taken away."),
+      Rule("poison", "limit", integer, "2", 100,
+           "Targets lost to one content before it is refused."),
+      Rule("poison", "expiry", duration, "30s", 10 * kMinute,
+           "How long a loss counts against its content."),
+  };
+}
+
+RelayOptions MakeRelayOptions(const Settings& settings) {
+  // Descriptors for files, and for targets beside each caller's connection.
+  constexpr int kReserved = 300;
+  constexpr int kPerCaller = 2;
+  RelayOptions options;
+  options.name = settings.Text("vm", "name");
+  options.failure_domain = settings.Text("vm", "failure_domain");
+  options.front = settings.GetAddress("vm", "listen_front");
+  options.ready = settings.GetAddress("vm", "listen_ready");
+  options.directory = settings.GetAddress("vm", "listen_directory");
+  options.link = settings.GetAddress("vm", "link");
+  options.metrics = settings.GetAddress("vm", "listen_metrics");
+  options.store = settings.GetAddress("store", "address");
+  options.memory_bytes =
+      static_cast<std::size_t>(settings.Integer("vm", "memory_mb") * kMiB);
+  options.max_connections =
+      std::max(8, (static_cast<int>(settings.Integer("vm", "max_descriptors")) -
+                   kReserved) /
+                      kPerCaller);
+  options.directory_keep = settings.GetDuration("callers", "directory_keep");
+  options.grace = settings.GetDuration("callers", "grace");
+  // Work sent at the end of the time must still arrive within it.
+  options.vanished_use =
+      settings.GetDuration("targets", "drain_use") * kVanishedPercent / 100;
+  options.retry_ratio =
+      static_cast<double>(settings.Integer("targets", "retry_percent")) /
+      kPercent;
+  options.retry_slack =
+      static_cast<double>(settings.Integer("targets", "retry_slack"));
+  options.admission.fails_closed = settings.Boolean("keys", "fail_closed");
+  options.admission.key_limit = settings.GetDuration("keys", "limit");
+  options.admission.poison_limit =
+      static_cast<int>(settings.Integer("poison", "limit"));
+  options.admission.poison_expiry = settings.GetDuration("poison", "expiry");
+  return options;
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/relay/target_call.cc
@@ -0,0 +1,264 @@
+#include "src/relay/target_call.h"
+
+#include <charconv>
+#include <utility>
+
+#include "hornbeamcleat/base/error.h"
+#include "hornbeamcleat/base/timer_service.h"
+#include "src/base/poll_loop.h"
+#include "src/relay/byte_stream.h"
+#include "src/relay/dialect.h"
+#include "src/relay/target_pool.h"
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr int kContinue = 100;
+constexpr int kFirstFinalStatus = 200;
+/// Idle time of a target that doesn't state one; well under usual servers'.
+constexpr Duration kDefaultKeep = std::chrono::seconds(1);
+/// Part of a stated idle time after which a connection is not used again.
+constexpr int kKeepDivisor = 2;
+
+// Idle time in "Keep-Alive: timeout=N".
+Duration KeepTime(const HeaderList& headers) {
+  const std::string* value = FindHeader(headers, "Keep-Alive");
+  if (value == nullptr) {
+    return kDefaultKeep;
+  }
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t at = value->find(kName);
+  int seconds = 0;
+  if (at == std::string::npos) {
+    return kDefaultKeep;
+  }
+  const char* first = value->data() + at + kName.size();
+  std::from_chars(first, value->data() + value->size(), seconds);
+  return std::chrono::seconds(seconds) / kKeepDivisor;
+}
+
+class Call : public TargetCall {
+ public:
+  Call(PollLoop* loop, TargetPool* pool, const Dialect* dialect, Plan plan,
+       Callbacks callbacks)
+      : loop_(loop),
+        pool_(pool),
+        dialect_(dialect),
+        plan_(std::move(plan)),
+        callbacks_(std::move(callbacks)) {
+    Begin();
+  }
+
+  ~Call() override { Cancel(); }
+
+  void Cancel() override {
+    *alive_ = false;
+    connect_timer_.reset();
+    if (stream_ != nullptr) {
+      stream_->Abort();
+      Discard(std::move(stream_));
+    }
+  }
+
+  bool MayHaveSent() const override { return may_have_sent_; }
+
+  void SetReading(bool is_reading) override {
+    if (stream_ != nullptr) {
+      stream_->SetReading(is_reading);
+    }
+  }
+
+ private:
+  void Begin() {
+    NewParser();
+    if (plan_.may_reuse) {
+      stream_ = pool_->Take(plan_.target);
+    }
+    if (stream_ != nullptr) {
+      Attach();
+      Later([this] { Send(); });
+      return;
+    }
+    try {
+      stream_ = ByteStream::Connect(loop_, plan_.target, plan_.silence_limit);
+    } catch (const Error&) {
+      Later([this] { Fail(CallFailure::kUnreached); });
+      return;
+    }
+    Attach();
+    connect_timer_ = loop_->Timers()->At(plan_.connect_by, [this](Time) {
+      if (!may_have_sent_) {
+        Fail(CallFailure::kUnreached);
+      }
+    });
+  }
+
+  // Runs work on the loop unless the call is gone by then.
+  void Later(std::function<void()> work) {
+    loop_->Post([alive = alive_, work = std::move(work)] {
+      if (*alive) {
+        work();
+      }
+    });
+  }
+
+  void Attach() {
+    ByteStream::Callbacks callbacks;
+    callbacks.on_connected = [this] { Send(); };
+    callbacks.on_bytes = [this](std::string_view bytes) { OnBytes(bytes); };
+    callbacks.on_end = [this](StreamEnd end) { OnEnd(end); };
+    stream_->SetCallbacks(std::move(callbacks));
+  }
+
+  void NewParser() {
+    parser_ = HttpParser::ForAnswer(plan_.limits, plan_.is_head);
+    is_foreign_ = false;
+    head_seen_ = false;
+  }
+
+  void Send() {
+    if (stream_ == nullptr) {
+      return;
+    }
+    connect_timer_.reset();
+    if (!callbacks_.may_send()) {
+      return;
+    }
+    may_have_sent_ = true;
+    stream_->Write(plan_.bytes);
+  }
+
+  void OnBytes(std::string_view bytes) {
+    const std::shared_ptr<bool> alive = alive_;
+    if (!may_have_sent_) {
+      Fail(CallFailure::kUnreached);
+      return;
+    }
+    while (!bytes.empty()) {
+      bytes.remove_prefix(parser_->Feed(bytes));
+      // What was parsed before an error is still passed on.
+      if (!Deliver() || !*alive) {
+        return;
+      }
+      if (parser_->Error() != ParseError::kNone) {
+        Fail(CallFailure::kMalformed);
+        return;
+      }
+      if (parser_->Done()) {
+        if (IsInterim() || is_foreign_) {
+          NewParser();
+          continue;
+        }
+        Finish(bytes.empty());
+        return;
+      }
+    }
+  }
+
+  bool IsInterim() const {
+    return parser_->Head().status >= kContinue &&
+           parser_->Head().status < kFirstFinalStatus;
+  }
+
+  // Passes on what has been parsed; false if the call ended meanwhile.
+  bool Deliver() {
+    if (!parser_->HeadDone() || IsInterim()) {
+      return true;
+    }
+    const std::shared_ptr<bool> alive = alive_;
+    if (!head_seen_) {
+      head_seen_ = true;
+      const AnswerFacts facts =
+          dialect_->ReadAnswer(parser_->Head().status, parser_->Head().headers);
+      is_foreign_ = !facts.id.empty() && facts.id != plan_.request_id;
+      if (!is_foreign_) {
+        const std::function<void(const MessageHead&)> on_head =
+            callbacks_.on_head;
+        on_head(parser_->Head());
+        if (!*alive || stream_ == nullptr) {
+          return false;
+        }
+      }
+    }
+    if (is_foreign_) {
+      parser_->Body()->clear();
+    } else if (!parser_->Body()->empty()) {
+      const std::function<void(std::string*)> on_body = callbacks_.on_body;
+      on_body(parser_->Body());
+    }
+    return *alive && stream_ != nullptr;
+  }
+
+  void OnEnd(StreamEnd end) {
+    if (!may_have_sent_) {
+      Fail(CallFailure::kUnreached);
+      return;
+    }
+    if (end == StreamEnd::kClean && !is_foreign_) {
+      parser_->FeedEnd();
+      if (parser_->Error() == ParseError::kNone && parser_->Done() &&
+          !IsInterim()) {
+        if (Deliver()) {
+          Finish(false);
+        }
+        return;
+      }
+    }
+    Fail(CallFailure::kBroken);
+  }
+
+  // The connection is kept only if the answer ended where it said.
+  void Finish(bool is_clean) {
+    const MessageHead& head = parser_->Head();
+    std::unique_ptr<ByteStream> stream = std::move(stream_);
+    if (is_clean && head.keep_alive && plan_.may_reuse &&
+        head.framing != BodyFraming::kUntilClose && stream->Unsent() == 0) {
+      pool_->Keep(std::move(stream), KeepTime(head.headers));
+    } else {
+      Discard(std::move(stream));
+    }
+    const std::function<void()> on_done = callbacks_.on_done;
+    on_done();
+  }
+
+  void Fail(CallFailure failure) {
+    connect_timer_.reset();
+    if (stream_ != nullptr) {
+      stream_->Abort();
+      Discard(std::move(stream_));
+    }
+    const std::function<void(CallFailure)> on_failure = callbacks_.on_failure;
+    on_failure(failure);
+  }
+
+  // Frees a stream after its running callback.
+  void Discard(std::unique_ptr<ByteStream> stream) {
+    const std::shared_ptr<ByteStream> dead = std::move(stream);
+    dead->SetCallbacks({});
+    loop_->Post([dead] {});
+  }
+
+  PollLoop* const loop_;
+  TargetPool* const pool_;
+  const Dialect* const dialect_;
+  const Plan plan_;
+  Callbacks callbacks_;
+  std::unique_ptr<ByteStream> stream_;
+  std::unique_ptr<HttpParser> parser_;
+  std::unique_ptr<TimerService::Subscription> connect_timer_;
+  bool may_have_sent_ = false;
+  bool head_seen_ = false;
+  bool is_foreign_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace
+
+std::unique_ptr<TargetCall> TargetCall::Start(PollLoop* loop, TargetPool* pool,
+                                              const Dialect* dialect, Plan plan,
+                                              Callbacks callbacks) {
+  return std::make_unique<Call>(loop, pool, dialect, std::move(plan),
+                                std::move(callbacks));
+}
+
+}  // namespace hornbeamcleat
--- a/src/schedule/poison_table.cc
+++ b/src/schedule/poison_table.cc
@@ -24,7 +24,16 @@
   entry.last = now;
 }
 
+void PoisonTable::OnServed(std::uint64_t fingerprint, Time now) {
+  if (entries_.erase(fingerprint) > 0 || peers_.contains(fingerprint)) {
+    served_[fingerprint] = now;
+  }
+}
+
 int PoisonTable::Lost(std::uint64_t fingerprint, Time now) const {
+  if (served_.contains(fingerprint)) {
+    return 0;
+  }
   int lost = 0;
   const auto own = entries_.find(fingerprint);
   if (own != entries_.end() && Live(own->second, now)) {
@@ -37,6 +46,8 @@
 void PoisonTable::Expire(Time now) {
   std::erase_if(entries_,
                 [&](const auto& item) { return !Live(item.second, now); });
+  std::erase_if(served_,
+                [&](const auto& item) { return now >= item.second + expiry_; });
 }
 
 std::map<std::uint64_t, int> PoisonTable::Own(Time now) const {
--- a/src/schedule/poison_table.h
+++ b/src/schedule/poison_table.h
@@ -28,6 +28,10 @@
   void OnTargetLost(std::uint64_t fingerprint, const TargetName& target,
                     Time now);
 
+  /// The content was answered whole, so it is not what brings targets down;
+  /// losses until the entry would expire are forgiven, here and at the peers.
+  void OnServed(std::uint64_t fingerprint, Time now);
+
   /// Losses of targets to the content, here and at the peers.
   int Lost(std::uint64_t fingerprint, Time now) const;
 
@@ -56,6 +60,7 @@
   const Duration expiry_;
   std::map<std::uint64_t, Entry> entries_;
   std::map<std::uint64_t, int> peers_;
+  std::map<std::uint64_t, Time> served_;  ///< of contents with losses
 };
 
 }  // namespace hornbeamcleat
--- a/src/schedule/retry_budget.h
+++ b/src/schedule/retry_budget.h
@@ -9,10 +9,17 @@
 /// work are not offered it many times over. A few are always saved up.
 class RetryBudget {
  public:
+  static constexpr double kUsualRatio = 0.1;
+  static constexpr double kUsualSaved = 100;
+
+  /// @param ratio retries earned by each first attempt
+  /// @param most_saved retries saved up at the most, and at the start
+  explicit RetryBudget(double ratio = kUsualRatio,
+                       double most_saved = kUsualSaved)
+      : ratio_(ratio), most_saved_(most_saved), tokens_(most_saved) {}
+
   /// A request was dispatched for the first time.
-  void OnFirstAttempt() {
-    tokens_ = std::min(kMaxTokens, tokens_ + kRetriesPerAttempt);
-  }
+  void OnFirstAttempt() { tokens_ = std::min(most_saved_, tokens_ + ratio_); }
 
   /// Takes a retry out of the budget; false if there is none.
   bool Take() {
@@ -23,11 +30,13 @@
     return true;
   }
 
- private:
-  static constexpr double kMaxTokens = 100;
-  static constexpr double kRetriesPerAttempt = 0.1;
+  /// Retries that are left.
+  double Left() const { return tokens_; }
 
-  double tokens_ = kMaxTokens;
+ private:
+  double ratio_;
+  double most_saved_;
+  double tokens_;
 };
 
 }  // namespace hornbeamcleat
--- /dev/null
+++ b/src/serving/admission.cc
@@ -0,0 +1,143 @@
+#include "src/serving/admission.h"
+
+#include <utility>
+
+namespace hornbeamcleat {
+namespace {
+
+/// When to come back to a VM that has no valid configuration; others have one.
+constexpr Duration kStaleRetryAfter = std::chrono::milliseconds(500);
+/// When to come back with content that brought targets down.
+constexpr Duration kPoisonRetryAfter = std::chrono::seconds(30);
+/// Time from the last check to the arrival at a target, and errors of clocks.
+constexpr Duration kKeyMargin = std::chrono::milliseconds(300);
+
+}  // namespace
+
+const char* RefusalName(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kNone:
+      return "none";
+    case RefusalReason::kNoConfiguration:
+      return "no_configuration";
+    case RefusalReason::kStaleKeys:
+      return "stale_keys";
+    case RefusalReason::kNoRoute:
+      return "no_route";
+    case RefusalReason::kUnknownKey:
+      return "unknown_key";
+    case RefusalReason::kOverQuota:
+      return "over_quota";
+    case RefusalReason::kPoison:
+      return "poison";
+    case RefusalReason::kDraining:
+      return "draining";
+    case RefusalReason::kNoPlace:
+      return "no_place";
+    case RefusalReason::kNotRun:
+      return "not_run";
+    case RefusalReason::kUnreached:
+      return "unreached";
+    case RefusalReason::kTimedOut:
+      return "timed_out";
+    case RefusalReason::kBadAnswer:
+      return "bad_answer";
+  }
+  return "none";
+}
+
+int RefusalStatus(RefusalReason reason, bool may_have_run) {
+  switch (reason) {
+    case RefusalReason::kNoRoute:
+      return 404;
+    case RefusalReason::kUnknownKey:
+      return 401;
+    case RefusalReason::kOverQuota:
+      return 429;
+    case RefusalReason::kTimedOut:
+      return may_have_run ? 504 : 503;
+    default:
+      return may_have_run ? 502 : 503;
+  }
+}
+
+bool AdmissionDesk::SetTable(std::shared_ptr<const RouteTable> table) {
+  if (table_ != nullptr &&
+      table->Config().version <= table_->Config().version) {
+    return false;
+  }
+  table_ = std::move(table);
+  return true;
+}
+
+bool AdmissionDesk::IsFresh(Time boot_now) const {
+  return table_ != nullptr &&
+         (!options_.fails_closed ||
+          freshness_.Holds(boot_now, options_.key_limit - kKeyMargin));
+}
+
+Admission AdmissionDesk::Admit(const AdmissionQuery& query) {
+  Admission admission;
+  if (table_ == nullptr) {
+    admission.refusal = RefusalReason::kNoConfiguration;
+    admission.retry_after = kStaleRetryAfter;
+    return admission;
+  }
+  admission.table = table_;
+  admission.route = table_->Find(query.host, query.path);
+  if (admission.route == nullptr) {
+    admission.refusal = RefusalReason::kNoRoute;
+    return admission;
+  }
+  admission.rank = admission.route->rank;
+  if (!admission.route->is_public && !table_->Config().workspaces.empty()) {
+    if (!IsFresh(query.boot_now)) {
+      admission.refusal = RefusalReason::kStaleKeys;
+      admission.retry_after = kStaleRetryAfter;
+      return admission;
+    }
+    admission.workspace = table_->FindWorkspace(query.key);
+    if (admission.workspace == nullptr) {
+      admission.refusal = RefusalReason::kUnknownKey;
+      return admission;
+    }
+    admission.rank = admission.workspace->rank.value_or(admission.rank);
+  }
+  if (poison_.Refused(query.fingerprint, query.now)) {
+    admission.refusal = RefusalReason::kPoison;
+    admission.retry_after = kPoisonRetryAfter;
+    return admission;
+  }
+  if (admission.workspace != nullptr) {
+    const WorkspaceSpec& workspace = *admission.workspace;
+    const double tokens =
+        query.states_tokens ? query.tokens : workspace.plain_tokens;
+    const double cost = workspace.counts_tokens ? tokens : 1;
+    const QuotaVerdict verdict = quotas_.Admit(workspace, cost, query.now);
+    if (!verdict.is_admitted) {
+      admission.refusal = RefusalReason::kOverQuota;
+      admission.retry_after = verdict.retry_after;
+      return admission;
+    }
+    admission.charged = cost;
+  }
+  return admission;
+}
+
+RefusalReason AdmissionDesk::Recheck(const Admission& admission,
+                                     const std::string& key,
+                                     Time boot_now) const {
+  if (admission.workspace == nullptr) {
+    return RefusalReason::kNone;
+  }
+  if (!IsFresh(boot_now)) {
+    return RefusalReason::kStaleKeys;
+  }
+  const WorkspaceSpec* holder = table_->FindWorkspace(key);
+  if (holder == nullptr || holder->name != admission.workspace->name) {
+    return RefusalReason::kUnknownKey;
+  }
+  return RefusalReason::kNone;
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/serving/quota_ledger.h
@@ -0,0 +1,80 @@
+#ifndef HORNBEAMCLEAT_SRC_SERVING_QUOTA_LEDGER_H_
+#define HORNBEAMCLEAT_SRC_SERVING_QUOTA_LEDGER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "hornbeamcleat/base/time.h"
+#include "hornbeamcleat/serving/peer_state.h"
+#include "hornbeamcleat/serving/serving_config.h"
+
+namespace hornbeamcleat {
+
+/// Verdict on one request under its workspace's quota.
+struct QuotaVerdict {
+  bool is_admitted = true;
+  Duration retry_after{0};  ///< until the quota covers the request
+  double level = 0;         ///< left after the verdict
+  int unheard_peers = 0;    ///< whose share was set aside
+
+  bool operator==(const QuotaVerdict&) const = default;
+};
+
+/// Quotas of workspaces, kept over all VMs without a coordinator. Each VM runs
+/// the whole bucket and takes out what its peers say they have admitted.
+///
+/// Load pattern: one workspace sends many times its usual through all VMs at
+/// once, also while VMs can't hear each other. The share of a VM that isn't
+/// heard is set aside, so that the sum over all VMs stays within the quota.
+class QuotaLedger {
+ public:
+  /// Part of the burst that a fresh process starts with: what was given out
+  /// before its start is unknown.
+  static constexpr double kStartShare = 0.25;
+
+  /// Number of VMs that may admit requests, this one included.
+  void SetMembers(int members) { members_ = members; }
+
+  /// Takes the totals of a peer. The first totals of an incarnation, and those
+  /// after a silence, only set where counting goes on.
+  void SetPeerUse(const std::string& peer, std::uint64_t incarnation,
+                  const std::vector<WorkspaceUse>& uses);
+
+  /// The peer is no longer heard; its share is set aside.
+  void ForgetPeer(const std::string& peer);
+
+  /// Admits or refuses a request that costs `cost` requests or tokens.
+  QuotaVerdict Admit(const WorkspaceSpec& workspace, double cost, Time now);
+
+  /// Returns what a request was charged that never reached a target.
+  void Refund(const std::string& workspace, double cost);
+
+  /// Totals of this VM, for its peers.
+  std::vector<WorkspaceUse> Uses() const;
+
+ private:
+  struct Bucket {
+    double level = 0;
+    double admitted = 0;
+    double burst = 0;
+    Time updated;
+  };
+  struct PeerUse {
+    std::uint64_t incarnation = 0;
+    std::map<std::uint64_t, double> admitted;
+  };
+
+  int Unheard() const;
+  Bucket& Refill(const WorkspaceSpec& workspace, Time now);
+
+  int members_ = 1;
+  std::map<std::string, Bucket> buckets_;
+  std::map<std::uint64_t, Bucket*> by_hash_;
+  std::map<std::string, PeerUse> peers_;
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_SERVING_QUOTA_LEDGER_H_
--- /dev/null
+++ b/src/serving/target_board.cc
@@ -0,0 +1,355 @@
+#include "src/serving/target_board.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "hornbeamcleat/base/hash.h"
+
+namespace hornbeamcleat {
+namespace {
+
+/// Time from dispatch to the first event of an empty prompt, at the usual
+/// speed; a start value that the learned slowness corrects.
+constexpr double kFirstEventMs = 25;
+/// Prompt tokens that an engine of usual speed reads in a millisecond; a start
+/// value that the learned slowness corrects.
+constexpr double kPromptTokensPerMs = 50;
+/// Time of one decoding step at the usual speed.
+constexpr double kStepMs = 5;
+/// Decoding steps behind one event of a stream.
+constexpr double kStepsPerEvent = 5;
+/// Prompt tokens that an engine reads between two events at the most: a chunk
+/// of 1,024 tokens in each step, the common default of engines.
+constexpr double kChunkTokensPerEvent = 1'024 * kStepsPerEvent;
+/// Part of the allowed pause that placement plans for; the rest is jitter.
+constexpr double kPauseShare = 0.8;
+/// Weight of a new sample of slowness.
+constexpr double kSlownessGain = 0.15;
+/// Samples that a target's own estimate counts for at most.
+constexpr double kMostSamples = 20;
+/// Bounds of the slowness that is believed.
+constexpr double kLeastSlowness = 0.2;
+constexpr double kMostSlowness = 12;
+/// Recent answers lose half of their weight in this time.
+constexpr Duration kAnswerHalfLife = std::chrono::seconds(3);
+/// Failures in a row after which a target rests.
+constexpr int kFailuresToShun = 3;
+/// Rest after the first such row; doubles up to the longest.
+constexpr Duration kShunTime = std::chrono::milliseconds(500);
+constexpr Duration kLongestShun = std::chrono::seconds(4);
+/// Rest of a target that could not be reached, or turned work away as full.
+constexpr Duration kUnreachedRest = std::chrono::milliseconds(400);
+constexpr Duration kFullRest = std::chrono::milliseconds(40);
+/// A target with no answer for this multiple of the expected time is shunned
+/// until it answers.
+constexpr double kSilentFactor = 6;
+constexpr Duration kLeastSilence = std::chrono::milliseconds(600);
+/// Cost of a failure, in expected times, by which its risk is weighed.
+constexpr double kFailureCost = 12;
+/// Cost of another failure domain: the bytes between domains are paid for.
+constexpr double kOtherDomainMs = 4;
+/// Time that each request running beside costs those that come.
+constexpr double kNeighbourMs = 1.5;
+
+double ToMs(Duration d) { return static_cast<double>(d.count()) / 1'000.0; }
+
+Duration FromMs(double ms) {
+  return Duration(static_cast<std::int64_t>(ms * 1'000.0));
+}
+
+}  // namespace
+
+void TargetBoard::SetTargets(const std::vector<TargetSpec>& targets, Time now) {
+  std::map<std::string, Target> next;
+  for (const TargetSpec& spec : targets) {
+    const auto known = targets_.find(spec.id);
+    Target target;
+    // A target reborn under its id knows nothing of before.
+    if (known != targets_.end() && known->second.spec.born_ms == spec.born_ms) {
+      target = known->second;
+    } else {
+      target.decayed_at = now;
+    }
+    target.spec = spec;
+    target.hash = Hash64(spec.id);
+    next.emplace(spec.id, std::move(target));
+  }
+  targets_ = std::move(next);
+  SumPeers();
+}
+
+void TargetBoard::SetPeerUses(const std::string& peer,
+                              const std::vector<TargetUse>& uses) {
+  if (uses.empty()) {
+    peer_uses_.erase(peer);
+  } else {
+    peer_uses_[peer] = uses;
+  }
+  SumPeers();
+}
+
+void TargetBoard::SumPeers() {
+  std::unordered_map<std::uint64_t, Target*> by_hash;
+  for (auto& [id, target] : targets_) {
+    target.peer_running = 0;
+    target.peer_unread_tokens = 0;
+    target.peer_slowness = 0;
+    target.peer_samples = 0;
+    target.peer_failures = 0;
+    target.peer_answers = 0;
+    by_hash[target.hash] = &target;
+  }
+  for (const auto& [peer, uses] : peer_uses_) {
+    for (const TargetUse& use : uses) {
+      const auto it = by_hash.find(use.target);
+      if (it == by_hash.end()) {
+        continue;
+      }
+      Target& target = *it->second;
+      target.peer_running += static_cast<int>(use.running);
+      target.peer_unread_tokens += use.unread_tokens;
+      target.peer_slowness +=
+          static_cast<double>(use.slowness) * use.slowness_samples;
+      target.peer_samples += use.slowness_samples;
+      target.peer_failures += use.failures;
+      target.peer_answers += use.answers;
+    }
+  }
+}
+
+double TargetBoard::Slowness(const Target& target) {
+  // One sample of the usual speed stands in until there are others.
+  const double weight = 1 + target.slowness_samples + target.peer_samples;
+  return (1 + target.slowness * target.slowness_samples +
+          target.peer_slowness) /
+         weight;
+}
+
+Duration TargetBoard::Expected(const Target& target,
+                               std::uint32_t prompt_tokens) {
+  const double unread = static_cast<double>(target.unread_tokens) +
+                        target.peer_unread_tokens + prompt_tokens;
+  return FromMs(Slowness(target) *
+                (kFirstEventMs + unread / kPromptTokensPerMs));
+}
+
+bool TargetBoard::IsShunned(const Target& target, Time now) const {
+  if (now < target.shunned_until) {
+    return true;
+  }
+  if (target.unanswered == 0) {
+    return false;
+  }
+  const Duration limit = std::max(
+      kLeastSilence, FromMs(kSilentFactor * ToMs(Expected(target, 0))));
+  return now - target.unanswered_since > limit;
+}
+
+double TargetBoard::FailureShare(const Target& target, Time now) const {
+  const double age = ToSeconds(now - target.decayed_at);
+  const double fade = std::exp2(-age / ToSeconds(kAnswerHalfLife));
+  const double failures = target.failures * fade + target.peer_failures;
+  const double answers = target.answers * fade + target.peer_answers;
+  // Two good answers stand in until there are others.
+  return failures / (answers + 2);
+}
+
+bool TargetBoard::HasPlace(const Target& target) const {
+  return target.running + target.peer_running < target.spec.places;
+}
+
+bool TargetBoard::KeepsPauses(const Target& target, const PlacementNeed& need) {
+  if (need.max_pause <= Duration(0) ||
+      target.running + target.peer_running == 0) {
+    return true;
+  }
+  const double unread = static_cast<double>(target.unread_tokens) +
+                        target.peer_unread_tokens + need.prompt_tokens;
+  const double pause =
+      Slowness(target) *
+      (kStepsPerEvent * kStepMs +
+       std::min(unread, kChunkTokensPerEvent) / kPromptTokensPerMs);
+  return pause <= kPauseShare * ToMs(need.max_pause);
+}
+
+std::optional<Placement> TargetBoard::Pick(const PlacementNeed& need,
+                                           Time now) const {
+  std::optional<Placement> best;
+  double best_cost = 0;
+  for (const auto& [id, target] : targets_) {
+    if (target.spec.service != need.service || target.spec.is_leaving ||
+        !HasPlace(target) || IsShunned(target, now) ||
+        std::find(need.tried.begin(), need.tried.end(), id) !=
+            need.tried.end()) {
+      continue;
+    }
+    const Duration expected = Expected(target, need.prompt_tokens);
+    const int beside = target.running + target.peer_running;
+    double cost = ToMs(expected) + kNeighbourMs * Slowness(target) * beside;
+    cost *= 1 + kFailureCost * FailureShare(target, now);
+    if (target.spec.failure_domain != need.failure_domain) {
+      cost += kOtherDomainMs;
+    }
+    if (!KeepsPauses(target, need)) {
+      cost += ToMs(need.max_pause);
+    }
+    if (!best.has_value() || cost < best_cost) {
+      best = Placement{id, expected};
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+bool TargetBoard::TakesWork(const std::string& target) const {
+  const TargetSpec* spec = Find(target);
+  return spec != nullptr && !spec->is_leaving;
+}
+
+const TargetSpec* TargetBoard::Find(const std::string& target) const {
+  const auto it = targets_.find(target);
+  return it == targets_.end() ? nullptr : &it->second.spec;
+}
+
+void TargetBoard::OnSent(const std::string& target, std::uint32_t prompt_tokens,
+                         Time now) {
+  const auto it = targets_.find(target);
+  if (it == targets_.end()) {
+    return;
+  }
+  ++it->second.running;
+  it->second.unread_tokens += prompt_tokens;
+  if (it->second.unanswered++ == 0) {
+    it->second.unanswered_since = now;
+  }
+}
+
+void TargetBoard::OnFirstEvent(const std::string& target,
+                               std::uint32_t prompt_tokens, Duration after,
+                               Duration expected, Time now) {
+  const auto it = targets_.find(target);
+  if (it == targets_.end()) {
+    return;
+  }
+  Target& entry = it->second;
+  entry.unread_tokens -= std::min(entry.unread_tokens, prompt_tokens);
+  entry.unanswered = std::max(0, entry.unanswered - 1);
+  entry.unanswered_since = now;
+  const double usual = std::max(1.0, ToMs(expected) / Slowness(entry));
+  const double sample =
+      std::clamp(ToMs(after) / usual, kLeastSlowness, kMostSlowness);
+  const double gain =
+      std::max(kSlownessGain, 1.0 / (entry.slowness_samples + 1));
+  entry.slowness += gain * (sample - entry.slowness);
+  entry.slowness_samples = std::min(kMostSamples, entry.slowness_samples + 1);
+}
+
+void TargetBoard::OnEnded(const std::string& target,
+                          std::uint32_t prompt_tokens, bool had_first_event,
+                          TargetOutcome outcome, Time now) {
+  const auto it = targets_.find(target);
+  if (it == targets_.end()) {
+    return;
+  }
+  Target& entry = it->second;
+  entry.running = std::max(0, entry.running - 1);
+  if (!had_first_event) {
+    entry.unread_tokens -= std::min(entry.unread_tokens, prompt_tokens);
+    entry.unanswered = std::max(0, entry.unanswered - 1);
+  }
+  Decay(&entry, now);
+  switch (outcome) {
+    case TargetOutcome::kAnswered:
+      entry.answers += 1;
+      entry.failures_in_row = 0;
+      break;
+    case TargetOutcome::kFailed:
+      entry.answers += 1;
+      entry.failures += 1;
+      Shun(&entry, now);
+      break;
+    case TargetOutcome::kNotRun:
+      entry.shunned_until = std::max(entry.shunned_until, now + kFullRest);
+      break;
+    case TargetOutcome::kUnreached:
+      entry.answers += 1;
+      entry.failures += 1;
+      entry.shunned_until = std::max(entry.shunned_until, now + kUnreachedRest);
+      Shun(&entry, now);
+      break;
+    case TargetOutcome::kAbandoned:
+      break;
+  }
+}
+
+void TargetBoard::Shun(Target* target, Time now) {
+  ++target->failures_in_row;
+  if (target->failures_in_row < kFailuresToShun) {
+    return;
+  }
+  const int doublings = std::min(4, target->failures_in_row - kFailuresToShun);
+  const Duration rest = std::min(kLongestShun, kShunTime * (1 << doublings));
+  target->shunned_until = std::max(target->shunned_until, now + rest);
+}
+
+void TargetBoard::Decay(Target* target, Time now) {
+  const double age = ToSeconds(now - target->decayed_at);
+  const double fade = std::exp2(-age / ToSeconds(kAnswerHalfLife));
+  target->failures *= fade;
+  target->answers *= fade;
+  target->decayed_at = now;
+}
+
+int TargetBoard::FreePlaces(const std::string& service, Time now) const {
+  int free = 0;
+  for (const auto& [id, target] : targets_) {
+    if (target.spec.service == service && !target.spec.is_leaving &&
+        !IsShunned(target, now)) {
+      free += std::max(
+          0, target.spec.places - target.running - target.peer_running);
+    }
+  }
+  return free;
+}
+
+int TargetBoard::AllPlaces(const std::string& service) const {
+  int places = 0;
+  for (const auto& [id, target] : targets_) {
+    if (target.spec.service == service && !target.spec.is_leaving) {
+      places += target.spec.places;
+    }
+  }
+  return places;
+}
+
+int TargetBoard::Running(const std::string& service) const {
+  int running = 0;
+  for (const auto& [id, target] : targets_) {
+    if (target.spec.service == service) {
+      running += target.running + target.peer_running;
+    }
+  }
+  return running;
+}
+
+std::vector<TargetUse> TargetBoard::Uses(Time now) const {
+  std::vector<TargetUse> uses;
+  for (const auto& [id, target] : targets_) {
+    const double age = ToSeconds(now - target.decayed_at);
+    const double fade = std::exp2(-age / ToSeconds(kAnswerHalfLife));
+    TargetUse use;
+    use.target = target.hash;
+    use.running = static_cast<std::uint32_t>(target.running);
+    use.unread_tokens = target.unread_tokens;
+    use.slowness = static_cast<float>(target.slowness);
+    use.slowness_samples = static_cast<float>(target.slowness_samples);
+    use.failures = static_cast<float>(target.failures * fade);
+    use.answers = static_cast<float>(target.answers * fade);
+    if (use.running > 0 || use.slowness_samples > 0 || use.answers > 0.01F) {
+      uses.push_back(use);
+    }
+  }
+  return uses;
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/src/serving/target_board.h
@@ -0,0 +1,126 @@
+#ifndef HORNBEAMCLEAT_SRC_SERVING_TARGET_BOARD_H_
+#define HORNBEAMCLEAT_SRC_SERVING_TARGET_BOARD_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "hornbeamcleat/base/time.h"
+#include "hornbeamcleat/serving/peer_state.h"
+#include "hornbeamcleat/serving/serving_config.h"
+
+namespace hornbeamcleat {
+
+/// What placement needs to know of a request.
+struct PlacementNeed {
+  std::string service;
+  std::uint32_t prompt_tokens = 0;
+  Duration max_pause{0};           ///< between events, of the route; 0: none
+  std::string failure_domain;      ///< of this VM
+  std::vector<std::string> tried;  ///< targets that refused or failed it
+
+  bool operator==(const PlacementNeed&) const = default;
+};
+
+/// Target picked for a request.
+struct Placement {
+  std::string target;
+  Duration expected{0};  ///< from dispatch to the first event or the answer
+
+  bool operator==(const Placement&) const = default;
+};
+
+/// How a request left its target.
+enum class TargetOutcome {
+  kAnswered,   ///< whole answer
+  kFailed,     ///< failure status, broken or malformed answer
+  kNotRun,     ///< the target said that it did not run the request
+  kUnreached,  ///< no connection
+  kAbandoned,  ///< ended by this side; says nothing of the target
+};
+
+/// All targets with their work in flight, from this VM and from its peers, and
+/// what their answers show of their speed and health. Picks a target for a
+/// request.
+///
+/// Load pattern: engines of one service differ several times in speed and many
+/// VMs choose among them at the same moment. Work is counted as it is sent, by
+/// every VM, since reports of engines lag by more than a request lasts.
+class TargetBoard {
+ public:
+  /// Replaces the list of targets. Statistics of those that stay are kept.
+  void SetTargets(const std::vector<TargetSpec>& targets, Time now);
+
+  /// Takes the work that a peer has in flight; an empty list forgets the peer.
+  void SetPeerUses(const std::string& peer, const std::vector<TargetUse>& uses);
+
+  /// Target with the least expected time among those with a free place, or
+  /// nullopt. Pure.
+  std::optional<Placement> Pick(const PlacementNeed& need, Time now) const;
+
+  /// Whether the target is there, in the same incarnation, and not leaving.
+  bool TakesWork(const std::string& target) const;
+
+  /// Specification of a target that is listed, or nullptr.
+  const TargetSpec* Find(const std::string& target) const;
+
+  void OnSent(const std::string& target, std::uint32_t prompt_tokens, Time now);
+  /// The first event or the answer's head came `after` the dispatch.
+  void OnFirstEvent(const std::string& target, std::uint32_t prompt_tokens,
+                    Duration after, Duration expected, Time now);
+  void OnEnded(const std::string& target, std::uint32_t prompt_tokens,
+               bool had_first_event, TargetOutcome outcome, Time now);
+
+  /// Free places at targets of the service that take work now.
+  int FreePlaces(const std::string& service, Time now) const;
+  /// All places at targets of the service that are not leaving.
+  int AllPlaces(const std::string& service) const;
+  /// Requests at targets of the service, from all VMs.
+  int Running(const std::string& service) const;
+
+  /// This VM's work and findings, for its peers.
+  std::vector<TargetUse> Uses(Time now) const;
+
+ private:
+  struct Target {
+    TargetSpec spec;
+    std::uint64_t hash = 0;
+    int running = 0;
+    std::uint32_t unread_tokens = 0;
+    int unanswered = 0;
+    Time unanswered_since;
+    double slowness = 1;
+    double slowness_samples = 0;
+    double failures = 0;
+    double answers = 0;
+    Time decayed_at;
+    int failures_in_row = 0;
+    Time shunned_until;
+    int peer_running = 0;
+    std::uint32_t peer_unread_tokens = 0;
+    double peer_slowness = 0;  ///< sum, weighted by samples
+    double peer_samples = 0;
+    double peer_failures = 0;
+    double peer_answers = 0;
+  };
+
+  static double Slowness(const Target& target);
+  static Duration Expected(const Target& target, std::uint32_t prompt_tokens);
+  bool IsShunned(const Target& target, Time now) const;
+  double FailureShare(const Target& target, Time now) const;
+  bool HasPlace(const Target& target) const;
+  static bool KeepsPauses(const Target& target, const PlacementNeed& need);
+  void Shun(Target* target, Time now);
+  static void Decay(Target* target, Time now);
+  void SumPeers();
+
+  std::map<std::string, Target> targets_;  ///< by id
+  std::map<std::string, std::vector<TargetUse>> peer_uses_;
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_SERVING_TARGET_BOARD_H_
--- /dev/null
+++ b/src/serving/target_roster.h
@@ -0,0 +1,54 @@
+#ifndef HORNBEAMCLEAT_SRC_SERVING_TARGET_ROSTER_H_
+#define HORNBEAMCLEAT_SRC_SERVING_TARGET_ROSTER_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "hornbeamcleat/base/time.h"
+#include "hornbeamcleat/serving/serving_config.h"
+
+namespace hornbeamcleat {
+
+/// Announced targets. An entry that vanishes without a word means that the
+/// target has left, or that the store could not keep its entry alive.
+///
+/// Load pattern: after an outage of the store most entries of a service are
+/// gone at once and return within two seconds. Such targets stay usable for
+/// part of the time that a leaving target may still be given work; a single
+/// entry that vanishes is taken at its word.
+class TargetRoster {
+ public:
+  /// @param vanished_use how long a vanished target may be used when most
+  ///   targets of its service vanished with it
+  explicit TargetRoster(Duration vanished_use) : vanished_use_(vanished_use) {}
+
+  void SetVanishedUse(Duration use) { vanished_use_ = use; }
+
+  /// The target announced itself or changed.
+  void Put(const TargetSpec& target);
+  /// The target's entry was removed.
+  void Remove(const std::string& id, Time now);
+  /// The whole list was read anew; what it lacks was removed.
+  void Replace(const std::vector<TargetSpec>& targets, Time now);
+
+  /// Targets to use now. Expires what vanished long ago.
+  std::vector<TargetSpec> List(Time now);
+
+  /// When List changes by itself; Time::max() if it doesn't.
+  Time NextChange() const;
+
+ private:
+  struct Vanished {
+    TargetSpec spec;
+    Time at;
+  };
+
+  Duration vanished_use_;
+  std::map<std::string, TargetSpec> announced_;
+  std::map<std::string, Vanished> vanished_;
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_SERVING_TARGET_ROSTER_H_
--- /dev/null
+++ b/src/serving/vm_directory.h
@@ -0,0 +1,75 @@
+#ifndef HORNBEAMCLEAT_SRC_SERVING_VM_DIRECTORY_H_
+#define HORNBEAMCLEAT_SRC_SERVING_VM_DIRECTORY_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "hornbeamcleat/base/time.h"
+#include "hornbeamcleat/serving/peer_state.h"
+#include "hornbeamcleat/serving/serving_source.h"
+
+namespace hornbeamcleat {
+
+/// VMs that exist by the store's word, and what they last said themselves.
+/// Decides whom callers may use, who still counts as a peer, and who is gone.
+class VmDirectory {
+ public:
+  struct Options {
+    Duration peer_silence{0};    ///< without a word, a peer's work is forgotten
+    Duration caller_silence{0};  ///< ... callers are not sent there
+    Duration gone_silence{0};    ///< ... its announcement is removed
+  };
+
+  VmDirectory(VmRecord self, const Options& options)
+      : self_(std::move(self)), options_(options) {}
+
+  /// VMs by the store's word.
+  void SetMembers(const std::vector<VmRecord>& members, Time now);
+
+  /// Takes a peer's message; false if it is older than one taken before.
+  bool OnState(const PeerState& state, Time now);
+
+  /// Links of all other VMs, heard or not.
+  std::vector<std::string> Links() const;
+
+  /// Links of peers that have fallen silent since the last call.
+  std::vector<std::string> TakeSilent(Time now);
+
+  /// Members that are gone for good; only if most others are heard, so that a
+  /// VM that is cut off removes nobody.
+  std::vector<VmRecord> Gone(Time now) const;
+
+  /// Addresses for callers in a failure domain, this VM's included if it is
+  /// ready. Those of the domain itself come alone if there are enough.
+  std::vector<std::string> Fronts(const std::string& failure_domain,
+                                  bool self_is_ready, Time now) const;
+
+  /// VMs that may serve callers, this one included.
+  int Members() const;
+  /// Peers heard within the silence that is allowed.
+  int Heard(Time now) const;
+
+ private:
+  struct Peer {
+    VmRecord record;
+    bool is_member = false;
+    Time member_since;
+    std::optional<PeerState> state;
+    Time heard;
+    bool was_silent = true;
+  };
+
+  bool IsHeard(const Peer& peer, Duration silence, Time now) const {
+    return peer.state.has_value() && now - peer.heard < silence;
+  }
+
+  const VmRecord self_;
+  const Options options_;
+  std::map<std::string, Peer> peers_;  ///< by link
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_SERVING_VM_DIRECTORY_H_
--- /dev/null
+++ b/src/serving/wait_line.cc
@@ -0,0 +1,190 @@
+#include "src/serving/wait_line.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "hornbeamcleat/base/hash.h"
+
+namespace hornbeamcleat {
+namespace {
+
+/// Requests of one line that peers are told of; more make no difference, as
+/// places free up one by one.
+constexpr std::size_t kToldRequests = 12;
+/// Part of its objective that a request may wait, if it is going to be served.
+constexpr double kWaitShare = 0.7;
+/// Part of its objective within which a refusal costs its caller nothing.
+constexpr double kPromptRefusalShare = 0.125;
+/// Weight of a new sample of the time that a place is held.
+constexpr double kHeldGain = 0.05;
+/// Time that a place is held until the first sample.
+constexpr double kHeldStartMs = 500;
+/// Bounds of the advice on when to come back.
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(50);
+constexpr Duration kMostRetryAfter = std::chrono::seconds(5);
+
+WaitingRank RankOf(const WaitingRequest& request, Time now) {
+  WaitingRank rank;
+  rank.rank = request.rank;
+  rank.left_ms = static_cast<std::int32_t>((request.on_time_until - now) /
+                                           std::chrono::milliseconds(1));
+  rank.waited_ms = static_cast<std::uint32_t>((now - request.arrival) /
+                                              std::chrono::milliseconds(1));
+  return rank;
+}
+
+// Those that missed their objective go after those that can still meet it.
+std::tuple<int, bool, int> Order(const WaitingRank& rank) {
+  return {rank.rank, rank.left_ms < 0, rank.left_ms};
+}
+
+Time WaitLimit(const WaitingRequest& request) {
+  const Duration objective = request.on_time_until - request.arrival;
+  const Duration allowed(static_cast<std::int64_t>(
+      static_cast<double>(objective.count()) * kWaitShare));
+  return std::min(request.arrival + allowed, request.give_up_at);
+}
+
+bool MayRefusePromptly(const WaitingRequest& request, Time now) {
+  const Duration objective = request.on_time_until - request.arrival;
+  return static_cast<double>((now - request.arrival).count()) <=
+         kPromptRefusalShare * static_cast<double>(objective.count());
+}
+
+}  // namespace
+
+void WaitLine::Add(const WaitingRequest& request) {
+  lines_[request.need.service].requests.push_back(request);
+}
+
+void WaitLine::Remove(std::uint64_t id) {
+  for (auto& [service, line] : lines_) {
+    std::erase_if(line.requests, [id](const WaitingRequest& request) {
+      return request.id == id;
+    });
+  }
+}
+
+void WaitLine::SetPeerQueues(const std::string& peer,
+                             const std::vector<ServiceQueue>& queues,
+                             Time now) {
+  if (queues.empty()) {
+    peers_.erase(peer);
+  } else {
+    peers_[peer] = PeerQueues{queues, now};
+  }
+}
+
+void WaitLine::OnPlaceFreed(const std::string& service, Duration held) {
+  Line& line = lines_[service];
+  const double ms = static_cast<double>(held.count()) / 1'000.0;
+  line.held_ms =
+      line.held_ms == 0 ? ms : line.held_ms + kHeldGain * (ms - line.held_ms);
+}
+
+Duration WaitLine::TimePerPlace(const std::string& service,
+                                const Line& line) const {
+  const double held = line.held_ms == 0 ? kHeldStartMs : line.held_ms;
+  const int places = std::max(1, board_->AllPlaces(service));
+  return Duration(static_cast<std::int64_t>(held * 1'000.0 / places));
+}
+
+int WaitLine::AheadAtPeers(std::uint64_t service,
+                           const WaitingRank& rank) const {
+  int ahead = 0;
+  for (const auto& [peer, state] : peers_) {
+    for (const ServiceQueue& queue : state.queues) {
+      if (queue.service == service) {
+        ahead += static_cast<int>(
+            std::count_if(queue.first.begin(), queue.first.end(),
+                          [&](const WaitingRank& other) {
+                            return Order(other) < Order(rank);
+                          }));
+      }
+    }
+  }
+  return ahead;
+}
+
+std::vector<WaitDecision> WaitLine::Decide(Time now) {
+  std::vector<WaitDecision> decisions;
+  for (auto& [service, line] : lines_) {
+    if (!line.requests.empty()) {
+      DecideLine(service, &line, now, &decisions);
+    }
+  }
+  return decisions;
+}
+
+void WaitLine::DecideLine(const std::string& service, Line* line, Time now,
+                          std::vector<WaitDecision>* decisions) {
+  std::stable_sort(line->requests.begin(), line->requests.end(),
+                   [now](const WaitingRequest& a, const WaitingRequest& b) {
+                     return Order(RankOf(a, now)) < Order(RankOf(b, now));
+                   });
+  const std::uint64_t hash = Hash64(service);
+  const Duration per_place = TimePerPlace(service, *line);
+  std::vector<WaitingRequest> kept;
+  int position = 0;
+  for (const WaitingRequest& request : line->requests) {
+    WaitDecision decision;
+    decision.id = request.id;
+    decision.waited = now - request.arrival;
+    decision.free_places = board_->FreePlaces(service, now);
+    decision.ahead = position + AheadAtPeers(hash, RankOf(request, now));
+    std::optional<Placement> placement;
+    if (decision.ahead < decision.free_places) {
+      placement = board_->Pick(request.need, now);
+    }
+    if (placement.has_value()) {
+      decision.placement = *placement;
+      board_->OnSent(placement->target, request.need.prompt_tokens, now);
+      decisions->push_back(decision);
+      continue;
+    }
+    ++position;
+    const int behind = std::max(0, decision.ahead - decision.free_places) + 1;
+    const Duration wait = per_place * behind;
+    const Time limit = WaitLimit(request);
+    // A wait that turns out too long is cut short; one that is too long from
+    // the start is refused before it costs the caller any time.
+    if (now >= limit ||
+        (now + wait > limit && MayRefusePromptly(request, now))) {
+      decision.kind = WaitDecision::Kind::kRefuse;
+      decision.retry_after =
+          std::clamp(wait, kLeastRetryAfter, kMostRetryAfter);
+      decisions->push_back(decision);
+      --position;
+      continue;
+    }
+    kept.push_back(request);
+  }
+  line->requests = std::move(kept);
+}
+
+int WaitLine::Waiting(const std::string& service) const {
+  const auto it = lines_.find(service);
+  return it == lines_.end() ? 0 : static_cast<int>(it->second.requests.size());
+}
+
+std::vector<ServiceQueue> WaitLine::Queues(Time now) const {
+  std::vector<ServiceQueue> queues;
+  for (const auto& [service, line] : lines_) {
+    if (line.requests.empty()) {
+      continue;
+    }
+    ServiceQueue queue;
+    queue.service = Hash64(service);
+    queue.waiting = static_cast<std::uint32_t>(line.requests.size());
+    for (const WaitingRequest& request : line.requests) {
+      if (queue.first.size() == kToldRequests) {
+        break;
+      }
+      queue.first.push_back(RankOf(request, now));
+    }
+    queues.push_back(queue);
+  }
+  return queues;
+}
+
+}  // namespace hornbeamcleat
