--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -23,6 +23,7 @@
 /// Place of a waiting request in the order of its service; less goes first.
 struct WaitingRank {
   std::int32_t rank = 0;
+  std::int32_t route_rank = 0;  ///< among equals by `rank`
   std::uint32_t waited_ms = 0;  ///< of the wait allowed, when it was sent
   std::int32_t left_ms = 0;     ///< until the objective is missed
 
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -171,6 +171,7 @@
     WaitingRequest waiting;
     waiting.id = number_;
     waiting.rank = admission_.rank;
+    waiting.route_rank = admission_.route->rank;
     waiting.arrival = since;
     waiting.on_time_until = on_time_until;
     waiting.give_up_at = give_up_at_;
--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -25,7 +25,7 @@
 
 template <typename Archive>
 void serialize(Archive& ar, WaitingRank& rank) {
-  ar(rank.rank, rank.waited_ms, rank.left_ms);
+  ar(rank.rank, rank.route_rank, rank.waited_ms, rank.left_ms);
 }
 
 template <typename Archive>
--- a/src/serving/wait_line.cc
+++ b/src/serving/wait_line.cc
@@ -26,6 +26,7 @@
 WaitingRank RankOf(const WaitingRequest& request, Time now) {
   WaitingRank rank;
   rank.rank = request.rank;
+  rank.route_rank = request.route_rank;
   rank.left_ms = static_cast<std::int32_t>((request.on_time_until - now) /
                                            std::chrono::milliseconds(1));
   rank.waited_ms = static_cast<std::uint32_t>((now - request.arrival) /
@@ -34,8 +35,8 @@
 }
 
 // Those that missed their objective go after those that can still meet it.
-std::tuple<int, bool, int> Order(const WaitingRank& rank) {
-  return {rank.rank, rank.left_ms < 0, rank.left_ms};
+std::tuple<int, int, bool, int> Order(const WaitingRank& rank) {
+  return {rank.rank, rank.route_rank, rank.left_ms < 0, rank.left_ms};
 }
 
 Time WaitLimit(const WaitingRequest& request) {
--- a/src/serving/wait_line.h
+++ b/src/serving/wait_line.h
@@ -16,7 +16,8 @@
 /// Request that wants a place at a target.
 struct WaitingRequest {
   std::uint64_t id = 0;  ///< unique in this process
-  int rank = 0;          ///< 0 goes first
+  int rank = 0;          ///< of its workspace; 0 goes first
+  int route_rank = 0;    ///< among equals by `rank`
   Time arrival;
   Time on_time_until;  ///< objective
   Time give_up_at;     ///< the caller's deadline or the route's timeout
