Send peers short messages, on change only

Change: work and queues in short form when they change; names, findings and losses with the heartbeat.

--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -2,6 +2,7 @@
 #define HORNBEAMCLEAT_SERVING_PEER_STATE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -9,31 +10,37 @@
 
 /// Work of one VM at one target.
 struct TargetUse {
-  std::uint64_t target = 0;         ///< hash of the target's id
+  std::uint32_t target = 0;         ///< hash of the target's id
   std::uint32_t running = 0;        ///< requests sent and not ended
   std::uint32_t unread_tokens = 0;  ///< of prompts without a first event
-  float slowness = 1;  ///< time for work, relative to the service's usual
+
+  bool operator==(const TargetUse&) const = default;
+};
+
+/// What one VM has learned of one target.
+struct TargetFinding {
+  std::uint32_t target = 0;  ///< hash of the target's id
+  float slowness = 1;        ///< time for work, relative to the service's usual
   float slowness_samples = 0;  ///< weight of `slowness`
   float failures = 0;          ///< recent, decaying
   float answers = 0;           ///< recent, decaying; failures included
 
-  bool operator==(const TargetUse&) const = default;
+  bool operator==(const TargetFinding&) const = default;
 };
 
 /// Place of a waiting request in the order of its service; less goes first.
 struct WaitingRank {
   std::int32_t rank = 0;
   std::int32_t route_rank = 0;  ///< among equals by `rank`
-  std::uint32_t waited_ms = 0;  ///< of the wait allowed, when it was sent
-  std::int32_t left_ms = 0;     ///< until the objective is missed
+
+  std::int32_t left_ms = 0;  ///< until the objective is missed
 
   bool operator==(const WaitingRank&) const = default;
 };
 
 /// First requests that wait at one VM for one service.
 struct ServiceQueue {
-  std::uint64_t service = 0;  ///< hash of the service's name
-  std::uint32_t waiting = 0;
+  std::uint32_t service = 0;  ///< hash of the service's name
   std::vector<WaitingRank> first;
 
   bool operator==(const ServiceQueue&) const = default;
@@ -41,7 +48,7 @@
 
 /// Quota that one VM has given out since it started.
 struct WorkspaceUse {
-  std::uint64_t workspace = 0;  ///< hash of the name
+  std::uint32_t workspace = 0;  ///< hash of the name
   double admitted = 0;          ///< requests or tokens, as the quota counts
 
   bool operator==(const WorkspaceUse&) const = default;
@@ -55,19 +62,27 @@
   bool operator==(const ContentLoss&) const = default;
 };
 
-/// All that a VM tells its peers; each message replaces the one before.
+/// What changes slowly; sent with every heartbeat only.
+struct PeerDetails {
+  std::string front;  ///< address for callers, IP:PORT
+  std::string failure_domain;
+  std::vector<TargetFinding> findings;
+  std::vector<ContentLoss> losses;
+
+  bool operator==(const PeerDetails&) const = default;
+};
+
+/// Message of a VM to its peers. Work and queues are whole and replace those of
+/// the message before.
 struct PeerState {
   std::uint64_t incarnation = 0;  ///< of the daemon; random
-  std::uint64_t sequence = 0;     ///< rises with each message
-  std::string front;              ///< address for callers, IP:PORT
-  std::string failure_domain;
-  std::string link;  ///< address for peers, IP:PORT
+  std::uint32_t sequence = 0;     ///< rises with each message
+  std::string link;               ///< address for peers, IP:PORT
   bool is_ready = false;
   std::vector<TargetUse> uses;
   std::vector<ServiceQueue> queues;
-  std::vector<WorkspaceUse> quotas;
-  std::vector<ContentLoss> losses;
-  std::vector<std::string> peers;  ///< links of the VMs that it hears
+  std::vector<WorkspaceUse> quotas;  ///< totals that changed, at the least
+  std::optional<PeerDetails> details;
 
   bool operator==(const PeerState&) const = default;
 };
--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -5,8 +5,10 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <limits>
 #include <utility>
 
 #include "hornbeamcleat/base/error.h"
@@ -17,20 +19,64 @@
 
 namespace hornbeamcleat {
 
+namespace {
+
+/// Unit in which prompt tokens are told; finer steps decide nothing.
+constexpr std::uint32_t kTokenUnit = 32;
+/// Unit of the time left, in milliseconds.
+constexpr std::int32_t kTimeUnitMs = 4;
+
+// Numbers saturate at what their short form on the wire holds.
+template <typename Short, typename Long>
+Short Shorten(Long value) {
+  return static_cast<Short>(std::clamp<Long>(
+      value, static_cast<Long>(std::numeric_limits<Short>::min()),
+      static_cast<Long>(std::numeric_limits<Short>::max())));
+}
+
+}  // namespace
+
+template <typename Archive>
+void save(Archive& ar, const TargetUse& use) {
+  ar(use.target, Shorten<std::uint8_t>(use.running),
+     Shorten<std::uint16_t>(use.unread_tokens / kTokenUnit));
+}
+
 template <typename Archive>
-void serialize(Archive& ar, TargetUse& use) {
-  ar(use.target, use.running, use.unread_tokens, use.slowness,
-     use.slowness_samples, use.failures, use.answers);
+void load(Archive& ar, TargetUse& use) {
+  std::uint8_t running = 0;
+  std::uint16_t tokens = 0;
+  ar(use.target, running, tokens);
+  use.running = running;
+  use.unread_tokens = tokens * kTokenUnit;
 }
 
 template <typename Archive>
-void serialize(Archive& ar, WaitingRank& rank) {
-  ar(rank.rank, rank.route_rank, rank.waited_ms, rank.left_ms);
+void serialize(Archive& ar, TargetFinding& finding) {
+  ar(finding.target, finding.slowness, finding.slowness_samples,
+     finding.failures, finding.answers);
+}
+
+template <typename Archive>
+void save(Archive& ar, const WaitingRank& rank) {
+  ar(Shorten<std::int8_t>(rank.rank), Shorten<std::int8_t>(rank.route_rank),
+     Shorten<std::int16_t>(rank.left_ms / kTimeUnitMs));
+}
+
+template <typename Archive>
+void load(Archive& ar, WaitingRank& rank) {
+  std::int8_t workspace_rank = 0;
+  std::int8_t route_rank = 0;
+  std::int16_t left = 0;
+  ar(workspace_rank, route_rank, left);
+  rank.rank = workspace_rank;
+  rank.route_rank = route_rank;
+  rank.left_ms = left * kTimeUnitMs;
 }
 
 template <typename Archive>
 void serialize(Archive& ar, ServiceQueue& queue) {
-  ar(queue.service, queue.waiting, queue.first);
+  ar(queue.service, queue.first);
 }
 
 template <typename Archive>
@@ -43,11 +89,15 @@
   ar(loss.fingerprint, loss.losses);
 }
 
+template <typename Archive>
+void serialize(Archive& ar, PeerDetails& details) {
+  ar(details.front, details.failure_domain, details.findings, details.losses);
+}
+
 template <typename Archive>
 void serialize(Archive& ar, PeerState& state) {
-  ar(state.incarnation, state.sequence, state.front, state.failure_domain,
-     state.link, state.is_ready, state.uses, state.queues, state.quotas,
-     state.losses, state.peers);
+  ar(state.incarnation, state.sequence, state.link, state.is_ready, state.uses,
+     state.queues, state.quotas, state.details);
 }
 
 namespace {
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -29,7 +29,7 @@
 /// VM there is, so that the sum of messages to one VM stays bounded.
 constexpr Duration kLeastGapPerVm = std::chrono::microseconds(300);
 /// A peer hears from this VM this often without any change.
-constexpr Duration kHeartbeat = std::chrono::milliseconds(200);
+constexpr Duration kHeartbeat = std::chrono::milliseconds(250);
 /// Several heartbeats and a lost datagram.
 constexpr Duration kPeerSilence = std::chrono::milliseconds(900);
 constexpr Duration kCallerSilence = std::chrono::milliseconds(1'300);
@@ -97,7 +97,7 @@
     incarnation_ = (std::uint64_t{random()} << 32) | random();
     const Time now = clock_->Now();
     heartbeat_ = loop_->Timers()->Every(now + kHeartbeat, kHeartbeat,
-                                        [this](Time) { Tell(); });
+                                        [this](Time) { Tell(true); });
     housekeeping_ = loop_->Timers()->Every(now + kHousekeeping, kHousekeeping,
                                            [this](Time) { Housekeep(); });
   }
@@ -127,7 +127,7 @@
     directory_.SetMembers(members, clock_->Now());
     desk_.Quotas()->SetMembers(directory_.Members());
     Log().Info("event=members count={}", directory_.Members());
-    Tell();
+    Tell(true);
   }
 
   void SetOptions(const RelayOptions& options) override {
@@ -146,7 +146,7 @@
     drain_since_ = clock_->Now();
     Log().Info("event=drain in_flight={}", front_.Busy());
     CheckReady();
-    Tell();
+    Tell(true);
   }
 
   bool Drained() const override {
@@ -233,35 +233,49 @@
 
   // Tells the peers of a change, unless they were told a moment ago.
   void TellSoon() {
+    if (told_changes_ == board_.Changes() + line_.Changes()) {
+      return;
+    }
     const Time now = clock_->Now();
     const Time due = told_at_ + kLeastGapPerVm * directory_.Members();
     if (now >= due) {
-      Tell();
+      Tell(false);
     } else if (tell_timer_ == nullptr) {
-      tell_timer_ = loop_->Timers()->At(due, [this](Time) { Tell(); });
+      tell_timer_ = loop_->Timers()->At(due, [this](Time) { Tell(false); });
     }
   }
 
-  void Tell() {
+  void Tell(bool with_details) {
     const Time now = clock_->Now();
     tell_timer_.reset();
     told_at_ = now;
+    told_changes_ = board_.Changes() + line_.Changes();
     PeerState state;
     state.incarnation = incarnation_;
     state.sequence = ++sequence_;
-    state.front = self_.front;
-    state.failure_domain = self_.failure_domain;
     state.link = self_.link;
     state.is_ready = IsReady();
-    state.uses = board_.Uses(now);
+    state.uses = board_.Uses();
     state.queues = line_.Queues(now);
-    state.quotas = desk_.Quotas()->Uses();
-    for (const auto& [fingerprint, losses] : desk_.Poison()->Own(now)) {
-      state.losses.push_back({fingerprint, static_cast<std::uint32_t>(losses)});
+    state.quotas = desk_.Quotas()->TakeUses(with_details);
+    if (with_details) {
+      state.details = Details(now);
     }
     link_->Send(state, directory_.Links());
   }
 
+  PeerDetails Details(Time now) const {
+    PeerDetails details;
+    details.front = self_.front;
+    details.failure_domain = self_.failure_domain;
+    details.findings = board_.Findings(now);
+    for (const auto& [fingerprint, losses] : desk_.OwnLosses(now)) {
+      details.losses.push_back(
+          {fingerprint, static_cast<std::uint32_t>(losses)});
+    }
+    return details;
+  }
+
   void OnPeerState(const PeerState& state) {
     const Time now = clock_->Now();
     if (!directory_.OnState(state, now)) {
@@ -271,8 +285,11 @@
     line_.SetPeerQueues(state.link, state.queues, now);
     desk_.Quotas()->SetMembers(directory_.Members());
     desk_.Quotas()->SetPeerUse(state.link, state.incarnation, state.quotas);
-    peer_losses_[state.link] = state.losses;
-    TakePeerLosses();
+    if (state.details.has_value()) {
+      board_.SetPeerFindings(state.link, state.details->findings);
+      peer_losses_[state.link] = state.details->losses;
+      TakePeerLosses();
+    }
     if (!waiting_.empty()) {
       RequestDecisions();
     }
@@ -303,7 +320,7 @@
                  is_ready ? "ready" : "not_ready",
                  age.has_value() ? *age / std::chrono::milliseconds(1) : -1,
                  drain_since_.has_value());
-      Tell();
+      Tell(true);
     }
   }
 
@@ -314,7 +331,7 @@
     desk_.Poison()->Expire(now);
     for (const std::string& link : directory_.TakeSilent(now)) {
       Log().Warning("event=peer_lost link={}", link);
-      board_.SetPeerUses(link, {});
+      board_.ForgetPeer(link);
       line_.SetPeerQueues(link, {}, now);
       desk_.Quotas()->ForgetPeer(link);
       peer_losses_.erase(link);
@@ -434,7 +451,8 @@
   std::map<std::uint64_t, Exchange*> waiting_;
   std::uint64_t next_number_ = 0;
   std::uint64_t incarnation_ = 0;
-  std::uint64_t sequence_ = 0;
+  std::uint32_t sequence_ = 0;
+  std::uint64_t told_changes_ = 0;
   Time told_at_;
   Time removed_at_;
   bool decisions_requested_ = false;
--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -2,6 +2,7 @@
 #define HORNBEAMCLEAT_SRC_SERVING_ADMISSION_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -98,6 +99,10 @@
   const RouteTable* Table() const { return table_.get(); }
   QuotaLedger* Quotas() { return &quotas_; }
   PoisonTable* Poison() { return &poison_; }
+  /// Targets lost to contents at this VM, by the content's fingerprint.
+  std::map<std::uint64_t, int> OwnLosses(Time now) const {
+    return poison_.Own(now);
+  }
 
  private:
   Options options_;
--- a/src/serving/quota_ledger.cc
+++ b/src/serving/quota_ledger.cc
@@ -34,7 +34,7 @@
   const auto [it, is_new] = buckets_.try_emplace(workspace.name);
   Bucket& bucket = it->second;
   if (is_new) {
-    by_hash_[Hash64(workspace.name)] = &bucket;
+    by_hash_[Hash32(workspace.name)] = &bucket;
     bucket.level = workspace.burst * kStartShare;
     bucket.updated = now;
   }
@@ -79,10 +79,13 @@
   }
 }
 
-std::vector<WorkspaceUse> QuotaLedger::Uses() const {
+std::vector<WorkspaceUse> QuotaLedger::TakeUses(bool all) {
   std::vector<WorkspaceUse> uses;
-  for (const auto& [name, bucket] : buckets_) {
-    uses.push_back({Hash64(name), bucket.admitted});
+  for (auto& [name, bucket] : buckets_) {
+    if (all || bucket.admitted != bucket.told) {
+      bucket.told = bucket.admitted;
+      uses.push_back({Hash32(name), bucket.admitted});
+    }
   }
   return uses;
 }
--- a/src/serving/quota_ledger.h
+++ b/src/serving/quota_ledger.h
@@ -51,19 +51,20 @@
   /// Returns what a request was charged that never reached a target.
   void Refund(const std::string& workspace, double cost);
 
-  /// Totals of this VM, for its peers.
-  std::vector<WorkspaceUse> Uses() const;
+  /// Totals of this VM that changed since they were told, or all.
+  std::vector<WorkspaceUse> TakeUses(bool all);
 
  private:
   struct Bucket {
     double level = 0;
     double admitted = 0;
+    double told = 0;
     double burst = 0;
     Time updated;
   };
   struct PeerUse {
     std::uint64_t incarnation = 0;
-    std::map<std::uint64_t, double> admitted;
+    std::map<std::uint32_t, double> admitted;
   };
 
   int Unheard() const;
@@ -71,7 +72,7 @@
 
   int members_ = 1;
   std::map<std::string, Bucket> buckets_;
-  std::map<std::uint64_t, Bucket*> by_hash_;
+  std::map<std::uint32_t, Bucket*> by_hash_;
   std::map<std::string, PeerUse> peers_;
 };
 
--- a/src/serving/target_board.cc
+++ b/src/serving/target_board.cc
@@ -71,7 +71,7 @@
       target.decayed_at = now;
     }
     target.spec = spec;
-    target.hash = Hash64(spec.id);
+    target.hash = Hash32(spec.id);
     next.emplace(spec.id, std::move(target));
   }
   targets_ = std::move(next);
@@ -80,16 +80,24 @@
 
 void TargetBoard::SetPeerUses(const std::string& peer,
                               const std::vector<TargetUse>& uses) {
-  if (uses.empty()) {
-    peer_uses_.erase(peer);
-  } else {
-    peer_uses_[peer] = uses;
-  }
+  peer_uses_[peer] = uses;
+  SumPeers();
+}
+
+void TargetBoard::SetPeerFindings(const std::string& peer,
+                                  const std::vector<TargetFinding>& findings) {
+  peer_findings_[peer] = findings;
+  SumPeers();
+}
+
+void TargetBoard::ForgetPeer(const std::string& peer) {
+  peer_uses_.erase(peer);
+  peer_findings_.erase(peer);
   SumPeers();
 }
 
 void TargetBoard::SumPeers() {
-  std::unordered_map<std::uint64_t, Target*> by_hash;
+  std::unordered_map<std::uint32_t, Target*> by_hash;
   for (auto& [id, target] : targets_) {
     target.peer_running = 0;
     target.peer_unread_tokens = 0;
@@ -102,17 +110,24 @@
   for (const auto& [peer, uses] : peer_uses_) {
     for (const TargetUse& use : uses) {
       const auto it = by_hash.find(use.target);
+      if (it != by_hash.end()) {
+        it->second->peer_running += static_cast<int>(use.running);
+        it->second->peer_unread_tokens += use.unread_tokens;
+      }
+    }
+  }
+  for (const auto& [peer, findings] : peer_findings_) {
+    for (const TargetFinding& finding : findings) {
+      const auto it = by_hash.find(finding.target);
       if (it == by_hash.end()) {
         continue;
       }
       Target& target = *it->second;
-      target.peer_running += static_cast<int>(use.running);
-      target.peer_unread_tokens += use.unread_tokens;
       target.peer_slowness +=
-          static_cast<double>(use.slowness) * use.slowness_samples;
-      target.peer_samples += use.slowness_samples;
-      target.peer_failures += use.failures;
-      target.peer_answers += use.answers;
+          static_cast<double>(finding.slowness) * finding.slowness_samples;
+      target.peer_samples += finding.slowness_samples;
+      target.peer_failures += finding.failures;
+      target.peer_answers += finding.answers;
     }
   }
 }
@@ -217,6 +232,7 @@
   if (it == targets_.end()) {
     return;
   }
+  ++changes_;
   ++it->second.running;
   it->second.unread_tokens += prompt_tokens;
   if (it->second.unanswered++ == 0) {
@@ -231,6 +247,7 @@
   if (it == targets_.end()) {
     return;
   }
+  ++changes_;
   Target& entry = it->second;
   entry.unread_tokens -= std::min(entry.unread_tokens, prompt_tokens);
   entry.unanswered = std::max(0, entry.unanswered - 1);
@@ -251,6 +268,7 @@
   if (it == targets_.end()) {
     return;
   }
+  ++changes_;
   Target& entry = it->second;
   entry.running = std::max(0, entry.running - 1);
   if (!had_first_event) {
@@ -332,24 +350,35 @@
   return running;
 }
 
-std::vector<TargetUse> TargetBoard::Uses(Time now) const {
+std::vector<TargetUse> TargetBoard::Uses() const {
   std::vector<TargetUse> uses;
+  for (const auto& [id, target] : targets_) {
+    if (target.running > 0) {
+      uses.push_back({target.hash, static_cast<std::uint32_t>(target.running),
+                      target.unread_tokens});
+    }
+  }
+  return uses;
+}
+
+std::vector<TargetFinding> TargetBoard::Findings(Time now) const {
+  // Findings below this weight say nothing.
+  constexpr float kLeastWeight = 0.01F;
+  std::vector<TargetFinding> findings;
   for (const auto& [id, target] : targets_) {
     const double age = ToSeconds(now - target.decayed_at);
     const double fade = std::exp2(-age / ToSeconds(kAnswerHalfLife));
-    TargetUse use;
-    use.target = target.hash;
-    use.running = static_cast<std::uint32_t>(target.running);
-    use.unread_tokens = target.unread_tokens;
-    use.slowness = static_cast<float>(target.slowness);
-    use.slowness_samples = static_cast<float>(target.slowness_samples);
-    use.failures = static_cast<float>(target.failures * fade);
-    use.answers = static_cast<float>(target.answers * fade);
-    if (use.running > 0 || use.slowness_samples > 0 || use.answers > 0.01F) {
-      uses.push_back(use);
+    TargetFinding finding;
+    finding.target = target.hash;
+    finding.slowness = static_cast<float>(target.slowness);
+    finding.slowness_samples = static_cast<float>(target.slowness_samples);
+    finding.failures = static_cast<float>(target.failures * fade);
+    finding.answers = static_cast<float>(target.answers * fade);
+    if (finding.slowness_samples > 0 || finding.answers > kLeastWeight) {
+      findings.push_back(finding);
     }
   }
-  return uses;
+  return findings;
 }
 
 }  // namespace hornbeamcleat
--- a/src/serving/target_board.h
+++ b/src/serving/target_board.h
@@ -54,8 +54,12 @@
   /// Replaces the list of targets. Statistics of those that stay are kept.
   void SetTargets(const std::vector<TargetSpec>& targets, Time now);
 
-  /// Takes the work that a peer has in flight; an empty list forgets the peer.
+  /// Takes the work that a peer has in flight.
   void SetPeerUses(const std::string& peer, const std::vector<TargetUse>& uses);
+  /// Takes what a peer has learned.
+  void SetPeerFindings(const std::string& peer,
+                       const std::vector<TargetFinding>& findings);
+  void ForgetPeer(const std::string& peer);
 
   /// Target with the least expected time among those with a free place, or
   /// nullopt. Pure.
@@ -81,13 +85,17 @@
   /// Requests at targets of the service, from all VMs.
   int Running(const std::string& service) const;
 
-  /// This VM's work and findings, for its peers.
-  std::vector<TargetUse> Uses(Time now) const;
+  /// This VM's work, for its peers.
+  std::vector<TargetUse> Uses() const;
+  /// What this VM has learned, for its peers.
+  std::vector<TargetFinding> Findings(Time now) const;
+  /// Changes so far to this VM's work.
+  std::uint64_t Changes() const { return changes_; }
 
  private:
   struct Target {
     TargetSpec spec;
-    std::uint64_t hash = 0;
+    std::uint32_t hash = 0;
     int running = 0;
     std::uint32_t unread_tokens = 0;
     int unanswered = 0;
@@ -119,6 +127,8 @@
 
   std::map<std::string, Target> targets_;  ///< by id
   std::map<std::string, std::vector<TargetUse>> peer_uses_;
+  std::map<std::string, std::vector<TargetFinding>> peer_findings_;
+  std::uint64_t changes_ = 0;
 };
 
 }  // namespace hornbeamcleat
--- a/src/serving/vm_directory.cc
+++ b/src/serving/vm_directory.cc
@@ -46,7 +46,10 @@
       state.sequence <= peer.state->sequence) {
     return false;
   }
-  peer.record = {state.link, state.front, state.failure_domain};
+  if (state.details.has_value()) {
+    peer.record = {state.link, state.details->front,
+                   state.details->failure_domain};
+  }
   peer.state = state;
   peer.heard = now;
   peer.was_silent = false;
@@ -98,7 +101,8 @@
         .push_back(self_.front);
   }
   for (const auto& [link, peer] : peers_) {
-    if (IsHeard(peer, options_.caller_silence, now) && peer.state->is_ready) {
+    if (IsHeard(peer, options_.caller_silence, now) && peer.state->is_ready &&
+        !peer.record.front.empty()) {
       (peer.record.failure_domain == failure_domain ? near : far)
           .push_back(peer.record.front);
     }
--- a/src/serving/wait_line.cc
+++ b/src/serving/wait_line.cc
@@ -29,8 +29,6 @@
   rank.route_rank = request.route_rank;
   rank.left_ms = static_cast<std::int32_t>((request.on_time_until - now) /
                                            std::chrono::milliseconds(1));
-  rank.waited_ms = static_cast<std::uint32_t>((now - request.arrival) /
-                                              std::chrono::milliseconds(1));
   return rank;
 }
 
@@ -56,13 +54,14 @@
 
 void WaitLine::Add(const WaitingRequest& request) {
   lines_[request.need.service].requests.push_back(request);
+  ++changes_;
 }
 
 void WaitLine::Remove(std::uint64_t id) {
   for (auto& [service, line] : lines_) {
-    std::erase_if(line.requests, [id](const WaitingRequest& request) {
-      return request.id == id;
-    });
+    changes_ += std::erase_if(
+        line.requests,
+        [id](const WaitingRequest& request) { return request.id == id; });
   }
 }
 
@@ -90,7 +89,7 @@
   return Duration(static_cast<std::int64_t>(held * 1'000.0 / places));
 }
 
-int WaitLine::AheadAtPeers(std::uint64_t service,
+int WaitLine::AheadAtPeers(std::uint32_t service,
                            const WaitingRank& rank) const {
   int ahead = 0;
   for (const auto& [peer, state] : peers_) {
@@ -123,7 +122,7 @@
                    [now](const WaitingRequest& a, const WaitingRequest& b) {
                      return Order(RankOf(a, now)) < Order(RankOf(b, now));
                    });
-  const std::uint64_t hash = Hash64(service);
+  const std::uint32_t hash = Hash32(service);
   const Duration per_place = TimePerPlace(service, *line);
   std::vector<WaitingRequest> kept;
   int position = 0;
@@ -160,6 +159,7 @@
     }
     kept.push_back(request);
   }
+  changes_ += line->requests.size() - kept.size();
   line->requests = std::move(kept);
 }
 
@@ -175,8 +175,7 @@
       continue;
     }
     ServiceQueue queue;
-    queue.service = Hash64(service);
-    queue.waiting = static_cast<std::uint32_t>(line.requests.size());
+    queue.service = Hash32(service);
     for (const WaitingRequest& request : line.requests) {
       if (queue.first.size() == kToldRequests) {
         break;
--- a/src/serving/wait_line.h
+++ b/src/serving/wait_line.h
@@ -71,6 +71,9 @@
   /// Requests that wait at this VM for the service.
   int Waiting(const std::string& service) const;
 
+  /// Changes so far to what the peers are told.
+  std::uint64_t Changes() const { return changes_; }
+
   /// First requests of each line, for the peers.
   std::vector<ServiceQueue> Queues(Time now) const;
 
@@ -86,10 +89,11 @@
 
   void DecideLine(const std::string& service, Line* line, Time now,
                   std::vector<WaitDecision>* decisions);
-  int AheadAtPeers(std::uint64_t service, const WaitingRank& rank) const;
+  int AheadAtPeers(std::uint32_t service, const WaitingRank& rank) const;
   Duration TimePerPlace(const std::string& service, const Line& line) const;
 
   TargetBoard* const board_;
+  std::uint64_t changes_ = 0;
   std::map<std::string, Line> lines_;
   std::map<std::string, PeerQueues> peers_;
 };
