Credit what peers take back from a quota; give out half of its slack

Cause: a VM refunds a request that was refused after its quota was charged, so its total falls; peers ignored the fall and charged the next rise again. Levels fell to -67,000 tokens under a rate of 23,939. Ruled out: too small a start level (the level was low long after the start). Change: peers apply the signed difference. Half of the slack that the bound on a workspace has is added to its bucket.

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -86,6 +86,15 @@
       return;
     }
     admission_ = host_->Desk()->Admit(Query());
+    if (admission_.refusal == RefusalReason::kOverQuota) {
+      host_->GetLog()->Trouble(
+          Now(),
+          "event=over_quota id={} workspace={} tokens={} level={:.0f} "
+          "rate={} burst={} unheard={}",
+          facts_.id, Workspace(), facts_.quota_tokens, admission_.quota.level,
+          admission_.workspace->rate_per_second, admission_.workspace->burst,
+          admission_.quota.unheard_peers);
+    }
     if (!admission_.IsAdmitted()) {
       Refuse(admission_.refusal, admission_.retry_after);
       return;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -95,6 +95,7 @@
             [this](const PeerState& state) { OnPeerState(state); })) {
     std::random_device random;
     incarnation_ = (std::uint64_t{random()} << 32) | random();
+    desk_.Quotas()->SetSlack(options.quota_slack);
     const Time now = clock_->Now();
     heartbeat_ = loop_->Timers()->Every(now + kHeartbeat, kHeartbeat,
                                         [this](Time) { Tell(true); });
@@ -137,6 +138,7 @@
     options_.retry_slack = options.retry_slack;
     options_.admission = options.admission;
     desk_.SetOptions(options.admission);
+    desk_.Quotas()->SetSlack(options.quota_slack);
   }
 
   void Drain() override {
--- a/src/relay/relay_options.cc
+++ b/src/relay/relay_options.cc
@@ -12,6 +12,9 @@
 /// Part of the time that a leaving target takes work for which a target that
 /// vanished is used; the rest covers reads that lag.
 constexpr int kVanishedPercent = 60;
+/// Part of the slack of quotas that is given out; the rest covers what VMs
+/// admit before they hear of each other.
+constexpr double kSlackPercent = 50;
 
 SettingRule Rule(const char* section, const char* key, SettingType type,
                  const char* fallback, std::int64_t max, const char* help) {
@@ -59,6 +62,9 @@
            "Retries for each hundred requests of a service, over all VMs."),
       Rule("targets", "retry_slack", integer, "50", 0,
            "Further retries of a service, over all VMs."),
+      Rule("quotas", "token_slack", integer, "0", 0,
+           "Tokens that a workspace may be given beyond its quota at the "
+           "most, over all VMs."),
       Rule("keys", "fail_closed", SettingType::kBoolean, "true", 0,
            "Whether keys without proof of freshness are refused."),
       Rule("keys", "limit", duration, "5s", kMinute,
@@ -99,6 +105,9 @@
       kPercent;
   options.retry_slack =
       static_cast<double>(settings.Integer("targets", "retry_slack"));
+  options.quota_slack =
+      static_cast<double>(settings.Integer("quotas", "token_slack")) *
+      kSlackPercent / kPercent;
   options.admission.fails_closed = settings.Boolean("keys", "fail_closed");
   options.admission.key_limit = settings.GetDuration("keys", "limit");
   options.admission.poison_limit =
--- a/src/serving/admission.cc
+++ b/src/serving/admission.cc
@@ -114,6 +114,7 @@
         query.states_tokens ? query.tokens : workspace.plain_tokens;
     const double cost = workspace.counts_tokens ? tokens : 1;
     const QuotaVerdict verdict = quotas_.Admit(workspace, cost, query.now);
+    admission.quota = verdict;
     if (!verdict.is_admitted) {
       admission.refusal = RefusalReason::kOverQuota;
       admission.retry_after = verdict.retry_after;
--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -59,6 +59,7 @@
   const WorkspaceSpec* workspace = nullptr;  ///< nullptr on a public route
   int rank = 0;
   double charged = 0;  ///< against the workspace's quota
+  QuotaVerdict quota;  ///< of a request that was weighed against a quota
 
   bool IsAdmitted() const { return refusal == RefusalReason::kNone; }
 };
--- a/src/serving/quota_ledger.cc
+++ b/src/serving/quota_ledger.cc
@@ -16,7 +16,8 @@
     const auto before = known.admitted.find(use.workspace);
     const double counted = before == known.admitted.end() ? 0 : before->second;
     const auto bucket = by_hash_.find(use.workspace);
-    if (!is_first && bucket != by_hash_.end() && use.admitted > counted) {
+    // A total falls when a peer takes back what it had charged.
+    if (!is_first && bucket != by_hash_.end()) {
       bucket->second->level -= use.admitted - counted;
     }
     known.admitted[use.workspace] = use.admitted;
@@ -29,13 +30,17 @@
   return std::max(0, members_ - 1 - static_cast<int>(peers_.size()));
 }
 
+double QuotaLedger::Capacity(const WorkspaceSpec& workspace) const {
+  return workspace.burst + (workspace.counts_tokens ? slack_ : 0);
+}
+
 QuotaLedger::Bucket& QuotaLedger::Refill(const WorkspaceSpec& workspace,
                                          Time now) {
   const auto [it, is_new] = buckets_.try_emplace(workspace.name);
   Bucket& bucket = it->second;
   if (is_new) {
     by_hash_[Hash32(workspace.name)] = &bucket;
-    bucket.level = workspace.burst * kStartShare;
+    bucket.level = Capacity(workspace) * kStartShare;
     bucket.updated = now;
   }
   const int members = std::max(members_, 1);
@@ -43,7 +48,7 @@
       static_cast<double>(members - std::min(Unheard(), members - 1)) / members;
   bucket.level +=
       workspace.rate_per_second * heard * ToSeconds(now - bucket.updated);
-  bucket.level = std::min(bucket.level, workspace.burst * heard);
+  bucket.level = std::min(bucket.level, Capacity(workspace) * heard);
   bucket.updated = now;
   return bucket;
 }
@@ -57,7 +62,7 @@
   Bucket& bucket = Refill(workspace, now);
   verdict.unheard_peers = Unheard();
   // A request larger than the burst is admitted from a full bucket.
-  const double needed = std::min(cost, workspace.burst * kStartShare);
+  const double needed = std::min(cost, Capacity(workspace) * kStartShare);
   if (bucket.level < needed) {
     verdict.is_admitted = false;
     verdict.level = bucket.level;
--- a/src/serving/quota_ledger.h
+++ b/src/serving/quota_ledger.h
@@ -34,6 +34,10 @@
   /// before its start is unknown.
   static constexpr double kStartShare = 0.25;
 
+  /// Sets what may be admitted beyond the burst. The bound on a workspace has
+  /// some slack; a part of it covers large requests of small workspaces.
+  void SetSlack(double slack) { slack_ = slack; }
+
   /// Number of VMs that may admit requests, this one included.
   void SetMembers(int members) { members_ = members; }
 
@@ -59,7 +63,6 @@
     double level = 0;
     double admitted = 0;
     double told = 0;
-    double burst = 0;
     Time updated;
   };
   struct PeerUse {
@@ -68,9 +71,11 @@
   };
 
   int Unheard() const;
+  double Capacity(const WorkspaceSpec& workspace) const;
   Bucket& Refill(const WorkspaceSpec& workspace, Time now);
 
   int members_ = 1;
+  double slack_ = 0;
   std::map<std::string, Bucket> buckets_;
   std::map<std::uint32_t, Bucket*> by_hash_;
   std::map<std::string, PeerUse> peers_;
