--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -345,7 +345,7 @@
     if (!is_streaming_) {
       BeginStream();
     }
-    last_event_ = Now();
+    NotePause();
     sink_->SendBody(bytes);
     if (sink_->Unsent() > kMostUnsent && call_ != nullptr) {
       is_paused_ = true;
@@ -353,6 +353,16 @@
     }
   }
 
+  void NotePause() {
+    const Time now = Now();
+    if (last_event_ != Time()) {
+      longest_pause_ = std::max(longest_pause_, now - last_event_);
+    } else {
+      first_event_after_ = now - request_.arrival;
+    }
+    last_event_ = now;
+  }
+
   void OnAnswerEnd() {
     switch (answer_) {
       case AnswerKind::kStream:
@@ -544,8 +554,13 @@
   void Complete(const char* outcome, TargetOutcome target_outcome) {
     host_->GetMetrics()->Count("requests_total", "outcome", outcome);
     host_->GetLog()->Progress(
-        Now(), "event=ended id={} outcome={} after_ms={:.1f}", facts_.id,
-        outcome, ToMs(Now() - request_.arrival));
+        Now(),
+        "event=ended id={} outcome={} after_ms={:.1f} first_event_ms={:.1f} "
+        "longest_pause_ms={:.1f} route={} target={}",
+        facts_.id, outcome, ToMs(Now() - request_.arrival),
+        ToMs(first_event_after_), ToMs(longest_pause_),
+        admission_.route == nullptr ? "" : admission_.route->name,
+        held_.has_value() ? held_->target : "");
     is_done_ = true;
     Retire(target_outcome);
   }
@@ -608,6 +623,8 @@
   std::string body_;
   EventCutter cutter_;
   Time last_event_;
+  Duration first_event_after_{0};
+  Duration longest_pause_{0};
   int runs_ = 0;  ///< sends that a target has not disowned
   int unreached_ = 0;
   bool is_waiting_ = false;
