Wait only as long as the first event leaves time for; order by latest start

Change: a request's latest start is its objective less 1.3 times the usual time to its first event; the line is ordered by it and refuses past it. A target that doesn't connect within 120 ms (250 before) is left.

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -24,7 +24,7 @@
 
 /// Time for a connection to a target: a few round trips of the slowest link.
 /// A target whose queue of connections is full doesn't answer for seconds.
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(120);
 /// Unacknowledged bytes on a target's connection end it after this time.
 constexpr Duration kSilenceLimit = std::chrono::seconds(3);
 /// Targets that may be found unreachable before a request is given up.
--- a/src/serving/target_board.cc
+++ b/src/serving/target_board.cc
@@ -216,6 +216,18 @@
   return best;
 }
 
+Duration TargetBoard::TypicalExpected(const PlacementNeed& need) const {
+  Duration sum{0};
+  int n = 0;
+  for (const auto& [id, target] : targets_) {
+    if (target.spec.service == need.service && !target.spec.is_leaving) {
+      sum += Expected(target, need.prompt_tokens);
+      ++n;
+    }
+  }
+  return n == 0 ? sum : sum / n;
+}
+
 bool TargetBoard::TakesWork(const std::string& target) const {
   const TargetSpec* spec = Find(target);
   return spec != nullptr && !spec->is_leaving;
--- a/src/serving/target_board.h
+++ b/src/serving/target_board.h
@@ -65,6 +65,10 @@
   /// nullopt. Pure.
   std::optional<Placement> Pick(const PlacementNeed& need, Time now) const;
 
+  /// Usual time to the first event at the targets of the service as they are
+  /// loaded now; zero if there are none.
+  Duration TypicalExpected(const PlacementNeed& need) const;
+
   /// Whether the target is there, in the same incarnation, and not leaving.
   bool TakesWork(const std::string& target) const;
 
--- a/src/serving/wait_line.cc
+++ b/src/serving/wait_line.cc
@@ -11,8 +11,10 @@
 /// Requests of one line that peers are told of; more make no difference, as
 /// places free up one by one.
 constexpr std::size_t kToldRequests = 12;
-/// Part of its objective that a request may wait, if it is going to be served.
-constexpr double kWaitShare = 0.7;
+/// Time kept for the first event, as a multiple of the usual time.
+constexpr double kStartReserve = 1.3;
+/// Part of its objective that a request may wait at the least.
+constexpr double kLeastWaitShare = 0.2;
 /// Part of its objective within which a refusal costs its caller nothing.
 constexpr double kPromptRefusalShare = 0.125;
 /// Weight of a new sample of the time that a place is held.
@@ -27,7 +29,7 @@
   WaitingRank rank;
   rank.rank = request.rank;
   rank.route_rank = request.route_rank;
-  rank.left_ms = static_cast<std::int32_t>((request.on_time_until - now) /
+  rank.left_ms = static_cast<std::int32_t>((request.start_by - now) /
                                            std::chrono::milliseconds(1));
   return rank;
 }
@@ -37,23 +39,29 @@
   return {rank.rank, rank.route_rank, rank.left_ms < 0, rank.left_ms};
 }
 
-Time WaitLimit(const WaitingRequest& request) {
+Duration Scale(Duration d, double factor) {
+  return Duration(
+      static_cast<std::int64_t>(static_cast<double>(d.count()) * factor));
+}
+
+Time StartBy(const WaitingRequest& request, Duration expected) {
   const Duration objective = request.on_time_until - request.arrival;
-  const Duration allowed(static_cast<std::int64_t>(
-      static_cast<double>(objective.count()) * kWaitShare));
-  return std::min(request.arrival + allowed, request.give_up_at);
+  const Time latest = request.on_time_until - Scale(expected, kStartReserve);
+  const Time least = request.arrival + Scale(objective, kLeastWaitShare);
+  return std::min(std::max(latest, least), request.give_up_at);
 }
 
 bool MayRefusePromptly(const WaitingRequest& request, Time now) {
   const Duration objective = request.on_time_until - request.arrival;
-  return static_cast<double>((now - request.arrival).count()) <=
-         kPromptRefusalShare * static_cast<double>(objective.count());
+  return now - request.arrival <= Scale(objective, kPromptRefusalShare);
 }
 
 }  // namespace
 
 void WaitLine::Add(const WaitingRequest& request) {
-  lines_[request.need.service].requests.push_back(request);
+  WaitingRequest waiting = request;
+  waiting.start_by = StartBy(request, board_->TypicalExpected(request.need));
+  lines_[request.need.service].requests.push_back(waiting);
   ++changes_;
 }
 
@@ -145,7 +153,7 @@
     ++position;
     const int behind = std::max(0, decision.ahead - decision.free_places) + 1;
     const Duration wait = per_place * behind;
-    const Time limit = WaitLimit(request);
+    const Time limit = request.start_by;
     // A wait that turns out too long is cut short; one that is too long from
     // the start is refused before it costs the caller any time.
     if (now >= limit ||
--- a/src/serving/wait_line.h
+++ b/src/serving/wait_line.h
@@ -21,6 +21,7 @@
   Time arrival;
   Time on_time_until;  ///< objective
   Time give_up_at;     ///< the caller's deadline or the route's timeout
+  Time start_by;       ///< set by the line: a later start misses the objective
   PlacementNeed need;
 
   bool operator==(const WaitingRequest&) const = default;
