--- a/src/serving/target_board.cc
+++ b/src/serving/target_board.cc
@@ -37,7 +37,8 @@
 /// Rest after the first such row; doubles up to the longest.
 constexpr Duration kShunTime = std::chrono::milliseconds(500);
 constexpr Duration kLongestShun = std::chrono::seconds(4);
-/// Rest of a target that could not be reached, or turned work away as full.
+/// Rest of a target that could not be reached, doubling up to the longest, or
+/// that turned work away as full.
 constexpr Duration kUnreachedRest = std::chrono::milliseconds(400);
 constexpr Duration kFullRest = std::chrono::milliseconds(40);
 /// A target with no answer for this multiple of the expected time is shunned
@@ -264,6 +265,7 @@
   entry.unread_tokens -= std::min(entry.unread_tokens, prompt_tokens);
   entry.unanswered = std::max(0, entry.unanswered - 1);
   entry.unanswered_since = now;
+  entry.unreached_in_row = 0;
   const double usual = std::max(1.0, ToMs(expected) / Slowness(entry));
   const double sample =
       std::clamp(ToMs(after) / usual, kLeastSlowness, kMostSlowness);
@@ -304,14 +306,23 @@
     case TargetOutcome::kUnreached:
       entry.answers += 1;
       entry.failures += 1;
-      entry.shunned_until = std::max(entry.shunned_until, now + kUnreachedRest);
-      Shun(&entry, now);
+      RestUnreached(&entry, now);
       break;
     case TargetOutcome::kAbandoned:
       break;
   }
 }
 
+// Calls that were under way together count once.
+void TargetBoard::RestUnreached(Target* target, Time now) {
+  if (now < target->shunned_until) {
+    return;
+  }
+  const int doublings = std::min(4, target->unreached_in_row++);
+  target->shunned_until =
+      now + std::min(kLongestShun, kUnreachedRest * (1 << doublings));
+}
+
 void TargetBoard::Shun(Target* target, Time now) {
   ++target->failures_in_row;
   if (target->failures_in_row < kFailuresToShun) {
--- a/src/serving/target_board.h
+++ b/src/serving/target_board.h
@@ -110,6 +110,7 @@
     double answers = 0;
     Time decayed_at;
     int failures_in_row = 0;
+    int unreached_in_row = 0;
     Time shunned_until;
     int peer_running = 0;
     std::uint32_t peer_unread_tokens = 0;
@@ -125,7 +126,8 @@
   double FailureShare(const Target& target, Time now) const;
   bool HasPlace(const Target& target) const;
   static bool KeepsPauses(const Target& target, const PlacementNeed& need);
-  void Shun(Target* target, Time now);
+  static void Shun(Target* target, Time now);
+  static void RestUnreached(Target* target, Time now);
   static void Decay(Target* target, Time now);
   void SumPeers();
 
