--- a/src/serving/target_board.cc
+++ b/src/serving/target_board.cc
@@ -207,7 +207,7 @@
       cost += kOtherDomainMs;
     }
     if (!KeepsPauses(target, need)) {
-      cost += ToMs(need.max_pause);
+      continue;
     }
     if (!best.has_value() || cost < best_cost) {
       best = Placement{id, expected};
