--- a/src/serving/target_board.cc
+++ b/src/serving/target_board.cc
@@ -206,7 +206,7 @@
     if (target.spec.failure_domain != need.failure_domain) {
       cost += kOtherDomainMs;
     }
-    if (!KeepsPauses(target, need)) {
+    if (!need.accepts_pauses && !KeepsPauses(target, need)) {
       continue;
     }
     if (!best.has_value() || cost < best_cost) {
--- a/src/serving/target_board.h
+++ b/src/serving/target_board.h
@@ -21,6 +21,7 @@
   Duration max_pause{0};           ///< between events, of the route; 0: none
   std::string failure_domain;      ///< of this VM
   std::vector<std::string> tried;  ///< targets that refused or failed it
+  bool accepts_pauses = false;     ///< late events are better than no answer
 
   bool operator==(const PlacementNeed&) const = default;
 };
--- a/src/serving/wait_line.cc
+++ b/src/serving/wait_line.cc
@@ -13,6 +13,9 @@
 constexpr std::size_t kToldRequests = 12;
 /// Time kept for the first event, as a multiple of the usual time.
 constexpr double kStartReserve = 1.3;
+/// Part of its wait after which a request takes a target that breaks the pauses
+/// of streams, if there is no other.
+constexpr double kPauseWaitShare = 0.8;
 /// Part of its objective that a request may wait at the least.
 constexpr double kLeastWaitShare = 0.2;
 /// Part of its objective within which a refusal costs its caller nothing.
@@ -51,6 +54,11 @@
   return std::min(std::max(latest, least), request.give_up_at);
 }
 
+bool AcceptsPauses(const WaitingRequest& request, Time now) {
+  return now - request.arrival >
+         Scale(request.start_by - request.arrival, kPauseWaitShare);
+}
+
 bool MayRefusePromptly(const WaitingRequest& request, Time now) {
   const Duration objective = request.on_time_until - request.arrival;
   return now - request.arrival <= Scale(objective, kPromptRefusalShare);
@@ -142,7 +150,9 @@
     decision.ahead = position + AheadAtPeers(hash, RankOf(request, now));
     std::optional<Placement> placement;
     if (decision.ahead < decision.free_places) {
-      placement = board_->Pick(request.need, now);
+      PlacementNeed need = request.need;
+      need.accepts_pauses = AcceptsPauses(request, now);
+      placement = board_->Pick(need, now);
     }
     if (placement.has_value()) {
       decision.placement = *placement;
