--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -502,13 +502,7 @@
     Enqueue(now, now + allowed);
   }
 
-  void GiveUp(RefusalReason reason) {
-    if (is_streaming_) {
-      BreakOff(RefusalName(reason));
-    } else {
-      Refuse(reason, kNotRunRetryAfter);
-    }
-  }
+  void GiveUp(RefusalReason reason) { Refuse(reason, kNotRunRetryAfter); }
 
   void OnTimeOut() {
     if (is_done_) {
@@ -528,8 +522,13 @@
   }
 
   // Final answer of the scheduler's own. A promise that the request has not
-  // run is given only if no byte of it may have left.
+  // run is given only if no byte of it may have left. Once an answer has begun,
+  // all that is left is to end it visibly incomplete.
   void Refuse(RefusalReason reason, std::optional<Duration> retry_after) {
+    if (is_streaming_) {
+      BreakOff(RefusalName(reason));
+      return;
+    }
     const int status = RefusalStatus(reason, may_have_run_);
     host_->GetMetrics()->Count("refusals_total", "reason", RefusalName(reason));
     host_->GetLog()->Trouble(
--- a/src/relay/relay_options.h
+++ b/src/relay/relay_options.h
@@ -29,7 +29,8 @@
   Duration vanished_use{0};
   double retry_ratio = 0;  ///< retries for each request, over all VMs
   double retry_slack = 0;  ///< further retries in a window, over all VMs
-  double quota_slack = 0;  ///< tokens that a workspace may have beyond its quota
+  double quota_slack =
+      0;  ///< tokens that a workspace may have beyond its quota
   AdmissionDesk::Options admission;
 };
 
