--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -189,6 +189,7 @@
     waiting.need.max_pause = admission_.route->max_pause;
     waiting.need.failure_domain = host_->FailureDomain();
     waiting.need.tried = tried_;
+    waiting.need.seed = Hash32(facts_.id);
     host_->Line()->Add(waiting);
     is_waiting_ = true;
     host_->SetWaiting(number_, this);
--- a/src/relay/http_parser.cc
+++ b/src/relay/http_parser.cc
@@ -23,6 +23,8 @@
  public:
   MessageHead head;
   std::string body;
+  /// Beast drops an error that on_header_impl sets on a chunked message.
+  bool is_refused = false;
 
  private:
   // Names of the overridden functions are Beast's.
@@ -59,10 +61,12 @@
         (!SameName(*coding, "chunked") ||
          CountHeader(head.headers, "Transfer-Encoding") != 1)) {
       ec = http::error::bad_transfer_encoding;
+      is_refused = true;
       return;
     }
     if (kIsRequest && CountHeader(head.headers, "Host") != 1) {
       ec = http::error::bad_field;
+      is_refused = true;
       return;
     }
     if (this->chunked()) {
@@ -139,6 +143,10 @@
           boost::asio::buffer(pending_.data() + used, pending_.size() - used),
           ec);
       used += n;
+      if (parser_.is_refused) {
+        error_ = ParseError::kMalformed;
+        break;
+      }
       if (ec == http::error::need_more) {
         if (n == 0) {
           break;
@@ -150,7 +158,7 @@
         break;
       }
     }
-    if (Done()) {
+    if (error_ == ParseError::kNone && Done()) {
       pending_.clear();
       return used > held ? used - held : 0;
     }
--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -9,6 +9,7 @@
 #include <cerrno>
 #include <cstring>
 #include <limits>
+#include <unordered_map>
 #include <utility>
 
 #include "hornbeamcleat/base/error.h"
@@ -129,7 +130,7 @@
             const std::vector<std::string>& links) override {
     const std::string bytes = EncodeBytes(state);
     for (const std::string& link : links) {
-      const sockaddr_in to = ToSocketAddress(Address::Parse(link));
+      const sockaddr_in& to = Resolve(link);
       if (sendto(fd_.Get(), bytes.data(), bytes.size(), MSG_NOSIGNAL,
                  reinterpret_cast<const sockaddr*>(&to), sizeof(to)) < 0) {
         ++errors_;
@@ -140,6 +141,14 @@
   int Errors() const override { return errors_; }
 
  private:
+  const sockaddr_in& Resolve(const std::string& link) {
+    const auto known = resolved_.find(link);
+    if (known != resolved_.end()) {
+      return known->second;
+    }
+    return resolved_[link] = ToSocketAddress(Address::Parse(link));
+  }
+
   void Receive() {
     for (int i = 0; i < kReadsPerTurn; ++i) {
       const ssize_t n = recv(fd_.Get(), buf_.data(), buf_.size(), 0);
@@ -163,6 +172,7 @@
   const FileDescriptor fd_;
   const std::function<void(const PeerState&)> on_state_;
   std::string buf_ = std::string(kMostBytes, '\0');
+  std::unordered_map<std::string, sockaddr_in> resolved_;
   int errors_ = 0;
 };
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -25,9 +25,11 @@
 namespace hornbeamcleat {
 namespace {
 
-/// A peer is told at once of a change, but not more often than this for each
-/// VM there is, so that the sum of messages to one VM stays bounded.
-constexpr Duration kLeastGapPerVm = std::chrono::microseconds(300);
+/// Peers are told at once of a change, but not more often than this.
+constexpr Duration kLeastGap = std::chrono::milliseconds(2);
+/// The gap grows with the square of the number of VMs, so that the messages
+/// that all VMs send to one stay below 1,500 a second.
+constexpr Duration kGapPerVmPair = std::chrono::microseconds(8);
 /// A peer hears from this VM this often without any change.
 constexpr Duration kHeartbeat = std::chrono::milliseconds(250);
 /// Several heartbeats and a lost datagram.
@@ -37,6 +39,8 @@
 constexpr Duration kGoneSilence = std::chrono::seconds(20);
 /// Decisions are taken again this often while requests wait.
 constexpr Duration kDecisionPeriod = std::chrono::milliseconds(20);
+/// VMs that hear of each other fast enough to choose among all targets.
+constexpr int kPromptPeers = 12;
 constexpr Duration kHousekeeping = std::chrono::milliseconds(250);
 /// From SIGTERM on: new requests are served this long, since callers still hold
 /// this VM's address, then turned away.
@@ -126,7 +130,7 @@
 
   void SetMembers(const std::vector<VmRecord>& members) override {
     directory_.SetMembers(members, clock_->Now());
-    desk_.Quotas()->SetMembers(directory_.Members());
+    OnMembership();
     Log().Info("event=members count={}", directory_.Members());
     Tell(true);
   }
@@ -160,6 +164,8 @@
            (since > kLeastDrain && front_.Busy() == 0);
   }
 
+  Address Front() const override { return front_.Bound(); }
+
   VmRecord Self() const override { return self_; }
 
  private:
@@ -239,7 +245,9 @@
       return;
     }
     const Time now = clock_->Now();
-    const Time due = told_at_ + kLeastGapPerVm * directory_.Members();
+    const int members = directory_.Members();
+    const Time due =
+        told_at_ + std::max(kLeastGap, kGapPerVmPair * members * members);
     if (now >= due) {
       Tell(false);
     } else if (tell_timer_ == nullptr) {
@@ -285,7 +293,7 @@
     }
     board_.SetPeerUses(state.link, state.uses);
     line_.SetPeerQueues(state.link, state.queues, now);
-    desk_.Quotas()->SetMembers(directory_.Members());
+    OnMembership();
     desk_.Quotas()->SetPeerUse(state.link, state.incarnation, state.quotas);
     if (state.details.has_value()) {
       board_.SetPeerFindings(state.link, state.details->findings);
@@ -297,6 +305,13 @@
     }
   }
 
+  void OnMembership() {
+    const int members = directory_.Members();
+    desk_.Quotas()->SetMembers(members);
+    board_.SetCandidateShare(
+        std::min(1.0, static_cast<double>(kPromptPeers) / members));
+  }
+
   void TakePeerLosses() {
     std::map<std::uint64_t, int> sum;
     for (const auto& [link, losses] : peer_losses_) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -44,6 +44,9 @@
   /// Whether the planned stop is over and the process may exit.
   virtual bool Drained() const = 0;
 
+  /// Address for callers, with the port that was picked.
+  virtual Address Front() const = 0;
+
   /// This VM, as announced to others.
   virtual VmRecord Self() const = 0;
 };
--- a/src/serving/quota_ledger.cc
+++ b/src/serving/quota_ledger.cc
@@ -9,8 +9,7 @@
 void QuotaLedger::SetPeerUse(const std::string& peer, std::uint64_t incarnation,
                              const std::vector<WorkspaceUse>& uses) {
   PeerUse& known = peers_[peer];
-  const bool is_first =
-      known.incarnation != incarnation || known.admitted.empty();
+  const bool is_first = known.incarnation != incarnation;
   known.incarnation = incarnation;
   for (const WorkspaceUse& use : uses) {
     const auto before = known.admitted.find(use.workspace);
--- a/src/serving/quota_ledger.h
+++ b/src/serving/quota_ledger.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -66,7 +67,7 @@
     Time updated;
   };
   struct PeerUse {
-    std::uint64_t incarnation = 0;
+    std::optional<std::uint64_t> incarnation;  ///< none before the first word
     std::map<std::uint32_t, double> admitted;
   };
 
--- a/src/serving/target_board.cc
+++ b/src/serving/target_board.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "hornbeamcleat/base/hash.h"
 
@@ -52,6 +53,13 @@
 /// Time that each request running beside costs those that come.
 constexpr double kNeighbourMs = 1.5;
 
+bool IsCandidate(std::uint32_t target, std::uint32_t seed, double share) {
+  // Fibonacci hashing spreads neighbouring seeds.
+  constexpr std::uint32_t kSpread = 2'654'435'769U;
+  return share >= 1 || ((target ^ seed) * kSpread) <
+                           share * std::numeric_limits<std::uint32_t>::max();
+}
+
 double ToMs(Duration d) { return static_cast<double>(d.count()) / 1'000.0; }
 
 Duration FromMs(double ms) {
@@ -81,24 +89,61 @@
 
 void TargetBoard::SetPeerUses(const std::string& peer,
                               const std::vector<TargetUse>& uses) {
-  peer_uses_[peer] = uses;
-  SumPeers();
+  std::vector<TargetUse>& known = peer_uses_[peer];
+  for (const TargetUse& use : known) {
+    AddPeerUse(use, -1);
+  }
+  known = uses;
+  for (const TargetUse& use : known) {
+    AddPeerUse(use, 1);
+  }
 }
 
 void TargetBoard::SetPeerFindings(const std::string& peer,
                                   const std::vector<TargetFinding>& findings) {
-  peer_findings_[peer] = findings;
-  SumPeers();
+  std::vector<TargetFinding>& known = peer_findings_[peer];
+  for (const TargetFinding& finding : known) {
+    AddPeerFinding(finding, -1);
+  }
+  known = findings;
+  for (const TargetFinding& finding : known) {
+    AddPeerFinding(finding, 1);
+  }
 }
 
 void TargetBoard::ForgetPeer(const std::string& peer) {
+  SetPeerUses(peer, {});
+  SetPeerFindings(peer, {});
   peer_uses_.erase(peer);
   peer_findings_.erase(peer);
-  SumPeers();
 }
 
+void TargetBoard::AddPeerUse(const TargetUse& use, int sign) {
+  const auto it = by_hash_.find(use.target);
+  if (it != by_hash_.end()) {
+    it->second->peer_running += sign * static_cast<int>(use.running);
+    it->second->peer_unread_tokens +=
+        sign * static_cast<std::int64_t>(use.unread_tokens);
+  }
+}
+
+void TargetBoard::AddPeerFinding(const TargetFinding& finding, int sign) {
+  const auto it = by_hash_.find(finding.target);
+  if (it == by_hash_.end()) {
+    return;
+  }
+  Target& target = *it->second;
+  target.peer_slowness +=
+      sign * static_cast<double>(finding.slowness) * finding.slowness_samples;
+  target.peer_samples += sign * finding.slowness_samples;
+  target.peer_failures += sign * finding.failures;
+  target.peer_answers += sign * finding.answers;
+}
+
+// Sums are made anew with each list of targets, so that errors of rounding
+// don't add up.
 void TargetBoard::SumPeers() {
-  std::unordered_map<std::uint32_t, Target*> by_hash;
+  by_hash_.clear();
   for (auto& [id, target] : targets_) {
     target.peer_running = 0;
     target.peer_unread_tokens = 0;
@@ -106,29 +151,16 @@
     target.peer_samples = 0;
     target.peer_failures = 0;
     target.peer_answers = 0;
-    by_hash[target.hash] = &target;
+    by_hash_[target.hash] = &target;
   }
   for (const auto& [peer, uses] : peer_uses_) {
     for (const TargetUse& use : uses) {
-      const auto it = by_hash.find(use.target);
-      if (it != by_hash.end()) {
-        it->second->peer_running += static_cast<int>(use.running);
-        it->second->peer_unread_tokens += use.unread_tokens;
-      }
+      AddPeerUse(use, 1);
     }
   }
   for (const auto& [peer, findings] : peer_findings_) {
     for (const TargetFinding& finding : findings) {
-      const auto it = by_hash.find(finding.target);
-      if (it == by_hash.end()) {
-        continue;
-      }
-      Target& target = *it->second;
-      target.peer_slowness +=
-          static_cast<double>(finding.slowness) * finding.slowness_samples;
-      target.peer_samples += finding.slowness_samples;
-      target.peer_failures += finding.failures;
-      target.peer_answers += finding.answers;
+      AddPeerFinding(finding, 1);
     }
   }
 }
@@ -144,7 +176,8 @@
 Duration TargetBoard::Expected(const Target& target,
                                std::uint32_t prompt_tokens) {
   const double unread = static_cast<double>(target.unread_tokens) +
-                        target.peer_unread_tokens + prompt_tokens;
+                        static_cast<double>(target.peer_unread_tokens) +
+                        prompt_tokens;
   return FromMs(Slowness(target) *
                 (kFirstEventMs + unread / kPromptTokensPerMs));
 }
@@ -180,7 +213,8 @@
     return true;
   }
   const double unread = static_cast<double>(target.unread_tokens) +
-                        target.peer_unread_tokens + need.prompt_tokens;
+                        static_cast<double>(target.peer_unread_tokens) +
+                        need.prompt_tokens;
   const double pause =
       Slowness(target) *
       (kStepsPerEvent * kStepMs +
@@ -190,11 +224,20 @@
 
 std::optional<Placement> TargetBoard::Pick(const PlacementNeed& need,
                                            Time now) const {
+  const std::optional<Placement> sampled =
+      PickAmong(need, candidate_share_, now);
+  return sampled.has_value() || candidate_share_ >= 1 ? sampled
+                                                      : PickAmong(need, 1, now);
+}
+
+std::optional<Placement> TargetBoard::PickAmong(const PlacementNeed& need,
+                                                double share, Time now) const {
   std::optional<Placement> best;
   double best_cost = 0;
   for (const auto& [id, target] : targets_) {
     if (target.spec.service != need.service || target.spec.is_leaving ||
-        !HasPlace(target) || IsShunned(target, now) ||
+        !IsCandidate(target.hash, need.seed, share) || !HasPlace(target) ||
+        IsShunned(target, now) ||
         std::find(need.tried.begin(), need.tried.end(), id) !=
             need.tried.end()) {
       continue;
--- a/src/serving/target_board.h
+++ b/src/serving/target_board.h
@@ -22,6 +22,7 @@
   std::string failure_domain;      ///< of this VM
   std::vector<std::string> tried;  ///< targets that refused or failed it
   bool accepts_pauses = false;     ///< late events are better than no answer
+  std::uint32_t seed = 0;          ///< picks the candidates, if not all are
 
   bool operator==(const PlacementNeed&) const = default;
 };
@@ -62,6 +63,11 @@
                        const std::vector<TargetFinding>& findings);
   void ForgetPeer(const std::string& peer);
 
+  /// Sets the part of the targets that are candidates for one request. Below 1
+  /// each request sees other ones, so that VMs which hear of each other late
+  /// don't all rush to the same target.
+  void SetCandidateShare(double share) { candidate_share_ = share; }
+
   /// Target with the least expected time among those with a free place, or
   /// nullopt. Pure.
   std::optional<Placement> Pick(const PlacementNeed& need, Time now) const;
@@ -114,7 +120,7 @@
     int unreached_in_row = 0;
     Time shunned_until;
     int peer_running = 0;
-    std::uint32_t peer_unread_tokens = 0;
+    std::int64_t peer_unread_tokens = 0;
     double peer_slowness = 0;  ///< sum, weighted by samples
     double peer_samples = 0;
     double peer_failures = 0;
@@ -123,6 +129,8 @@
 
   static double Slowness(const Target& target);
   static Duration Expected(const Target& target, std::uint32_t prompt_tokens);
+  std::optional<Placement> PickAmong(const PlacementNeed& need, double share,
+                                     Time now) const;
   bool IsShunned(const Target& target, Time now) const;
   double FailureShare(const Target& target, Time now) const;
   bool HasPlace(const Target& target) const;
@@ -131,11 +139,15 @@
   static void RestUnreached(Target* target, Time now);
   static void Decay(Target* target, Time now);
   void SumPeers();
+  void AddPeerUse(const TargetUse& use, int sign);
+  void AddPeerFinding(const TargetFinding& finding, int sign);
 
   std::map<std::string, Target> targets_;  ///< by id
+  std::unordered_map<std::uint32_t, Target*> by_hash_;
   std::map<std::string, std::vector<TargetUse>> peer_uses_;
   std::map<std::string, std::vector<TargetFinding>> peer_findings_;
   std::uint64_t changes_ = 0;
+  double candidate_share_ = 1;
 };
 
 }  // namespace hornbeamcleat
--- /dev/null
+++ b/tests/platform/wire_dialect_test.cc
@@ -0,0 +1,106 @@
+#include "platform/wire_dialect.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+
+namespace hornbeamcleat::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+class WireDialectTest : public testing::Test {
+ protected:
+  static std::string Value(const HeaderList& headers, std::string_view name) {
+    const std::string* value = FindHeader(headers, name);
+    return value == nullptr ? "(none)" : *value;
+  }
+
+  const std::unique_ptr<Dialect> dialect_ = MakeWireDialect();
+};
+
+TEST_F(WireDialectTest, ReadRequestReadsTokensAndPatience) {
+  const RequestFacts facts = dialect_->ReadRequest({{"Request-Id", "i"},
+                                                    {"deadline-ms", "1500"},
+                                                    {"Api-Key", "k"},
+                                                    {"Token-Count", "1460,80"},
+                                                    {"Length-Hint", "60"}});
+  EXPECT_EQ(facts.id, "i");
+  EXPECT_EQ(facts.patience, milliseconds(1'500));
+  EXPECT_EQ(facts.key, "k");
+  EXPECT_TRUE(facts.states_tokens);
+  EXPECT_EQ(facts.prompt_tokens, 1'460U);
+  EXPECT_EQ(facts.max_output_tokens, 80U);
+  EXPECT_EQ(facts.quota_tokens, 1'540);
+}
+
+TEST_F(WireDialectTest, ReadRequestWithMalformedNumbersStatesNothing) {
+  const RequestFacts facts =
+      dialect_->ReadRequest({{"Deadline-Ms", "soon"}, {"Token-Count", "12;x"}});
+  EXPECT_FALSE(facts.patience.has_value());
+  EXPECT_FALSE(facts.states_tokens);
+}
+
+// A caller must not set what only the scheduler may tell a target.
+TEST_F(WireDialectTest, WriteRequestReplacesOwnHeaders) {
+  HeaderList sent = {{"Request-Id", "i"},
+                     {"Api-Key", "secret"},
+                     {"X-Other", "kept"},
+                     {"Deadline-Ms", "99999"}};
+  for (const char* name : {"Tenant-Id", "Expected-Instance", "Hold", "Pin-Ms",
+                           "Kv-Fetch", "Kv-From", "Kv-Backup"}) {
+    sent.push_back({name, "forged"});
+  }
+  DispatchFacts facts;
+  facts.target_id = "t";
+  facts.workspace = "w";
+  facts.time_left = milliseconds(250);
+  const HeaderList headers = dialect_->WriteRequest(sent, facts);
+  for (const HeaderField& field : headers) {
+    EXPECT_NE(field.value, "forged") << field.name;
+    EXPECT_NE(field.value, "secret") << field.name;
+  }
+  EXPECT_EQ(Value(headers, "Request-Id"), "i");
+  EXPECT_EQ(Value(headers, "X-Other"), "kept");
+  EXPECT_EQ(Value(headers, "Deadline-Ms"), "250");
+  EXPECT_EQ(Value(headers, "Expected-Instance"), "t");
+  EXPECT_EQ(Value(headers, "Tenant-Id"), "w");
+  EXPECT_EQ(CountHeader(headers, "Deadline-Ms"), 1);
+}
+
+TEST_F(WireDialectTest, WriteRequestOfResumeReplacesCallersEvent) {
+  DispatchFacts facts;
+  facts.resume_after = "9";
+  const HeaderList headers =
+      dialect_->WriteRequest({{"Last-Event-Id", "3"}}, facts);
+  EXPECT_EQ(Value(headers, "Last-Event-Id"), "9");
+  EXPECT_EQ(CountHeader(headers, "Last-Event-Id"), 1);
+}
+
+TEST_F(WireDialectTest, ReadAnswerKnowsWhatWasNotRun) {
+  EXPECT_TRUE(dialect_->ReadAnswer(503, {{"Not-Executed", "1"}}).was_not_run);
+  EXPECT_TRUE(dialect_->ReadAnswer(421, {}).was_not_run);
+  EXPECT_FALSE(dialect_->ReadAnswer(503, {}).was_not_run);
+  EXPECT_TRUE(
+      dialect_->ReadAnswer(200, {{"Upstream-Signature", "s"}}).is_signed);
+}
+
+TEST_F(WireDialectTest, WriteOwnAnswerIsNeverSigned) {
+  const HeaderList headers = dialect_->WriteOwnAnswer("i", milliseconds(1'250));
+  EXPECT_EQ(Value(headers, "Retry-After"), "1.250");
+  EXPECT_EQ(Value(headers, "Upstream-Signature"), "(none)");
+}
+
+TEST_F(WireDialectTest, ReadDirectoryQueryReadsFailureDomain) {
+  const std::optional<DirectoryQuery> query =
+      dialect_->ReadDirectoryQuery("/-/resolve?name=h&region=r&zone=z1");
+  ASSERT_TRUE(query.has_value());
+  EXPECT_EQ(query->failure_domain, "z1");
+  EXPECT_FALSE(dialect_->ReadDirectoryQuery("/other").has_value());
+  EXPECT_EQ(dialect_->WriteDirectoryAnswer({"a:1", "b:2"}, milliseconds(2'000)),
+            R"({"addresses":["a:1","b:2"],"ttl_s":2})");
+}
+
+}  // namespace
+}  // namespace hornbeamcleat::platform
--- /dev/null
+++ b/tests/relay/exchange_test.cc
@@ -0,0 +1,348 @@
+#include "src/relay/exchange.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "tests/relay/relay_fixture.h"
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr char kStreamHead[] =
+    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nUpstream-Signature: sig\r\n"
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string Chunk(const std::string& bytes) {
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+  return size + bytes + "\r\n";
+}
+
+class ExchangeTest : public RelayFixture {
+ protected:
+  int Status(const TestCaller& caller) {
+    const std::unique_ptr<HttpParser> answer = caller.Answer();
+    return answer == nullptr ? 0 : answer->Head().status;
+  }
+
+  std::string Header(const TestCaller& caller, std::string_view name) {
+    const std::unique_ptr<HttpParser> answer = caller.Answer();
+    const std::string* value =
+        answer == nullptr ? nullptr : FindHeader(answer->Head().headers, name);
+    return value == nullptr ? "" : *value;
+  }
+
+  static void Reply(const ReceivedRequest& request, const std::string& bytes) {
+    request.stream->Write(bytes);
+  }
+};
+
+TEST_F(ExchangeTest, RequestReachesTargetUnchangedAndAnswerComesBack) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest& request) {
+    Reply(request, Signed(request.Header("Request-Id"), "answer"));
+  });
+  UseTargets({&target});
+  const std::unique_ptr<TestCaller> caller =
+      Ask(Request("unsafe", "r1", "X-Custom: c\r\nTenant-Id: forged\r\n"));
+  EXPECT_EQ(Status(*caller), 200);
+  EXPECT_EQ(*caller->Answer()->Body(), "answer");
+  EXPECT_EQ(Header(*caller, "Upstream-Signature"), "sig");
+  ASSERT_EQ(target.Requests(), 1);
+  const ReceivedRequest& seen = target.All()[0];
+  EXPECT_EQ(seen.head.method, "POST");
+  EXPECT_EQ(seen.head.target, "/unsafe/x?q=1");
+  EXPECT_EQ(seen.body, "body");
+  EXPECT_EQ(seen.Header("X-Custom"), "c");
+  EXPECT_EQ(seen.Header("Tenant-Id"), "w");
+  EXPECT_EQ(seen.Header("Expected-Instance"), "t0");
+  EXPECT_EQ(seen.Header("Api-Key"), "");
+  EXPECT_LE(std::stoi(seen.Header("Deadline-Ms")), 2'000);
+}
+
+TEST_F(ExchangeTest, UnknownKeyAndRouteAreRefusedWithoutASend) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest&) {});
+  UseTargets({&target});
+  std::string request = Request("unsafe");
+  request.replace(request.find("key\r\n"), 3, "bad");
+  EXPECT_EQ(Status(*Ask(request)), 401);
+  EXPECT_EQ(Status(*Ask(Request("none"))), 404);
+  EXPECT_EQ(target.Requests(), 0);
+}
+
+TEST_F(ExchangeTest, BrokenAnswerToUnsafeRequestIsNotSentAgain) {
+  const auto reset = [](const ReceivedRequest& request) {
+    request.stream->Abort();
+  };
+  ScriptedTarget a(loop_.get(), reset);
+  ScriptedTarget b(loop_.get(), reset);
+  UseTargets({&a, &b});
+  const std::unique_ptr<TestCaller> caller = Ask(Request("unsafe"));
+  EXPECT_EQ(Status(*caller), 502);
+  EXPECT_EQ(Header(*caller, "Upstream-Signature"), "");
+  EXPECT_EQ(a.Requests() + b.Requests(), 1);
+}
+
+TEST_F(ExchangeTest, BrokenAnswerToSafeRequestIsSentToAnotherTarget) {
+  int n = 0;
+  const auto second_answers = [&n](const ReceivedRequest& request) {
+    if (n++ == 0) {
+      request.stream->Abort();
+    } else {
+      Reply(request, Signed("r1", "ok"));
+    }
+  };
+  ScriptedTarget a(loop_.get(), second_answers);
+  ScriptedTarget b(loop_.get(), second_answers);
+  UseTargets({&a, &b});
+  EXPECT_EQ(Status(*Ask(Request("safe"))), 200);
+  EXPECT_EQ(a.Requests(), 1);
+  EXPECT_EQ(b.Requests(), 1);
+}
+
+TEST_F(ExchangeTest, SafeRequestRunsAtMostAsOftenAsItsRouteAllows) {
+  const auto fail = [](const ReceivedRequest& request) {
+    Reply(request, Signed("r1", "no", 500));
+  };
+  ScriptedTarget a(loop_.get(), fail);
+  ScriptedTarget b(loop_.get(), fail);
+  ScriptedTarget c(loop_.get(), fail);
+  UseTargets({&a, &b, &c});
+  const std::unique_ptr<TestCaller> caller = Ask(Request("safe"));
+  EXPECT_EQ(Status(*caller), 500);
+  EXPECT_EQ(Header(*caller, "Upstream-Signature"), "sig");
+  EXPECT_EQ(a.Requests() + b.Requests() + c.Requests(), 2);
+}
+
+TEST_F(ExchangeTest, UnsafeRequestThatWasNotRunIsSentToAnotherTarget) {
+  int n = 0;
+  const auto second_answers = [&n](const ReceivedRequest& request) {
+    if (n++ == 0) {
+      Reply(request,
+            "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
+            "Content-Length: 0\r\n\r\n");
+    } else {
+      Reply(request, Signed("r1", "ok"));
+    }
+  };
+  ScriptedTarget a(loop_.get(), second_answers);
+  ScriptedTarget b(loop_.get(), second_answers);
+  UseTargets({&a, &b});
+  EXPECT_EQ(Status(*Ask(Request("unsafe"))), 200);
+  EXPECT_EQ(n, 2);
+}
+
+// A status that promises "not run" must not come from a target that ran it.
+TEST_F(ExchangeTest, BusyStatusWithoutTargetsWordIsNoPromise) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest& request) {
+    Reply(request, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  });
+  UseTargets({&target});
+  EXPECT_EQ(Status(*Ask(Request("unsafe"))), 502);
+}
+
+TEST_F(ExchangeTest, UnsignedSuccessIsNotPassedOn) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest& request) {
+    Reply(request, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
+  });
+  UseTargets({&target});
+  EXPECT_EQ(Status(*Ask(Request("unsafe"))), 502);
+}
+
+TEST_F(ExchangeTest, AnswerToAnotherRequestIsDropped) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest& request) {
+    Reply(request, Signed("other", "wrong") + Signed("r1", "right"));
+  });
+  UseTargets({&target});
+  const std::unique_ptr<TestCaller> caller = Ask(Request("unsafe"));
+  EXPECT_EQ(Status(*caller), 200);
+  EXPECT_EQ(*caller->Answer()->Body(), "right");
+}
+
+TEST_F(ExchangeTest, BytesBehindAnAnswerNeverReachTheNextCaller) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest& request) {
+    Reply(request,
+          Signed(request.Header("Request-Id"), "mine") + Signed("", "stray"));
+  });
+  UseTargets({&target});
+  for (const char* id : {"r1", "r2", "r3"}) {
+    const std::unique_ptr<TestCaller> caller = Ask(Request("safe", id));
+    ASSERT_EQ(Status(*caller), 200);
+    EXPECT_EQ(*caller->Answer()->Body(), "mine");
+  }
+}
+
+TEST_F(ExchangeTest, TruncatedAnswerIsNotPassedOnAsWhole) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest& request) {
+    Reply(request,
+          "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+          "Upstream-Signature: s\r\nContent-Length: 9\r\n\r\nabc");
+    request.stream->FinishWriting();
+  });
+  UseTargets({&target});
+  EXPECT_EQ(Status(*Ask(Request("unsafe"))), 502);
+}
+
+TEST_F(ExchangeTest, UnframedAnswerIsWholeAfterCleanClose) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest& request) {
+    Reply(request,
+          "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+          "Upstream-Signature: s\r\n\r\nabc");
+    request.stream->FinishWriting();
+  });
+  UseTargets({&target});
+  const std::unique_ptr<TestCaller> caller = Ask(Request("unsafe"));
+  EXPECT_EQ(Status(*caller), 200);
+  EXPECT_EQ(*caller->Answer()->Body(), "abc");
+}
+
+TEST_F(ExchangeTest, EventsArriveAsTheyAreMade) {
+  ByteStream* stream = nullptr;
+  ScriptedTarget target(loop_.get(), [&stream](const ReceivedRequest& request) {
+    stream = request.stream;
+    Reply(request, kStreamHead + Chunk("id: 1\ndata: a\n\n"));
+  });
+  UseTargets({&target});
+  TestCaller caller(loop_.get(), relay_->Front());
+  caller.Send(Request("stream"));
+  ASSERT_TRUE(RunUntil([&caller] {
+    return caller.Received().find("data: a") != std::string::npos;
+  }));
+  stream->Write(Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&caller] { return caller.Answer() != nullptr; }));
+  EXPECT_EQ(*caller.Answer()->Body(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+TEST_F(ExchangeTest, BrokenStreamThatMustNotRepeatEndsIncomplete) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest& request) {
+    Reply(request, kStreamHead + Chunk("id: 1\ndata: a\n\nid: 2\nda"));
+    request.stream->FinishWriting();
+  });
+  UseTargets({&target});
+  const std::unique_ptr<TestCaller> caller = Ask(Request("stream"));
+  EXPECT_TRUE(caller->Ended());
+  EXPECT_EQ(caller->Answer(), nullptr);
+  EXPECT_EQ(target.Requests(), 1);
+}
+
+TEST_F(ExchangeTest, BrokenResumableStreamGoesOnAtAnotherTarget) {
+  std::string resumed_after;
+  int n = 0;
+  const auto script = [&](const ReceivedRequest& request) {
+    if (n++ == 0) {
+      Reply(request, kStreamHead + Chunk("id: 1\ndata: a\n\nid: 2\nda"));
+      request.stream->FinishWriting();
+      return;
+    }
+    resumed_after = request.Header("Last-Event-Id");
+    Reply(request, kStreamHead + Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+  };
+  ScriptedTarget a(loop_.get(), script);
+  ScriptedTarget b(loop_.get(), script);
+  UseTargets({&a, &b});
+  const std::unique_ptr<TestCaller> caller = Ask(Request("resume"));
+  ASSERT_NE(caller->Answer(), nullptr);
+  EXPECT_EQ(*caller->Answer()->Body(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  EXPECT_EQ(resumed_after, "1");
+}
+
+// Found on a day with crashes: the refusal was written into the begun body.
+TEST_F(ExchangeTest, ResumeThatIsRefusedEndsIncomplete) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest& request) {
+    Reply(request, kStreamHead + Chunk("id: 1\ndata: a\n\n"));
+    request.stream->FinishWriting();
+  });
+  UseTargets({&target});
+  const std::unique_ptr<TestCaller> caller = Ask(Request("resume"));
+  EXPECT_TRUE(caller->Ended());
+  EXPECT_EQ(caller->Received().find("HTTP/1.1 50"), std::string::npos);
+  EXPECT_EQ(caller->Answer(), nullptr);
+}
+
+TEST_F(ExchangeTest, CallerThatLeavesEndsWorkAtTarget) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest&) {});
+  UseTargets({&target});
+  TestCaller caller(loop_.get(), relay_->Front());
+  caller.Send(Request("unsafe"));
+  ASSERT_TRUE(RunUntil([&target] { return target.Requests() == 1; }));
+  caller.Close();
+  EXPECT_TRUE(RunUntil([&target] { return target.Closed() == 1; }));
+}
+
+TEST_F(ExchangeTest, SilentTargetIsAnsweredForAtTheTimeOut) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest&) {});
+  UseTargets({&target});
+  std::string request = Request("unsafe");
+  request.replace(request.find("2000"), 4, "0200");
+  EXPECT_EQ(Status(*Ask(request)), 504);
+}
+
+TEST_F(ExchangeTest, NoTargetAtAllPromisesNotRunAndWhenToComeBack) {
+  std::string request = Request("unsafe");
+  request.replace(request.find("2000"), 4, "0200");
+  const std::unique_ptr<TestCaller> caller = Ask(request);
+  EXPECT_EQ(Status(*caller), 503);
+  EXPECT_NE(Header(*caller, "Retry-After"), "");
+}
+
+TEST_F(ExchangeTest, UnreachableTargetIsLeftForAnother) {
+  ScriptedTarget good(loop_.get(), [](const ReceivedRequest& request) {
+    Reply(request, Signed("r1", "ok"));
+  });
+  std::unique_ptr<ScriptedTarget> gone = std::make_unique<ScriptedTarget>(
+      loop_.get(), [](const ReceivedRequest&) {});
+  UseTargets({gone.get(), &good});
+  gone.reset();
+  EXPECT_EQ(Status(*Ask(Request("unsafe"))), 200);
+}
+
+TEST_F(ExchangeTest, TwoRequestsOnOneConnectionAreAnsweredInOrder) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest& request) {
+    Reply(request,
+          Signed(request.Header("Request-Id"), request.Header("Request-Id")));
+  });
+  UseTargets({&target});
+  TestCaller caller(loop_.get(), relay_->Front());
+  caller.Send(Request("unsafe", "r1") + Request("unsafe", "r2"));
+  ASSERT_TRUE(RunUntil([&caller] {
+    return caller.Received().find("\r\n\r\nr2") != std::string::npos;
+  }));
+  EXPECT_LT(caller.Received().find("\r\n\r\nr1"),
+            caller.Received().find("\r\n\r\nr2"));
+}
+
+TEST_F(ExchangeTest, PlannedStopFinishesRequestAndAnnouncesClose) {
+  ByteStream* stream = nullptr;
+  ScriptedTarget target(loop_.get(), [&stream](const ReceivedRequest& request) {
+    stream = request.stream;
+  });
+  UseTargets({&target});
+  TestCaller caller(loop_.get(), relay_->Front());
+  caller.Send(Request("unsafe"));
+  ASSERT_TRUE(RunUntil([&stream] { return stream != nullptr; }));
+  relay_->Drain();
+  EXPECT_FALSE(relay_->Drained());
+  stream->Write(Signed("r1", "late"));
+  ASSERT_TRUE(RunUntil([&caller] { return caller.Answer() != nullptr; }));
+  EXPECT_EQ(Header(caller, "Connection"), "close");
+  EXPECT_EQ(*caller.Answer()->Body(), "late");
+}
+
+TEST_F(ExchangeTest, KeyTakenAwayWhileWaitingIsNotSent) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest&) {});
+  TestCaller caller(loop_.get(), relay_->Front());
+  caller.Send(Request("unsafe"));
+  for (int i = 0; i < 10; ++i) {
+    loop_->RunOnce(std::chrono::milliseconds(2));
+  }
+  ServingConfig config = Config(2);
+  config.workspaces[0].keys.clear();
+  Configure(config);
+  UseTargets({&target});
+  ASSERT_TRUE(RunUntil([&caller] { return caller.Answer() != nullptr; }));
+  EXPECT_EQ(Status(caller), 401);
+  EXPECT_EQ(target.Requests(), 0);
+}
+
+}  // namespace
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/tests/relay/http_parser_test.cc
@@ -0,0 +1,135 @@
+#include "src/relay/http_parser.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr MessageLimits kLimits = {1'024, 100};
+
+class HttpParserTest : public testing::Test {
+ protected:
+  static std::unique_ptr<HttpParser> Request(std::string_view bytes) {
+    std::unique_ptr<HttpParser> parser = HttpParser::ForRequest(kLimits);
+    parser->Feed(bytes);
+    return parser;
+  }
+
+  static std::unique_ptr<HttpParser> Answer(std::string_view bytes) {
+    std::unique_ptr<HttpParser> parser = HttpParser::ForAnswer(kLimits, false);
+    parser->Feed(bytes);
+    return parser;
+  }
+};
+
+TEST_F(HttpParserTest, FeedByteByByteGivesSameRequest) {
+  const std::string bytes =
+      "POST /a%2Fb/../c?q=1 HTTP/1.1\r\nHost: h\r\nX-One: 1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+  const std::unique_ptr<HttpParser> parser = HttpParser::ForRequest(kLimits);
+  for (const char c : bytes) {
+    EXPECT_EQ(parser->Feed({&c, 1}), 1U);
+  }
+  ASSERT_TRUE(parser->Done());
+  EXPECT_EQ(parser->Head().target, "/a%2Fb/../c?q=1");
+  EXPECT_EQ(*parser->Body(), "abcde");
+  EXPECT_EQ(parser->Head().framing, BodyFraming::kChunked);
+}
+
+TEST_F(HttpParserTest, FeedStopsAtEndOfMessage) {
+  const std::string first =
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab";
+  const std::unique_ptr<HttpParser> parser = HttpParser::ForRequest(kLimits);
+  EXPECT_EQ(parser->Feed(first + "GET / HTTP/1.1\r\n"), first.size());
+  EXPECT_TRUE(parser->Done());
+}
+
+TEST_F(HttpParserTest, FeedWithTooLongHeaderOrBodyTellsWhich) {
+  EXPECT_EQ(Request("GET / HTTP/1.1\r\nHost: h\r\nX: " +
+                    std::string(2'000, 'x') + "\r\n\r\n")
+                ->Error(),
+            ParseError::kHeaderTooLong);
+  EXPECT_EQ(Request("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n")
+                ->Error(),
+            ParseError::kBodyTooLong);
+}
+
+TEST_F(HttpParserTest, FeedEndOfUnframedAnswerCompletesIt) {
+  const std::unique_ptr<HttpParser> parser =
+      Answer("HTTP/1.1 200 OK\r\nA: b\r\n\r\nabc");
+  EXPECT_EQ(parser->Head().framing, BodyFraming::kUntilClose);
+  EXPECT_FALSE(parser->Done());
+  parser->FeedEnd();
+  EXPECT_TRUE(parser->Done());
+}
+
+TEST_F(HttpParserTest, FeedEndOfShortAnswerIsAnError) {
+  const std::unique_ptr<HttpParser> parser =
+      Answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+  parser->FeedEnd();
+  EXPECT_FALSE(parser->Done());
+}
+
+TEST_F(HttpParserTest, FeedWithBytesThatAreNoAnswerIsAnError) {
+  EXPECT_EQ(Answer("garbage\r\n\r\n")->Error(), ParseError::kMalformed);
+}
+
+struct HostileRequest {
+  const char* name;
+  const char* bytes;
+  std::size_t size;
+};
+
+class HostileRequestTest : public testing::TestWithParam<HostileRequest> {};
+
+// Requests that two parsers could read differently.
+TEST_P(HostileRequestTest, FeedRefusesAmbiguousFraming) {
+  const std::unique_ptr<HttpParser> parser = HttpParser::ForRequest(kLimits);
+  std::string_view bytes(GetParam().bytes, GetParam().size);
+  parser->Feed(bytes);
+  EXPECT_FALSE(parser->Done() && parser->Error() == ParseError::kNone)
+      << GetParam().name;
+  EXPECT_EQ(parser->Error(), ParseError::kMalformed) << GetParam().name;
+}
+
+#define HOSTILE(name, bytes) \
+  HostileRequest { name, bytes, sizeof(bytes) - 1 }
+INSTANTIATE_TEST_SUITE_P(
+    Framing, HostileRequestTest,
+    testing::Values(
+        HOSTILE("two lengths",
+                "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                "Content-Length: 5\r\n\r\nabcde"),
+        HOSTILE("length beside chunks",
+                "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+        HOSTILE("chunks beside length",
+                "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+                "Content-Length: 4\r\n\r\n0\r\n\r\n"),
+        HOSTILE("two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"),
+        HOSTILE("no host", "GET / HTTP/1.1\r\nX: y\r\n\r\n"),
+        HOSTILE("NUL in a header", "GET / HTTP/1.1\r\nHost: a\0b\r\n\r\n"),
+        HOSTILE("bare line feeds", "GET / HTTP/1.1\nHost: h\n\n"),
+        HOSTILE("space before the colon",
+                "POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 4\r\n\r\nabcd"),
+        HOSTILE("signed length",
+                "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +4\r\n\r\nabcd"),
+        HOSTILE("bad chunk size",
+                "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+                "\r\nxyz\r\n"),
+        HOSTILE("unknown coding",
+                "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n"
+                "\r\nabcd"),
+        HOSTILE("coding list",
+                "POST / HTTP/1.1\r\nHost: h\r\n"
+                "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"),
+        HOSTILE("folded coding",
+                "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding:\r\n"
+                " identity\r\n\r\n")));
+#undef HOSTILE
+
+}  // namespace
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/tests/relay/relay_fixture.cc
@@ -0,0 +1,205 @@
+#include "tests/relay/relay_fixture.h"
+
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+#include "platform/wire_dialect.h"
+#include "src/base/socket_address.h"
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr Duration kSilence = std::chrono::seconds(5);
+constexpr MessageLimits kLimits = {65'536, 1'048'576};
+/// A test that takes longer has failed.
+constexpr Duration kLongestRun = std::chrono::seconds(10);
+constexpr Duration kTurn = std::chrono::milliseconds(5);
+
+}  // namespace
+
+std::string ReceivedRequest::Header(std::string_view name) const {
+  const std::string* value = FindHeader(head.headers, name);
+  return value == nullptr ? "" : *value;
+}
+
+struct ScriptedTarget::Connection {
+  std::unique_ptr<ByteStream> stream;
+  std::unique_ptr<HttpParser> parser;
+};
+
+ScriptedTarget::ScriptedTarget(PollLoop* loop, Script script)
+    : loop_(loop),
+      script_(std::move(script)),
+      fd_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
+  const sockaddr_in any = ToSocketAddress({"127.0.0.1", 0});
+  EXPECT_EQ(
+      bind(fd_.Get(), reinterpret_cast<const sockaddr*>(&any), sizeof(any)), 0);
+  EXPECT_EQ(listen(fd_.Get(), 16), 0);
+  loop_->Watch(fd_.Get(), EPOLLIN, [this](std::uint32_t) { Accept(); });
+}
+
+ScriptedTarget::~ScriptedTarget() { loop_->Forget(fd_.Get()); }
+
+Address ScriptedTarget::Bound() const { return BoundAddress(fd_.Get()); }
+
+void ScriptedTarget::Accept() {
+  const std::shared_ptr<Connection> connection = std::make_shared<Connection>();
+  FileDescriptor fd(accept4(fd_.Get(), nullptr, nullptr, SOCK_NONBLOCK));
+  if (fd.Get() < 0) {
+    return;
+  }
+  connection->stream = ByteStream::Accepted(loop_, std::move(fd), kSilence);
+  connection->parser = HttpParser::ForRequest(kLimits);
+  Connection* raw = connection.get();
+  ByteStream::Callbacks callbacks;
+  callbacks.on_bytes = [this, raw](std::string_view bytes) {
+    raw->parser->Feed(bytes);
+    if (raw->parser->Done()) {
+      requests_.push_back(
+          {raw->parser->Head(), *raw->parser->Body(), raw->stream.get()});
+      raw->parser = HttpParser::ForRequest(kLimits);
+      const ReceivedRequest request = requests_.back();
+      script_(request);
+    }
+  };
+  callbacks.on_end = [this](StreamEnd) { ++closed_; };
+  connection->stream->SetCallbacks(std::move(callbacks));
+  connections_.push_back(connection);
+}
+
+TestCaller::TestCaller(PollLoop* loop, const Address& front)
+    : stream_(ByteStream::Connect(loop, front, kSilence)) {
+  ByteStream::Callbacks callbacks;
+  callbacks.on_bytes = [this](std::string_view bytes) {
+    received_.append(bytes);
+  };
+  callbacks.on_end = [this](StreamEnd) { ended_ = true; };
+  stream_->SetCallbacks(std::move(callbacks));
+}
+
+std::unique_ptr<HttpParser> TestCaller::Answer() const {
+  std::unique_ptr<HttpParser> parser = HttpParser::ForAnswer(kLimits, false);
+  parser->Feed(received_);
+  return parser->Done() && parser->Error() == ParseError::kNone
+             ? std::move(parser)
+             : nullptr;
+}
+
+RelayFixture::RelayFixture() : dialect_(platform::MakeWireDialect()) {
+  relay_ = Relay::Make(loop_.get(), clock_.get(), dialect_.get(),
+                       metrics_.get(), Options(), [](const VmRecord&) {});
+  Configure(Config());
+}
+
+RelayOptions RelayFixture::Options() {
+  RelayOptions options;
+  options.name = "vm";
+  options.failure_domain = "d";
+  const Address any = {"127.0.0.1", 0};
+  options.front = any;
+  options.ready = any;
+  options.directory = any;
+  options.link = any;
+  options.metrics = any;
+  options.memory_bytes = std::size_t{64} << 20;
+  options.max_connections = 100;
+  options.directory_keep = std::chrono::seconds(1);
+  options.grace = std::chrono::seconds(8);
+  options.retry_ratio = 0.2;
+  options.retry_slack = 50;
+  options.admission.key_limit = std::chrono::seconds(5);
+  options.admission.poison_limit = 2;
+  options.admission.poison_expiry = std::chrono::seconds(30);
+  return options;
+}
+
+ServingConfig RelayFixture::Config(std::int64_t version) {
+  ServingConfig config;
+  config.version = version;
+  const auto add = [&config](const char* name, RouteKind kind,
+                             bool is_resumable) {
+    ServingRoute route;
+    route.name = name;
+    route.host = "h";
+    route.path_prefix = fmt::format("/{}/", name);
+    route.kind = kind;
+    route.timeout = std::chrono::seconds(3);
+    route.objective = std::chrono::seconds(1);
+    route.max_attempts = 2;
+    route.is_resumable = is_resumable;
+    route.shares = {{"s", 1}};
+    config.routes.push_back(route);
+  };
+  add("safe", RouteKind::kIdempotent, false);
+  add("unsafe", RouteKind::kNonIdempotent, false);
+  add("stream", RouteKind::kStreaming, false);
+  add("resume", RouteKind::kStreaming, true);
+  WorkspaceSpec workspace;
+  workspace.name = "w";
+  workspace.keys = {"key"};
+  config.workspaces = {workspace};
+  return config;
+}
+
+void RelayFixture::Configure(const ServingConfig& config) {
+  relay_->SetConfig(std::make_shared<const RouteTable>(config));
+  relay_->OnConfirmed(clock_->SuspendAwareNow());
+}
+
+void RelayFixture::UseTargets(
+    const std::vector<const ScriptedTarget*>& targets) {
+  std::vector<TargetSpec> specs;
+  for (const ScriptedTarget* target : targets) {
+    TargetSpec spec;
+    spec.id = fmt::format("t{}", specs.size());
+    spec.service = "s";
+    spec.address = target->Bound().ToString();
+    spec.failure_domain = "d";
+    spec.places = 4;
+    specs.push_back(spec);
+  }
+  relay_->SetTargets(specs);
+}
+
+bool RelayFixture::RunUntil(const std::function<bool()>& done) {
+  const Time start = clock_->Now();
+  while (!done()) {
+    if (clock_->Now() - start > kLongestRun) {
+      return false;
+    }
+    loop_->RunOnce(kTurn);
+  }
+  return true;
+}
+
+std::string RelayFixture::Request(const std::string& kind,
+                                  const std::string& id,
+                                  const std::string& more_headers) {
+  return fmt::format(
+      "POST /{}/x?q=1 HTTP/1.1\r\nHost: h\r\nRequest-Id: {}\r\n"
+      "Api-Key: key\r\nDeadline-Ms: 2000\r\n{}Content-Length: 4\r\n\r\nbody",
+      kind, id, more_headers);
+}
+
+std::unique_ptr<TestCaller> RelayFixture::Ask(const std::string& request) {
+  std::unique_ptr<TestCaller> caller =
+      std::make_unique<TestCaller>(loop_.get(), relay_->Front());
+  caller->Send(request);
+  EXPECT_TRUE(RunUntil(
+      [&caller] { return caller->Ended() || caller->Answer() != nullptr; }));
+  return caller;
+}
+
+std::string RelayFixture::Signed(const std::string& id, const std::string& body,
+                                 int status) {
+  return fmt::format(
+      "HTTP/1.1 {} X\r\nRequest-Id: {}\r\nUpstream-Signature: sig\r\n"
+      "Content-Length: {}\r\n\r\n{}",
+      status, id, body.size(), body);
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/tests/relay/relay_fixture.h
@@ -0,0 +1,116 @@
+#ifndef HORNBEAMCLEAT_TESTS_RELAY_RELAY_FIXTURE_H_
+#define HORNBEAMCLEAT_TESTS_RELAY_RELAY_FIXTURE_H_
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "hornbeamcleat/base/clock.h"
+#include "hornbeamcleat/base/metrics.h"
+#include "src/base/poll_loop.h"
+#include "src/relay/byte_stream.h"
+#include "src/relay/dialect.h"
+#include "src/relay/http_parser.h"
+#include "src/relay/relay.h"
+
+namespace hornbeamcleat {
+
+/// Request as a target received it, and the connection to answer on.
+struct ReceivedRequest {
+  MessageHead head;
+  std::string body;
+  ByteStream* stream = nullptr;  ///< valid until the peer closes
+
+  /// Value of a header, or "".
+  std::string Header(std::string_view name) const;
+};
+
+/// Target whose answers a test scripts, byte by byte.
+class ScriptedTarget {
+ public:
+  using Script = std::function<void(const ReceivedRequest&)>;
+
+  ScriptedTarget(PollLoop* loop, Script script);
+  ~ScriptedTarget();
+
+  Address Bound() const;
+  int Requests() const { return static_cast<int>(requests_.size()); }
+  const std::vector<ReceivedRequest>& All() const { return requests_; }
+  /// Connections that the other side has closed.
+  int Closed() const { return closed_; }
+  void SetScript(Script script) { script_ = std::move(script); }
+
+ private:
+  struct Connection;
+
+  void Accept();
+
+  PollLoop* const loop_;
+  Script script_;
+  FileDescriptor fd_;
+  std::vector<std::shared_ptr<Connection>> connections_;
+  std::vector<ReceivedRequest> requests_;
+  int closed_ = 0;
+};
+
+/// Caller that sends bytes and keeps what comes back.
+class TestCaller {
+ public:
+  TestCaller(PollLoop* loop, const Address& front);
+
+  void Send(std::string_view bytes) { stream_->Write(bytes); }
+  void Close() { stream_.reset(); }
+  const std::string& Received() const { return received_; }
+  bool Ended() const { return ended_; }
+  /// Parses the first answer; nullptr if it is not whole.
+  std::unique_ptr<HttpParser> Answer() const;
+
+ private:
+  std::unique_ptr<ByteStream> stream_;
+  std::string received_;
+  bool ended_ = false;
+};
+
+/// Relay on loopback with scripted targets, all on one loop.
+class RelayFixture : public testing::Test {
+ protected:
+  RelayFixture();
+
+  static RelayOptions Options();
+
+  /// Route "/KIND/" to service "s"; kinds: safe, unsafe, stream, resume.
+  static ServingConfig Config(std::int64_t version = 1);
+
+  /// Makes the targets known as "t0", "t1", ...
+  void UseTargets(const std::vector<const ScriptedTarget*>& targets);
+
+  void Configure(const ServingConfig& config);
+
+  /// Runs the loop until `done`; false if it takes too long.
+  bool RunUntil(const std::function<bool()>& done);
+
+  /// Bytes of a request on a route.
+  static std::string Request(const std::string& kind,
+                             const std::string& id = "r1",
+                             const std::string& more_headers = "");
+
+  /// Sends a request and waits for its answer or the connection's end.
+  std::unique_ptr<TestCaller> Ask(const std::string& request);
+
+  /// Whole signed answer of a target to request `id`.
+  static std::string Signed(const std::string& id, const std::string& body,
+                            int status = 200);
+
+  std::unique_ptr<Clock> clock_ = Clock::Make();
+  std::unique_ptr<PollLoop> loop_ = PollLoop::Make(clock_.get());
+  std::unique_ptr<Metrics> metrics_ = Metrics::Make();
+  std::unique_ptr<Dialect> dialect_;
+  std::unique_ptr<Relay> relay_;
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_TESTS_RELAY_RELAY_FIXTURE_H_
--- /dev/null
+++ b/tests/serving/target_board_test.cc
@@ -0,0 +1,197 @@
+#include "src/serving/target_board.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+#include "hornbeamcleat/base/hash.h"
+
+namespace hornbeamcleat {
+namespace {
+
+using std::chrono::milliseconds;
+
+class TargetBoardTest : public testing::Test {
+ protected:
+  static TargetSpec Spec(const std::string& id, int places = 10) {
+    TargetSpec spec;
+    spec.id = id;
+    spec.service = "s";
+    spec.failure_domain = "d";
+    spec.places = places;
+    return spec;
+  }
+
+  static PlacementNeed Need(std::uint32_t prompt_tokens = 100) {
+    PlacementNeed need;
+    need.service = "s";
+    need.failure_domain = "d";
+    need.prompt_tokens = prompt_tokens;
+    return need;
+  }
+
+  std::string Pick(const PlacementNeed& need) {
+    const std::optional<Placement> placement = board_.Pick(need, now_);
+    return placement.has_value() ? placement->target : "";
+  }
+
+  // One request that takes `factor` of the expected time.
+  void Run(const std::string& target, double factor) {
+    const std::optional<Placement> placement = board_.Pick(Need(), now_);
+    const Duration expected =
+        placement.has_value() ? placement->expected : milliseconds(27);
+    board_.OnSent(target, 100, now_);
+    const Duration after(static_cast<std::int64_t>(
+        static_cast<double>(expected.count()) * factor));
+    now_ += after;
+    board_.OnFirstEvent(target, 100, after, expected, now_);
+    board_.OnEnded(target, 100, true, TargetOutcome::kAnswered, now_);
+  }
+
+  Time now_{milliseconds(10'000)};
+  TargetBoard board_;
+};
+
+TEST_F(TargetBoardTest, PickAmongEqualsTakesLeastUnreadPrompt) {
+  board_.SetTargets({Spec("a"), Spec("b")}, now_);
+  board_.OnSent("a", 20'000, now_);
+  EXPECT_EQ(Pick(Need()), "b");
+}
+
+TEST_F(TargetBoardTest, PickCountsWorkOfPeers) {
+  board_.SetTargets({Spec("a"), Spec("b")}, now_);
+  board_.SetPeerUses("peer", {{Hash32("a"), 1, 20'000}});
+  EXPECT_EQ(Pick(Need()), "b");
+  board_.ForgetPeer("peer");
+  board_.OnSent("b", 20'000, now_);
+  EXPECT_EQ(Pick(Need()), "a");
+}
+
+TEST_F(TargetBoardTest, PickWithAllPlacesTakenByPeersGivesNothing) {
+  board_.SetTargets({Spec("a", 2)}, now_);
+  board_.SetPeerUses("p", {{Hash32("a"), 1, 0}});
+  board_.SetPeerUses("q", {{Hash32("a"), 1, 0}});
+  EXPECT_EQ(Pick(Need()), "");
+  EXPECT_EQ(board_.FreePlaces("s", now_), 0);
+  board_.SetPeerUses("q", {});
+  EXPECT_EQ(Pick(Need()), "a");
+}
+
+TEST_F(TargetBoardTest, PickAfterSlowAnswersTakesFasterTarget) {
+  board_.SetTargets({Spec("a"), Spec("b")}, now_);
+  for (int i = 0; i < 10; ++i) {
+    Run("a", 5);
+    Run("b", 1);
+  }
+  EXPECT_EQ(Pick(Need()), "b");
+}
+
+TEST_F(TargetBoardTest, PickWithFindingsOfPeersKnowsSlowTarget) {
+  board_.SetTargets({Spec("a"), Spec("b")}, now_);
+  board_.SetPeerFindings("peer", {{Hash32("a"), 5, 20, 0, 20}});
+  EXPECT_EQ(Pick(Need()), "b");
+}
+
+TEST_F(TargetBoardTest, PickAfterFailuresInARowRestsTarget) {
+  board_.SetTargets({Spec("a")}, now_);
+  for (int i = 0; i < 3; ++i) {
+    board_.OnSent("a", 1, now_);
+    board_.OnEnded("a", 1, false, TargetOutcome::kFailed, now_);
+  }
+  EXPECT_EQ(Pick(Need()), "");
+  now_ += milliseconds(600);
+  EXPECT_EQ(Pick(Need()), "a");
+}
+
+TEST_F(TargetBoardTest, PickOfUnreachableTargetRestsLongerEachTime) {
+  board_.SetTargets({Spec("a")}, now_);
+  const auto fail = [this] {
+    board_.OnSent("a", 1, now_);
+    board_.OnEnded("a", 1, false, TargetOutcome::kUnreached, now_);
+  };
+  fail();
+  fail();  // Under way at the same time: no second step.
+  now_ += milliseconds(450);
+  EXPECT_EQ(Pick(Need()), "a");
+  fail();
+  now_ += milliseconds(450);
+  EXPECT_EQ(Pick(Need()), "");
+  now_ += milliseconds(400);
+  EXPECT_EQ(Pick(Need()), "a");
+}
+
+TEST_F(TargetBoardTest, PickOfSilentTargetWaitsForItsAnswer) {
+  board_.SetTargets({Spec("a"), Spec("b")}, now_);
+  board_.OnSent("a", 1, now_);
+  board_.OnSent("b", 50'000, now_);
+  now_ += milliseconds(3'000);
+  board_.OnFirstEvent("b", 50'000, milliseconds(3'000), milliseconds(3'000),
+                      now_);
+  board_.OnSent("b", 50'000, now_);
+  EXPECT_EQ(Pick(Need()), "b");
+  board_.OnFirstEvent("a", 1, milliseconds(3'000), milliseconds(27), now_);
+  EXPECT_EQ(Pick(Need()), "a");
+}
+
+// Load: a slow engine serves streams whose pauses are bounded while long
+// prompts arrive; each prompt delays every event beside it.
+TEST_F(TargetBoardTest, PickWithPromptThatBreaksPausesLeavesBusySlowTarget) {
+  board_.SetTargets({Spec("a")}, now_);
+  for (int i = 0; i < 20; ++i) {
+    Run("a", 5);
+  }
+  PlacementNeed need = Need(6'000);
+  need.max_pause = milliseconds(250);
+  EXPECT_EQ(Pick(need), "a") << "an idle target delays nobody";
+  board_.OnSent("a", 10, now_);
+  board_.OnFirstEvent("a", 10, milliseconds(150), milliseconds(150), now_);
+  EXPECT_EQ(Pick(need), "");
+  need.accepts_pauses = true;
+  EXPECT_EQ(Pick(need), "a");
+}
+
+TEST_F(TargetBoardTest, SetTargetsWithLeavingTargetGivesItNoWork) {
+  TargetSpec leaving = Spec("a");
+  leaving.is_leaving = true;
+  board_.SetTargets({leaving}, now_);
+  EXPECT_EQ(Pick(Need()), "");
+  EXPECT_FALSE(board_.TakesWork("a"));
+}
+
+TEST_F(TargetBoardTest, SetTargetsWithRebornTargetForgetsItsPast) {
+  board_.SetTargets({Spec("a", 1)}, now_);
+  board_.OnSent("a", 1, now_);
+  EXPECT_EQ(Pick(Need()), "");
+  TargetSpec reborn = Spec("a", 1);
+  reborn.born_ms = 7;
+  board_.SetTargets({reborn}, now_);
+  EXPECT_EQ(Pick(Need()), "a");
+}
+
+// Load: many VMs that hear of each other late place at the same moment; if all
+// choose among all targets they rush to the same one.
+TEST_F(TargetBoardTest, PickWithCandidateShareSpreadsRequests) {
+  std::vector<TargetSpec> specs;
+  for (int i = 0; i < 60; ++i) {
+    specs.push_back(Spec("t" + std::to_string(i)));
+  }
+  board_.SetTargets(specs, now_);
+  board_.SetCandidateShare(0.1);
+  std::map<std::string, int> picked;
+  for (std::uint32_t i = 0; i < 300; ++i) {
+    PlacementNeed need = Need();
+    need.seed = Hash32("request" + std::to_string(i));
+    ++picked[Pick(need)];
+  }
+  int most = 0;
+  for (const auto& [target, n] : picked) {
+    most = std::max(most, n);
+  }
+  EXPECT_EQ(picked.count(""), 0U);
+  EXPECT_LT(most, 60);
+  EXPECT_GT(picked.size(), 20U);
+}
+
+}  // namespace
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/tests/serving/vm_directory_test.cc
@@ -0,0 +1,116 @@
+#include "src/serving/vm_directory.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+
+namespace hornbeamcleat {
+namespace {
+
+using std::chrono::milliseconds;
+
+class VmDirectoryTest : public testing::Test {
+ protected:
+  static VmRecord Record(const std::string& name, const std::string& domain) {
+    return {name + ":1", name + ":2", domain};
+  }
+
+  static VmDirectory::Options Options() {
+    return {milliseconds(900), milliseconds(1'300), milliseconds(20'000)};
+  }
+
+  void Hear(const std::string& name, const std::string& domain,
+            bool is_ready = true, std::uint64_t incarnation = 1) {
+    PeerState state;
+    state.link = name + ":1";
+    state.incarnation = incarnation;
+    state.sequence = ++sequence_;
+    state.is_ready = is_ready;
+    state.details = PeerDetails{name + ":2", domain, {}, {}};
+    directory_.OnState(state, now_);
+  }
+
+  std::vector<std::string> Fronts(const std::string& domain,
+                                  bool self_is_ready = true) {
+    std::vector<std::string> fronts =
+        directory_.Fronts(domain, self_is_ready, now_);
+    std::sort(fronts.begin(), fronts.end());
+    return fronts;
+  }
+
+  using List = std::vector<std::string>;
+
+  Time now_{milliseconds(10'000)};
+  std::uint32_t sequence_ = 0;
+  VmDirectory directory_{Record("self", "x"), Options()};
+};
+
+TEST_F(VmDirectoryTest, FrontsWithEnoughInDomainLeavesOthersOut) {
+  Hear("a", "x");
+  Hear("b", "y");
+  EXPECT_EQ(Fronts("x"), (List{"a:2", "self:2"}));
+}
+
+TEST_F(VmDirectoryTest, FrontsWithOneInDomainAddsOthers) {
+  Hear("a", "x");
+  Hear("b", "y");
+  EXPECT_EQ(Fronts("y"), (List{"a:2", "b:2", "self:2"}));
+}
+
+TEST_F(VmDirectoryTest, FrontsWithoutReadinessLeavesVmOut) {
+  Hear("a", "x", false);
+  EXPECT_EQ(Fronts("x", false), List{});
+  EXPECT_EQ(Fronts("x"), List{"self:2"});
+}
+
+TEST_F(VmDirectoryTest, FrontsAfterSilenceLeavesVmOut) {
+  Hear("a", "x");
+  now_ += milliseconds(1'400);
+  EXPECT_EQ(Fronts("x"), List{"self:2"});
+}
+
+TEST_F(VmDirectoryTest, OnStateWithOldMessageIsIgnored) {
+  Hear("a", "x");
+  PeerState late;
+  late.link = "a:1";
+  late.incarnation = 1;
+  late.sequence = 0;
+  EXPECT_FALSE(directory_.OnState(late, now_));
+  late.incarnation = 2;
+  EXPECT_TRUE(directory_.OnState(late, now_));
+}
+
+TEST_F(VmDirectoryTest, TakeSilentReportsEachSilenceOnce) {
+  Hear("a", "x");
+  now_ += milliseconds(1'000);
+  EXPECT_EQ(directory_.TakeSilent(now_), List{"a:1"});
+  EXPECT_EQ(directory_.TakeSilent(now_), List{});
+}
+
+TEST_F(VmDirectoryTest, GoneWithMostPeersHeardNamesTheLongSilent) {
+  directory_.SetMembers({Record("a", "x"), Record("b", "x"), Record("c", "x")},
+                        now_);
+  now_ += milliseconds(21'000);
+  Hear("a", "x");
+  Hear("b", "x");
+  ASSERT_EQ(directory_.Gone(now_).size(), 1U);
+  EXPECT_EQ(directory_.Gone(now_)[0], Record("c", "x"));
+}
+
+// A VM that is cut off hears nobody and must not remove the others.
+TEST_F(VmDirectoryTest, GoneWhileCutOffNamesNobody) {
+  directory_.SetMembers({Record("a", "x"), Record("b", "x"), Record("c", "x")},
+                        now_);
+  now_ += milliseconds(21'000);
+  EXPECT_TRUE(directory_.Gone(now_).empty());
+}
+
+TEST_F(VmDirectoryTest, MembersCountsSilentOnes) {
+  directory_.SetMembers({Record("self", "x"), Record("a", "x")}, now_);
+  EXPECT_EQ(directory_.Members(), 2);
+  EXPECT_EQ(directory_.Heard(now_), 0);
+}
+
+}  // namespace
+}  // namespace hornbeamcleat
