Tell changes by failure domain and read the store less where VMs are many

Change: a plan by the number of VMs (src/serving/scale_plan): beyond 16 VMs changes go to the own failure domain, other domains hear a heartbeat; reads wait longer and take bursts of changes in one call; findings take 8 bytes.

--- a/include/hornbeamcleat/serving/serving_source.h
+++ b/include/hornbeamcleat/serving/serving_source.h
@@ -42,6 +42,17 @@
   virtual void OnMembers(const std::vector<VmRecord>& members) = 0;
 };
 
+/// How a VM reads the store.
+struct ReadPacing {
+  Duration config_wait{0};  ///< of a read that waits for a change
+  Duration target_wait{0};
+  Duration member_wait{0};
+  Duration config_gap{0};  ///< least time between two reads that bring changes
+  Duration target_gap{0};
+
+  bool operator==(const ReadPacing&) const = default;
+};
+
 /// Connection to the platform's store. Reports to one listener until it is
 /// destroyed.
 class ServingSource {
@@ -54,6 +65,9 @@
   virtual void Withdraw() = 0;
   /// Removes the announcement of a VM that is gone for good.
   virtual void Remove(const VmRecord& gone) = 0;
+
+  /// Reads at another pace from the next read on.
+  virtual void SetPacing(const ReadPacing& pacing) = 0;
 };
 
 }  // namespace hornbeamcleat
--- a/src/relay/event_cutter.cc
+++ b/src/relay/event_cutter.cc
@@ -21,7 +21,8 @@
   pending_.append(bytes);
   std::size_t end = 0;
   while (true) {
-    const std::string_view rest = std::string_view(pending_).substr(end);
+    const std::string_view all = pending_;
+    const std::string_view rest = all.substr(end);
     const std::size_t n = EventEnd(rest);
     if (n == std::string_view::npos) {
       break;
--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -24,6 +24,9 @@
 
 /// Unit in which prompt tokens are told; finer steps decide nothing.
 constexpr std::uint32_t kTokenUnit = 32;
+/// Steps of slowness and of counts in findings; a byte holds 12 and 32.
+constexpr float kSlownessUnits = 20;
+constexpr float kCountUnits = 8;
 /// Unit of the time left, in milliseconds.
 constexpr std::int32_t kTimeUnitMs = 4;
 
@@ -53,9 +56,24 @@
 }
 
 template <typename Archive>
-void serialize(Archive& ar, TargetFinding& finding) {
-  ar(finding.target, finding.slowness, finding.slowness_samples,
-     finding.failures, finding.answers);
+void save(Archive& ar, const TargetFinding& finding) {
+  ar(finding.target, Shorten<std::uint8_t>(finding.slowness * kSlownessUnits),
+     Shorten<std::uint8_t>(finding.slowness_samples * kCountUnits),
+     Shorten<std::uint8_t>(finding.failures * kCountUnits),
+     Shorten<std::uint8_t>(finding.answers * kCountUnits));
+}
+
+template <typename Archive>
+void load(Archive& ar, TargetFinding& finding) {
+  std::uint8_t slowness = 0;
+  std::uint8_t samples = 0;
+  std::uint8_t failures = 0;
+  std::uint8_t answers = 0;
+  ar(finding.target, slowness, samples, failures, answers);
+  finding.slowness = static_cast<float>(slowness) / kSlownessUnits;
+  finding.slowness_samples = static_cast<float>(samples) / kCountUnits;
+  finding.failures = static_cast<float>(failures) / kCountUnits;
+  finding.answers = static_cast<float>(answers) / kCountUnits;
 }
 
 template <typename Archive>
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -20,18 +20,14 @@
 #include "src/relay/request_log.h"
 #include "src/relay/target_pool.h"
 #include "src/schedule/retry_budget.h"
+#include "src/serving/scale_plan.h"
 #include "src/serving/vm_directory.h"
 
 namespace hornbeamcleat {
 namespace {
 
-/// Peers are told at once of a change, but not more often than this.
-constexpr Duration kLeastGap = std::chrono::milliseconds(2);
-/// The gap grows with the square of the number of VMs, so that the messages
-/// that all VMs send to one stay below 1,500 a second.
-constexpr Duration kGapPerVmPair = std::chrono::microseconds(8);
-/// A peer hears from this VM this often without any change.
-constexpr Duration kHeartbeat = std::chrono::milliseconds(250);
+/// Period of the check whether a heartbeat is due.
+constexpr Duration kHeartbeatCheck = std::chrono::milliseconds(250);
 /// Several heartbeats and a lost datagram.
 constexpr Duration kPeerSilence = std::chrono::milliseconds(900);
 constexpr Duration kCallerSilence = std::chrono::milliseconds(1'300);
@@ -39,8 +35,6 @@
 constexpr Duration kGoneSilence = std::chrono::seconds(20);
 /// Decisions are taken again this often while requests wait.
 constexpr Duration kDecisionPeriod = std::chrono::milliseconds(20);
-/// VMs that hear of each other fast enough to choose among all targets.
-constexpr int kPromptPeers = 12;
 constexpr Duration kHousekeeping = std::chrono::milliseconds(250);
 /// From SIGTERM on: new requests are served this long, since callers still hold
 /// this VM's address, then turned away.
@@ -74,13 +68,15 @@
  public:
   LiveRelay(PollLoop* loop, const Clock* clock, const Dialect* dialect,
             Metrics* metrics, const RelayOptions& options,
-            std::function<void(const VmRecord&)> remove_member)
+            std::function<void(const VmRecord&)> remove_member,
+            std::function<void(const ScalePlan&)> on_scale)
       : loop_(loop),
         clock_(clock),
         dialect_(dialect),
         metrics_(metrics),
         options_(options),
         remove_member_(std::move(remove_member)),
+        on_scale_(std::move(on_scale)),
         self_{options.link.ToString(), options.front.ToString(),
               options.failure_domain},
         directory_(self_, {kPeerSilence, kCallerSilence, kGoneSilence}),
@@ -101,8 +97,8 @@
     incarnation_ = (std::uint64_t{random()} << 32) | random();
     desk_.Quotas()->SetSlack(options.quota_slack);
     const Time now = clock_->Now();
-    heartbeat_ = loop_->Timers()->Every(now + kHeartbeat, kHeartbeat,
-                                        [this](Time) { Tell(true); });
+    heartbeat_ = loop_->Timers()->Every(now + kHeartbeatCheck, kHeartbeatCheck,
+                                        [this](Time) { Heartbeat(); });
     housekeeping_ = loop_->Timers()->Every(now + kHousekeeping, kHousekeeping,
                                            [this](Time) { Housekeep(); });
   }
@@ -132,7 +128,7 @@
     directory_.SetMembers(members, clock_->Now());
     OnMembership();
     Log().Info("event=members count={}", directory_.Members());
-    Tell(true);
+    TellAll();
   }
 
   void SetOptions(const RelayOptions& options) override {
@@ -152,7 +148,7 @@
     drain_since_ = clock_->Now();
     Log().Info("event=drain in_flight={}", front_.Busy());
     CheckReady();
-    Tell(true);
+    TellAll();
   }
 
   bool Drained() const override {
@@ -245,17 +241,35 @@
       return;
     }
     const Time now = clock_->Now();
-    const int members = directory_.Members();
-    const Time due =
-        told_at_ + std::max(kLeastGap, kGapPerVmPair * members * members);
+    const Time due = told_at_ + plan_.change_gap;
     if (now >= due) {
-      Tell(false);
+      Tell(false, NearLinks());
     } else if (tell_timer_ == nullptr) {
-      tell_timer_ = loop_->Timers()->At(due, [this](Time) { Tell(false); });
+      tell_timer_ =
+          loop_->Timers()->At(due, [this](Time) { Tell(false, NearLinks()); });
     }
   }
 
-  void Tell(bool with_details) {
+  std::vector<std::string> NearLinks() const {
+    return plan_.is_by_domain ? directory_.NearLinks() : directory_.Links();
+  }
+
+  void Heartbeat() {
+    const Time now = clock_->Now();
+    const bool with_details = now - detailed_at_ >= plan_.details_period;
+    const bool reaches_far = now - told_far_at_ >= plan_.far_period;
+    Tell(with_details, reaches_far ? directory_.Links() : NearLinks());
+    if (with_details) {
+      detailed_at_ = now;
+    }
+    if (reaches_far) {
+      told_far_at_ = now;
+    }
+  }
+
+  void TellAll() { Tell(true, directory_.Links()); }
+
+  void Tell(bool with_details, const std::vector<std::string>& links) {
     const Time now = clock_->Now();
     tell_timer_.reset();
     told_at_ = now;
@@ -271,7 +285,7 @@
     if (with_details) {
       state.details = Details(now);
     }
-    link_->Send(state, directory_.Links());
+    link_->Send(state, links);
   }
 
   PeerDetails Details(Time now) const {
@@ -292,8 +306,11 @@
       return;
     }
     board_.SetPeerUses(state.link, state.uses);
-    line_.SetPeerQueues(state.link, state.queues, now);
     OnMembership();
+    // Queues of other domains are too old to wait for.
+    if (!plan_.is_by_domain || directory_.IsNearLink(state.link)) {
+      line_.SetPeerQueues(state.link, state.queues, now);
+    }
     desk_.Quotas()->SetPeerUse(state.link, state.incarnation, state.quotas);
     if (state.details.has_value()) {
       board_.SetPeerFindings(state.link, state.details->findings);
@@ -308,8 +325,15 @@
   void OnMembership() {
     const int members = directory_.Members();
     desk_.Quotas()->SetMembers(members);
-    board_.SetCandidateShare(
-        std::min(1.0, static_cast<double>(kPromptPeers) / members));
+    const ScalePlan plan = PlanForScale(members, directory_.Near());
+    if (plan == plan_) {
+      return;
+    }
+    plan_ = plan;
+    directory_.SetFarSilenceFactor(plan.silence_factor);
+    board_.SetCandidateShare(plan.candidate_share);
+    board_.SetOtherDomainCost(plan.other_domain_ms);
+    on_scale_(plan);
   }
 
   void TakePeerLosses() {
@@ -337,7 +361,7 @@
                  is_ready ? "ready" : "not_ready",
                  age.has_value() ? *age / std::chrono::milliseconds(1) : -1,
                  drain_since_.has_value());
-      Tell(true);
+      TellAll();
     }
   }
 
@@ -456,6 +480,7 @@
   Metrics* const metrics_;
   RelayOptions options_;
   const std::function<void(const VmRecord&)> remove_member_;
+  const std::function<void(const ScalePlan&)> on_scale_;
   const VmRecord self_;
   VmDirectory directory_;
   AdmissionDesk desk_;
@@ -470,6 +495,9 @@
   std::uint64_t incarnation_ = 0;
   std::uint32_t sequence_ = 0;
   std::uint64_t told_changes_ = 0;
+  ScalePlan plan_ = PlanForScale(1, 1);
+  Time detailed_at_;
+  Time told_far_at_;
   Time told_at_;
   Time removed_at_;
   bool decisions_requested_ = false;
@@ -493,9 +521,11 @@
 std::unique_ptr<Relay> Relay::Make(
     PollLoop* loop, const Clock* clock, const Dialect* dialect,
     Metrics* metrics, const RelayOptions& options,
-    std::function<void(const VmRecord&)> remove_member) {
+    std::function<void(const VmRecord&)> remove_member,
+    std::function<void(const ScalePlan&)> on_scale) {
   return std::make_unique<LiveRelay>(loop, clock, dialect, metrics, options,
-                                     std::move(remove_member));
+                                     std::move(remove_member),
+                                     std::move(on_scale));
 }
 
 }  // namespace hornbeamcleat
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -15,6 +15,7 @@
 class Dialect;
 class Metrics;
 class PollLoop;
+struct ScalePlan;
 
 /// Traffic side of one VM: takes requests from callers, places them at targets
 /// together with its peers, and passes the answers on. Everything runs on one
@@ -23,11 +24,14 @@
  public:
   /// Opens all addresses.
   /// @param remove_member called on the loop for a VM that is gone for good
+  /// @param on_scale called on the loop when the number of VMs calls for other
+  ///   intervals
   /// @throws Error with step "listen" or "open link"
   static std::unique_ptr<Relay> Make(
       PollLoop* loop, const Clock* clock, const Dialect* dialect,
       Metrics* metrics, const RelayOptions& options,
-      std::function<void(const VmRecord&)> remove_member);
+      std::function<void(const VmRecord&)> remove_member,
+      std::function<void(const ScalePlan&)> on_scale);
 
   virtual ~Relay() = default;
 
--- a/src/relay/relay_daemon.cc
+++ b/src/relay/relay_daemon.cc
@@ -20,6 +20,7 @@
 #include "src/net/file_descriptor.h"
 #include "src/relay/dialect.h"
 #include "src/relay/relay.h"
+#include "src/serving/scale_plan.h"
 
 namespace hornbeamcleat {
 namespace {
@@ -51,6 +52,11 @@
   return MakeRelayOptions(Settings::Parse(in, path, RelaySettingRules()));
 }
 
+ReadPacing PacingOf(const ScalePlan& plan) {
+  return {plan.config_wait, plan.target_wait, plan.member_wait,
+          plan.config_read_gap, plan.read_gap};
+}
+
 // Thread that follows the store; passes what it learns to the traffic loop.
 class ControlThread : private ServingListener {
  public:
@@ -59,7 +65,8 @@
       : traffic_loop_(traffic_loop),
         relay_(relay),
         loop_(PollLoop::Make(clock)),
-        source_(deployment->MakeSource(loop_.get(), clock, options, this)) {
+        source_(deployment->MakeSource(loop_.get(), clock, options,
+                                       PacingOf(PlanForScale(1, 1)), this)) {
     source_->Announce(relay->Self());
     thread_ = std::thread([this] { loop_->Run(); });
   }
@@ -77,6 +84,10 @@
     loop_->Post([this, gone] { source_->Remove(gone); });
   }
 
+  void SetScale(const ScalePlan& plan) {
+    loop_->Post([this, plan] { source_->SetPacing(PacingOf(plan)); });
+  }
+
  private:
   void OnConfig(std::shared_ptr<const RouteTable> table) override {
     traffic_loop_->Post([this, table] { relay_->SetConfig(table); });
@@ -111,9 +122,10 @@
         dialect_(deployment->MakeDialect()) {
     SetLogSink([this](std::string_view line) { log_buffer_.Add(line); });
     OpenSignalPipe();
-    relay_ = Relay::Make(loop_.get(), clock_.get(), dialect_.get(),
-                         metrics_.get(), options_,
-                         [this](const VmRecord& vm) { control_->Remove(vm); });
+    relay_ = Relay::Make(
+        loop_.get(), clock_.get(), dialect_.get(), metrics_.get(), options_,
+        [this](const VmRecord& vm) { control_->Remove(vm); },
+        [this](const ScalePlan& plan) { control_->SetScale(plan); });
     control_ = std::make_unique<ControlThread>(
         loop_.get(), clock_.get(), relay_.get(), deployment, options_);
     const Time now = clock_->Now();
--- a/src/relay/relay_daemon.h
+++ b/src/relay/relay_daemon.h
@@ -14,6 +14,7 @@
 class PollLoop;
 class ServingListener;
 class ServingSource;
+struct ReadPacing;
 
 /// Outside systems of a deployment, made by its adapter.
 class Deployment {
@@ -25,7 +26,7 @@
   /// Follows the store on `loop`, the control thread's.
   virtual std::unique_ptr<ServingSource> MakeSource(
       PollLoop* loop, const Clock* clock, const RelayOptions& options,
-      ServingListener* listener) const = 0;
+      const ReadPacing& pacing, ServingListener* listener) const = 0;
 };
 
 /// Process of one VM: a control thread that follows the store and a traffic
--- /dev/null
+++ b/src/serving/scale_plan.cc
@@ -0,0 +1,59 @@
+#include "src/serving/scale_plan.h"
+
+#include <algorithm>
+
+namespace hornbeamcleat {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+/// Peers are told at once of a change, but not more often than this.
+constexpr Duration kLeastGap = milliseconds(2);
+/// The gap grows with the square of the number of VMs, so that messages to one
+/// VM stay below 2,200 a second at the 34 VMs of the largest domain.
+constexpr Duration kGapPerPair = microseconds(16);
+constexpr Duration kHeartbeat = milliseconds(250);
+constexpr Duration kFarHeartbeat = milliseconds(1'000);
+constexpr Duration kFarDetails = milliseconds(2'000);
+/// VMs that may choose among all targets without rushing to the same one.
+constexpr double kPromptPeers = 12;
+/// Bytes between domains are paid for.
+constexpr double kNearByMs = 4;
+/// Work of other domains is known a second late, so their targets are for
+/// overflow.
+constexpr double kOverflowMs = 60;
+/// Two waits, a lost answer and its time-out stay within the five seconds that
+/// a key may outlive its removal.
+constexpr Duration kConfigWait = milliseconds(1'000);
+constexpr Duration kLargeConfigWait = milliseconds(1'700);
+constexpr Duration kTargetWait = milliseconds(2'000);
+constexpr Duration kLargeTargetWait = milliseconds(2'800);
+constexpr Duration kMemberWait = milliseconds(10'000);
+constexpr Duration kLargeMemberWait = milliseconds(20'000);
+/// Changes come in bursts; one read then takes several.
+constexpr Duration kLargeReadGap = milliseconds(400);
+constexpr Duration kLargeConfigReadGap = milliseconds(150);
+
+}  // namespace
+
+ScalePlan PlanForScale(int members, int near) {
+  ScalePlan plan;
+  plan.is_by_domain = members > ScalePlan::kSmallMembers;
+  const int reached = plan.is_by_domain ? near : members;
+  plan.change_gap = std::max(kLeastGap, kGapPerPair * reached * reached);
+  plan.near_period = kHeartbeat;
+  plan.far_period = plan.is_by_domain ? kFarHeartbeat : kHeartbeat;
+  plan.details_period = plan.is_by_domain ? kFarDetails : kHeartbeat;
+  plan.silence_factor = plan.is_by_domain ? 4 : 1;
+  plan.candidate_share = std::min(1.0, kPromptPeers / reached);
+  plan.other_domain_ms = plan.is_by_domain ? kOverflowMs : kNearByMs;
+  plan.config_wait = plan.is_by_domain ? kLargeConfigWait : kConfigWait;
+  plan.target_wait = plan.is_by_domain ? kLargeTargetWait : kTargetWait;
+  plan.member_wait = plan.is_by_domain ? kLargeMemberWait : kMemberWait;
+  plan.read_gap = plan.is_by_domain ? kLargeReadGap : Duration(0);
+  plan.config_read_gap = plan.is_by_domain ? kLargeConfigReadGap : Duration(0);
+  return plan;
+}
+
+}  // namespace hornbeamcleat
--- a/src/serving/target_board.cc
+++ b/src/serving/target_board.cc
@@ -48,8 +48,6 @@
 constexpr Duration kLeastSilence = std::chrono::milliseconds(600);
 /// Cost of a failure, in expected times, by which its risk is weighed.
 constexpr double kFailureCost = 12;
-/// Cost of another failure domain: the bytes between domains are paid for.
-constexpr double kOtherDomainMs = 4;
 /// Time that each request running beside costs those that come.
 constexpr double kNeighbourMs = 1.5;
 
@@ -247,7 +245,7 @@
     double cost = ToMs(expected) + kNeighbourMs * Slowness(target) * beside;
     cost *= 1 + kFailureCost * FailureShare(target, now);
     if (target.spec.failure_domain != need.failure_domain) {
-      cost += kOtherDomainMs;
+      cost += other_domain_ms_;
     }
     if (!need.accepts_pauses && !KeepsPauses(target, need)) {
       continue;
--- a/src/serving/target_board.h
+++ b/src/serving/target_board.h
@@ -68,6 +68,9 @@
   /// don't all rush to the same target.
   void SetCandidateShare(double share) { candidate_share_ = share; }
 
+  /// Sets the cost of a target in another failure domain, in milliseconds.
+  void SetOtherDomainCost(double ms) { other_domain_ms_ = ms; }
+
   /// Target with the least expected time among those with a free place, or
   /// nullopt. Pure.
   std::optional<Placement> Pick(const PlacementNeed& need, Time now) const;
@@ -148,6 +151,7 @@
   std::map<std::string, std::vector<TargetFinding>> peer_findings_;
   std::uint64_t changes_ = 0;
   double candidate_share_ = 1;
+  double other_domain_ms_ = 0;
 };
 
 }  // namespace hornbeamcleat
--- a/src/serving/vm_directory.h
+++ b/src/serving/vm_directory.h
@@ -33,6 +33,18 @@
 
   /// Links of all other VMs, heard or not.
   std::vector<std::string> Links() const;
+  /// Links of the other VMs in this VM's failure domain.
+  std::vector<std::string> NearLinks() const;
+  /// Whether the VM with this link is in this VM's failure domain.
+  bool IsNearLink(const std::string& link) const {
+    const auto it = peers_.find(link);
+    return it != peers_.end() && IsNear(it->second);
+  }
+  /// VMs in this VM's failure domain, this one included.
+  int Near() const { return 1 + static_cast<int>(NearLinks().size()); }
+
+  /// Multiplies the silence that is allowed to VMs of other domains.
+  void SetFarSilenceFactor(int factor) { far_silence_factor_ = factor; }
 
   /// Links of peers that have fallen silent since the last call.
   std::vector<std::string> TakeSilent(Time now);
@@ -61,12 +73,18 @@
     bool was_silent = true;
   };
 
+  bool IsNear(const Peer& peer) const {
+    return peer.record.failure_domain == self_.failure_domain;
+  }
   bool IsHeard(const Peer& peer, Duration silence, Time now) const {
-    return peer.state.has_value() && now - peer.heard < silence;
+    const Duration allowed =
+        IsNear(peer) ? silence : silence * far_silence_factor_;
+    return peer.state.has_value() && now - peer.heard < allowed;
   }
 
   const VmRecord self_;
   const Options options_;
+  int far_silence_factor_ = 1;
   std::map<std::string, Peer> peers_;  ///< by link
 };
 
--- a/tests/relay/relay_fixture.cc
+++ b/tests/relay/relay_fixture.cc
@@ -90,8 +90,9 @@
 }
 
 RelayFixture::RelayFixture() : dialect_(platform::MakeWireDialect()) {
-  relay_ = Relay::Make(loop_.get(), clock_.get(), dialect_.get(),
-                       metrics_.get(), Options(), [](const VmRecord&) {});
+  relay_ = Relay::Make(
+      loop_.get(), clock_.get(), dialect_.get(), metrics_.get(), Options(),
+      [](const VmRecord&) {}, [](const ScalePlan&) {});
   Configure(Config());
 }
 
