Add a fault soak of real processes; mend what it found

The soak runs three daemons between callers and targets of one test program and stops, kills, restarts and reloads them, harms connections by a proxy and the store by its stand-in. It checks what callers and targets see. Ruled out: crossed answers in the first runs were the soak's own caller, which sent two requests at once.

--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -325,7 +325,8 @@
   void OnMembership() {
     const int members = directory_.Members();
     desk_.Quotas()->SetMembers(members);
-    const ScalePlan plan = PlanForScale(members, directory_.Near());
+    const ScalePlan plan =
+        PlanForScale(members, directory_.Near(), options_.admission.key_limit);
     if (plan == plan_) {
       return;
     }
@@ -495,7 +496,7 @@
   std::uint64_t incarnation_ = 0;
   std::uint32_t sequence_ = 0;
   std::uint64_t told_changes_ = 0;
-  ScalePlan plan_ = PlanForScale(1, 1);
+  ScalePlan plan_ = PlanForScale(1, 1, Duration(0));
   Time detailed_at_;
   Time told_far_at_;
   Time told_at_;
--- a/src/relay/relay_daemon.cc
+++ b/src/relay/relay_daemon.cc
@@ -65,8 +65,9 @@
       : traffic_loop_(traffic_loop),
         relay_(relay),
         loop_(PollLoop::Make(clock)),
-        source_(deployment->MakeSource(loop_.get(), clock, options,
-                                       PacingOf(PlanForScale(1, 1)), this)) {
+        source_(deployment->MakeSource(
+            loop_.get(), clock, options,
+            PacingOf(PlanForScale(1, 1, options.admission.key_limit)), this)) {
     source_->Announce(relay->Self());
     thread_ = std::thread([this] { loop_->Run(); });
   }
--- a/src/serving/scale_plan.cc
+++ b/src/serving/scale_plan.cc
@@ -23,10 +23,12 @@
 /// Work of other domains is known a second late, so their targets are for
 /// overflow.
 constexpr double kOverflowMs = 60;
-/// Two waits, a lost answer and its time-out stay within the five seconds that
-/// a key may outlive its removal.
-constexpr Duration kConfigWait = milliseconds(1'000);
-constexpr Duration kLargeConfigWait = milliseconds(1'700);
+/// Parts of a removed key's longest life that a read of the configuration
+/// waits. A proof is two waits old at the most; the rest is for a lost answer.
+constexpr int kConfigWaitPercent = 20;
+constexpr int kLargeConfigWaitPercent = 34;
+/// Silent connections to the store must show soon, however long keys live.
+constexpr Duration kLongestConfigWait = milliseconds(1'700);
 constexpr Duration kTargetWait = milliseconds(2'000);
 constexpr Duration kLargeTargetWait = milliseconds(2'800);
 constexpr Duration kMemberWait = milliseconds(10'000);
@@ -37,7 +39,7 @@
 
 }  // namespace
 
-ScalePlan PlanForScale(int members, int near) {
+ScalePlan PlanForScale(int members, int near, Duration key_limit) {
   ScalePlan plan;
   plan.is_by_domain = members > ScalePlan::kSmallMembers;
   const int reached = plan.is_by_domain ? near : members;
@@ -48,7 +50,9 @@
   plan.silence_factor = plan.is_by_domain ? 4 : 1;
   plan.candidate_share = std::min(1.0, kPromptPeers / reached);
   plan.other_domain_ms = plan.is_by_domain ? kOverflowMs : kNearByMs;
-  plan.config_wait = plan.is_by_domain ? kLargeConfigWait : kConfigWait;
+  const int percent =
+      plan.is_by_domain ? kLargeConfigWaitPercent : kConfigWaitPercent;
+  plan.config_wait = std::min(kLongestConfigWait, key_limit * percent / 100);
   plan.target_wait = plan.is_by_domain ? kLargeTargetWait : kTargetWait;
   plan.member_wait = plan.is_by_domain ? kLargeMemberWait : kMemberWait;
   plan.read_gap = plan.is_by_domain ? kLargeReadGap : Duration(0);
--- a/src/serving/scale_plan.h
+++ b/src/serving/scale_plan.h
@@ -35,7 +35,9 @@
 
 /// @param members VMs in all, this one included
 /// @param near VMs in this VM's failure domain, this one included
-ScalePlan PlanForScale(int members, int near);
+/// @param key_limit longest life of a key that was taken away: reads of the
+///   configuration must prove freshness well within it
+ScalePlan PlanForScale(int members, int near, Duration key_limit);
 
 }  // namespace hornbeamcleat
 
--- /dev/null
+++ b/tests/platform/store_standin.cc
@@ -0,0 +1,221 @@
+#include "tests/platform/store_standin.h"
+
+#include <fmt/format.h>
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "hornbeamcleat/base/clock.h"
+#include "hornbeamcleat/base/timer_service.h"
+#include "src/base/poll_loop.h"
+
+namespace hornbeamcleat::platform {
+namespace {
+
+constexpr int kMaxConnections = 400;
+
+std::string QueryValue(const std::string& target, const std::string& name) {
+  const std::size_t at = target.find(name + "=");
+  if (at == std::string::npos) {
+    return "";
+  }
+  const std::size_t begin = at + name.size() + 1;
+  return target.substr(begin, target.find('&', begin) - begin);
+}
+
+std::uint64_t QueryNumber(const std::string& target, const std::string& name) {
+  const std::string value = QueryValue(target, name);
+  return value.empty() ? 0 : std::stoull(value);
+}
+
+std::string BigEndian(std::uint64_t value, int bytes) {
+  std::string out;
+  for (int i = bytes - 1; i >= 0; --i) {
+    out.push_back(static_cast<char>((value >> (8 * i)) & 0xff));
+  }
+  return out;
+}
+
+std::string EncodeBase64(const std::string& bytes) {
+  std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+  const int n =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                      reinterpret_cast<const unsigned char*>(bytes.data()),
+                      static_cast<int>(bytes.size()));
+  text.resize(static_cast<std::size_t>(n));
+  return text;
+}
+
+class Nothing : public RequestHandler {
+ public:
+  void OnFlushed() override {}
+};
+
+}  // namespace
+
+class StoreStandIn::WaitingRead : public RequestHandler {
+ public:
+  WaitingRead(StoreStandIn* store, std::string topic, std::uint64_t from,
+              Duration wait, AnswerSink* sink)
+      : store_(store), topic_(std::move(topic)), from_(from), sink_(sink) {
+    place_ = store_->waiting_.insert(store_->waiting_.end(), this);
+    timer_ = store_->loop_->Timers()->At(store_->clock_->Now() + wait,
+                                         [this](Time) { Answer(); });
+  }
+
+  ~WaitingRead() override {
+    if (!answered_) {
+      store_->waiting_.erase(place_);
+    }
+  }
+
+  void OnFlushed() override {}
+
+  const std::string& GetTopic() const { return topic_; }
+
+  void Answer() {
+    answered_ = true;
+    store_->waiting_.erase(place_);
+    timer_.reset();
+    sink_->SendWhole(200, "", {}, Batch(store_->topics_[topic_], from_));
+  }
+
+ private:
+  StoreStandIn* const store_;
+  const std::string topic_;
+  const std::uint64_t from_;
+  AnswerSink* const sink_;
+  bool answered_ = false;
+  std::list<WaitingRead*>::iterator place_;
+  std::unique_ptr<TimerService::Subscription> timer_;
+};
+
+StoreStandIn::StoreStandIn(PollLoop* loop, const Clock* clock)
+    : loop_(loop), clock_(clock) {
+  CallerConnection::Owner owner;
+  owner.options = [] {
+    CallerConnection::Options options;
+    options.silence_limit = std::chrono::seconds(10);
+    return options;
+  };
+  owner.is_draining = [] { return false; };
+  owner.may_buffer = [](std::size_t) { return true; };
+  owner.on_rejected = [](std::string_view) {};
+  owner.handle = [this](const CallerRequest& request, AnswerSink* sink) {
+    return Handle(request, sink);
+  };
+  listener_ = std::make_unique<Listener>(loop, clock, Address{"127.0.0.1", 0},
+                                         kMaxConnections, std::move(owner));
+}
+
+StoreStandIn::~StoreStandIn() { listener_.reset(); }
+
+void StoreStandIn::Put(const std::string& topic, const std::string& key,
+                       const std::string& value) {
+  Topic& entry = topics_[topic];
+  entry.records.push_back({key, value});
+  if (value.empty()) {
+    entry.newest.erase(key);
+  } else {
+    entry.newest[key] = value;
+  }
+  if (fault_ == Fault::kSilent || fault_ == Fault::kBusy) {
+    return;
+  }
+  const std::list<WaitingRead*> waiting = waiting_;
+  for (WaitingRead* read : waiting) {
+    if (read->GetTopic() == topic) {
+      read->Answer();
+    }
+  }
+}
+
+void StoreStandIn::Compact() {
+  for (auto& [name, topic] : topics_) {
+    topic.first = topic.End();
+    topic.records.clear();
+  }
+}
+
+std::string StoreStandIn::Newest(const std::string& topic,
+                                 const std::string& key) const {
+  const auto entry = topics_.find(topic);
+  if (entry == topics_.end()) {
+    return "";
+  }
+  const auto value = entry->second.newest.find(key);
+  return value == entry->second.newest.end() ? "" : value->second;
+}
+
+std::unique_ptr<RequestHandler> StoreStandIn::Handle(
+    const CallerRequest& request, AnswerSink* sink) {
+  ++calls_;
+  const std::string& target = request.head.target;
+  const std::string topic = QueryValue(target, "topic");
+  if (fault_ == Fault::kSilent) {
+    return std::make_unique<Nothing>();
+  }
+  if (fault_ == Fault::kBusy) {
+    sink->SendWhole(503, "", {}, "");
+  } else if (target.starts_with("/-/log-newest")) {
+    sink->SendWhole(200, "", {}, Page(topics_[topic]));
+  } else if (target.starts_with("/-/log-read")) {
+    return Read(topic, QueryNumber(target, "from"),
+                std::chrono::milliseconds(QueryNumber(target, "wait_ms")),
+                sink);
+  } else if (target.starts_with("/-/log-append")) {
+    Append(topic, request.body);
+    if (fault_ == Fault::kLosesWrites) {
+      sink->BreakOff();
+    } else {
+      sink->SendWhole(200, "", {}, R"({"offset":0,"end":1})");
+    }
+  } else {
+    sink->SendWhole(404, "", {}, "");
+  }
+  return std::make_unique<Nothing>();
+}
+
+std::unique_ptr<RequestHandler> StoreStandIn::Read(const std::string& topic,
+                                                   std::uint64_t from,
+                                                   Duration wait,
+                                                   AnswerSink* sink) {
+  const Topic& entry = topics_[topic];
+  if (from < entry.first) {
+    sink->SendWhole(410, "", {}, fmt::format(R"({{"first":{}}})", entry.first));
+  } else if (from < entry.End()) {
+    sink->SendWhole(200, "", {}, Batch(entry, from));
+  } else {
+    return std::make_unique<WaitingRead>(this, topic, from, wait, sink);
+  }
+  return std::make_unique<Nothing>();
+}
+
+void StoreStandIn::Append(const std::string& topic, const std::string& body) {
+  // An append has a read's framing without the two offsets before it.
+  const LogBatch batch = DecodeBatch(std::string(16, '\0') + body, 0);
+  for (const KeyedRecord& record : batch.records) {
+    Put(topic, record.key, record.value);
+  }
+}
+
+std::string StoreStandIn::Page(const Topic& topic) const {
+  std::string items;
+  for (const auto& [key, value] : topic.newest) {
+    items += fmt::format(R"({}{{"key":"{}","value":"{}","offset":0}})",
+                         items.empty() ? "" : ",", key, EncodeBase64(value));
+  }
+  return fmt::format(R"({{"items":[{}],"truncated":false,"end":{}}})", items,
+                     topic.End());
+}
+
+std::string StoreStandIn::Batch(const Topic& topic, std::uint64_t from) {
+  std::string bytes = BigEndian(topic.End(), 8) + BigEndian(topic.first, 8);
+  for (std::uint64_t i = std::max(from, topic.first); i < topic.End(); ++i) {
+    bytes += EncodeKeyedRecord(topic.records[i - topic.first]);
+  }
+  return bytes;
+}
+
+}  // namespace hornbeamcleat::platform
--- /dev/null
+++ b/tests/soak/soak_world.cc
@@ -0,0 +1,588 @@
+#include "tests/soak/soak_world.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <fstream>
+#include <utility>
+
+#include "hornbeamcleat/base/error.h"
+#include "hornbeamcleat/base/timer_service.h"
+#include "src/base/socket_address.h"
+#include "src/relay/http_writer.h"
+
+namespace hornbeamcleat {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kTurn = milliseconds(5);
+constexpr Duration kStartTime = milliseconds(1'500);
+constexpr Duration kCalmTime = milliseconds(5'000);
+constexpr Duration kFaultGap = milliseconds(250);
+/// Longest life of a key that was taken away, as in the settings.
+constexpr Duration kKeyLimit = milliseconds(2'000);
+/// Time from a caller's send to the target on a busy machine.
+constexpr Duration kKeySlack = milliseconds(200);
+constexpr Duration kGrace = milliseconds(4'000);
+constexpr Duration kPatience = milliseconds(3'000);
+constexpr int kPlaces = 6;
+/// Share of answers during the calm end that must be successes.
+constexpr double kRecovered = 0.8;
+
+int FreePort(int type) {
+  const FileDescriptor fd(socket(AF_INET, type, 0));
+  const sockaddr_in any = ToSocketAddress({"127.0.0.1", 0});
+  if (bind(fd.Get(), reinterpret_cast<const sockaddr*>(&any), sizeof(any)) !=
+      0) {
+    throw Error("find port", "", "no port is free");
+  }
+  return BoundAddress(fd.Get()).port;
+}
+
+std::string BodyFor(const std::string& id) { return "answer to " + id; }
+
+}  // namespace
+
+struct SoakWorld::Vm {
+  std::string name;
+  Address front;
+  Address directory;
+  std::string settings;  ///< path
+  pid_t pid = -1;
+  bool is_stopped = false;
+  Time term_at;
+  bool is_terminating = false;
+};
+
+struct SoakWorld::Target {
+  std::string id;
+  std::unique_ptr<Listener> listener;
+  std::unique_ptr<LoopbackProxy> proxy;
+  bool breaks_off = false;
+};
+
+struct SoakWorld::Caller {
+  int number = 0;
+  std::unique_ptr<ByteStream> stream;
+  std::unique_ptr<HttpParser> parser;
+  std::string id;
+  std::string kind;
+  bool is_waiting = false;
+  int vm = 0;
+  int turn = 0;  ///< only the latest planned request is sent
+};
+
+/// One request at work at a target; answers after a while.
+class SoakWorld::TargetWork : public RequestHandler {
+ public:
+  TargetWork(SoakWorld* world, Duration work, std::function<void()> answer)
+      : timer_(world->loop_->Timers()->At(
+            world->clock_->Now() + work,
+            [answer = std::move(answer)](Time) { answer(); })) {}
+  void OnFlushed() override {}
+
+ private:
+  std::unique_ptr<TimerService::Subscription> timer_;
+};
+
+SoakWorld::SoakWorld(const Options& options)
+    : options_(options),
+      random_(options.seed),
+      clock_(Clock::Make()),
+      loop_(PollLoop::Make(clock_.get())),
+      store_(
+          std::make_unique<platform::StoreStandIn>(loop_.get(), clock_.get())) {
+  char folder[] = "/tmp/hornbeamcleat-soak-XXXXXX";
+  if (mkdtemp(folder) == nullptr) {
+    throw Error("make folder", folder, "the folder can't be made");
+  }
+  folder_ = folder;
+  PutConfig();
+  for (int i = 0; i < options_.targets; ++i) {
+    targets_.push_back(std::make_unique<Target>());
+    Target* target = targets_.back().get();
+    CallerConnection::Owner owner;
+    owner.options = [] {
+      CallerConnection::Options connection;
+      connection.silence_limit = std::chrono::seconds(30);
+      return connection;
+    };
+    owner.is_draining = [] { return false; };
+    owner.may_buffer = [](std::size_t) { return true; };
+    owner.on_rejected = [this](std::string_view reason) {
+      Violate(
+          fmt::format("a target got bytes that are no request: {}", reason));
+    };
+    owner.handle = [this, target](CallerRequest request, AnswerSink* sink) {
+      return Serve(target, std::move(request), sink);
+    };
+    target->listener = std::make_unique<Listener>(
+        loop_.get(), clock_.get(), Address{"127.0.0.1", 0}, 500, owner);
+    target->proxy = std::make_unique<LoopbackProxy>(loop_.get(), clock_.get(),
+                                                    target->listener->Bound());
+    Replace(target);
+  }
+  for (int i = 0; i < options_.vms; ++i) {
+    vms_.push_back(std::make_unique<Vm>());
+    Vm* vm = vms_.back().get();
+    vm->name = fmt::format("vm{}", i);
+    vm->front = {"127.0.0.1",
+                 static_cast<std::uint16_t>(FreePort(SOCK_STREAM))};
+    vm->directory = {"127.0.0.1",
+                     static_cast<std::uint16_t>(FreePort(SOCK_STREAM))};
+    vm->settings = fmt::format("{}/{}.ini", folder_, vm->name);
+    std::ofstream(vm->settings) << fmt::format(
+        "[vm]\nname = {}\nfailure_domain = d{}\nlisten_front = {}\n"
+        "listen_ready = 127.0.0.1:{}\nlisten_directory = {}\n"
+        "link = 127.0.0.1:{}\nlisten_metrics = 127.0.0.1:{}\n"
+        "[store]\naddress = {}\n[callers]\ngrace = {}ms\n"
+        "[keys]\nlimit = {}ms\n",
+        vm->name, i % 2, vm->front.ToString(), FreePort(SOCK_STREAM),
+        vm->directory.ToString(), FreePort(SOCK_DGRAM), FreePort(SOCK_STREAM),
+        store_->Bound().ToString(), kGrace / milliseconds(1),
+        kKeyLimit / milliseconds(1));
+    StartVm(vm);
+  }
+  for (int i = 0; i < options_.callers; ++i) {
+    callers_.push_back(std::make_unique<Caller>());
+    callers_.back()->number = i;
+  }
+}
+
+SoakWorld::~SoakWorld() {
+  for (const std::unique_ptr<Vm>& vm : vms_) {
+    if (vm->pid > 0) {
+      kill(vm->pid, SIGCONT);
+      kill(vm->pid, SIGKILL);
+      waitpid(vm->pid, nullptr, 0);
+    }
+  }
+  callers_.clear();
+}
+
+void SoakWorld::StartVm(Vm* vm) {
+  const std::string program =
+      std::string(HORNBEAMCLEAT_BINARY_DIR) + "/hornbeamcleatd";
+  const std::string log = fmt::format("{}/{}.log", folder_, vm->name);
+  const pid_t pid = fork();
+  if (pid == 0) {
+    const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    dup2(out, STDOUT_FILENO);
+    dup2(out, STDERR_FILENO);
+    execl(program.c_str(), program.c_str(), "--settings", vm->settings.c_str(),
+          nullptr);
+    _exit(127);
+  }
+  vm->pid = pid;
+  vm->is_stopped = false;
+  vm->is_terminating = false;
+}
+
+// Ended daemons start anew, as the platform does it.
+void SoakWorld::ReapVms() {
+  for (const std::unique_ptr<Vm>& vm : vms_) {
+    int status = 0;
+    if (vm->pid > 0 && waitpid(vm->pid, &status, WNOHANG) == vm->pid) {
+      const bool was_killed = WIFSIGNALED(status);
+      if (was_killed && WTERMSIG(status) != SIGKILL) {
+        Violate(
+            fmt::format("{} died of signal {}", vm->name, WTERMSIG(status)));
+      } else if (!was_killed && !vm->is_terminating) {
+        Violate(fmt::format("{} ended by itself", vm->name));
+      }
+      StartVm(vm.get());
+    } else if (vm->is_terminating && !vm->is_stopped &&
+               clock_->Now() - vm->term_at > kGrace + milliseconds(500)) {
+      Violate(fmt::format("{} outlived its grace time", vm->name));
+      vm->term_at = clock_->Now();
+    }
+  }
+}
+
+void SoakWorld::PutConfig() {
+  const auto route = [](const char* kind, const char* type, bool resumes) {
+    return fmt::format(
+        R"({{"name":"{}","hostname":"h","path_prefix":"/{}/",)"
+        R"("route_type":"{}","timeout_ms":3000,"target_latency_ms":500,)"
+        R"("max_attempts":2,"resumable":{},"service":"s"}})",
+        kind, kind, type, resumes);
+  };
+  store_->Put(
+      "keyed.op", "config",
+      fmt::format(R"({{"version":{},"routes":[{},{},{}],"services":[)"
+                  R"({{"name":"s"}}],"tenants":[{{"name":"a","api_keys":)"
+                  R"(["ka"]}},{{"name":"b","api_keys":[{}]}}]}})",
+                  ++config_version_, route("safe", "idempotent", false),
+                  route("unsafe", "non_idempotent", false),
+                  route("resume", "streaming", true),
+                  is_key_removed_ ? "" : R"("kb")"));
+}
+
+void SoakWorld::PutTarget(const Target& target, bool is_leaving) {
+  store_->Put("keyed.servers", target.id,
+              fmt::format(R"({{"service":"s","address":"{}","zone":"d0",)"
+                          R"("slots":{},"state":"{}"}})",
+                          target.proxy->Bound().ToString(), kPlaces,
+                          is_leaving ? "draining" : "ready"));
+}
+
+// A new incarnation at the address of the old one.
+void SoakWorld::Replace(Target* target) {
+  if (!target->id.empty()) {
+    store_->Put("keyed.servers", target->id, "");
+  }
+  target->id = fmt::format("t{}", next_target_id_++);
+  PutTarget(*target, false);
+}
+
+std::unique_ptr<RequestHandler> SoakWorld::Serve(Target* target,
+                                                 CallerRequest request,
+                                                 AnswerSink* sink) {
+  const auto header = [&request](const char* name) {
+    const std::string* value = FindHeader(request.head.headers, name);
+    return value == nullptr ? std::string() : *value;
+  };
+  const std::string id = header("Request-Id");
+  if (header("Expected-Instance") != target->id) {
+    sink->SendWhole(421, "", {{"Request-Id", id}}, "");
+    return std::make_unique<TargetWork>(this, Duration(0), [] {});
+  }
+  const bool is_unsafe = request.head.target.starts_with("/unsafe/");
+  if (++runs_[id] > 1 && is_unsafe) {
+    Violate("ran twice: " + id);
+  }
+  if (disowned_.contains(id) && is_unsafe) {
+    Violate("ran after it was answered as not run: " + id);
+  }
+  if (header("Tenant-Id") == "b" && is_key_removed_ &&
+      sent_[id] > key_removed_ + kKeyLimit + kKeySlack) {
+    Violate("ran with a key that was taken away: " + id);
+  }
+  if (!header("Api-Key").empty()) {
+    Violate("a key was passed on: " + id);
+  }
+  const HeaderList signed_by = {{"Request-Id", id},
+                                {"Upstream-Signature", "sig"}};
+  const Duration work = milliseconds(2 + Pick(60));
+  if (target->breaks_off && Pick(3) == 0) {
+    return std::make_unique<TargetWork>(this, work,
+                                        [sink] { sink->BreakOff(); });
+  }
+  if (request.head.target.starts_with("/resume/")) {
+    const std::string after = header("Last-Event-Id");
+    const int first = after.empty() ? 1 : std::stoi(after) + 1;
+    return std::make_unique<TargetWork>(this, work, [=] {
+      sink->BeginBody(200, "", signed_by, std::nullopt);
+      for (int i = first; i <= 5; ++i) {
+        sink->SendBody(fmt::format("id: {}\ndata: {} {}\n\n", i, id, i));
+      }
+      sink->EndBody();
+    });
+  }
+  return std::make_unique<TargetWork>(
+      this, work, [=] { sink->SendWhole(200, "", signed_by, BodyFor(id)); });
+}
+
+void SoakWorld::Run() {
+  RunFor(kStartTime);
+  for (const std::unique_ptr<Caller>& caller : callers_) {
+    Ask(caller.get());
+  }
+  is_striking_ = true;
+  const Time end = clock_->Now() + options_.faults_for;
+  while (clock_->Now() < end) {
+    Strike();
+    RunFor(kFaultGap + milliseconds(Pick(200)));
+  }
+  EndFaults();
+  // What was broken has time to end; then nearly all must be served.
+  RunFor(kCalmTime);
+  const int asked = asked_;
+  const int served = served_;
+  statuses_.clear();
+  RunFor(milliseconds(1'500));
+  if (served_ - served < kRecovered * (asked_ - asked) ||
+      asked_ - asked < options_.callers) {
+    std::string statuses;
+    for (const auto& [status, n] : statuses_) {
+      statuses += fmt::format(" {}:{}", status, n);
+    }
+    Violate(fmt::format("after the faults {} of {} were served;{}",
+                        served_ - served, asked_ - asked, statuses));
+  }
+}
+
+void SoakWorld::Strike() {
+  switch (Pick(3)) {
+    case 0:
+      StrikeVm();
+      break;
+    case 1:
+      StrikeTarget();
+      break;
+    default:
+      StrikeStore();
+      break;
+  }
+}
+
+void SoakWorld::StrikeVm() {
+  Vm* vm = vms_[static_cast<std::size_t>(Pick(options_.vms))].get();
+  switch (Pick(4)) {
+    case 0:
+      Fault(vm->name + " killed");
+      kill(vm->pid, SIGKILL);
+      break;
+    case 1: {
+      Fault(vm->name + " stands still");
+      const pid_t pid = vm->pid;
+      vm->is_stopped = true;
+      kill(pid, SIGSTOP);
+      After(milliseconds(200 + Pick(1'500)), [vm, pid] {
+        if (vm->pid == pid) {
+          vm->is_stopped = false;
+          kill(pid, SIGCONT);
+        }
+      });
+      break;
+    }
+    case 2:
+      Fault(vm->name + " told to stop");
+      vm->is_terminating = true;
+      vm->term_at = clock_->Now();
+      kill(vm->pid, SIGTERM);
+      break;
+    default:
+      Fault(vm->name + " told to reload");
+      kill(vm->pid, SIGHUP);
+      break;
+  }
+}
+
+void SoakWorld::StrikeTarget() {
+  Target* target =
+      targets_[static_cast<std::size_t>(Pick(options_.targets))].get();
+  const auto heal = [this, target] {
+    After(milliseconds(200 + Pick(800)), [target] {
+      target->proxy->SetMode(LoopbackProxy::Mode::kPass);
+      target->breaks_off = false;
+    });
+  };
+  switch (Pick(6)) {
+    case 0:
+      Fault(target->id + " reset");
+      target->proxy->ResetAll();
+      break;
+    case 1:
+      Fault(target->id + " delayed");
+      target->proxy->SetMode(LoopbackProxy::Mode::kDelay);
+      heal();
+      break;
+    case 2:
+      Fault(target->id + " silent");
+      target->proxy->SetMode(LoopbackProxy::Mode::kSilent);
+      heal();
+      break;
+    case 3:
+      Fault(target->id + " cut one way");
+      target->proxy->SetMode(LoopbackProxy::Mode::kOneWay);
+      heal();
+      break;
+    case 4:
+      Fault(target->id + " breaks off");
+      target->breaks_off = true;
+      heal();
+      break;
+    default:
+      Fault(target->id + " replaced");
+      PutTarget(*target, true);
+      Replace(target);
+      break;
+  }
+}
+
+void SoakWorld::StrikeStore() {
+  using Kind = platform::StoreStandIn::Fault;
+  const Kind kinds[] = {Kind::kBusy, Kind::kSilent, Kind::kLosesWrites};
+  switch (Pick(4)) {
+    case 0:
+      Fault("configuration changes");
+      PutConfig();
+      break;
+    case 1:
+      Fault("store forgets its history");
+      store_->Compact();
+      break;
+    case 2:
+      if (!is_key_removed_) {
+        Fault("key taken away");
+        is_key_removed_ = true;
+        key_removed_ = clock_->Now();
+        PutConfig();
+        break;
+      }
+      [[fallthrough]];
+    default:
+      Fault("store fails");
+      store_->SetFault(kinds[Pick(3)]);
+      After(milliseconds(300 + Pick(1'200)),
+            [this] { store_->SetFault(Kind::kNone); });
+      break;
+  }
+}
+
+void SoakWorld::EndFaults() {
+  is_striking_ = false;
+  store_->SetFault(platform::StoreStandIn::Fault::kNone);
+  for (const std::unique_ptr<Target>& target : targets_) {
+    target->proxy->SetMode(LoopbackProxy::Mode::kPass);
+    target->breaks_off = false;
+  }
+  for (const std::unique_ptr<Vm>& vm : vms_) {
+    vm->is_stopped = false;
+    kill(vm->pid, SIGCONT);
+  }
+}
+
+void SoakWorld::AskAfter(Caller* caller, Duration pause) {
+  const int turn = ++caller->turn;
+  After(pause, [this, caller, turn] {
+    if (caller->turn == turn) {
+      Ask(caller);
+    }
+  });
+}
+
+void SoakWorld::Ask(Caller* caller) {
+  static const char* const kKinds[] = {"safe", "unsafe", "resume"};
+  caller->kind = kKinds[Pick(3)];
+  caller->id = fmt::format("r{}", next_request_++);
+  caller->parser = HttpParser::ForAnswer({65'536, 1'048'576}, false);
+  caller->is_waiting = true;
+  if (caller->stream == nullptr) {
+    caller->vm = Pick(options_.vms);
+    try {
+      caller->stream = ByteStream::Connect(
+          loop_.get(), vms_[static_cast<std::size_t>(caller->vm)]->front,
+          std::chrono::seconds(10));
+    } catch (const Error&) {
+      AskAfter(caller, milliseconds(100));
+      return;
+    }
+    ByteStream::Callbacks callbacks;
+    callbacks.on_bytes = [this, caller](std::string_view bytes) {
+      caller->parser->Feed(bytes);
+      OnAnswer(caller);
+    };
+    callbacks.on_end = [this, caller](StreamEnd) { OnCallerEnd(caller); };
+    caller->stream->SetCallbacks(std::move(callbacks));
+  }
+  ++asked_;
+  sent_[caller->id] = clock_->Now();
+  // The second workspace loses its key; its callers come back to the first.
+  const bool uses_b = caller->number % 4 == 0 && !is_key_removed_;
+  const bool still_b = caller->number % 4 == 0 && is_striking_;
+  caller->stream->Write(FormatRequest(
+      "POST", "/" + caller->kind + "/x",
+      {{"Host", "h"},
+       {"Request-Id", caller->id},
+       {"Api-Key", uses_b || still_b ? "kb" : "ka"},
+       {"Deadline-Ms", fmt::format("{}", kPatience / milliseconds(1))}},
+      "body", true));
+  const std::string id = caller->id;
+  After(kPatience + milliseconds(500), [this, caller, id] {
+    if (caller->is_waiting && caller->id == id) {
+      OnCallerEnd(caller);
+    }
+  });
+}
+
+void SoakWorld::OnAnswer(Caller* caller) {
+  if (!caller->is_waiting) {
+    Violate("bytes with no request waiting after " + caller->id);
+    return;
+  }
+  if (caller->parser->Error() != ParseError::kNone) {
+    Violate("bytes that are no answer to " + caller->id);
+    OnCallerEnd(caller);
+    return;
+  }
+  if (!caller->parser->Done()) {
+    return;
+  }
+  const MessageHead head = caller->parser->Head();
+  CheckAnswer(caller, head.status, *caller->parser->Body());
+  caller->is_waiting = false;
+  if (!head.keep_alive) {
+    OnCallerEnd(caller);
+    return;
+  }
+  AskAfter(caller, milliseconds(5 + Pick(30)));
+}
+
+void SoakWorld::CheckAnswer(Caller* caller, int status,
+                            const std::string& body) {
+  const std::string& id = caller->id;
+  ++statuses_[status];
+  if (status == 200) {
+    std::string expected = BodyFor(id);
+    if (caller->kind == "resume") {
+      expected.clear();
+      for (int i = 1; i <= 5; ++i) {
+        expected += fmt::format("id: {}\ndata: {} {}\n\n", i, id, i);
+      }
+    }
+    if (body != expected) {
+      Violate("not the whole answer of " + id + ": " + body);
+    }
+    ++served_;
+  } else if (status == 429 || status == 503 || status == 408) {
+    disowned_.insert(id);
+    if (caller->kind == "unsafe" && runs_[id] > 0) {
+      Violate("answered as not run, but it ran: " + id);
+    }
+  }
+}
+
+void SoakWorld::OnCallerEnd(Caller* caller) {
+  if (caller->stream == nullptr) {
+    return;
+  }
+  const std::shared_ptr<ByteStream> dead = std::move(caller->stream);
+  dead->SetCallbacks({});
+  dead->Abort();
+  loop_->Post([dead] {});
+  caller->is_waiting = false;
+  AskAfter(caller, milliseconds(20 + Pick(50)));
+}
+
+void SoakWorld::RunFor(Duration time) {
+  const Time end = clock_->Now() + time;
+  while (clock_->Now() < end) {
+    loop_->RunOnce(kTurn);
+    ReapVms();
+  }
+}
+
+int SoakWorld::Pick(int n) {
+  return static_cast<int>(random_() % static_cast<std::uint64_t>(n));
+}
+
+void SoakWorld::Fault(const std::string& what) { faults_.push_back(what); }
+
+void SoakWorld::Violate(const std::string& what) {
+  violations_.push_back(what);
+}
+
+void SoakWorld::After(Duration pause, std::function<void()> work) {
+  timers_.push_back(loop_->Timers()->At(
+      clock_->Now() + pause, [work = std::move(work)](Time) { work(); }));
+}
+
+}  // namespace hornbeamcleat
--- /dev/null
+++ b/tests/soak/soak_world.h
@@ -0,0 +1,104 @@
+#ifndef HORNBEAMCLEAT_TESTS_SOAK_SOAK_WORLD_H_
+#define HORNBEAMCLEAT_TESTS_SOAK_SOAK_WORLD_H_
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "hornbeamcleat/base/clock.h"
+#include "src/base/poll_loop.h"
+#include "src/relay/listener.h"
+#include "tests/platform/store_standin.h"
+#include "tests/soak/loopback_proxy.h"
+
+namespace hornbeamcleat {
+
+/// Real daemons as processes, between callers and targets of this process. All
+/// faults come from outside of the daemons and follow one seed.
+class SoakWorld {
+ public:
+  struct Options {
+    std::uint64_t seed = 1;
+    int vms = 3;
+    int targets = 4;
+    int callers = 12;
+    Duration faults_for = std::chrono::seconds(5);
+  };
+
+  explicit SoakWorld(const Options& options);
+  ~SoakWorld();
+
+  /// Runs the faults, then calm; what broke a promise is in Violations.
+  void Run();
+
+  const std::vector<std::string>& Violations() const { return violations_; }
+  int Served() const { return served_; }
+  int Asked() const { return asked_; }
+  /// Faults in the order in which they struck.
+  const std::vector<std::string>& Faults() const { return faults_; }
+
+ private:
+  struct Vm;
+  struct Target;
+  struct Caller;
+  class TargetWork;
+
+  void StartVm(Vm* vm);
+  void ReapVms();
+  void PutConfig();
+  void PutTarget(const Target& target, bool is_leaving);
+  void Replace(Target* target);
+  std::unique_ptr<RequestHandler> Serve(Target* target, CallerRequest request,
+                                        AnswerSink* sink);
+  void Strike();
+  void StrikeVm();
+  void StrikeTarget();
+  void StrikeStore();
+  void EndFaults();
+  void Ask(Caller* caller);
+  void AskAfter(Caller* caller, Duration pause);
+  void OnAnswer(Caller* caller);
+  void OnCallerEnd(Caller* caller);
+  void CheckAnswer(Caller* caller, int status, const std::string& body);
+  void RunFor(Duration time);
+  int Pick(int n);
+  void Fault(const std::string& what);
+  void Violate(const std::string& what);
+  /// Calls `work` after a pause on the loop.
+  void After(Duration pause, std::function<void()> work);
+
+  const Options options_;
+  std::mt19937_64 random_;
+  std::unique_ptr<Clock> clock_;
+  std::unique_ptr<PollLoop> loop_;
+  std::unique_ptr<platform::StoreStandIn> store_;
+  std::vector<std::unique_ptr<Vm>> vms_;
+  std::vector<std::unique_ptr<Target>> targets_;
+  std::vector<std::unique_ptr<Caller>> callers_;
+  std::vector<std::unique_ptr<TimerService::Subscription>> timers_;
+  std::map<std::string, int> runs_;   ///< by request id
+  std::map<int, int> statuses_;          ///< answers since the faults ended
+  std::set<std::string> disowned_;    ///< ids answered as not run
+  std::map<std::string, Time> sent_;  ///< by request id
+  Time key_removed_;                  ///< of the second workspace
+  bool is_key_removed_ = false;
+  bool is_striking_ = false;
+  int config_version_ = 0;
+  int next_target_id_ = 0;
+  int next_request_ = 0;
+  int asked_ = 0;
+  int served_ = 0;
+  std::string folder_;
+  std::vector<std::string> faults_;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_TESTS_SOAK_SOAK_WORLD_H_
