--- a/src/serving/wait_line.cc
+++ b/src/serving/wait_line.cc
@@ -142,11 +142,12 @@
   const Duration per_place = TimePerPlace(service, *line);
   std::vector<WaitingRequest> kept;
   int position = 0;
+  int free_places = board_->FreePlaces(service, now);
   for (const WaitingRequest& request : line->requests) {
     WaitDecision decision;
     decision.id = request.id;
     decision.waited = now - request.arrival;
-    decision.free_places = board_->FreePlaces(service, now);
+    decision.free_places = free_places;
     decision.ahead = position + AheadAtPeers(hash, RankOf(request, now));
     std::optional<Placement> placement;
     if (decision.ahead < decision.free_places) {
@@ -157,6 +158,7 @@
     if (placement.has_value()) {
       decision.placement = *placement;
       board_->OnSent(placement->target, request.need.prompt_tokens, now);
+      free_places = board_->FreePlaces(service, now);
       decisions->push_back(decision);
       continue;
     }
