--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -460,8 +460,8 @@
 }
 
 void SoakWorld::Ask(Caller* caller) {
-  static const char* const kKinds[] = {"safe", "unsafe", "resume"};
-  caller->kind = kKinds[Pick(3)];
+  static const char* const kinds[] = {"safe", "unsafe", "resume"};
+  caller->kind = kinds[Pick(3)];
   caller->id = fmt::format("r{}", next_request_++);
   caller->parser = HttpParser::ForAnswer({65'536, 1'048'576}, false);
   caller->is_waiting = true;
