--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -78,18 +78,18 @@
 
 template <typename Archive>
 void save(Archive& ar, const WaitingRank& rank) {
-  ar(Shorten<std::int8_t>(rank.rank), Shorten<std::int8_t>(rank.route_rank),
+  ar(Shorten<std::int16_t>(rank.rank), Shorten<std::int16_t>(rank.route_rank),
      Shorten<std::int16_t>(rank.left_ms / kTimeUnitMs));
 }
 
 template <typename Archive>
 void load(Archive& ar, WaitingRank& rank) {
-  std::int8_t workspace_rank = 0;
-  std::int8_t route_rank = 0;
+  std::int16_t workspace_rank = 0;
+  std::int16_t route_rank = 0;
   std::int16_t left = 0;
   ar(workspace_rank, route_rank, left);
-  rank.rank = static_cast<std::int32_t>(workspace_rank);
-  rank.route_rank = static_cast<std::int32_t>(route_rank);
+  rank.rank = workspace_rank;
+  rank.route_rank = route_rank;
   rank.left_ms = left * kTimeUnitMs;
 }
 
