Keep domains that hear of each other late within the quota from a cold start

Ruled out: herds of one domain (its VMs hear of each change within 14 ms). Change: domains count as busy until they have shown otherwise; their use is averaged over one second; a domain lends at most a quarter of its share, not a half; a fresh process starts with a tenth of the bucket, not a quarter.

--- a/src/serving/quota_ledger.cc
+++ b/src/serving/quota_ledger.cc
@@ -10,11 +10,16 @@
 
 /// Time over which the use by VMs that are heard late is averaged; they tell of
 /// it every second.
-constexpr Duration kFarWindow = std::chrono::seconds(2);
+constexpr Duration kFarWindow = std::chrono::seconds(1);
 
 /// Part of its share that a VM may give out while those that are heard late
-/// seem idle: all may start at the same moment.
-constexpr double kMostOverShare = 1.5;
+/// seem idle. All may start at the same moment and notice two seconds later;
+/// what they give out beyond the quota by then must stay within its tolerance
+/// of a tenth over eight seconds.
+constexpr double kMostOverShare = 1.25;
+
+/// Part of the bucket that must be there for a request of any size.
+constexpr double kMostNeeded = 0.25;
 
 // What is left of a decaying sum after `age`.
 double Faded(double sum, Duration age) {
@@ -93,6 +98,9 @@
     by_hash_[Hash32(workspace.name)] = &bucket;
     bucket.level = Capacity(workspace) * kStartShare;
     bucket.updated = now;
+    // VMs that are heard late count as busy until they have shown otherwise.
+    bucket.far_admitted = workspace.rate_per_second * ToSeconds(kFarWindow);
+    bucket.far_updated = now;
   }
   const double share = Share(workspace, bucket, now);
   bucket.level +=
@@ -114,7 +122,7 @@
   Bucket& bucket = Refill(workspace, now);
   verdict.unheard_peers = Unheard();
   // A request larger than the burst is admitted from a full bucket.
-  const double needed = std::min(cost, Capacity(workspace) * kStartShare);
+  const double needed = std::min(cost, Capacity(workspace) * kMostNeeded);
   if (bucket.level < needed) {
     verdict.is_admitted = false;
     verdict.level = bucket.level;
--- a/src/serving/quota_ledger.h
+++ b/src/serving/quota_ledger.h
@@ -34,8 +34,8 @@
 class QuotaLedger {
  public:
   /// Part of the burst that a fresh process starts with: what was given out
-  /// before its start is unknown.
-  static constexpr double kStartShare = 0.25;
+  /// before its start is unknown, and all may start at once.
+  static constexpr double kStartShare = 0.1;
 
   /// Sets what may be admitted beyond the burst. The bound on a workspace has
   /// some slack; a part of it covers large requests of small workspaces.
