Give the serving configuration's types names of their own

Cause: TargetSpec and WorkspaceSpec were defined twice in one namespace, in config/resource.h and serving/serving_config.h, with other members. Both are in libhornbeamcleat_core, where the linker keeps one copy of each implicit member and of std::vector<TargetSpec>; a program that links both would run the wrong one. No program does yet; the move judge, which the relay is about to use, includes the first. Change: ServingTarget and ServingWorkspace, beside ServingRoute. Measured: hornbeamcleatd builds; nm shows one type for each name.

--- a/bench/serving/serving_bench.cc
+++ b/bench/serving/serving_bench.cc
@@ -13,10 +13,10 @@
 
 constexpr Time kNow{milliseconds(10'000)};
 
-std::vector<TargetSpec> Targets(int n) {
-  std::vector<TargetSpec> targets;
+std::vector<ServingTarget> Targets(int n) {
+  std::vector<ServingTarget> targets;
   for (int i = 0; i < n; ++i) {
-    TargetSpec spec;
+    ServingTarget spec;
     spec.id = "t" + std::to_string(i);
     spec.service = "s";
     spec.places = 8;
--- a/include/hornbeamcleat/serving/route_table.h
+++ b/include/hornbeamcleat/serving/route_table.h
@@ -24,7 +24,7 @@
   const ServingRoute* Find(std::string_view host, std::string_view path) const;
 
   /// Workspace that holds the key, or nullptr.
-  const WorkspaceSpec* FindWorkspace(std::string_view key) const;
+  const ServingWorkspace* FindWorkspace(std::string_view key) const;
 
   /// Service by name, or nullptr.
   const ServiceSpec* FindService(std::string_view name) const;
@@ -35,7 +35,7 @@
   const ServingConfig config_;
   /// By "host" + "prefix"; a host contains no slash, so the two can't mix.
   std::unordered_map<std::string, const ServingRoute*> routes_;
-  std::unordered_map<std::string, const WorkspaceSpec*> workspaces_;
+  std::unordered_map<std::string, const ServingWorkspace*> workspaces_;
   std::map<std::string, const ServiceSpec*, std::less<>> services_;
 };
 
--- a/include/hornbeamcleat/serving/serving_config.h
+++ b/include/hornbeamcleat/serving/serving_config.h
@@ -60,7 +60,7 @@
 };
 
 /// Owner of requests, known by its keys.
-struct WorkspaceSpec {
+struct ServingWorkspace {
   std::string name;
   std::vector<std::string> keys;
   std::optional<int> rank;     ///< replaces the route's rank
@@ -69,7 +69,7 @@
   double rate_per_second = 0;  ///< quota; 0: no limit
   double burst = 0;            ///< admitted at once beyond the rate
 
-  bool operator==(const WorkspaceSpec&) const = default;
+  bool operator==(const ServingWorkspace&) const = default;
 };
 
 /// What a caller may send, and how slowly.
@@ -87,14 +87,14 @@
   std::int64_t version = 0;
   std::vector<ServingRoute> routes;
   std::vector<ServiceSpec> services;
-  std::vector<WorkspaceSpec> workspaces;
+  std::vector<ServingWorkspace> workspaces;
   CallerLimits limits;
 
   bool operator==(const ServingConfig&) const = default;
 };
 
 /// One incarnation of a target, as it announces itself.
-struct TargetSpec {
+struct ServingTarget {
   std::string id;  ///< names the incarnation; sent along to detect reuse
   std::string service;
   std::string address;  ///< IP:PORT
@@ -104,7 +104,7 @@
   bool is_leaving = false;
   std::int64_t born_ms = 0;  ///< start, Unix time; tells a reborn target
 
-  bool operator==(const TargetSpec&) const = default;
+  bool operator==(const ServingTarget&) const = default;
 };
 
 }  // namespace hornbeamcleat
--- a/include/hornbeamcleat/serving/serving_source.h
+++ b/include/hornbeamcleat/serving/serving_source.h
@@ -37,7 +37,7 @@
   /// that the last configuration is the newest.
   virtual void OnConfirmed(Time sent) = 0;
   /// All targets to use, whole list.
-  virtual void OnTargets(const std::vector<TargetSpec>& targets) = 0;
+  virtual void OnTargets(const std::vector<ServingTarget>& targets) = 0;
   /// All VMs that have announced themselves, whole list.
   virtual void OnMembers(const std::vector<VmRecord>& members) = 0;
 };
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -198,7 +198,7 @@
 
   void Send(const Placement& placement) {
     held_ = Held{placement.target, placement.expected, Now()};
-    const TargetSpec* spec = host_->Board()->Find(placement.target);
+    const ServingTarget* spec = host_->Board()->Find(placement.target);
     if (spec == nullptr) {
       Release(TargetOutcome::kAbandoned);
       TryAgain("target_gone");
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -119,7 +119,7 @@
     CheckReady();
   }
 
-  void SetTargets(const std::vector<TargetSpec>& targets) override {
+  void SetTargets(const std::vector<ServingTarget>& targets) override {
     board_.SetTargets(targets, clock_->Now());
     Decide();
   }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -37,7 +37,7 @@
 
   virtual void SetConfig(std::shared_ptr<const RouteTable> table) = 0;
   virtual void OnConfirmed(Time sent) = 0;
-  virtual void SetTargets(const std::vector<TargetSpec>& targets) = 0;
+  virtual void SetTargets(const std::vector<ServingTarget>& targets) = 0;
   virtual void SetMembers(const std::vector<VmRecord>& members) = 0;
 
   /// Applies what may change while running: limits, bounds and budgets.
--- a/src/relay/relay_daemon.cc
+++ b/src/relay/relay_daemon.cc
@@ -96,7 +96,7 @@
   void OnConfirmed(Time sent) override {
     traffic_loop_->Post([this, sent] { relay_->OnConfirmed(sent); });
   }
-  void OnTargets(const std::vector<TargetSpec>& targets) override {
+  void OnTargets(const std::vector<ServingTarget>& targets) override {
     traffic_loop_->Post([this, targets] { relay_->SetTargets(targets); });
   }
   void OnMembers(const std::vector<VmRecord>& members) override {
--- a/src/serving/admission.cc
+++ b/src/serving/admission.cc
@@ -109,7 +109,7 @@
     return admission;
   }
   if (admission.workspace != nullptr) {
-    const WorkspaceSpec& workspace = *admission.workspace;
+    const ServingWorkspace& workspace = *admission.workspace;
     const double tokens =
         query.states_tokens ? query.tokens : workspace.plain_tokens;
     const double cost = workspace.counts_tokens ? tokens : 1;
@@ -134,7 +134,7 @@
   if (!IsFresh(boot_now)) {
     return RefusalReason::kStaleKeys;
   }
-  const WorkspaceSpec* holder = table_->FindWorkspace(key);
+  const ServingWorkspace* holder = table_->FindWorkspace(key);
   if (holder == nullptr || holder->name != admission.workspace->name) {
     return RefusalReason::kUnknownKey;
   }
--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -56,7 +56,7 @@
   Duration retry_after{0};
   std::shared_ptr<const RouteTable> table;  ///< keeps the pointers below alive
   const ServingRoute* route = nullptr;
-  const WorkspaceSpec* workspace = nullptr;  ///< nullptr on a public route
+  const ServingWorkspace* workspace = nullptr;  ///< nullptr on a public route
   int rank = 0;
   double charged = 0;  ///< against the workspace's quota
   QuotaVerdict quota;  ///< of a request that was weighed against a quota
--- a/src/serving/quota_ledger.cc
+++ b/src/serving/quota_ledger.cc
@@ -68,8 +68,8 @@
   return std::max(0, members_ - 1 - static_cast<int>(peers_.size()));
 }
 
-double QuotaLedger::Share(const WorkspaceSpec& workspace, const Bucket& bucket,
-                          Time now) const {
+double QuotaLedger::Share(const ServingWorkspace& workspace,
+                          const Bucket& bucket, Time now) const {
   const double members = std::max(members_, 1);
   const int far = std::max(0, members_ - near_);
   const int unheard_near = std::max(0, near_ - 1 - Heard(true));
@@ -86,11 +86,11 @@
   return share - unheard_near / members;
 }
 
-double QuotaLedger::Capacity(const WorkspaceSpec& workspace) const {
+double QuotaLedger::Capacity(const ServingWorkspace& workspace) const {
   return workspace.burst + (workspace.counts_tokens ? slack_ : 0);
 }
 
-QuotaLedger::Bucket& QuotaLedger::Refill(const WorkspaceSpec& workspace,
+QuotaLedger::Bucket& QuotaLedger::Refill(const ServingWorkspace& workspace,
                                          Time now) {
   const auto [it, is_new] = buckets_.try_emplace(workspace.name);
   Bucket& bucket = it->second;
@@ -113,7 +113,7 @@
   return bucket;
 }
 
-QuotaVerdict QuotaLedger::Admit(const WorkspaceSpec& workspace, double cost,
+QuotaVerdict QuotaLedger::Admit(const ServingWorkspace& workspace, double cost,
                                 Time now) {
   QuotaVerdict verdict;
   if (workspace.rate_per_second <= 0) {
--- a/src/serving/quota_ledger.h
+++ b/src/serving/quota_ledger.h
@@ -60,7 +60,7 @@
   void ForgetPeer(const std::string& peer);
 
   /// Admits or refuses a request that costs `cost` requests or tokens.
-  QuotaVerdict Admit(const WorkspaceSpec& workspace, double cost, Time now);
+  QuotaVerdict Admit(const ServingWorkspace& workspace, double cost, Time now);
 
   /// Returns what a request was charged that never reached a target.
   void Refund(const std::string& workspace, double cost);
@@ -86,10 +86,10 @@
   int Unheard() const;
   int Heard(bool is_near) const;
   /// Part of the quota that this VM and its near peers may give out.
-  double Share(const WorkspaceSpec& workspace, const Bucket& bucket,
+  double Share(const ServingWorkspace& workspace, const Bucket& bucket,
                Time now) const;
-  double Capacity(const WorkspaceSpec& workspace) const;
-  Bucket& Refill(const WorkspaceSpec& workspace, Time now);
+  double Capacity(const ServingWorkspace& workspace) const;
+  Bucket& Refill(const ServingWorkspace& workspace, Time now);
 
   int members_ = 1;
   int near_ = 1;
--- a/src/serving/route_table.cc
+++ b/src/serving/route_table.cc
@@ -26,7 +26,7 @@
   for (const ServingRoute& route : config_.routes) {
     routes_[LowerCase(route.host) + route.path_prefix] = &route;
   }
-  for (const WorkspaceSpec& workspace : config_.workspaces) {
+  for (const ServingWorkspace& workspace : config_.workspaces) {
     for (const std::string& key : workspace.keys) {
       workspaces_[key] = &workspace;
     }
@@ -53,7 +53,7 @@
   return nullptr;
 }
 
-const WorkspaceSpec* RouteTable::FindWorkspace(std::string_view key) const {
+const ServingWorkspace* RouteTable::FindWorkspace(std::string_view key) const {
   const auto it = workspaces_.find(std::string(key));
   return it == workspaces_.end() ? nullptr : it->second;
 }
--- a/src/serving/target_board.cc
+++ b/src/serving/target_board.cc
@@ -66,9 +66,10 @@
 
 }  // namespace
 
-void TargetBoard::SetTargets(const std::vector<TargetSpec>& targets, Time now) {
+void TargetBoard::SetTargets(const std::vector<ServingTarget>& targets,
+                             Time now) {
   std::map<std::string, Target> next;
-  for (const TargetSpec& spec : targets) {
+  for (const ServingTarget& spec : targets) {
     const auto known = targets_.find(spec.id);
     Target target;
     // A target reborn under its id knows nothing of before.
@@ -270,11 +271,11 @@
 }
 
 bool TargetBoard::TakesWork(const std::string& target) const {
-  const TargetSpec* spec = Find(target);
+  const ServingTarget* spec = Find(target);
   return spec != nullptr && !spec->is_leaving;
 }
 
-const TargetSpec* TargetBoard::Find(const std::string& target) const {
+const ServingTarget* TargetBoard::Find(const std::string& target) const {
   const auto it = targets_.find(target);
   return it == targets_.end() ? nullptr : &it->second.spec;
 }
--- a/src/serving/target_board.h
+++ b/src/serving/target_board.h
@@ -54,7 +54,7 @@
 class TargetBoard {
  public:
   /// Replaces the list of targets. Statistics of those that stay are kept.
-  void SetTargets(const std::vector<TargetSpec>& targets, Time now);
+  void SetTargets(const std::vector<ServingTarget>& targets, Time now);
 
   /// Takes the work that a peer has in flight.
   void SetPeerUses(const std::string& peer, const std::vector<TargetUse>& uses);
@@ -83,7 +83,7 @@
   bool TakesWork(const std::string& target) const;
 
   /// Specification of a target that is listed, or nullptr.
-  const TargetSpec* Find(const std::string& target) const;
+  const ServingTarget* Find(const std::string& target) const;
 
   void OnSent(const std::string& target, std::uint32_t prompt_tokens, Time now);
   /// The first event or the answer's head came `after` the dispatch.
@@ -108,7 +108,7 @@
 
  private:
   struct Target {
-    TargetSpec spec;
+    ServingTarget spec;
     std::uint32_t hash = 0;
     int running = 0;
     std::uint32_t unread_tokens = 0;
--- a/src/serving/target_roster.cc
+++ b/src/serving/target_roster.cc
@@ -5,7 +5,7 @@
 
 namespace hornbeamcleat {
 
-void TargetRoster::Put(const TargetSpec& target) {
+void TargetRoster::Put(const ServingTarget& target) {
   announced_[target.id] = target;
   vanished_.erase(target.id);
 }
@@ -21,9 +21,10 @@
   announced_.erase(it);
 }
 
-void TargetRoster::Replace(const std::vector<TargetSpec>& targets, Time now) {
+void TargetRoster::Replace(const std::vector<ServingTarget>& targets,
+                           Time now) {
   std::set<std::string> listed;
-  for (const TargetSpec& target : targets) {
+  for (const ServingTarget& target : targets) {
     listed.insert(target.id);
     Put(target);
   }
@@ -38,11 +39,11 @@
   }
 }
 
-std::vector<TargetSpec> TargetRoster::List(Time now) {
+std::vector<ServingTarget> TargetRoster::List(Time now) {
   std::erase_if(vanished_, [&](const auto& item) {
     return now >= item.second.at + vanished_use_;
   });
-  std::vector<TargetSpec> list;
+  std::vector<ServingTarget> list;
   std::map<std::string, int> certain;
   std::map<std::string, int> doubtful;
   for (const auto& [id, target] : announced_) {
--- a/src/serving/target_roster.h
+++ b/src/serving/target_roster.h
@@ -26,26 +26,26 @@
   void SetVanishedUse(Duration use) { vanished_use_ = use; }
 
   /// The target announced itself or changed.
-  void Put(const TargetSpec& target);
+  void Put(const ServingTarget& target);
   /// The target's entry was removed.
   void Remove(const std::string& id, Time now);
   /// The whole list was read anew; what it lacks was removed.
-  void Replace(const std::vector<TargetSpec>& targets, Time now);
+  void Replace(const std::vector<ServingTarget>& targets, Time now);
 
   /// Targets to use now. Expires what vanished long ago.
-  std::vector<TargetSpec> List(Time now);
+  std::vector<ServingTarget> List(Time now);
 
   /// When List changes by itself; Time::max() if it doesn't.
   Time NextChange() const;
 
  private:
   struct Vanished {
-    TargetSpec spec;
+    ServingTarget spec;
     Time at;
   };
 
   Duration vanished_use_;
-  std::map<std::string, TargetSpec> announced_;
+  std::map<std::string, ServingTarget> announced_;
   std::map<std::string, Vanished> vanished_;
 };
 
--- a/tests/platform/records_test.cc
+++ b/tests/platform/records_test.cc
@@ -48,7 +48,7 @@
   EXPECT_EQ(route.shares, (std::vector<ServiceShare>{{"s", 1}}));
   EXPECT_TRUE(config.services[0].is_engine);
   EXPECT_EQ(config.limits.max_header_bytes, 100U);
-  const WorkspaceSpec& workspace = config.workspaces[0];
+  const ServingWorkspace& workspace = config.workspaces[0];
   EXPECT_EQ(workspace.rank, 1);
   EXPECT_TRUE(workspace.counts_tokens);
   EXPECT_EQ(workspace.burst, 6);
@@ -77,7 +77,7 @@
 }
 
 TEST_F(RecordsTest, DecodeTargetReadsAllFields) {
-  const TargetSpec target = DecodeTarget("i-1", kTarget);
+  const ServingTarget target = DecodeTarget("i-1", kTarget);
   EXPECT_EQ(target.id, "i-1");
   EXPECT_EQ(target.address, "10.0.0.1:80");
   EXPECT_EQ(target.places, 11);
--- a/tests/platform/store_source_test.cc
+++ b/tests/platform/store_source_test.cc
@@ -71,7 +71,7 @@
   std::shared_ptr<const RouteTable> table_;
   std::optional<Time> confirmed_;
   int confirmations_ = 0;
-  std::vector<TargetSpec> targets_;
+  std::vector<ServingTarget> targets_;
   std::vector<VmRecord> members_;
   std::unique_ptr<ServingSource> source_;
 
@@ -83,7 +83,7 @@
     confirmed_ = sent;
     ++confirmations_;
   }
-  void OnTargets(const std::vector<TargetSpec>& targets) override {
+  void OnTargets(const std::vector<ServingTarget>& targets) override {
     targets_ = targets;
   }
   void OnMembers(const std::vector<VmRecord>& members) override {
--- a/tests/relay/relay_fixture.cc
+++ b/tests/relay/relay_fixture.cc
@@ -139,7 +139,7 @@
   add("unsafe", RouteKind::kNonIdempotent, false);
   add("stream", RouteKind::kStreaming, false);
   add("resume", RouteKind::kStreaming, true);
-  WorkspaceSpec workspace;
+  ServingWorkspace workspace;
   workspace.name = "w";
   workspace.keys = {"key"};
   config.workspaces = {workspace};
@@ -153,9 +153,9 @@
 
 void RelayFixture::UseTargets(
     const std::vector<const ScriptedTarget*>& targets) {
-  std::vector<TargetSpec> specs;
+  std::vector<ServingTarget> specs;
   for (const ScriptedTarget* target : targets) {
-    TargetSpec spec;
+    ServingTarget spec;
     spec.id = fmt::format("t{}", specs.size());
     spec.service = "s";
     spec.address = target->Bound().ToString();
--- a/tests/serving/admission_test.cc
+++ b/tests/serving/admission_test.cc
@@ -36,7 +36,7 @@
     route.path_prefix = "/open/";
     route.is_public = true;
     config.routes.push_back(route);
-    WorkspaceSpec workspace;
+    ServingWorkspace workspace;
     workspace.name = "w";
     workspace.rank = 1;
     if (!key.empty()) {
--- a/tests/serving/quota_ledger_test.cc
+++ b/tests/serving/quota_ledger_test.cc
@@ -32,7 +32,7 @@
   }
 
   Time now_{milliseconds(10'000)};
-  WorkspaceSpec workspace_;
+  ServingWorkspace workspace_;
 };
 
 TEST_F(QuotaLedgerTest, AdmitWithoutLimitAdmitsAll) {
--- a/tests/serving/route_table_test.cc
+++ b/tests/serving/route_table_test.cc
@@ -23,7 +23,7 @@
     config.routes = {
         Route("a.example", "/", "root"), Route("a.example", "/x/", "x"),
         Route("a.example", "/x/y/", "xy"), Route("b.example", "/x/", "other")};
-    WorkspaceSpec workspace;
+    ServingWorkspace workspace;
     workspace.name = "w";
     workspace.keys = {"k1", "k2"};
     config.workspaces = {workspace};
--- a/tests/serving/target_board_test.cc
+++ b/tests/serving/target_board_test.cc
@@ -14,8 +14,8 @@
 
 class TargetBoardTest : public testing::Test {
  protected:
-  static TargetSpec Spec(const std::string& id, int places = 10) {
-    TargetSpec spec;
+  static ServingTarget Spec(const std::string& id, int places = 10) {
+    ServingTarget spec;
     spec.id = id;
     spec.service = "s";
     spec.failure_domain = "d";
@@ -152,7 +152,7 @@
 }
 
 TEST_F(TargetBoardTest, SetTargetsWithLeavingTargetGivesItNoWork) {
-  TargetSpec leaving = Spec("a");
+  ServingTarget leaving = Spec("a");
   leaving.is_leaving = true;
   board_.SetTargets({leaving}, now_);
   EXPECT_EQ(Pick(Need()), "");
@@ -163,7 +163,7 @@
   board_.SetTargets({Spec("a", 1)}, now_);
   board_.OnSent("a", 1, now_);
   EXPECT_EQ(Pick(Need()), "");
-  TargetSpec reborn = Spec("a", 1);
+  ServingTarget reborn = Spec("a", 1);
   reborn.born_ms = 7;
   board_.SetTargets({reborn}, now_);
   EXPECT_EQ(Pick(Need()), "a");
@@ -172,7 +172,7 @@
 // Load: many VMs that hear of each other late place at the same moment; if all
 // choose among all targets they rush to the same one.
 TEST_F(TargetBoardTest, PickWithCandidateShareSpreadsRequests) {
-  std::vector<TargetSpec> specs;
+  std::vector<ServingTarget> specs;
   specs.reserve(60);
   for (int i = 0; i < 60; ++i) {
     specs.push_back(Spec("t" + std::to_string(i)));
--- a/tests/serving/target_roster_test.cc
+++ b/tests/serving/target_roster_test.cc
@@ -11,8 +11,8 @@
 
 class TargetRosterTest : public testing::Test {
  protected:
-  static TargetSpec Spec(const std::string& id, bool is_leaving = false) {
-    TargetSpec spec;
+  static ServingTarget Spec(const std::string& id, bool is_leaving = false) {
+    ServingTarget spec;
     spec.id = id;
     spec.service = "s";
     spec.is_leaving = is_leaving;
--- a/tests/serving/wait_line_test.cc
+++ b/tests/serving/wait_line_test.cc
@@ -17,7 +17,7 @@
   WaitLineTest() { SetPlaces(1); }
 
   void SetPlaces(int places) {
-    TargetSpec spec;
+    ServingTarget spec;
     spec.id = "t";
     spec.service = "s";
     spec.places = places;
