Forget what a peer gave out when it starts anew

The levels that VMs logged beside an ideal bucket agreed until a rolling stop's first VM was back, then rose by 135,000 at all VMs: the ledger kept the totals of the peer's former life for workspaces that its first message did not name, and took the lower total of the new life for a charge taken back. Ruled out: levels that differ between VMs, refunds, requests placed twice. Change: totals are cleared when the incarnation changes. The line of an admitted request tells what it was charged and what was left. Test that failed first: SetPeerUseOfRestartedIdlePeerCreditsNothing (490 credited).

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -108,8 +108,9 @@
     host_->GetLog()->Progress(
         Now(),
         "event=admitted id={} route={} service={} rank={} workspace={} "
-        "version={}",
+        "charged={:.0f} level={:.0f} version={}",
         facts_.id, route.name, service_, admission_.rank, Workspace(),
+        admission_.charged, admission_.quota.level,
         admission_.table->Config().version);
     give_up_timer_ =
         host_->Loop()->Timers()->At(give_up_at_, [this](Time) { OnTimeOut(); });
--- a/src/serving/quota_ledger.cc
+++ b/src/serving/quota_ledger.cc
@@ -33,6 +33,9 @@
                              bool is_near, Time now) {
   PeerUse& known = peers_[peer];
   const bool is_first = known.incarnation != incarnation;
+  if (is_first) {
+    known.admitted.clear();
+  }
   known.incarnation = incarnation;
   known.is_near = is_near;
   for (const WorkspaceUse& use : uses) {
--- a/tests/serving/quota_ledger_test.cc
+++ b/tests/serving/quota_ledger_test.cc
@@ -99,6 +99,19 @@
   EXPECT_GT(Drain(&ledger, 1), 0);
 }
 
+// The first message of a restarted peer need not name the workspace. What the
+// peer gave out before must not come back then. Found on soarpaddle, mix --seed
+// 1013266024445: a restart in a rolling stop credited 135,000 tokens.
+TEST_F(QuotaLedgerTest, SetPeerUseOfRestartedIdlePeerCreditsNothing) {
+  QuotaLedger ledger;
+  ledger.SetMembers(2, 2);
+  ledger.SetPeerUse("p", 1, {{Hash32("w"), 500}}, true, now_);
+  Drain(&ledger, 1);
+  ledger.SetPeerUse("p", 2, {}, true, now_);
+  ledger.SetPeerUse("p", 2, {{Hash32("w"), 10}}, true, now_);
+  EXPECT_EQ(Drain(&ledger, 1), 0);
+}
+
 // Load: one workspace presses through all VMs while none hears another. In any
 // window the sum stays within the quota, since each VM keeps to its share.
 TEST_F(QuotaLedgerTest, AdmitWithAllPeersSilentKeepsSumWithinQuota) {
