Start quotas where the peers are; hear all totals before counting changes

A fresh VM first hears messages that name only what changed; when a later one named another workspace, all that the peer had given out in its life was taken out. Ruled out: the smaller start alone (its quarter gave the same level later). Also: VMs that restart in turn each brought a part of the burst of their own. Change: until a peer's first whole message, new names only set where counting goes on; messages tell what is left, and a fresh VM starts there; without a peer's word it starts with a quarter of its domain's part. Reads of targets where VMs are many wait a second between two that bring changes, not 0.4.

--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -52,6 +52,7 @@
 struct WorkspaceUse {
   std::uint32_t workspace = 0;  ///< hash of the name
   double admitted = 0;          ///< requests or tokens, as the quota counts
+  float level = 0;              ///< left of the quota, as this VM counts it
 
   bool operator==(const WorkspaceUse&) const = default;
 };
--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -100,7 +100,7 @@
 
 template <typename Archive>
 void serialize(Archive& ar, WorkspaceUse& use) {
-  ar(use.workspace, use.admitted);
+  ar(use.workspace, use.admitted, use.level);
 }
 
 template <typename Archive>
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -314,13 +314,15 @@
     }
     board_.SetPeerUses(state.link, state.uses);
     OnMembership();
+    const bool is_near =
+        !plan_.is_by_domain || directory_.IsNearLink(state.link);
     // Queues of other domains are too old to wait for.
-    if (!plan_.is_by_domain || directory_.IsNearLink(state.link)) {
+    if (is_near) {
       line_.SetPeerQueues(state.link, state.queues, now);
     }
     desk_.Quotas()->SetPeerUse(
-        state.link, state.incarnation, state.quotas,
-        !plan_.is_by_domain || directory_.IsNearLink(state.link), now);
+        state.link, {state.incarnation, state.details.has_value(), is_near},
+        state.quotas, now);
     if (state.details.has_value()) {
       board_.SetPeerFindings(state.link, state.details->findings);
       moves_.SetPeerCounts(state.link, state.incarnation,
--- a/src/serving/quota_ledger.cc
+++ b/src/serving/quota_ledger.cc
@@ -28,35 +28,39 @@
 
 }  // namespace
 
-void QuotaLedger::SetPeerUse(const std::string& peer, std::uint64_t incarnation,
-                             const std::vector<WorkspaceUse>& uses,
-                             bool is_near, Time now) {
+void QuotaLedger::SetPeerUse(const std::string& peer,
+                             const PeerMessage& message,
+                             const std::vector<WorkspaceUse>& uses, Time now) {
   PeerUse& known = peers_[peer];
-  const bool is_first = known.incarnation != incarnation;
-  if (is_first) {
-    known.admitted.clear();
+  if (known.incarnation != message.incarnation) {
+    known = PeerUse();
+    known.incarnation = message.incarnation;
   }
-  known.incarnation = incarnation;
-  known.is_near = is_near;
+  known.is_near = message.is_near;
   for (const WorkspaceUse& use : uses) {
     const auto before = known.admitted.find(use.workspace);
-    const double counted = before == known.admitted.end() ? 0 : before->second;
-    const auto bucket = by_hash_.find(use.workspace);
+    const bool is_counted = before != known.admitted.end();
     // A total falls when a peer takes back what it had charged.
-    if (!is_first && bucket != by_hash_.end()) {
-      const double admitted = use.admitted - counted;
-      if (is_near) {
-        bucket->second->level -= admitted;
-      } else {
-        bucket->second->far_admitted =
-            Faded(bucket->second->far_admitted,
-                  now - bucket->second->far_updated) +
-            admitted;
-        bucket->second->far_updated = now;
-      }
-    }
+    const double admitted = use.admitted - (is_counted ? before->second : 0.0);
     known.admitted[use.workspace] = use.admitted;
+    known.levels[use.workspace] = use.level;
+    const auto bucket = by_hash_.find(use.workspace);
+    if (bucket != by_hash_.end() && (is_counted || known.was_whole)) {
+      TakeOut(bucket->second, admitted, message.is_near, now);
+    }
   }
+  known.was_whole = known.was_whole || message.is_whole;
+}
+
+void QuotaLedger::TakeOut(Bucket* bucket, double admitted, bool is_near,
+                          Time now) {
+  if (is_near) {
+    bucket->level -= admitted;
+    return;
+  }
+  bucket->far_admitted =
+      Faded(bucket->far_admitted, now - bucket->far_updated) + admitted;
+  bucket->far_updated = now;
 }
 
 void QuotaLedger::ForgetPeer(const std::string& peer) { peers_.erase(peer); }
@@ -93,13 +97,29 @@
   return workspace.burst + (workspace.counts_tokens ? slack_ : 0);
 }
 
+// VMs that restart in turn must not each bring tokens of their own.
+double QuotaLedger::StartLevel(const ServingWorkspace& workspace) const {
+  const std::uint32_t hash = Hash32(workspace.name);
+  const double part = near_ / std::max(1.0, static_cast<double>(members_));
+  double level = Capacity(workspace) * kStartShare * part;
+  bool is_told = false;
+  for (const auto& [link, peer] : peers_) {
+    const auto told = peer.levels.find(hash);
+    if (peer.is_near && told != peer.levels.end()) {
+      level = is_told ? std::min(level, told->second) : told->second;
+      is_told = true;
+    }
+  }
+  return level;
+}
+
 QuotaLedger::Bucket& QuotaLedger::Refill(const ServingWorkspace& workspace,
                                          Time now) {
   const auto [it, is_new] = buckets_.try_emplace(workspace.name);
   Bucket& bucket = it->second;
   if (is_new) {
     by_hash_[Hash32(workspace.name)] = &bucket;
-    bucket.level = Capacity(workspace) * kStartShare;
+    bucket.level = StartLevel(workspace);
     bucket.updated = now;
     // VMs that are heard late count as busy until they have shown otherwise.
     bucket.far_admitted = workspace.rate_per_second * ToSeconds(kFarWindow);
@@ -152,7 +172,8 @@
   for (auto& [name, bucket] : buckets_) {
     if (all || bucket.admitted != bucket.told) {
       bucket.told = bucket.admitted;
-      uses.push_back({Hash32(name), bucket.admitted});
+      uses.push_back(
+          {Hash32(name), bucket.admitted, static_cast<float>(bucket.level)});
     }
   }
   return uses;
--- a/src/serving/quota_ledger.h
+++ b/src/serving/quota_ledger.h
@@ -33,9 +33,9 @@
 /// at the least.
 class QuotaLedger {
  public:
-  /// Part of the burst that a fresh process starts with: what was given out
-  /// before its start is unknown, and all may start at once.
-  static constexpr double kStartShare = 0.1;
+  /// Part of the burst that a fresh process starts with if no peer tells what
+  /// is left: what was given out before is unknown, and all may start at once.
+  static constexpr double kStartShare = 0.25;
 
   /// Sets what may be admitted beyond the burst. The bound on a workspace has
   /// some slack; a part of it covers large requests of small workspaces.
@@ -48,13 +48,21 @@
     near_ = near;
   }
 
-  /// Takes the totals of a peer. The first totals of an incarnation, and those
-  /// after a silence, only set where counting goes on.
-  /// @param is_near whether the peer tells of each admission at once; what the
-  ///   others admit is known late, so that only their rate counts
-  void SetPeerUse(const std::string& peer, std::uint64_t incarnation,
-                  const std::vector<WorkspaceUse>& uses, bool is_near,
-                  Time now);
+  /// What a message of a peer is to the ledger.
+  struct PeerMessage {
+    std::uint64_t incarnation = 0;
+    /// Whether it names all workspaces, not only those that changed.
+    bool is_whole = false;
+    /// Whether the peer tells of each admission at once; what the others admit
+    /// is known late, so that only their rate counts.
+    bool is_near = false;
+  };
+
+  /// Takes the totals of a peer. Until its first whole message in an
+  /// incarnation, or after a silence, totals of workspaces that were not named
+  /// before only set where counting goes on.
+  void SetPeerUse(const std::string& peer, const PeerMessage& message,
+                  const std::vector<WorkspaceUse>& uses, Time now);
 
   /// The peer is no longer heard; its share is set aside.
   void ForgetPeer(const std::string& peer);
@@ -80,15 +88,19 @@
   struct PeerUse {
     std::optional<std::uint64_t> incarnation;  ///< none before the first word
     std::map<std::uint32_t, double> admitted;
+    std::map<std::uint32_t, double> levels;  ///< as last told
+    bool was_whole = false;  ///< told of all workspaces in this incarnation
     bool is_near = true;
   };
 
+  static void TakeOut(Bucket* bucket, double admitted, bool is_near, Time now);
   int Unheard() const;
   int Heard(bool is_near) const;
   /// Part of the quota that this VM and its near peers may give out.
   double Share(const ServingWorkspace& workspace, const Bucket& bucket,
                Time now) const;
   double Capacity(const ServingWorkspace& workspace) const;
+  double StartLevel(const ServingWorkspace& workspace) const;
   Bucket& Refill(const ServingWorkspace& workspace, Time now);
 
   int members_ = 1;
--- a/src/serving/scale_plan.cc
+++ b/src/serving/scale_plan.cc
@@ -34,7 +34,7 @@
 constexpr Duration kMemberWait = milliseconds(10'000);
 constexpr Duration kLargeMemberWait = milliseconds(20'000);
 /// Changes come in bursts; one read then takes several.
-constexpr Duration kLargeReadGap = milliseconds(400);
+constexpr Duration kLargeReadGap = milliseconds(1000);
 constexpr Duration kLargeConfigReadGap = milliseconds(150);
 
 }  // namespace
