Give a domain more than its part of a quota; save up bursts from the start

Each domain kept to its third of rate and burst, a draft is up to a hundred times a tag, and a workspace that nobody had used since the start began with a twelfth of its burst at the first request. Ruled out: far peers that look busy (the loan was a quarter at the most). A bucket counts from the start of the process. Tests that failed first: AdmitLongAfterStartGivesWholeBurst, AdmitLargeRequestWithinQuotaIsNotRefused; the three that keep the sum within the quota hold with what domains now hear after half a second.

--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -76,16 +76,18 @@
   bool operator==(const PeerDetails&) const = default;
 };
 
-/// Message of a VM to its peers. Work and queues are whole and replace those of
-/// the message before.
+/// Message of a VM to its peers. Work and queues, if told, are whole and
+/// replace those of the message before.
 struct PeerState {
   std::uint64_t incarnation = 0;  ///< of the daemon; random
   std::uint32_t sequence = 0;     ///< rises with each message
   std::string link;               ///< address for peers, IP:PORT
   bool is_ready = false;
+  bool tells_work = true;  ///< else `uses` and `queues` say nothing
   std::vector<TargetUse> uses;
   std::vector<ServiceQueue> queues;
-  std::vector<WorkspaceUse> quotas;  ///< totals that changed, at the least
+  bool tells_all_quotas = false;  ///< else only totals that changed
+  std::vector<WorkspaceUse> quotas;
   std::optional<PeerDetails> details;
 
   bool operator==(const PeerState&) const = default;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -94,8 +94,9 @@
             [this](const PeerState& state) { OnPeerState(state); })) {
     std::random_device random;
     incarnation_ = (std::uint64_t{random()} << 32) | random();
-    desk_.Quotas()->SetSlack(options.quota_slack);
     const Time now = clock_->Now();
+    desk_.Quotas()->SetSlack(options.quota_slack);
+    desk_.Quotas()->SetStart(now);
     heartbeat_ = loop_->Timers()->Every(now + kHeartbeatCheck, kHeartbeatCheck,
                                         [this](Time) { Heartbeat(); });
     housekeeping_ = loop_->Timers()->Every(now + kHousekeeping, kHousekeeping,
@@ -249,10 +250,10 @@
     const Time now = clock_->Now();
     const Time due = told_at_ + plan_.change_gap;
     if (now >= due) {
-      Tell(false, NearLinks());
+      Tell(false, false);
     } else if (tell_timer_ == nullptr) {
       tell_timer_ =
-          loop_->Timers()->At(due, [this](Time) { Tell(false, NearLinks()); });
+          loop_->Timers()->At(due, [this](Time) { Tell(false, false); });
     }
   }
 
@@ -263,35 +264,61 @@
   void Heartbeat() {
     const Time now = clock_->Now();
     const bool with_details = now - detailed_at_ >= plan_.details_period;
-    const bool reaches_far = now - told_far_at_ >= plan_.far_period;
-    Tell(with_details, reaches_far ? directory_.Links() : NearLinks());
+    if (now - told_far_at_ >= plan_.far_period) {
+      Tell(with_details, true);
+    } else {
+      Tell(with_details, false);
+      TellPressedQuotas();
+    }
     if (with_details) {
       detailed_at_ = now;
     }
-    if (reaches_far) {
-      told_far_at_ = now;
-    }
   }
 
-  void TellAll() { Tell(true, directory_.Links()); }
+  void TellAll() { Tell(true, true); }
 
-  void Tell(bool with_details, const std::vector<std::string>& links) {
+  // @param reaches_far whether VMs of other domains are told too
+  void Tell(bool with_details, bool reaches_far) {
     const Time now = clock_->Now();
     tell_timer_.reset();
     told_at_ = now;
     told_changes_ = board_.Changes() + line_.Changes();
-    PeerState state;
-    state.incarnation = incarnation_;
-    state.sequence = ++sequence_;
-    state.link = self_.link;
-    state.is_ready = IsReady();
+    PeerState state = NextState();
     state.uses = board_.Uses();
     state.queues = line_.Queues(now);
-    state.quotas = desk_.Quotas()->TakeUses(with_details);
+    state.tells_all_quotas = with_details || reaches_far;
+    state.quotas = state.tells_all_quotas
+                       ? desk_.Quotas()->TakeAllUses(reaches_far)
+                       : desk_.Quotas()->TakeNearUses();
     if (with_details) {
       state.details = Details(now);
     }
-    link_->Send(state, links);
+    if (reaches_far) {
+      told_far_at_ = now;
+    }
+    link_->Send(state, reaches_far ? directory_.Links() : NearLinks());
+  }
+
+  // Between heartbeats VMs of other domains hear only of quotas that run out.
+  void TellPressedQuotas() {
+    if (!plan_.is_by_domain) {
+      return;
+    }
+    PeerState state = NextState();
+    state.tells_work = false;
+    state.quotas = desk_.Quotas()->TakePressedUses();
+    if (!state.quotas.empty()) {
+      link_->Send(state, directory_.FarLinks());
+    }
+  }
+
+  PeerState NextState() {
+    PeerState state;
+    state.incarnation = incarnation_;
+    state.sequence = ++sequence_;
+    state.link = self_.link;
+    state.is_ready = IsReady();
+    return state;
   }
 
   PeerDetails Details(Time now) const {
@@ -312,17 +339,19 @@
     if (!directory_.OnState(state, now)) {
       return;
     }
-    board_.SetPeerUses(state.link, state.uses);
+    if (state.tells_work) {
+      board_.SetPeerUses(state.link, state.uses);
+    }
     OnMembership();
     const bool is_near =
         !plan_.is_by_domain || directory_.IsNearLink(state.link);
     // Queues of other domains are too old to wait for.
-    if (is_near) {
+    if (is_near && state.tells_work) {
       line_.SetPeerQueues(state.link, state.queues, now);
     }
     desk_.Quotas()->SetPeerUse(
-        state.link, {state.incarnation, state.details.has_value(), is_near},
-        state.quotas, now);
+        state.link, {state.incarnation, state.tells_all_quotas, is_near},
+        state.quotas);
     if (state.details.has_value()) {
       board_.SetPeerFindings(state.link, state.details->findings);
       moves_.SetPeerCounts(state.link, state.incarnation,
--- a/src/serving/quota_ledger.cc
+++ b/src/serving/quota_ledger.cc
@@ -1,36 +1,30 @@
 #include "src/serving/quota_ledger.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "hornbeamcleat/base/hash.h"
 
 namespace hornbeamcleat {
 namespace {
 
-/// Time over which the use by VMs that are heard late is averaged; they tell of
-/// it every second.
-constexpr Duration kFarWindow = std::chrono::seconds(1);
+/// What a domain may give out while others are heard late, as a multiple of its
+/// part of the rate and of the bucket. In the half second until they hear of
+/// each other domains give out 0.4 s of the rate too much at this figure, which
+/// the tolerance of a tenth over eight seconds covers.
+constexpr double kDomainRate = 1.8;
+constexpr double kDomainBurst = 1.5;
 
-/// Part of its share that a VM may give out while those that are heard late
-/// seem idle. All may start at the same moment and notice two seconds later;
-/// what they give out beyond the quota by then must stay within its tolerance
-/// of a tenth over eight seconds.
-constexpr double kMostOverShare = 1.25;
+/// Part of the bucket below which a workspace counts as pressed.
+constexpr double kPressedShare = 0.6;
 
 /// Part of the bucket that must be there for a request of any size.
 constexpr double kMostNeeded = 0.25;
 
-// What is left of a decaying sum after `age`.
-double Faded(double sum, Duration age) {
-  return sum * std::exp(-ToSeconds(age) / ToSeconds(kFarWindow));
-}
-
 }  // namespace
 
 void QuotaLedger::SetPeerUse(const std::string& peer,
                              const PeerMessage& message,
-                             const std::vector<WorkspaceUse>& uses, Time now) {
+                             const std::vector<WorkspaceUse>& uses) {
   PeerUse& known = peers_[peer];
   if (known.incarnation != message.incarnation) {
     known = PeerUse();
@@ -46,51 +40,28 @@
     known.levels[use.workspace] = use.level;
     const auto bucket = by_hash_.find(use.workspace);
     if (bucket != by_hash_.end() && (is_counted || known.was_whole)) {
-      TakeOut(bucket->second, admitted, message.is_near, now);
+      bucket->second->level -= admitted;
+      bucket->second->domain_level -= message.is_near ? admitted : 0;
     }
   }
   known.was_whole = known.was_whole || message.is_whole;
 }
 
-void QuotaLedger::TakeOut(Bucket* bucket, double admitted, bool is_near,
-                          Time now) {
-  if (is_near) {
-    bucket->level -= admitted;
-    return;
-  }
-  bucket->far_admitted =
-      Faded(bucket->far_admitted, now - bucket->far_updated) + admitted;
-  bucket->far_updated = now;
-}
-
 void QuotaLedger::ForgetPeer(const std::string& peer) { peers_.erase(peer); }
 
-int QuotaLedger::Heard(bool is_near) const {
-  return static_cast<int>(std::count_if(
-      peers_.begin(), peers_.end(),
-      [is_near](const auto& item) { return item.second.is_near == is_near; }));
-}
-
 int QuotaLedger::Unheard() const {
   return std::max(0, members_ - 1 - static_cast<int>(peers_.size()));
 }
 
-double QuotaLedger::Share(const ServingWorkspace& workspace,
-                          const Bucket& bucket, Time now) const {
-  const double members = std::max(members_, 1);
-  const int far = std::max(0, members_ - near_);
-  const int unheard_near = std::max(0, near_ - 1 - Heard(true));
-  const int unheard_far = std::max(0, far - Heard(false));
-  double share = 1 - unheard_far / members;
-  if (far > 0) {
-    const double far_rate =
-        Faded(bucket.far_admitted, now - bucket.far_updated) /
-        ToSeconds(kFarWindow);
-    const double own = near_ / members;
-    const double most = std::max(own, std::min(share, own * kMostOverShare));
-    share = std::clamp(1 - far_rate / workspace.rate_per_second, own, most);
-  }
-  return share - unheard_near / members;
+int QuotaLedger::UnheardNear() const {
+  const auto heard =
+      std::count_if(peers_.begin(), peers_.end(),
+                    [](const auto& item) { return item.second.is_near; });
+  return std::max(0, near_ - 1 - static_cast<int>(heard));
+}
+
+double QuotaLedger::DomainPart() const {
+  return near_ / std::max(1.0, static_cast<double>(members_));
 }
 
 double QuotaLedger::Capacity(const ServingWorkspace& workspace) const {
@@ -100,8 +71,7 @@
 // VMs that restart in turn must not each bring tokens of their own.
 double QuotaLedger::StartLevel(const ServingWorkspace& workspace) const {
   const std::uint32_t hash = Hash32(workspace.name);
-  const double part = near_ / std::max(1.0, static_cast<double>(members_));
-  double level = Capacity(workspace) * kStartShare * part;
+  double level = Capacity(workspace) * kStartShare * DomainPart();
   bool is_told = false;
   for (const auto& [link, peer] : peers_) {
     const auto told = peer.levels.find(hash);
@@ -120,19 +90,28 @@
   if (is_new) {
     by_hash_[Hash32(workspace.name)] = &bucket;
     bucket.level = StartLevel(workspace);
-    bucket.updated = now;
-    // VMs that are heard late count as busy until they have shown otherwise.
-    bucket.far_admitted = workspace.rate_per_second * ToSeconds(kFarWindow);
-    bucket.far_updated = now;
+    bucket.domain_level = bucket.level;
+    bucket.updated = start_.value_or(now);
+  }
+  const double members = std::max(members_, 1);
+  const double rate = workspace.rate_per_second;
+  const double capacity = Capacity(workspace);
+  const double seconds = ToSeconds(now - bucket.updated);
+  const double share = 1 - Unheard() / members;
+  bucket.level =
+      std::min(bucket.level + rate * share * seconds, capacity * share);
+  if (HasFarPeers()) {
+    const double unheard = UnheardNear() / members;
+    const double domain_rate = std::min(1.0, kDomainRate * DomainPart());
+    const double domain_burst = std::min(1.0, kDomainBurst * DomainPart());
+    bucket.domain_level =
+        std::min(bucket.domain_level + rate * (domain_rate - unheard) * seconds,
+                 capacity * (domain_burst - unheard));
+  } else {
+    bucket.domain_level = bucket.level;
   }
-  const double share = Share(workspace, bucket, now);
-  bucket.level +=
-      workspace.rate_per_second * share * ToSeconds(now - bucket.updated);
-  // Bursts can't be shared with those that are heard late.
-  const double burst_share =
-      std::min(share, near_ / std::max(1.0, static_cast<double>(members_)));
-  bucket.level = std::min(bucket.level, Capacity(workspace) * burst_share);
   bucket.updated = now;
+  bucket.is_pressed = bucket.level < kPressedShare * capacity;
   return bucket;
 }
 
@@ -144,16 +123,20 @@
   }
   Bucket& bucket = Refill(workspace, now);
   verdict.unheard_peers = Unheard();
-  // A request larger than the burst is admitted from a full bucket.
-  const double needed = std::min(cost, Capacity(workspace) * kMostNeeded);
-  if (bucket.level < needed) {
+  // A request larger than the burst is admitted from a bucket that holds
+  // enough; the debt is paid back before the next.
+  const double needed = std::min(cost, Capacity(workspace) * kMostNeeded *
+                                           (HasFarPeers() ? DomainPart() : 1));
+  const double level = std::min(bucket.level, bucket.domain_level);
+  if (level < needed) {
     verdict.is_admitted = false;
-    verdict.level = bucket.level;
+    verdict.level = level;
     verdict.retry_after =
-        FromSeconds((needed - bucket.level) / workspace.rate_per_second);
+        FromSeconds((needed - level) / workspace.rate_per_second);
     return verdict;
   }
   bucket.level -= cost;
+  bucket.domain_level -= cost;
   bucket.admitted += cost;
   verdict.level = bucket.level;
   return verdict;
@@ -163,17 +146,44 @@
   const auto it = buckets_.find(workspace);
   if (it != buckets_.end()) {
     it->second.level += cost;
+    it->second.domain_level += cost;
     it->second.admitted -= cost;
   }
 }
 
-std::vector<WorkspaceUse> QuotaLedger::TakeUses(bool all) {
+WorkspaceUse QuotaLedger::UseOf(const std::string& name, const Bucket& bucket) {
+  return {Hash32(name), bucket.admitted, static_cast<float>(bucket.level)};
+}
+
+std::vector<WorkspaceUse> QuotaLedger::TakeAllUses(bool reaches_far) {
+  std::vector<WorkspaceUse> uses;
+  for (auto& [name, bucket] : buckets_) {
+    bucket.told_near = bucket.admitted;
+    if (reaches_far) {
+      bucket.told_far = bucket.admitted;
+    }
+    uses.push_back(UseOf(name, bucket));
+  }
+  return uses;
+}
+
+std::vector<WorkspaceUse> QuotaLedger::TakeNearUses() {
+  std::vector<WorkspaceUse> uses;
+  for (auto& [name, bucket] : buckets_) {
+    if (bucket.admitted != bucket.told_near) {
+      bucket.told_near = bucket.admitted;
+      uses.push_back(UseOf(name, bucket));
+    }
+  }
+  return uses;
+}
+
+std::vector<WorkspaceUse> QuotaLedger::TakePressedUses() {
   std::vector<WorkspaceUse> uses;
   for (auto& [name, bucket] : buckets_) {
-    if (all || bucket.admitted != bucket.told) {
-      bucket.told = bucket.admitted;
-      uses.push_back(
-          {Hash32(name), bucket.admitted, static_cast<float>(bucket.level)});
+    if (bucket.is_pressed && bucket.admitted != bucket.told_far) {
+      bucket.told_far = bucket.admitted;
+      uses.push_back(UseOf(name, bucket));
     }
   }
   return uses;
--- a/src/serving/quota_ledger.h
+++ b/src/serving/quota_ledger.h
@@ -29,14 +29,20 @@
 /// Load pattern: one workspace sends many times its usual through all VMs at
 /// once, also while VMs can't hear each other. The share of a VM that isn't
 /// heard is set aside, so that the sum over all VMs stays within the quota.
-/// VMs that are heard late get the part that they lately used, and their share
-/// at the least.
+/// Where VMs of other failure domains are heard late, what they admitted is
+/// taken out late too, so each domain also keeps to a bucket of its own: larger
+/// than its part, since traffic is uneven, and small enough for what all can
+/// give out before they hear of each other.
 class QuotaLedger {
  public:
   /// Part of the burst that a fresh process starts with if no peer tells what
   /// is left: what was given out before is unknown, and all may start at once.
   static constexpr double kStartShare = 0.25;
 
+  /// Sets when this process started; a workspace that nobody has used since
+  /// then has saved up its burst.
+  void SetStart(Time start) { start_ = start; }
+
   /// Sets what may be admitted beyond the burst. The bound on a workspace has
   /// some slack; a part of it covers large requests of small workspaces.
   void SetSlack(double slack) { slack_ = slack; }
@@ -62,7 +68,7 @@
   /// incarnation, or after a silence, totals of workspaces that were not named
   /// before only set where counting goes on.
   void SetPeerUse(const std::string& peer, const PeerMessage& message,
-                  const std::vector<WorkspaceUse>& uses, Time now);
+                  const std::vector<WorkspaceUse>& uses);
 
   /// The peer is no longer heard; its share is set aside.
   void ForgetPeer(const std::string& peer);
@@ -73,16 +79,23 @@
   /// Returns what a request was charged that never reached a target.
   void Refund(const std::string& workspace, double cost);
 
-  /// Totals of this VM that changed since they were told, or all.
-  std::vector<WorkspaceUse> TakeUses(bool all);
+  /// All totals of this VM.
+  /// @param reaches_far whether VMs of other domains are told too
+  std::vector<WorkspaceUse> TakeAllUses(bool reaches_far);
+  /// Totals that changed since VMs of the own domain were told.
+  std::vector<WorkspaceUse> TakeNearUses();
+  /// Totals that changed since the others were told, of workspaces that have
+  /// used up much of their quota.
+  std::vector<WorkspaceUse> TakePressedUses();
 
  private:
   struct Bucket {
-    double level = 0;
+    double level = 0;         ///< left of the workspace's quota
+    double domain_level = 0;  ///< left of what the own domain may give out
     double admitted = 0;
-    double told = 0;
-    double far_admitted = 0;  ///< lately, decaying
-    Time far_updated;
+    double told_near = 0;
+    double told_far = 0;
+    bool is_pressed = false;  ///< little was left at the last request
     Time updated;
   };
   struct PeerUse {
@@ -93,12 +106,12 @@
     bool is_near = true;
   };
 
-  static void TakeOut(Bucket* bucket, double admitted, bool is_near, Time now);
+  static WorkspaceUse UseOf(const std::string& name, const Bucket& bucket);
   int Unheard() const;
-  int Heard(bool is_near) const;
-  /// Part of the quota that this VM and its near peers may give out.
-  double Share(const ServingWorkspace& workspace, const Bucket& bucket,
-               Time now) const;
+  int UnheardNear() const;
+  bool HasFarPeers() const { return near_ < members_; }
+  /// Part of the quota that falls to the own domain.
+  double DomainPart() const;
   double Capacity(const ServingWorkspace& workspace) const;
   double StartLevel(const ServingWorkspace& workspace) const;
   Bucket& Refill(const ServingWorkspace& workspace, Time now);
@@ -106,6 +119,7 @@
   int members_ = 1;
   int near_ = 1;
   double slack_ = 0;
+  std::optional<Time> start_;
   std::map<std::string, Bucket> buckets_;
   std::map<std::uint32_t, Bucket*> by_hash_;
   std::map<std::string, PeerUse> peers_;
--- a/src/serving/vm_directory.cc
+++ b/src/serving/vm_directory.cc
@@ -74,6 +74,16 @@
   return links;
 }
 
+std::vector<std::string> VmDirectory::FarLinks() const {
+  std::vector<std::string> links;
+  for (const auto& [link, peer] : peers_) {
+    if (!IsNear(peer)) {
+      links.push_back(link);
+    }
+  }
+  return links;
+}
+
 std::vector<std::string> VmDirectory::TakeSilent(Time now) {
   std::vector<std::string> silent;
   for (auto& [link, peer] : peers_) {
--- a/src/serving/vm_directory.h
+++ b/src/serving/vm_directory.h
@@ -35,6 +35,8 @@
   std::vector<std::string> Links() const;
   /// Links of the other VMs in this VM's failure domain.
   std::vector<std::string> NearLinks() const;
+  /// Links of the VMs in other failure domains.
+  std::vector<std::string> FarLinks() const;
   /// Whether the VM with this link is in this VM's failure domain.
   bool IsNearLink(const std::string& link) const {
     const auto it = peers_.find(link);
