Split the exchange and the relay by what they do

The answer's side of an exchange is AnswerPasser, its place at a target HeldPlace; what a VM tells its peers is PeerReporter, its readiness, directory and metrics AdminPages. No behaviour changes.

--- /dev/null
+++ b/src/relay/admin_pages.cc
@@ -0,0 +1,89 @@
+#include "src/relay/admin_pages.h"
+
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "hornbeamcleat/base/metrics.h"
+#include "src/relay/dialect.h"
+
+namespace hornbeamcleat {
+namespace {
+
+/// Connections for readiness checks and for metrics, each.
+constexpr int kAdminConnections = 64;
+
+// Handler of a request that was answered at once.
+class NoWork : public RequestHandler {
+ public:
+  void OnFlushed() override {}
+};
+
+}  // namespace
+
+AdminPages::AdminPages(PollLoop* loop, const Clock* clock,
+                       const Dialect* dialect, Metrics* metrics,
+                       const RelayOptions& options,
+                       const CallerConnection::Owner& base, Sources sources)
+    : dialect_(dialect),
+      metrics_(metrics),
+      directory_keep_(options.directory_keep),
+      sources_(std::move(sources)),
+      ready_(loop, clock, options.ready, kAdminConnections, ReadyOwner(base)),
+      directory_(loop, clock, options.directory, options.max_connections,
+                 DirectoryOwner(base)),
+      metrics_page_(loop, clock, options.metrics, kAdminConnections,
+                    MetricsOwner(base)) {}
+
+CallerConnection::Owner AdminPages::ReadyOwner(CallerConnection::Owner owner) {
+  owner.handle = [this](const CallerRequest& request, AnswerSink* sink) {
+    int status = 404;
+    if (dialect_->IsReadinessQuery(request.head.target)) {
+      status = sources_.is_ready() ? 200 : 503;
+    }
+    sink->SendWhole(status, "", {}, "");
+    return std::make_unique<NoWork>();
+  };
+  return owner;
+}
+
+CallerConnection::Owner AdminPages::DirectoryOwner(
+    CallerConnection::Owner owner) {
+  owner.handle = [this](const CallerRequest& request, AnswerSink* sink) {
+    AnswerDirectory(request, sink);
+    return std::make_unique<NoWork>();
+  };
+  return owner;
+}
+
+void AdminPages::AnswerDirectory(const CallerRequest& request,
+                                 AnswerSink* sink) {
+  const std::optional<DirectoryQuery> query =
+      dialect_->ReadDirectoryQuery(request.head.target);
+  if (!query.has_value()) {
+    sink->SendWhole(404, "", {}, "");
+    return;
+  }
+  const std::vector<std::string> fronts =
+      sources_.fronts(query->failure_domain);
+  if (fronts.empty()) {
+    metrics_->Count("directory_total", "outcome", "none_ready");
+    sink->SendWhole(503, "", {{"Retry-After", "1"}}, "");
+    return;
+  }
+  metrics_->Count("directory_total", "outcome", "answered");
+  sink->SendWhole(200, "", {{"Content-Type", "application/json"}},
+                  dialect_->WriteDirectoryAnswer(fronts, directory_keep_));
+}
+
+CallerConnection::Owner AdminPages::MetricsOwner(
+    CallerConnection::Owner owner) {
+  owner.handle = [this](const CallerRequest&, AnswerSink* sink) {
+    sink->SendWhole(200, "", {{"Content-Type", "text/plain; version=0.0.4"}},
+                    metrics_->Expose());
+    return std::make_unique<NoWork>();
+  };
+  return owner;
+}
+
+}  // namespace hornbeamcleat
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -13,12 +13,12 @@
 #include "hornbeamcleat/base/settings.h"
 #include "hornbeamcleat/base/timer_service.h"
 #include "src/base/poll_loop.h"
+#include "src/relay/answer_passer.h"
 #include "src/relay/dialect.h"
-#include "src/relay/event_cutter.h"
+#include "src/relay/held_place.h"
 #include "src/relay/http_writer.h"
 #include "src/relay/request_log.h"
 #include "src/relay/target_pool.h"
-#include "src/serving/version_moves.h"
 
 namespace hornbeamcleat {
 namespace {
@@ -30,32 +30,12 @@
 constexpr Duration kSilenceLimit = std::chrono::seconds(3);
 /// Targets that may be found unreachable before a request is given up.
 constexpr int kMostUnreached = 4;
-/// Answers up to this size are passed on only when they are whole.
-constexpr std::size_t kMostHeld = 262'144;
-/// Bytes that a caller has not taken, above which its target is not read.
-constexpr std::size_t kMostUnsent = 262'144;
 constexpr MessageLimits kAnswerLimits = {65'536, std::size_t{1} << 40};
 /// Time that must be left for another attempt to be worth it.
 constexpr Duration kLeastRetryTime = std::chrono::milliseconds(50);
 /// When to come back after targets turned a request away.
 constexpr Duration kNotRunRetryAfter = std::chrono::milliseconds(150);
 constexpr Duration kDrainRetryAfter = std::chrono::milliseconds(50);
-/// A target that held a request for this multiple of the expected time, and
-/// this long at least, has failed it even if the caller left first.
-constexpr int kHungFactor = 4;
-constexpr Duration kLeastHung = std::chrono::milliseconds(500);
-
-enum class AnswerKind {
-  kNone,      ///< no head yet
-  kStream,    ///< passed on as it comes
-  kHeld,      ///< passed on when it is whole
-  kFailure,   ///< the target's own failure status
-  kNotRun,    ///< the target did not run the request
-  kUnsigned,  ///< success that the target didn't mark as its own
-};
-
-bool IsSuccess(int status) { return status >= 200 && status < 300; }
-
 // A status by which a scheduler promises that a request has not run.
 bool IsPromise(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -70,7 +50,8 @@
         sink_(sink),
         request_(std::move(request)),
         facts_(host->GetDialect()->ReadRequest(request_.head.headers)),
-        number_(host->NextNumber()) {}
+        number_(host->NextNumber()),
+        answer_(host->GetDialect(), sink, request_.arrival) {}
 
   ~LiveExchange() override {
     if (!is_done_) {
@@ -101,6 +82,7 @@
       return;
     }
     const ServingRoute& route = *admission_.route;
+    answer_.SetRoute(&route);
     service_ = PickService(route, Hash64(facts_.id));
     give_up_at_ =
         request_.arrival +
@@ -141,16 +123,6 @@
   }
 
  private:
-  /// Place at a target that this exchange holds.
-  struct Held {
-    std::string target;
-    Duration expected{0};
-    Time since;
-    bool had_first_event = false;
-    std::string version;        ///< software of the target
-    FirstEventFinding finding;  ///< once it had its first event
-  };
-
   Time Now() const { return host_->GetClock()->Now(); }
 
   std::string Workspace() const {
@@ -201,22 +173,22 @@
   }
 
   void Send(const Placement& placement) {
-    held_ = Held();
-    held_->target = placement.target;
-    held_->expected = placement.expected;
-    held_->since = Now();
+    held_.emplace(
+        HeldPlace::Watchers{host_->Board(), host_->Line(), host_->Moves()},
+        HeldPlace::Request{service_, admission_.route->name,
+                           facts_.prompt_tokens},
+        placement, Now());
     const ServingTarget* spec = host_->Board()->Find(placement.target);
     if (spec == nullptr) {
       Release(TargetOutcome::kAbandoned);
       TryAgain("target_gone");
       return;
     }
-    held_->version = spec->software_version;
     DispatchFacts facts;
     facts.target_id = spec->id;
     facts.workspace = Workspace();
     facts.time_left = give_up_at_ - Now();
-    facts.resume_after = is_streaming_ ? cutter_.LastId() : "";
+    facts.resume_after = answer_.LastEventId();
     TargetCall::Plan plan;
     plan.target = Address::Parse(spec->address);
     plan.request_id = facts_.id;
@@ -230,9 +202,7 @@
     plan.connect_by = Now() + kConnectTimeout;
     plan.silence_limit = kSilenceLimit;
     plan.limits = kAnswerLimits;
-    answer_ = AnswerKind::kNone;
-    body_.clear();
-    cutter_.DropPartial();
+    answer_.StartAttempt();
     call_ = TargetCall::Start(host_->Loop(), host_->Pool(), host_->GetDialect(),
                               std::move(plan), Callbacks());
     host_->GetLog()->Progress(
@@ -259,8 +229,8 @@
       Refuse(refusal, kNotRunRetryAfter);
       return false;
     }
-    if (!host_->Board()->TakesWork(held_->target)) {
-      tried_.push_back(held_->target);
+    if (!host_->Board()->TakesWork(held_->Target())) {
+      tried_.push_back(held_->Target());
       Release(TargetOutcome::kAbandoned);
       TryAgain("target_leaving");
       return false;
@@ -276,104 +246,35 @@
   }
 
   void OnHead(const MessageHead& head) {
-    const AnswerFacts answer =
-        host_->GetDialect()->ReadAnswer(head.status, head.headers);
-    answer_head_ = head;
-    if (answer.was_not_run) {
-      answer_ = AnswerKind::kNotRun;
-    } else if (!IsSuccess(head.status)) {
-      answer_ = AnswerKind::kFailure;
-    } else if (!answer.is_signed) {
-      answer_ = AnswerKind::kUnsigned;
-    } else if (admission_.route->kind == RouteKind::kStreaming) {
-      answer_ = AnswerKind::kStream;
-    } else {
-      answer_ = AnswerKind::kHeld;
+    if (answer_.TakeHead(head) == AnswerKind::kHeld) {
       OnFirstEvent();
     }
   }
 
   void OnFirstEvent() {
-    if (!held_.has_value() || held_->had_first_event) {
+    if (!held_.has_value()) {
       return;
     }
-    held_->had_first_event = true;
-    const Duration after = Now() - held_->since;
-    held_->finding = host_->Board()->OnFirstEvent(
-        held_->target, facts_.prompt_tokens, after, held_->expected, Now());
-    host_->GetMetrics()->Observe("first_event_seconds", "service", service_,
-                                 ToSeconds(after));
-  }
-
-  void OnBody(std::string* body) {
-    switch (answer_) {
-      case AnswerKind::kStream:
-        OnFirstEvent();
-        PassStream(body);
-        break;
-      case AnswerKind::kHeld:
-      case AnswerKind::kFailure:
-        body_.append(*body);
-        body->clear();
-        if (body_.size() > kMostHeld && answer_ == AnswerKind::kHeld) {
-          answer_ = AnswerKind::kStream;
-          BeginStream();
-          sink_->SendBody(body_);
-          body_.clear();
-        }
-        break;
-      default:
-        body->clear();
-        break;
-    }
-  }
-
-  void BeginStream() {
-    is_streaming_ = true;
-    std::optional<std::uint64_t> length;
-    // A resumed answer has another length than its first part stated.
-    if (answer_head_.framing == BodyFraming::kLength &&
-        !admission_.route->is_resumable) {
-      length = answer_head_.content_length;
+    const std::optional<Duration> after = held_->OnFirstEvent(Now());
+    if (after.has_value()) {
+      host_->GetMetrics()->Observe("first_event_seconds", "service", service_,
+                                   ToSeconds(*after));
     }
-    sink_->BeginBody(answer_head_.status, answer_head_.reason,
-                     EndToEndHeaders(answer_head_.headers), length);
   }
 
-  void PassStream(std::string* body) {
-    std::string bytes;
-    if (admission_.route->is_resumable) {
-      bytes = cutter_.Feed(*body);
-    } else {
-      bytes = *body;
-    }
-    body->clear();
-    if (bytes.empty()) {
-      return;
-    }
-    if (!is_streaming_) {
-      BeginStream();
+  void OnBody(std::string* body) {
+    if (answer_.Kind() == AnswerKind::kStream) {
+      OnFirstEvent();
     }
-    NotePause();
-    sink_->SendBody(bytes);
-    if (sink_->Unsent() > kMostUnsent && call_ != nullptr) {
+    answer_.TakeBody(body, Now());
+    if (answer_.IsFull() && call_ != nullptr) {
       is_paused_ = true;
       call_->SetReading(false);
     }
   }
 
-  void NotePause() {
-    const Time now = Now();
-    if (last_event_ != Time()) {
-      longest_pause_ = std::max(longest_pause_, now - last_event_);
-    } else {
-      first_event_after_ = now - request_.arrival;
-    }
-    last_event_ = now;
-  }
-
   void OnAnswerEnd() {
-    switch (answer_) {
+    switch (answer_.Kind()) {
       case AnswerKind::kStream:
         EndStream();
         return;
@@ -395,13 +296,10 @@
 
   void EndStream() {
     host_->Desk()->Poison()->OnServed(Fingerprint(), Now());
-    if (!cutter_.Partial().empty()) {
+    if (!answer_.EndStream()) {
       OnBadAnswer("partial_event");
       return;
     }
-    if (!is_streaming_) {
-      BeginStream();
-    }
     Complete("answered", TargetOutcome::kAnswered);
     sink_->EndBody();
   }
@@ -409,14 +307,13 @@
   void PassWhole() {
     host_->Desk()->Poison()->OnServed(Fingerprint(), Now());
     Complete("answered", TargetOutcome::kAnswered);
-    sink_->SendWhole(answer_head_.status, answer_head_.reason,
-                     EndToEndHeaders(answer_head_.headers), body_);
+    answer_.PassWhole();
   }
 
   void OnTargetFailure() {
-    const bool is_server_fault = answer_head_.status >= 500;
-    const std::string target = held_->target;
-    if (is_streaming_) {
+    const bool is_server_fault = answer_.Status() >= 500;
+    const std::string target = held_->Target();
+    if (answer_.HasBegun()) {
       OnBadAnswer("failed_resume");
       return;
     }
@@ -430,8 +327,8 @@
         is_server_fault ? TargetOutcome::kFailed : TargetOutcome::kAnswered;
     host_->GetLog()->Trouble(Now(),
                              "event=target_failed id={} target={} status={}",
-                             facts_.id, target, answer_head_.status);
-    if (IsPromise(answer_head_.status)) {
+                             facts_.id, target, answer_.Status());
+    if (IsPromise(answer_.Status())) {
       // The target ran the request, so its caller must not take this for a
       // promise that it did not.
       Release(outcome);
@@ -439,16 +336,15 @@
       return;
     }
     Complete("target_failed", outcome);
-    sink_->SendWhole(answer_head_.status, answer_head_.reason,
-                     EndToEndHeaders(answer_head_.headers), body_);
+    answer_.PassWhole();
   }
 
   void OnNotRun() {
     --runs_;
     may_have_run_ = ran_before_;
-    tried_.push_back(held_->target);
+    tried_.push_back(held_->Target());
     Release(TargetOutcome::kNotRun);
-    if (is_streaming_) {
+    if (answer_.HasBegun()) {
       BreakOff("resume_not_run");
       return;
     }
@@ -460,7 +356,7 @@
   }
 
   void OnFailure(CallFailure failure) {
-    const std::string target = held_->target;
+    const std::string target = held_->Target();
     if (failure == CallFailure::kUnreached) {
       Release(TargetOutcome::kUnreached);
       tried_.push_back(target);
@@ -472,7 +368,8 @@
       }
       return;
     }
-    if (failure == CallFailure::kBroken && answer_ == AnswerKind::kNone) {
+    if (failure == CallFailure::kBroken &&
+        answer_.Kind() == AnswerKind::kNone) {
       host_->Desk()->Poison()->OnTargetLost(Fingerprint(), target, Now());
     }
     OnBadAnswer(failure == CallFailure::kBroken ? "broken" : "malformed");
@@ -480,13 +377,12 @@
 
   // The target may have run the request; no whole answer will come from it.
   void OnBadAnswer(const char* what) {
-    const std::string target = held_->target;
+    const std::string target = held_->Target();
     host_->GetLog()->Trouble(Now(), "event=bad_answer id={} target={} cause={}",
                              facts_.id, target, what);
     Release(TargetOutcome::kFailed);
     tried_.push_back(target);
-    const bool can_resume = !is_streaming_ || !cutter_.LastId().empty();
-    if (admission_.route->MayRepeat() && can_resume && MayRetry()) {
+    if (admission_.route->MayRepeat() && answer_.CanGoOn() && MayRetry()) {
       TryAgain(what);
       return;
     }
@@ -505,7 +401,7 @@
     DropCall();
     const Time now = Now();
     const ServingRoute& route = *admission_.route;
-    const Duration allowed = is_streaming_ && route.max_pause > Duration(0)
+    const Duration allowed = answer_.HasBegun() && route.max_pause > Duration(0)
                                  ? route.max_pause
                                  : route.objective;
     Enqueue(now, now + allowed);
@@ -517,7 +413,7 @@
     if (is_done_) {
       return;
     }
-    Release(held_.has_value() && !held_->had_first_event
+    Release(held_.has_value() && !held_->HadFirstEvent()
                 ? TargetOutcome::kFailed
                 : TargetOutcome::kAbandoned);
     GiveUp(RefusalReason::kTimedOut);
@@ -525,7 +421,7 @@
 
   void BreakOff(const char* why) {
     host_->GetLog()->Trouble(Now(), "event=broken_off id={} cause={} events={}",
-                             facts_.id, why, cutter_.Events());
+                             facts_.id, why, answer_.Events());
     Complete("broken_off", TargetOutcome::kAbandoned);
     sink_->BreakOff();
   }
@@ -534,7 +430,7 @@
   // run is given only if no byte of it may have left. Once an answer has begun,
   // all that is left is to end it visibly incomplete.
   void Refuse(RefusalReason reason, std::optional<Duration> retry_after) {
-    if (is_streaming_) {
+    if (answer_.HasBegun()) {
       BreakOff(RefusalName(reason));
       return;
     }
@@ -566,9 +462,9 @@
         "event=ended id={} outcome={} after_ms={:.1f} first_event_ms={:.1f} "
         "longest_pause_ms={:.1f} route={} target={}",
         facts_.id, outcome, ToMs(Now() - request_.arrival),
-        ToMs(first_event_after_), ToMs(longest_pause_),
+        ToMs(answer_.FirstEventAfter()), ToMs(answer_.LongestPause()),
         admission_.route == nullptr ? "" : admission_.route->name,
-        held_.has_value() ? held_->target : "");
+        held_.has_value() ? held_->Target() : "");
     is_done_ = true;
     Retire(target_outcome);
   }
@@ -589,35 +485,11 @@
     if (!held_.has_value()) {
       return;
     }
-    const Time now = Now();
-    const Duration held_for = now - held_->since;
-    if (outcome == TargetOutcome::kAbandoned && !held_->had_first_event &&
-        may_have_run_ && held_for > kLeastHung &&
-        held_for > held_->expected * kHungFactor) {
-      outcome = TargetOutcome::kFailed;
-    }
-    host_->Board()->OnEnded(held_->target, facts_.prompt_tokens,
-                            held_->had_first_event, outcome, now);
-    if (outcome == TargetOutcome::kAnswered) {
-      host_->Line()->OnPlaceFreed(service_, held_for);
-    }
-    TellMoves(outcome);
+    held_->End(outcome, may_have_run_, Now());
     held_.reset();
     host_->RequestDecisions();
   }
 
-  // Evidence for moves between versions.
-  void TellMoves(TargetOutcome outcome) {
-    const std::string& route = admission_.route->name;
-    if (outcome == TargetOutcome::kFailed ||
-        (outcome == TargetOutcome::kAnswered && held_->finding.is_late)) {
-      host_->Moves()->OnFailed(service_, route, held_->version);
-    } else if (outcome == TargetOutcome::kAnswered) {
-      host_->Moves()->OnAnswered(service_, route, held_->version,
-                                 held_->finding.slowness);
-    }
-  }
-
   // The call may be on the stack; it is freed from the loop.
   void DropCall() {
     if (call_ != nullptr) {
@@ -637,19 +509,12 @@
   Time give_up_at_;
   std::unique_ptr<TimerService::Subscription> give_up_timer_;
   std::vector<std::string> tried_;
-  std::optional<Held> held_;
+  std::optional<HeldPlace> held_;
   std::unique_ptr<TargetCall> call_;
-  AnswerKind answer_ = AnswerKind::kNone;
-  MessageHead answer_head_;
-  std::string body_;
-  EventCutter cutter_;
-  Time last_event_;
-  Duration first_event_after_{0};
-  Duration longest_pause_{0};
+  AnswerPasser answer_;
   int runs_ = 0;  ///< sends that a target has not disowned
   int unreached_ = 0;
   bool is_waiting_ = false;
-  bool is_streaming_ = false;  ///< the head has gone to the caller
   bool is_paused_ = false;
   bool is_done_ = false;
   bool may_have_run_ = false;
--- /dev/null
+++ b/src/relay/peer_reporter.cc
@@ -0,0 +1,126 @@
+#include "src/relay/peer_reporter.h"
+
+#include <random>
+#include <utility>
+
+#include "hornbeamcleat/base/clock.h"
+#include "src/base/poll_loop.h"
+#include "src/relay/peer_link.h"
+#include "src/serving/admission.h"
+#include "src/serving/target_board.h"
+#include "src/serving/version_moves.h"
+#include "src/serving/vm_directory.h"
+#include "src/serving/wait_line.h"
+
+namespace hornbeamcleat {
+namespace {
+
+/// Period of the check whether a heartbeat is due.
+constexpr Duration kHeartbeatCheck = std::chrono::milliseconds(250);
+
+}  // namespace
+
+PeerReporter::PeerReporter(PollLoop* loop, const Clock* clock, PeerLink* link,
+                           VmRecord self, Parts parts)
+    : loop_(loop),
+      clock_(clock),
+      link_(link),
+      self_(std::move(self)),
+      parts_(std::move(parts)),
+      plan_(PlanForScale(1, 1, Duration(0))) {
+  std::random_device random;
+  incarnation_ = (std::uint64_t{random()} << 32) | random();
+  heartbeat_ =
+      loop_->Timers()->Every(clock_->Now() + kHeartbeatCheck, kHeartbeatCheck,
+                             [this](Time) { Heartbeat(); });
+}
+
+void PeerReporter::TellSoon() {
+  if (told_changes_ == parts_.board->Changes() + parts_.line->Changes()) {
+    return;
+  }
+  const Time now = clock_->Now();
+  const Time due = told_at_ + plan_.change_gap;
+  if (now >= due) {
+    Tell(false, false);
+  } else if (tell_timer_ == nullptr) {
+    tell_timer_ =
+        loop_->Timers()->At(due, [this](Time) { Tell(false, false); });
+  }
+}
+
+std::vector<std::string> PeerReporter::NearLinks() const {
+  return plan_.is_by_domain ? parts_.directory->NearLinks()
+                            : parts_.directory->Links();
+}
+
+void PeerReporter::Heartbeat() {
+  const Time now = clock_->Now();
+  const bool with_details = now - detailed_at_ >= plan_.details_period;
+  if (now - told_far_at_ >= plan_.far_period) {
+    Tell(with_details, true);
+  } else {
+    Tell(with_details, false);
+    TellPressedQuotas();
+  }
+  if (with_details) {
+    detailed_at_ = now;
+  }
+}
+
+void PeerReporter::Tell(bool with_details, bool reaches_far) {
+  const Time now = clock_->Now();
+  tell_timer_.reset();
+  told_at_ = now;
+  told_changes_ = parts_.board->Changes() + parts_.line->Changes();
+  PeerState state = NextState();
+  state.uses = parts_.board->Uses();
+  state.queues = parts_.line->Queues(now);
+  state.tells_all_quotas = with_details || reaches_far;
+  state.quotas = state.tells_all_quotas
+                     ? parts_.desk->Quotas()->TakeAllUses(reaches_far)
+                     : parts_.desk->Quotas()->TakeNearUses();
+  if (with_details) {
+    state.details = Details(now);
+  }
+  if (reaches_far) {
+    told_far_at_ = now;
+  }
+  link_->Send(state, reaches_far ? parts_.directory->Links() : NearLinks());
+}
+
+// Between heartbeats VMs of other domains hear only of quotas that run out.
+void PeerReporter::TellPressedQuotas() {
+  if (!plan_.is_by_domain) {
+    return;
+  }
+  PeerState state = NextState();
+  state.tells_work = false;
+  state.quotas = parts_.desk->Quotas()->TakePressedUses();
+  if (!state.quotas.empty()) {
+    link_->Send(state, parts_.directory->FarLinks());
+  }
+}
+
+PeerState PeerReporter::NextState() {
+  PeerState state;
+  state.incarnation = incarnation_;
+  state.sequence = ++sequence_;
+  state.link = self_.link;
+  state.is_ready = parts_.is_ready();
+  return state;
+}
+
+PeerDetails PeerReporter::Details(Time now) const {
+  PeerDetails details;
+  details.front = self_.front;
+  details.failure_domain = self_.failure_domain;
+  details.findings = parts_.board->Findings(now);
+  details.versions = parts_.moves->Counts();
+  for (const auto& [fingerprint, losses] : parts_.desk->OwnLosses(now)) {
+    details.losses.push_back({fingerprint, static_cast<std::uint32_t>(losses)});
+  }
+  return details;
+}
+
+}  // namespace hornbeamcleat
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -4,7 +4,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <random>
 #include <string>
 #include <utility>
 
@@ -13,10 +12,11 @@
 #include "hornbeamcleat/base/metrics.h"
 #include "hornbeamcleat/base/timer_service.h"
 #include "src/base/poll_loop.h"
-#include "src/relay/dialect.h"
+#include "src/relay/admin_pages.h"
 #include "src/relay/exchange.h"
 #include "src/relay/listener.h"
 #include "src/relay/peer_link.h"
+#include "src/relay/peer_reporter.h"
 #include "src/relay/request_log.h"
 #include "src/relay/target_pool.h"
 #include "src/schedule/retry_budget.h"
@@ -27,8 +27,6 @@
 namespace hornbeamcleat {
 namespace {
 
-/// Period of the check whether a heartbeat is due.
-constexpr Duration kHeartbeatCheck = std::chrono::milliseconds(250);
 /// Several heartbeats and a lost datagram.
 constexpr Duration kPeerSilence = std::chrono::milliseconds(900);
 constexpr Duration kCallerSilence = std::chrono::milliseconds(1'300);
@@ -48,7 +46,6 @@
 constexpr std::size_t kBodyShare = 4;
 /// Connections of callers that read nothing are ended after this time.
 constexpr Duration kCallerSilenceLimit = std::chrono::seconds(5);
-constexpr int kAdminConnections = 64;
 /// Retries that each VM may save up at least.
 constexpr double kLeastSavedRetries = 2;
 /// Part of the retry bound that is used: VMs that restart save up anew.
@@ -59,12 +56,6 @@
   return log;
 }
 
-// Handler of a request that was answered at once.
-class NoWork : public RequestHandler {
- public:
-  void OnFlushed() override {}
-};
-
 class LiveRelay : public Relay, private ExchangeHost {
  public:
   LiveRelay(PollLoop* loop, const Clock* clock, const Dialect* dialect,
@@ -84,21 +75,20 @@
         pool_(clock),
         front_(loop, clock, options.front, options.max_connections,
                FrontOwner()),
-        ready_(loop, clock, options.ready, kAdminConnections, ReadyOwner()),
-        resolver_(loop, clock, options.directory, options.max_connections,
-                  DirectoryOwner()),
-        metrics_page_(loop, clock, options.metrics, kAdminConnections,
-                      MetricsOwner()),
+        pages_(loop, clock, dialect, metrics, options, BaseOwner(),
+               {[this] { return IsReady(); },
+                [this](const std::string& domain) {
+                  return directory_.Fronts(domain, IsReady(), clock_->Now());
+                }}),
         link_(PeerLink::Open(
             loop, options.link,
-            [this](const PeerState& state) { OnPeerState(state); })) {
-    std::random_device random;
-    incarnation_ = (std::uint64_t{random()} << 32) | random();
+            [this](const PeerState& state) { OnPeerState(state); })),
+        reporter_(loop, clock, link_.get(), self_,
+                  {&desk_, &board_, &line_, &moves_, &directory_,
+                   [this] { return IsReady(); }}) {
     const Time now = clock_->Now();
     desk_.Quotas()->SetSlack(options.quota_slack);
     desk_.Quotas()->SetStart(now);
-    heartbeat_ = loop_->Timers()->Every(now + kHeartbeatCheck, kHeartbeatCheck,
-                                        [this](Time) { Heartbeat(); });
     housekeeping_ = loop_->Timers()->Every(now + kHousekeeping, kHousekeeping,
                                            [this](Time) { Housekeep(); });
   }
@@ -128,7 +118,7 @@
     directory_.SetMembers(members, clock_->Now());
     OnMembership();
     Log().Info("event=members count={}", directory_.Members());
-    TellAll();
+    reporter_.TellAll();
   }
 
   void SetMoves(const std::vector<MoveOrder>& orders,
@@ -139,7 +129,7 @@
 
   void SetOptions(const RelayOptions& options) override {
     options_.grace = options.grace;
-    options_.directory_keep = options.directory_keep;
+    pages_.SetDirectoryKeep(options.directory_keep);
     options_.retry_ratio = options.retry_ratio;
     options_.retry_slack = options.retry_slack;
     options_.admission = options.admission;
@@ -154,7 +144,7 @@
     drain_since_ = clock_->Now();
     Log().Info("event=drain in_flight={}", front_.Busy());
     CheckReady();
-    TellAll();
+    reporter_.TellAll();
   }
 
   bool Drained() const override {
@@ -239,99 +229,7 @@
       decision_timer_ = loop_->Timers()->At(clock_->Now() + kDecisionPeriod,
                                             [this](Time) { Decide(); });
     }
-    TellSoon();
-  }
-
-  // Tells the peers of a change, unless they were told a moment ago.
-  void TellSoon() {
-    if (told_changes_ == board_.Changes() + line_.Changes()) {
-      return;
-    }
-    const Time now = clock_->Now();
-    const Time due = told_at_ + plan_.change_gap;
-    if (now >= due) {
-      Tell(false, false);
-    } else if (tell_timer_ == nullptr) {
-      tell_timer_ =
-          loop_->Timers()->At(due, [this](Time) { Tell(false, false); });
-    }
-  }
-
-  std::vector<std::string> NearLinks() const {
-    return plan_.is_by_domain ? directory_.NearLinks() : directory_.Links();
-  }
-
-  void Heartbeat() {
-    const Time now = clock_->Now();
-    const bool with_details = now - detailed_at_ >= plan_.details_period;
-    if (now - told_far_at_ >= plan_.far_period) {
-      Tell(with_details, true);
-    } else {
-      Tell(with_details, false);
-      TellPressedQuotas();
-    }
-    if (with_details) {
-      detailed_at_ = now;
-    }
-  }
-
-  void TellAll() { Tell(true, true); }
-
-  // @param reaches_far whether VMs of other domains are told too
-  void Tell(bool with_details, bool reaches_far) {
-    const Time now = clock_->Now();
-    tell_timer_.reset();
-    told_at_ = now;
-    told_changes_ = board_.Changes() + line_.Changes();
-    PeerState state = NextState();
-    state.uses = board_.Uses();
-    state.queues = line_.Queues(now);
-    state.tells_all_quotas = with_details || reaches_far;
-    state.quotas = state.tells_all_quotas
-                       ? desk_.Quotas()->TakeAllUses(reaches_far)
-                       : desk_.Quotas()->TakeNearUses();
-    if (with_details) {
-      state.details = Details(now);
-    }
-    if (reaches_far) {
-      told_far_at_ = now;
-    }
-    link_->Send(state, reaches_far ? directory_.Links() : NearLinks());
-  }
-
-  // Between heartbeats VMs of other domains hear only of quotas that run out.
-  void TellPressedQuotas() {
-    if (!plan_.is_by_domain) {
-      return;
-    }
-    PeerState state = NextState();
-    state.tells_work = false;
-    state.quotas = desk_.Quotas()->TakePressedUses();
-    if (!state.quotas.empty()) {
-      link_->Send(state, directory_.FarLinks());
-    }
-  }
-
-  PeerState NextState() {
-    PeerState state;
-    state.incarnation = incarnation_;
-    state.sequence = ++sequence_;
-    state.link = self_.link;
-    state.is_ready = IsReady();
-    return state;
-  }
-
-  PeerDetails Details(Time now) const {
-    PeerDetails details;
-    details.front = self_.front;
-    details.failure_domain = self_.failure_domain;
-    details.findings = board_.Findings(now);
-    details.versions = moves_.Counts();
-    for (const auto& [fingerprint, losses] : desk_.OwnLosses(now)) {
-      details.losses.push_back(
-          {fingerprint, static_cast<std::uint32_t>(losses)});
-    }
-    return details;
+    reporter_.TellSoon();
   }
 
   void OnPeerState(const PeerState& state) {
@@ -374,6 +272,7 @@
       return;
     }
     plan_ = plan;
+    reporter_.SetPlan(plan);
     directory_.SetFarSilenceFactor(plan.silence_factor);
     board_.SetCandidateShare(plan.candidate_share);
     board_.SetOtherDomainCost(plan.other_domain_ms);
@@ -430,7 +329,7 @@
                  is_ready ? "ready" : "not_ready",
                  age.has_value() ? *age / std::chrono::milliseconds(1) : -1,
                  drain_since_.has_value());
-      TellAll();
+      reporter_.TellAll();
     }
   }
 
@@ -492,58 +391,6 @@
     return owner;
   }
 
-  CallerConnection::Owner ReadyOwner() {
-    CallerConnection::Owner owner = BaseOwner();
-    owner.handle = [this](const CallerRequest& request, AnswerSink* sink) {
-      int status = 404;
-      if (dialect_->IsReadinessQuery(request.head.target)) {
-        status = IsReady() ? 200 : 503;
-      }
-      sink->SendWhole(status, "", {}, "");
-      return std::make_unique<NoWork>();
-    };
-    return owner;
-  }
-
-  CallerConnection::Owner DirectoryOwner() {
-    CallerConnection::Owner owner = BaseOwner();
-    owner.handle = [this](const CallerRequest& request, AnswerSink* sink) {
-      AnswerDirectory(request, sink);
-      return std::make_unique<NoWork>();
-    };
-    return owner;
-  }
-
-  void AnswerDirectory(const CallerRequest& request, AnswerSink* sink) {
-    const std::optional<DirectoryQuery> query =
-        dialect_->ReadDirectoryQuery(request.head.target);
-    if (!query.has_value()) {
-      sink->SendWhole(404, "", {}, "");
-      return;
-    }
-    const std::vector<std::string> fronts =
-        directory_.Fronts(query->failure_domain, IsReady(), clock_->Now());
-    if (fronts.empty()) {
-      metrics_->Count("directory_total", "outcome", "none_ready");
-      sink->SendWhole(503, "", {{"Retry-After", "1"}}, "");
-      return;
-    }
-    metrics_->Count("directory_total", "outcome", "answered");
-    sink->SendWhole(
-        200, "", {{"Content-Type", "application/json"}},
-        dialect_->WriteDirectoryAnswer(fronts, options_.directory_keep));
-  }
-
-  CallerConnection::Owner MetricsOwner() {
-    CallerConnection::Owner owner = BaseOwner();
-    owner.handle = [this](const CallerRequest&, AnswerSink* sink) {
-      sink->SendWhole(200, "", {{"Content-Type", "text/plain; version=0.0.4"}},
-                      metrics_->Expose());
-      return std::make_unique<NoWork>();
-    };
-    return owner;
-  }
-
   PollLoop* const loop_;
   const Clock* const clock_;
   const Dialect* const dialect_;
@@ -562,29 +409,20 @@
   std::map<std::string, std::vector<ContentLoss>> peer_losses_;
   std::map<std::uint64_t, Exchange*> waiting_;
   std::uint64_t next_number_ = 0;
-  std::uint64_t incarnation_ = 0;
-  std::uint32_t sequence_ = 0;
-  std::uint64_t told_changes_ = 0;
   ScalePlan plan_ = PlanForScale(1, 1, Duration(0));
-  Time detailed_at_;
-  Time told_far_at_;
-  Time told_at_;
   Time removed_at_;
   bool decisions_requested_ = false;
   bool has_version_rules_ = false;
   bool was_ready_ = false;
   std::optional<Time> drain_since_;
-  std::unique_ptr<TimerService::Subscription> heartbeat_;
   std::unique_ptr<TimerService::Subscription> housekeeping_;
   std::unique_ptr<TimerService::Subscription> decision_timer_;
-  std::unique_ptr<TimerService::Subscription> tell_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   // Last, so that connections go before what their work refers to.
   Listener front_;
-  Listener ready_;
-  Listener resolver_;
-  Listener metrics_page_;
+  AdminPages pages_;
   std::unique_ptr<PeerLink> link_;
+  PeerReporter reporter_;
 };
 
 }  // namespace
