Start a quota at the level peers tell; rest only targets that break off

Found by reading the diff. (1) A VM that sees its first request of a workspace took the level its peers told and saved up from its own start on top of it: while peers press, each such VM believed in a full quota. Change: a told level counts from now; outcomes tell a broken answer from a failure status. Tests that failed first: AdmitFirstRequestWhilePeersPressTakesTheirLevel, FailureStatusRestsNoTargetAtOnce.

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -380,7 +380,7 @@
     const std::string target = held_->Target();
     host_->GetLog()->Trouble(Now(), "event=bad_answer id={} target={} cause={}",
                              facts_.id, target, what);
-    Release(TargetOutcome::kFailed);
+    Release(TargetOutcome::kBroken);
     tried_.push_back(target);
     if (admission_.route->MayRepeat() && answer_.CanGoOn() && MayRetry()) {
       TryAgain(what);
@@ -414,7 +414,7 @@
       return;
     }
     Release(held_.has_value() && !held_->HadFirstEvent()
-                ? TargetOutcome::kFailed
+                ? TargetOutcome::kBroken
                 : TargetOutcome::kAbandoned);
     GiveUp(RefusalReason::kTimedOut);
   }
--- a/src/relay/held_place.cc
+++ b/src/relay/held_place.cc
@@ -44,7 +44,7 @@
   if (outcome == TargetOutcome::kAbandoned && !had_first_event_ &&
       may_have_run && held_for > kLeastHung &&
       held_for > placement_.expected * kHungFactor) {
-    outcome = TargetOutcome::kFailed;
+    outcome = TargetOutcome::kBroken;
   }
   watchers_.board->OnEnded(placement_.target, request_.prompt_tokens,
                            had_first_event_, outcome, now);
@@ -56,7 +56,8 @@
 
 void HeldPlace::TellMoves(TargetOutcome outcome) const {
   const bool is_answered = outcome == TargetOutcome::kAnswered;
-  if (outcome == TargetOutcome::kFailed || (is_answered && finding_.is_late)) {
+  if (outcome == TargetOutcome::kFailed || outcome == TargetOutcome::kBroken ||
+      (is_answered && finding_.is_late)) {
     watchers_.moves->OnFailed(request_.service, request_.route, version_);
   } else if (is_answered) {
     watchers_.moves->OnAnswered(request_.service, request_.route, version_,
--- a/src/serving/quota_ledger.cc
+++ b/src/serving/quota_ledger.cc
@@ -68,16 +68,14 @@
   return workspace.burst + (workspace.counts_tokens ? slack_ : 0);
 }
 
-// VMs that restart in turn must not each bring tokens of their own.
-double QuotaLedger::StartLevel(const ServingWorkspace& workspace) const {
-  const std::uint32_t hash = Hash32(workspace.name);
-  double level = Capacity(workspace) * kStartShare * DomainPart();
-  bool is_told = false;
+std::optional<double> QuotaLedger::ToldLevel(
+    const std::string& workspace) const {
+  const std::uint32_t hash = Hash32(workspace);
+  std::optional<double> level;
   for (const auto& [link, peer] : peers_) {
     const auto told = peer.levels.find(hash);
     if (peer.is_near && told != peer.levels.end()) {
-      level = is_told ? std::min(level, told->second) : told->second;
-      is_told = true;
+      level = std::min(level.value_or(told->second), told->second);
     }
   }
   return level;
@@ -89,9 +87,12 @@
   Bucket& bucket = it->second;
   if (is_new) {
     by_hash_[Hash32(workspace.name)] = &bucket;
-    bucket.level = StartLevel(workspace);
+    // VMs that restart in turn must not each bring tokens of their own.
+    const std::optional<double> told = ToldLevel(workspace.name);
+    bucket.level =
+        told.value_or(Capacity(workspace) * kStartShare * DomainPart());
     bucket.domain_level = bucket.level;
-    bucket.updated = start_.value_or(now);
+    bucket.updated = told.has_value() ? now : start_.value_or(now);
   }
   const double members = std::max(members_, 1);
   const double rate = workspace.rate_per_second;
--- a/src/serving/quota_ledger.h
+++ b/src/serving/quota_ledger.h
@@ -59,8 +59,8 @@
     std::uint64_t incarnation = 0;
     /// Whether it names all workspaces, not only those that changed.
     bool is_whole = false;
-    /// Whether the peer tells of each admission at once; what the others admit
-    /// is known late, so that only their rate counts.
+    /// Whether the peer is in this VM's domain and tells of each admission at
+    /// once.
     bool is_near = false;
   };
 
@@ -113,7 +113,8 @@
   /// Part of the quota that falls to the own domain.
   double DomainPart() const;
   double Capacity(const ServingWorkspace& workspace) const;
-  double StartLevel(const ServingWorkspace& workspace) const;
+  /// What near peers say is left; none if they haven't said.
+  std::optional<double> ToldLevel(const std::string& workspace) const;
   Bucket& Refill(const ServingWorkspace& workspace, Time now);
 
   int members_ = 1;
--- a/src/serving/target_board.cc
+++ b/src/serving/target_board.cc
@@ -413,7 +413,12 @@
     case TargetOutcome::kFailed:
       entry.answers += 1;
       entry.failures += 1;
-      // No connection, or one that ends at once, takes all that is sent.
+      Shun(&entry, now);
+      break;
+    case TargetOutcome::kBroken:
+      entry.answers += 1;
+      entry.failures += 1;
+      // A connection that ends at once takes all that is sent.
       if (had_first_event) {
         Shun(&entry, now);
       } else {
--- a/src/serving/target_board.h
+++ b/src/serving/target_board.h
@@ -57,7 +57,8 @@
 /// How a request left its target.
 enum class TargetOutcome {
   kAnswered,   ///< whole answer
-  kFailed,     ///< failure status, broken or malformed answer
+  kFailed,     ///< failure status of the target's own
+  kBroken,     ///< broken, malformed or missing answer
   kNotRun,     ///< the target said that it did not run the request
   kUnreached,  ///< no connection
   kAbandoned,  ///< ended by this side; says nothing of the target
--- a/tests/serving/quota_ledger_test.cc
+++ b/tests/serving/quota_ledger_test.cc
@@ -69,6 +69,17 @@
   EXPECT_NEAR(Drain(&ledger, 1), workspace_.burst, 1);
 }
 
+// Load: a VM sees its first request of a workspace while its peers have been
+// giving out all of the quota for seconds.
+TEST_F(QuotaLedgerTest, AdmitFirstRequestWhilePeersPressTakesTheirLevel) {
+  QuotaLedger ledger;
+  ledger.SetStart(now_);
+  ledger.SetMembers(2, 2);
+  now_ += milliseconds(5'000);
+  ledger.SetPeerUse("p", {1, true, true}, {{Hash32("w"), 9'000, 5}});
+  EXPECT_LE(Drain(&ledger, 1), 6);
+}
+
 TEST_F(QuotaLedgerTest, SetPeerUseTakesWhatPeersAdmitted) {
   QuotaLedger ledger;
   QuotaLedger peer;
--- a/tests/serving/target_board_test.cc
+++ b/tests/serving/target_board_test.cc
@@ -183,10 +183,19 @@
   EXPECT_EQ(Pick(Need()), "a");
 }
 
+// Load: a share of a service's answers are failures in themselves.
+TEST_F(TargetBoardTest, FailureStatusRestsNoTargetAtOnce) {
+  board_.SetTargets({Spec("a")}, now_);
+  board_.OnSent("a", 10, now_);
+  board_.OnEnded("a", 10, false, TargetOutcome::kFailed, now_);
+  EXPECT_EQ(Pick(Need()), "a");
+  EXPECT_TRUE(board_.Uses(now_).empty());
+}
+
 TEST_F(TargetBoardTest, BreakBeforeAnswerRestsTargetAndTellsPeers) {
   board_.SetTargets({Spec("a"), Spec("b")}, now_);
   board_.OnSent("a", 10, now_);
-  board_.OnEnded("a", 10, false, TargetOutcome::kFailed, now_);
+  board_.OnEnded("a", 10, false, TargetOutcome::kBroken, now_);
   EXPECT_EQ(Pick(Need()), "b");
   ASSERT_EQ(board_.Uses(now_).size(), 1U);
   EXPECT_GT(board_.Uses(now_)[0].rest_ms, 0U);
