Log the framing and the last event of targets' answers

'ended' and 'bad_answer' now give the framing, the whole events, the bytes of an unfinished event and whether reading was paused; the cause 'broken' is split into 'reset' and 'truncated'; the counter target_responses_total{end} tells how targets' answers end. What is forwarded and when stays as it was; events are now counted on all streaming routes, not only on resumable ones.

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -36,6 +36,9 @@
 /// Retry-After when targets did not execute a request.
 constexpr Duration kNotExecutedRetryAfter = std::chrono::milliseconds(150);
 constexpr Duration kDrainRetryAfter = std::chrono::milliseconds(50);
+/// Cause of a stream that ended inside an event.
+constexpr char kPartialEvent[] = "partial_event";
+
 // Whether a status guarantees to the caller that its request was not executed.
 bool PromisesNotExecuted(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -279,6 +282,9 @@
   }
 
   void OnResponseEnd() {
+    CountTargetResponse(response_.PartialEventBytes() > 0
+                            ? kPartialEvent
+                            : BodyFramingName(response_.Framing()));
     switch (response_.Kind()) {
       case ResponseKind::kStream:
         FinishStream();
@@ -302,7 +308,7 @@
   void FinishStream() {
     context_->GetAdmission()->Poison()->OnServed(Fingerprint(), Now());
     if (!response_.FinishStream()) {
-      OnBadResponse("partial_event");
+      OnBadResponse(kPartialEvent);
       return;
     }
     Finish("answered", TargetOutcome::kAnswered);
@@ -374,21 +380,31 @@
       }
       return;
     }
-    if (failure == CallFailure::kBroken &&
+    CountTargetResponse(CallFailureName(failure));
+    if (failure != CallFailure::kMalformed &&
         response_.Kind() == ResponseKind::kNone) {
       context_->GetAdmission()->Poison()->OnTargetLost(Fingerprint(), target,
                                                        Now());
     }
-    OnBadResponse(failure == CallFailure::kBroken ? "broken" : "malformed");
+    OnBadResponse(CallFailureName(failure));
+  }
+
+  // Counts how a target's response ended: the framing that completed it, or
+  // why it is incomplete.
+  void CountTargetResponse(const char* end) {
+    context_->GetMetrics()->Count("target_responses_total", "end", end);
   }
 
   // Handles a response that is incomplete or invalid. The target may have
   // executed the request.
   void OnBadResponse(const char* cause) {
     const std::string target = attempt_->Target();
-    context_->GetLog()->Warning(Now(),
-                                "event=bad_answer id={} target={} cause={}",
-                                request_info_.id, target, cause);
+    context_->GetLog()->Warning(
+        Now(),
+        "event=bad_answer id={} target={} cause={} framing={} events={} "
+        "partial_bytes={} paused={}",
+        request_info_.id, target, cause, BodyFramingName(response_.Framing()),
+        response_.EventCount(), response_.PartialEventBytes(), is_paused_);
     FinishAttempt(TargetOutcome::kBroken);
     tried_targets_.push_back(target);
     if (admission_.route->MayRepeat() && response_.CanResume() &&
@@ -479,11 +495,14 @@
     context_->GetLog()->Info(
         Now(),
         "event=ended id={} outcome={} after_ms={:.1f} first_event_ms={:.1f} "
-        "longest_pause_ms={:.1f} route={} target={}",
+        "longest_pause_ms={:.1f} route={} target={} framing={} events={} "
+        "partial_bytes={} paused={}",
         request_info_.id, outcome, ToMs(Now() - request_.arrival),
         ToMs(response_.TimeToFirstEvent()), ToMs(response_.LongestPause()),
         admission_.route == nullptr ? "" : admission_.route->name,
-        attempt_.has_value() ? attempt_->Target() : "");
+        attempt_.has_value() ? attempt_->Target() : "",
+        BodyFramingName(response_.Framing()), response_.EventCount(),
+        response_.PartialEventBytes(), is_paused_);
     is_done_ = true;
     ReleaseResources(target_outcome);
   }
--- a/src/relay/http_parser.cc
+++ b/src/relay/http_parser.cc
@@ -206,6 +206,20 @@
 
 }  // namespace
 
+const char* BodyFramingName(BodyFraming framing) {
+  switch (framing) {
+    case BodyFraming::kNone:
+      return "none";
+    case BodyFraming::kLength:
+      return "length";
+    case BodyFraming::kChunked:
+      return "chunked";
+    case BodyFraming::kUntilClose:
+      return "until_close";
+  }
+  return "unknown";
+}
+
 std::unique_ptr<HttpParser> HttpParser::ForRequest(
     const MessageLimits& limits) {
   return std::make_unique<BeastHttpParser<true>>(limits, false);
--- a/src/relay/http_parser.h
+++ b/src/relay/http_parser.h
@@ -18,6 +18,9 @@
   kUntilClose,
 };
 
+/// Name of a framing in logs and metrics.
+const char* BodyFramingName(BodyFraming framing);
+
 /// Head of a request or a response. `status` is 0 in a request.
 struct MessageHead {
   std::string method;
--- a/src/relay/response_forwarder.cc
+++ b/src/relay/response_forwarder.cc
@@ -19,6 +19,7 @@
 
 void ResponseForwarder::StartAttempt() {
   kind_ = ResponseKind::kNone;
+  head_ = MessageHead();
   body_.clear();
   splitter_.DropPartial();
 }
@@ -62,7 +63,7 @@
 }
 
 bool ResponseForwarder::FinishStream() {
-  if (!splitter_.PartialEvent().empty()) {
+  if (route_->is_resumable && !splitter_.PartialEvent().empty()) {
     return false;
   }
   if (!has_started_) {
@@ -89,8 +90,11 @@
 }
 
 void ResponseForwarder::ForwardStream(std::string* body, Time now) {
-  const std::string bytes =
-      route_->is_resumable ? splitter_.Feed(*body) : *body;
+  const bool has_events =
+      route_->kind == RouteKind::kStreaming || route_->is_resumable;
+  const std::string whole_events =
+      has_events ? splitter_.Feed(*body) : std::string();
+  const std::string& bytes = route_->is_resumable ? whole_events : *body;
   if (bytes.empty()) {
     return;
   }
--- a/src/relay/response_forwarder.h
+++ b/src/relay/response_forwarder.h
@@ -1,6 +1,7 @@
 #ifndef HORNBEAMCLEAT_SRC_RELAY_RESPONSE_FORWARDER_H_
 #define HORNBEAMCLEAT_SRC_RELAY_RESPONSE_FORWARDER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -65,7 +66,13 @@
   std::string LastEventId() const {
     return has_started_ ? splitter_.LastEventId() : std::string();
   }
-  int EventCount() const { return static_cast<int>(splitter_.EventCount()); }
+  int EventCount() const { return splitter_.EventCount(); }
+  /// Bytes received of an event that is not complete.
+  std::size_t PartialEventBytes() const {
+    return splitter_.PartialEvent().size();
+  }
+  /// Framing of the latest attempt's response.
+  BodyFraming Framing() const { return head_.framing; }
   /// Time from the request's arrival to the first event; zero before it.
   Duration TimeToFirstEvent() const { return time_to_first_event_; }
   Duration LongestPause() const { return longest_pause_; }
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -206,7 +206,8 @@
         return;
       }
     }
-    Fail(CallFailure::kBroken);
+    Fail(end == StreamEnd::kClean ? CallFailure::kTruncated
+                                  : CallFailure::kReset);
   }
 
   // The connection is reused only if no bytes follow the response.
@@ -256,6 +257,20 @@
 
 }  // namespace
 
+const char* CallFailureName(CallFailure failure) {
+  switch (failure) {
+    case CallFailure::kConnectFailed:
+      return "unreached";
+    case CallFailure::kReset:
+      return "reset";
+    case CallFailure::kTruncated:
+      return "truncated";
+    case CallFailure::kMalformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
 std::unique_ptr<TargetCall> TargetCall::Start(PollLoop* loop,
                                               TargetConnectionPool* pool,
                                               const HttpCodec* codec, Plan plan,
--- a/src/relay/target_call.h
+++ b/src/relay/target_call.h
@@ -19,10 +19,14 @@
 /// How a call to a target failed.
 enum class CallFailure {
   kConnectFailed,  ///< nothing was sent, so it was not executed
-  kBroken,         ///< the connection ended before the response
+  kReset,          ///< the connection was reset or timed out
+  kTruncated,      ///< the target closed before the response was complete
   kMalformed,      ///< the response is not HTTP or exceeds the limits
 };
 
+/// Name of a failure in logs and metrics.
+const char* CallFailureName(CallFailure failure);
+
 /// One request to one target. Responses to another request are discarded; bytes
 /// after the response end the connection.
 class TargetCall {
--- a/tests/relay/exchange_test.cc
+++ b/tests/relay/exchange_test.cc
@@ -198,6 +198,44 @@
   EXPECT_EQ(*caller->Response()->Body(), "abc");
 }
 
+TEST_F(ExchangeTest, EndsOfTargetResponsesAreCountedByFramingOrFault) {
+  std::string response;
+  bool resets = false;
+  ScriptedTarget target(loop_.get(), [&](const ReceivedRequest& request) {
+    Reply(request, response);
+    if (resets) {
+      request.stream->Abort();
+    } else {
+      request.stream->FinishWriting();
+    }
+  });
+  SetTargets({&target});
+  const auto count = [this](const std::string& end) {
+    return metrics_->Expose().find("target_responses_total{end=\"" + end +
+                                   "\"} 1") != std::string::npos;
+  };
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nUpstream-Signature: s\r\n";
+  response = head + "Content-Length: 2\r\n\r\nhi";
+  SendRequest(Request("unsafe"));
+  EXPECT_TRUE(count("length"));
+  response = head + "\r\nhi";
+  SendRequest(Request("unsafe"));
+  EXPECT_TRUE(count("until_close"));
+  response = std::string(kStreamHead) + "0\r\n\r\n";
+  SendRequest(Request("stream"));
+  EXPECT_TRUE(count("chunked"));
+  response = head + "\r\nid: 1\nda";
+  SendRequest(Request("stream"));
+  EXPECT_TRUE(count("partial_event"));
+  response = head + "Content-Length: 9\r\n\r\nhi";
+  SendRequest(Request("unsafe"));
+  EXPECT_TRUE(count("truncated"));
+  resets = true;
+  SendRequest(Request("unsafe"));
+  EXPECT_TRUE(count("reset"));
+}
+
 TEST_F(ExchangeTest, EventsArriveAsTheyAreMade) {
   ByteStream* stream = nullptr;
   ScriptedTarget target(loop_.get(), [&stream](const ReceivedRequest& request) {
