Recognise every line ending in resumable streams

Callers of resumable routes got a refusal or a reset in place of a whole stream when its lines end with CR, or mix the endings, or when a comment line follows the last event: the splitter looked for LF LF and CRLF CRLF only, took the rest for an unfinished event and dropped it.

The splitter now follows lines with LF, CR and CRLF; a comment line that is complete belongs to no event, and what is held after the last event is sent at the regular end.

--- a/src/relay/response_forwarder.cc
+++ b/src/relay/response_forwarder.cc
@@ -63,12 +63,13 @@
 }
 
 bool ResponseForwarder::FinishStream() {
-  if (route_->is_resumable && !splitter_.PartialEvent().empty()) {
+  if (route_->is_resumable && splitter_.IsInsideEvent()) {
     return false;
   }
   if (!has_started_) {
     SendHead();
   }
+  sink_->SendBody(splitter_.TakeRest());
   return true;
 }
 
@@ -90,10 +91,12 @@
 }
 
 void ResponseForwarder::ForwardStream(std::string* body, Time now) {
-  const bool has_events =
-      route_->kind == RouteKind::kStreaming || route_->is_resumable;
-  const std::string whole_events =
-      has_events ? splitter_.Feed(*body) : std::string();
+  std::string whole_events;
+  if (route_->is_resumable) {
+    whole_events = splitter_.Feed(*body);
+  } else if (route_->kind == RouteKind::kStreaming) {
+    splitter_.Track(*body);
+  }
   const std::string& bytes = route_->is_resumable ? whole_events : *body;
   if (bytes.empty()) {
     return;
--- a/src/relay/response_forwarder.h
+++ b/src/relay/response_forwarder.h
@@ -68,9 +68,7 @@
   }
   int EventCount() const { return splitter_.EventCount(); }
   /// Bytes received of an event that is not complete.
-  std::size_t PartialEventBytes() const {
-    return splitter_.PartialEvent().size();
-  }
+  std::size_t PartialEventBytes() const { return splitter_.PartialBytes(); }
   /// Framing of the latest attempt's response.
   BodyFraming Framing() const { return head_.framing; }
   /// Time from the request's arrival to the first event; zero before it.
--- a/tests/relay/response_end_test.cc
+++ b/tests/relay/response_end_test.cc
@@ -60,5 +60,18 @@
   ExpectBrokenOff(*SendAnsweredBy("stream", Unframed(kCutEvents)));
 }
 
+TEST_F(ResponseEndTest, WholeStreamStaysWholeWithEachLineEnding) {
+  for (const char* kind : {"stream", "resume"}) {
+    for (const std::string body :
+         {"id: 1\ndata: a\n\n", "id: 1\rdata: a\r\r", "id: 1\r\ndata: a\r\n\n",
+          "id: 1\ndata: a\n\n: end\n"}) {
+      const std::unique_ptr<TestCaller> caller =
+          SendAnsweredBy(kind, Chunked(body));
+      ASSERT_NE(caller->Response(), nullptr) << kind << body;
+      EXPECT_EQ(*caller->Response()->Body(), body) << kind;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
