Break off streams that end inside an event on every route

Cause: only resumable routes looked at the events of a stream. Elsewhere a response counted as whole once its framing ended, and for a response without length or chunks the end of the connection is that framing; a target that crashes closes its connection in an orderly way. The same held for a stream whose chunks or length end regularly inside an event. Class of fault: the end of the transport is taken for the end of the message.

Evidence: the VMs logged 'ended outcome=answered' for the broken answers and 'bad_answer cause=partial_event' for the one on a resumable route. Ruled out: the answer ended regularly towards the caller although the break was seen (no 'bad_answer'); bytes lost while reading was paused is a fault of its own, but none of the logged lines says paused=true.

Change: ResponseForwarder::CheckStreamEnd checks each stream of events at its regular end, whatever the framing and the route: inside an event, or an unframed one without any event, it is broken off. A resumable stream goes on at another target, another is reset. A stream never states a length towards the caller, since all of its bytes could arrive before the break is known. The attempt counts as broken for the target, the version and the crash count, where it counted as answered before.

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -36,9 +36,6 @@
 /// Retry-After when targets did not execute a request.
 constexpr Duration kNotExecutedRetryAfter = std::chrono::milliseconds(150);
 constexpr Duration kDrainRetryAfter = std::chrono::milliseconds(50);
-/// Cause of a stream that ended inside an event.
-constexpr char kPartialEvent[] = "partial_event";
-
 // Whether a status guarantees to the caller that its request was not executed.
 bool PromisesNotExecuted(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -282,12 +279,17 @@
   }
 
   void OnResponseEnd() {
-    CountTargetResponse(response_.PartialEventBytes() > 0
-                            ? kPartialEvent
-                            : BodyFramingName(response_.Framing()));
+    const StreamFault fault = response_.CheckStreamEnd();
+    CountTargetResponse(fault == StreamFault::kNone
+                            ? BodyFramingName(response_.Framing())
+                            : StreamFaultName(fault));
     switch (response_.Kind()) {
       case ResponseKind::kStream:
-        FinishStream();
+        if (fault != StreamFault::kNone) {
+          OnBadResponse(StreamFaultName(fault));
+        } else {
+          FinishStream();
+        }
         return;
       case ResponseKind::kBuffered:
         SendBufferedResponse();
@@ -307,10 +309,7 @@
 
   void FinishStream() {
     context_->GetAdmission()->Poison()->OnServed(Fingerprint(), Now());
-    if (!response_.FinishStream()) {
-      OnBadResponse(kPartialEvent);
-      return;
-    }
+    response_.FinishStream();
     Finish("answered", TargetOutcome::kAnswered);
     sink_->EndBody();
   }
--- a/src/relay/response_forwarder.cc
+++ b/src/relay/response_forwarder.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <optional>
+#include <string_view>
+#include <utility>
 
 #include "src/relay/http_writer.h"
 
@@ -15,10 +17,34 @@
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
+// Whether a response of a streaming route consists of events. A target may
+// omit the type.
+bool IsEventStream(const HeaderList& headers) {
+  constexpr std::string_view kType = "text/event-stream";
+  const std::string* type = FindHeader(headers, "Content-Type");
+  return type == nullptr ||
+         HeaderNamesEqual(std::string_view(*type).substr(0, kType.size()),
+                          kType);
+}
+
 }  // namespace
 
+const char* StreamFaultName(StreamFault fault) {
+  switch (fault) {
+    case StreamFault::kNone:
+      return "none";
+    case StreamFault::kPartialEvent:
+      return "partial_event";
+    case StreamFault::kNoEvent:
+      return "no_event";
+  }
+  return "unknown";
+}
+
 void ResponseForwarder::StartAttempt() {
   kind_ = ResponseKind::kNone;
+  is_event_stream_ = false;
+  events_before_attempt_ = splitter_.EventCount();
   head_ = MessageHead();
   body_.clear();
   splitter_.DropPartial();
@@ -36,6 +62,8 @@
     kind_ = ResponseKind::kUnsigned;
   } else if (route_->kind == RouteKind::kStreaming) {
     kind_ = ResponseKind::kStream;
+    // A resume continues the events that were sent.
+    is_event_stream_ = has_started_ || IsEventStream(head.headers);
   } else {
     kind_ = ResponseKind::kBuffered;
   }
@@ -62,15 +90,25 @@
   return sink_->Unsent() > kMaxUnsentBytes;
 }
 
-bool ResponseForwarder::FinishStream() {
-  if (route_->is_resumable && splitter_.IsInsideEvent()) {
-    return false;
+StreamFault ResponseForwarder::CheckStreamEnd() const {
+  if (!is_event_stream_) {
+    return StreamFault::kNone;
+  }
+  if (splitter_.IsInsideEvent()) {
+    return StreamFault::kPartialEvent;
   }
+  if (head_.framing == BodyFraming::kUntilClose &&
+      splitter_.EventCount() == events_before_attempt_) {
+    return StreamFault::kNoEvent;
+  }
+  return StreamFault::kNone;
+}
+
+void ResponseForwarder::FinishStream() {
   if (!has_started_) {
     SendHead();
   }
   sink_->SendBody(splitter_.TakeRest());
-  return true;
 }
 
 void ResponseForwarder::SendBuffered() {
@@ -81,9 +119,9 @@
 void ResponseForwarder::SendHead() {
   has_started_ = true;
   std::optional<std::uint64_t> length;
-  // The total length of a resumed response can differ from the length that the
-  // first target stated.
-  if (head_.framing == BodyFraming::kLength && !route_->is_resumable) {
+  // A stream that reaches its stated length inside an event must not look
+  // complete, and a resumed one can have another length.
+  if (head_.framing == BodyFraming::kLength && !is_event_stream_) {
     length = head_.content_length;
   }
   sink_->BeginBody(head_.status, head_.reason, EndToEndHeaders(head_.headers),
@@ -91,13 +129,15 @@
 }
 
 void ResponseForwarder::ForwardStream(std::string* body, Time now) {
-  std::string whole_events;
-  if (route_->is_resumable) {
-    whole_events = splitter_.Feed(*body);
-  } else if (route_->kind == RouteKind::kStreaming) {
-    splitter_.Track(*body);
+  std::string bytes;
+  if (is_event_stream_ && route_->is_resumable) {
+    bytes = splitter_.Feed(*body);
+  } else {
+    if (is_event_stream_) {
+      splitter_.Track(*body);
+    }
+    bytes = std::move(*body);
   }
-  const std::string& bytes = route_->is_resumable ? whole_events : *body;
   if (bytes.empty()) {
     return;
   }
--- a/src/relay/response_forwarder.h
+++ b/src/relay/response_forwarder.h
@@ -24,6 +24,16 @@
   kUnsigned,     ///< success status without the target's signature
 };
 
+/// Why a stream is incomplete although its target's response ended regularly.
+enum class StreamFault {
+  kNone,
+  kPartialEvent,  ///< it ended inside an event
+  kNoEvent,       ///< it ended with its connection before the first event
+};
+
+/// Name of a fault in logs and metrics.
+const char* StreamFaultName(StreamFault fault);
+
 /// Forwards the responses of one request's attempts to its caller. Streams are
 /// forwarded as they arrive, on resumable routes in whole events. Other
 /// responses are buffered until they are complete, so that an incomplete one
@@ -47,9 +57,13 @@
   /// pause.
   bool IsCallerBehind() const;
 
-  /// Handles the regular end of a stream; false if its last event is
-  /// incomplete.
-  bool FinishStream();
+  /// Checks a stream whose response ended regularly. The end of a connection
+  /// doesn't prove that a response is complete, since a crashed target may
+  /// close in an orderly way; then only the events tell.
+  StreamFault CheckStreamEnd() const;
+
+  /// Sends what is left of a complete stream.
+  void FinishStream();
 
   /// Sends a complete buffered response.
   void SendBuffered();
@@ -85,6 +99,8 @@
   const Time arrival_;
   const ServingRoute* route_ = nullptr;
   ResponseKind kind_ = ResponseKind::kNone;
+  bool is_event_stream_ = false;
+  int events_before_attempt_ = 0;
   MessageHead head_;
   std::string body_;
   SseSplitter splitter_;
--- a/tests/relay/relay_fixture.cc
+++ b/tests/relay/relay_fixture.cc
@@ -77,7 +77,7 @@
   callbacks.on_bytes = [this](std::string_view bytes) {
     received_.append(bytes);
   };
-  callbacks.on_end = [this](StreamEnd) { ended_ = true; };
+  callbacks.on_end = [this](StreamEnd end) { end_ = end; };
   stream_->SetCallbacks(std::move(callbacks));
 }
 
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -66,14 +67,17 @@
   void Send(std::string_view bytes) { stream_->Write(bytes); }
   void Close() { stream_.reset(); }
   const std::string& Received() const { return received_; }
-  bool Ended() const { return ended_; }
+  bool Ended() const { return end_.has_value(); }
+  /// Whether the connection was reset, so that a response without a length
+  /// doesn't look complete.
+  bool WasReset() const { return end_ == StreamEnd::kBroken; }
   /// Parses the first response; nullptr if it is incomplete.
   std::unique_ptr<HttpParser> Response() const;
 
  private:
   std::unique_ptr<ByteStream> stream_;
   std::string received_;
-  bool ended_ = false;
+  std::optional<StreamEnd> end_;
 };
 
 /// Relay and scripted targets on loopback addresses, all on one loop.
