Read a target's last bytes before its close is reported

Callers that read slowly got a response that lacks its end: framed as complete where the target's has neither length nor chunks, as broken off where it is framed.

Cause: while reading is paused for a slow caller, the half-close of the target was reported at once, though bytes before it were unread.

Change: a paused ByteStream reports an orderly close only behind the bytes before it. The connection of a caller still asks to hear of it at once (on_close_while_paused), since a caller that left needs no answer. A reset is reported at once as before.

--- a/src/relay/byte_stream.cc
+++ b/src/relay/byte_stream.cc
@@ -105,7 +105,7 @@
  private:
   std::uint32_t WantedEvents() const {
     std::uint32_t events = 0;
-    if (!saw_end_) {
+    if (!saw_end_ && ReportsCloseWhilePaused()) {
       events |= EPOLLRDHUP;
     }
     if (is_reading_ && !saw_end_) {
@@ -117,6 +117,10 @@
     return events;
   }
 
+  bool ReportsCloseWhilePaused() const {
+    return !is_reading_ && callbacks_.on_close_while_paused;
+  }
+
   void UpdateEvents() {
     const std::uint32_t wanted = WantedEvents();
     if (!is_closed_ && wanted != watched_events_) {
@@ -161,8 +165,13 @@
     }
     if ((events & (EPOLLIN | EPOLLERR | EPOLLHUP)) != 0 && is_reading_) {
       Read();
-    } else if ((events & (EPOLLRDHUP | EPOLLHUP)) != 0 && !saw_end_) {
-      End((events & EPOLLHUP) != 0 ? StreamEnd::kBroken : StreamEnd::kClean);
+    } else if ((events & EPOLLHUP) != 0 && !saw_end_) {
+      End(StreamEnd::kBroken);
+    } else if ((events & EPOLLRDHUP) != 0 && !saw_end_ &&
+               ReportsCloseWhilePaused()) {
+      saw_end_ = true;
+      const std::function<void()> on_close = callbacks_.on_close_while_paused;
+      on_close();
     }
     if (*alive) {
       UpdateEvents();
--- a/src/relay/byte_stream.h
+++ b/src/relay/byte_stream.h
@@ -29,6 +29,9 @@
     std::function<void()> on_connected;
     std::function<void(std::string_view bytes)> on_bytes;
     std::function<void()> on_flushed;  ///< the output buffer is empty
+    /// The peer closed its sending side while reading is paused; unread bytes
+    /// may remain. If unset, on_end reports the close after these bytes.
+    std::function<void()> on_close_while_paused;
     std::function<void(StreamEnd end)> on_end;
   };
 
@@ -57,8 +60,8 @@
   /// Whether the socket has accepted any byte.
   virtual bool AnySent() const = 0;
 
-  /// Pauses or resumes reading. While paused, only a close by the peer and a
-  /// broken connection are reported.
+  /// Pauses or resumes reading. A broken connection is reported also while
+  /// paused.
   virtual void SetReading(bool is_reading) = 0;
 
   /// Sends queued bytes, then shuts down the sending side.
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -27,6 +27,7 @@
     ByteStream::Callbacks callbacks;
     callbacks.on_bytes = [this](std::string_view bytes) { OnBytes(bytes); };
     callbacks.on_flushed = [this] { OnFlushed(); };
+    callbacks.on_close_while_paused = [this] { OnEnd(); };
     callbacks.on_end = [this](StreamEnd) { OnEnd(); };
     stream_->SetCallbacks(std::move(callbacks));
     AwaitRequest();
--- a/tests/relay/exchange_test.cc
+++ b/tests/relay/exchange_test.cc
@@ -311,6 +311,19 @@
   EXPECT_TRUE(RunUntil([&target] { return target.ClosedCount() == 1; }));
 }
 
+TEST_F(ExchangeTest, CallerThatLeavesBehindUnreadBytesEndsWorkAtTarget) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest&) {});
+  SetTargets({&target});
+  TestCaller caller(loop_.get(), relay_->CallerAddress());
+  caller.Send(Request("unsafe") + std::string(100'000, 'x'));
+  ASSERT_TRUE(RunUntil([&target] { return target.RequestCount() == 1; }));
+  for (int i = 0; i < 20; ++i) {
+    loop_->RunOnce(std::chrono::milliseconds(1));
+  }
+  caller.Close();
+  EXPECT_TRUE(RunUntil([&target] { return target.ClosedCount() == 1; }));
+}
+
 TEST_F(ExchangeTest, SilentTargetIsAnsweredForAtTheTimeOut) {
   ScriptedTarget target(loop_.get(), [](const ReceivedRequest&) {});
   SetTargets({&target});
