Send a caller's response to its end before the connection lingers out

Callers that read slowly got 3.9 of 33 MB of a response whose connection closes after it, with an orderly close: to an HTTP/1.0 caller, whose response ends with its connection, it looks complete.

Cause: the two seconds that a connection lingers ran from the end of the response, not from the moment it was sent; then the unsent bytes were dropped. The connection didn't count as busy either, so a planned stop didn't wait.

Change: the linger time starts when all bytes are sent. Until then the connection is busy and kept while the caller reads; one that reads nothing for the user timeout is reset.

CallerConnectionTest.WholeResponseToSlowCallerIsSentToItsEnd failed before (3,932,198 of 33,554,432 bytes, BusyConnections 0) and passes. relay_tests: 70 passed.

--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -11,7 +11,7 @@
 namespace hornbeamcleat {
 namespace {
 
-/// Time for the caller to read the last response and close its side.
+/// Time for the caller to close its side once the last response is sent.
 constexpr Duration kLingerTimeout = std::chrono::seconds(2);
 /// Pipelined bytes above which reading pauses while a request is processed.
 constexpr std::size_t kMaxPipelinedBytes = 65'536;
@@ -40,7 +40,8 @@
 
   bool IsBusy() const override {
     return state_ == State::kHandling ||
-           (state_ == State::kReading && parser_->Started());
+           (state_ == State::kReading && parser_->Started()) ||
+           (state_ == State::kLingering && stream_->Unsent() > 0);
   }
 
   std::size_t BufferedBytes() const override {
@@ -260,6 +261,8 @@
   void OnFlushed() {
     if (handler_ != nullptr) {
       handler_->OnFlushed();
+    } else if (state_ == State::kLingering) {
+      AwaitLingerEnd();
     }
   }
 
@@ -270,7 +273,29 @@
     state_ = State::kLingering;
     stream_->FinishWriting();
     stream_->SetReading(true);
-    SetTimer(kLingerTimeout, [this] { Close(); });
+    progress_at_ = clock_->Now();
+    AwaitLingerEnd();
+  }
+
+  void AwaitLingerEnd() {
+    unsent_at_check_ = stream_->Unsent();
+    SetTimer(kLingerTimeout, [this] { OnLingerTimeout(); });
+  }
+
+  // Unsent bytes are kept as long as the caller reads some of them.
+  void OnLingerTimeout() {
+    if (unsent_at_check_ == 0) {
+      Close();
+      return;
+    }
+    const Time now = clock_->Now();
+    if (stream_->Unsent() < unsent_at_check_) {
+      progress_at_ = now;
+    } else if (now - progress_at_ >= options_.user_timeout) {
+      Abort();
+      return;
+    }
+    AwaitLingerEnd();
   }
 
   // A caller that closes its sending side no longer waits for the response, so
@@ -300,6 +325,8 @@
   std::string pipelined_bytes_;
   std::size_t body_bytes_ = 0;
   State state_ = State::kReading;
+  std::size_t unsent_at_check_ = 0;  ///< when the linger timer was set
+  Time progress_at_;                 ///< last time that unsent bytes went out
   Time arrival_;
   bool keep_alive_ = true;
   bool is_head_ = false;
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -90,7 +90,8 @@
 
   virtual ~CallerConnection() = default;
 
-  /// Whether a request is being received or processed.
+  /// Whether a request is being received or processed, or its response is not
+  /// sent yet.
   virtual bool IsBusy() const = 0;
 
   /// Body bytes of the request that is being received or processed.
--- a/tests/relay/relay_fixture.cc
+++ b/tests/relay/relay_fixture.cc
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr Duration kUnackedDataTimeout = std::chrono::seconds(5);
-constexpr MessageLimits kLimits = {65'536, 1'048'576};
+constexpr MessageLimits kLimits = {65'536, 67'108'864};
 constexpr Duration kMaxTestTime = std::chrono::seconds(10);
 constexpr Duration kLoopStep = std::chrono::milliseconds(5);
 
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -66,6 +66,8 @@
 
   void Send(std::string_view bytes) { stream_->Write(bytes); }
   void Close() { stream_.reset(); }
+  /// Stops or continues to read the response.
+  void SetReading(bool is_reading) { stream_->SetReading(is_reading); }
   const std::string& Received() const { return received_; }
   bool Ended() const { return end_.has_value(); }
   /// Whether the connection was reset, so that a response without a length
