Reset a caller's unframed response that is cut by the end of the process

To an HTTP/1.0 caller a stream ends with its connection. When the VM's process ended in the middle of it, or dropped bytes that were still unsent, the kernel closed the connection in an orderly way and the caller took the part for the whole.

Change: a body without length or chunks sets its connection to reset at any close (SO_LINGER of zero), also when the process is killed, until FinishWriting has sent the last byte. Responses with a length or chunks show a cut by themselves and keep the orderly close.

--- a/src/relay/byte_stream.cc
+++ b/src/relay/byte_stream.cc
@@ -84,10 +84,17 @@
     UpdateEvents();
   }
 
+  void ResetOnEarlyClose() override {
+    if (!is_closed_) {
+      resets_on_close_ = true;
+      SetLinger(true);
+    }
+  }
+
   void FinishWriting() override {
     finish_requested_ = true;
     if (!is_closed_ && !is_connecting_ && Unsent() == 0) {
-      shutdown(fd_.Get(), SHUT_WR);
+      ShutDownWriting();
     }
   }
 
@@ -95,14 +102,26 @@
     if (is_closed_) {
       return;
     }
-    const linger now = {1, 0};
-    setsockopt(fd_.Get(), SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    SetLinger(true);
     Close();
   }
 
   Address Peer() const override { return peer_; }
 
  private:
+  // Whether closing resets the connection and drops what the socket holds.
+  void SetLinger(bool resets) {
+    const linger value = {resets ? 1 : 0, 0};
+    setsockopt(fd_.Get(), SOL_SOCKET, SO_LINGER, &value, sizeof(value));
+  }
+
+  void ShutDownWriting() {
+    if (std::exchange(resets_on_close_, false)) {
+      SetLinger(false);
+    }
+    shutdown(fd_.Get(), SHUT_WR);
+  }
+
   std::uint32_t WantedEvents() const {
     std::uint32_t events = 0;
     if (!saw_end_ && ReportsCloseWhilePaused()) {
@@ -243,7 +262,7 @@
       output_.clear();
       output_offset_ = 0;
       if (finish_requested_) {
-        shutdown(fd_.Get(), SHUT_WR);
+        ShutDownWriting();
       }
     }
   }
@@ -261,6 +280,7 @@
   bool is_broken_ = false;
   bool saw_end_ = false;
   bool finish_requested_ = false;
+  bool resets_on_close_ = false;
   bool any_sent_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/relay/byte_stream.h
+++ b/src/relay/byte_stream.h
@@ -64,6 +64,11 @@
   /// paused.
   virtual void SetReading(bool is_reading) = 0;
 
+  /// Makes any close of the connection a reset, also one by the end of the
+  /// process, until FinishWriting has sent all queued bytes. For data whose
+  /// only frame is the end of the connection.
+  virtual void ResetOnEarlyClose() = 0;
+
   /// Sends queued bytes, then shuts down the sending side.
   virtual void FinishWriting() = 0;
 
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -191,8 +191,11 @@
   void BeginBody(int status, std::string_view reason, const HeaderList& headers,
                  std::optional<std::uint64_t> length) override {
     is_chunked_ = !length.has_value() && minor_version_ >= 1;
-    closes_after_response_ =
-        ClosesAfterResponse() || (!length.has_value() && !is_chunked_);
+    const bool ends_with_connection = !length.has_value() && !is_chunked_;
+    closes_after_response_ = ClosesAfterResponse() || ends_with_connection;
+    if (ends_with_connection) {
+      stream_->ResetOnEarlyClose();
+    }
     stream_->Write(
         FormatResponseHead(status, reason, headers,
                            {length, is_chunked_, closes_after_response_}));
--- a/tests/relay/caller_connection_test.cc
+++ b/tests/relay/caller_connection_test.cc
@@ -106,5 +106,40 @@
   EXPECT_TRUE(caller->WasReset());
 }
 
+// Without a length or chunks, only a reset tells the caller that a body was cut
+// by the end of the process.
+TEST_F(CallerConnectionTest, UnframedBodyCutByEndOfServerIsReset) {
+  const std::unique_ptr<TestCaller> caller = Connect("HTTP/1.0");
+  sink_->BeginBody(200, "", {}, std::nullopt);
+  sink_->SendBody("part");
+  ASSERT_TRUE(RunUntil([&caller] {
+    return caller->Received().find("part") != std::string::npos;
+  }));
+  listener_.reset();
+  ASSERT_TRUE(RunUntil([&caller] { return caller->Ended(); }));
+  EXPECT_TRUE(caller->WasReset());
+}
+
+TEST_F(CallerConnectionTest, UnframedBodyCutBehindUnsentBytesIsReset) {
+  const std::unique_ptr<TestCaller> caller = Connect("HTTP/1.0");
+  caller->SetReading(false);
+  SendLargeBody(std::nullopt);
+  listener_.reset();
+  caller->SetReading(true);
+  ASSERT_TRUE(RunUntil([&caller] { return caller->Ended(); }));
+  EXPECT_TRUE(caller->WasReset());
+}
+
+TEST_F(CallerConnectionTest, UnframedBodySentToItsEndIsClosedInOrder) {
+  const std::unique_ptr<TestCaller> caller = Connect("HTTP/1.0");
+  sink_->BeginBody(200, "", {}, std::nullopt);
+  sink_->SendBody("whole");
+  sink_->EndBody();
+  listener_.reset();
+  ASSERT_TRUE(RunUntil([&caller] { return caller->Ended(); }));
+  EXPECT_FALSE(caller->WasReset());
+  EXPECT_TRUE(caller->Received().ends_with("whole"));
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
