--- a/tests/entry/cut_point_test.cc
+++ b/tests/entry/cut_point_test.cc
@@ -119,6 +119,80 @@
   EXPECT_EQ(target->Count(&TargetCall::IsRun), 1);
 }
 
+// A stream is whole only with its last event, however its response is framed.
+TEST_F(CutPointTest, SubmitStreamEndsInsideEventOfEachFramingIsResumed) {
+  for (const std::string cut : {"id: 2\ndata: pa", "data: [DONE]\n", ""}) {
+    const std::string body = Parts(1, 1) + cut;
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx\r\n", body.size());
+    const std::string type = "Content-Type: text/event-stream\r\n";
+    for (const std::string& response :
+         {std::string(kStreamHead) + body, PlainAnswer("200 OK", type, body),
+          "HTTP/1.1 200 OK\r\n" + type + "Transfer-Encoding: chunked\r\n\r\n" +
+              size + body + "\r\n0\r\n\r\n"}) {
+      targets_.clear();
+      config_ = std::make_shared<ConfigState>();
+      FakeTarget* target =
+          AddTarget([&response](const TargetCall& call, SocketPeer& peer) {
+            if (call.IsRun()) {
+              peer.Send(response);
+            } else {
+              SendStreamOf(peer, 2, 3);
+            }
+          });
+      StartEntry();
+      auto [peer, head] = Submit();
+      EXPECT_EQ(ReadChunks(&peer), WholeAnswer(3)) << response;
+      EXPECT_EQ(target->Count(&TargetCall::IsRun), 1);
+      entry_.reset();
+      control_.reset();
+    }
+  }
+}
+
+TEST_F(CutPointTest, SubmitStreamAndResumeEndInsideEventHasNoEndEvent) {
+  AddTarget([](const TargetCall& call, SocketPeer& peer) {
+    peer.Send(std::string(kStreamHead) +
+              (call.IsRun() ? Parts(1, 1) + "id: 2\nda" : "id: 2\nda"));
+  });
+  StartEntry();
+  auto [peer, head] = Submit();
+  const std::string body = ReadChunks(&peer);
+  EXPECT_TRUE(body.starts_with(Parts(1, 1) + "event: error\n")) << body;
+  EXPECT_EQ(body.find("event: end"), std::string::npos);
+}
+
+TEST_F(CutPointTest, SubmitPlainAnswerCutInEachFramingIsNoSuccess) {
+  for (const std::string response :
+       {"Content-Length: 5\r\n\r\nwho",
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nwho"}) {
+    targets_.clear();
+    config_ = std::make_shared<ConfigState>();
+    AddTarget([&response](const TargetCall& call, SocketPeer& peer) {
+      if (call.IsRun()) {
+        peer.Send("HTTP/1.1 200 OK\r\n" + response);
+      } else {
+        peer.Send(PlainAnswer("404 Not Found", "", ""));
+      }
+    });
+    StartEntry();
+    auto [peer, head] = Submit();
+    EXPECT_EQ(head.Status(), 504) << response;
+    entry_.reset();
+    control_.reset();
+  }
+}
+
+TEST_F(CutPointTest, SubmitUnframedPlainAnswerIsWhole) {
+  AddTarget([](const TargetCall&, SocketPeer& peer) {
+    peer.Send("HTTP/1.1 200 OK\r\nContent-Type: text/x\r\n\r\nwhole");
+  });
+  StartEntry();
+  auto [peer, head] = Submit();
+  EXPECT_EQ(head.Status(), 200);
+  EXPECT_EQ(ReadBody(&peer, head), "whole");
+}
+
 TEST_F(CutPointTest, SubmitStalledConnectionIsResumedOverSecondOne) {
   options_.scheduler.stall_time = std::chrono::milliseconds(200);
   FakeTarget* target = AddTarget([](const TargetCall& call, SocketPeer& peer) {
--- a/tests/net/target_client_test.cc
+++ b/tests/net/target_client_test.cc
@@ -110,6 +110,40 @@
   EXPECT_EQ(end_, TargetEnd::kBroken);
 }
 
+TEST_F(TargetClientTest, BeginBodyEndsByEachFramingIsCompleteOnlyIfWhole) {
+  const struct {
+    const char* response;
+    bool resets;
+    TargetEnd end;
+  } cases[] = {
+      {"Content-Length: 4\r\n\r\nbody", false, TargetEnd::kComplete},
+      {"Content-Length: 5\r\n\r\nbody", false, TargetEnd::kBroken},
+      {"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", false,
+       TargetEnd::kComplete},
+      {"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", false,
+       TargetEnd::kBroken},
+      {"Transfer-Encoding: chunked\r\n\r\n4\r\nbo", false, TargetEnd::kBroken},
+      {"\r\nbody", false, TargetEnd::kComplete},
+      {"Connection: close\r\n\r\nbody", false, TargetEnd::kComplete},
+      {"\r\nbody", true, TargetEnd::kBroken},
+  };
+  for (const auto& each : cases) {
+    const SocketServer server([&](SocketPeer& peer) {
+      peer.ReadUntil("\r\n\r\n");
+      peer.Send(std::string("HTTP/1.1 200 OK\r\n") + each.response);
+      if (each.resets) {
+        // The reset must not overtake the bytes before it.
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        peer.Reset();
+      }
+    });
+    end_.reset();
+    Begin(server.Listening(), "GET");
+    RunToEnd();
+    EXPECT_EQ(end_, each.end) << each.response;
+  }
+}
+
 TEST_F(TargetClientTest, AbortWithinBodyEndsSilently) {
   std::atomic<bool> closed{false};
   const SocketServer server([&](SocketPeer& peer) {
