Take a stream of CRLF lines that lacks its last LF for broken off

The reading of every line ending took a final CR for the end of its line, so an unframed stream of CRLF lines that is cut between its last CR and LF counted as whole, one byte short.

Where a line of the stream ended with CRLF before, a final CR now leaves the stream inside an event. SseSplitterTest.IsInsideEventAtEachCutIsFalseOnlyBetween Events had allowed exactly this cut and is stricter now: it failed on the code before.

--- a/src/relay/response_forwarder.cc
+++ b/src/relay/response_forwarder.cc
@@ -23,8 +23,7 @@
   constexpr std::string_view kType = "text/event-stream";
   const std::string* type = FindHeader(headers, "Content-Type");
   return type == nullptr ||
-         HeaderNamesEqual(std::string_view(*type).substr(0, kType.size()),
-                          kType);
+         HeaderNamesEqual(type->substr(0, kType.size()), kType);
 }
 
 }  // namespace
--- a/src/relay/sse_splitter.cc
+++ b/src/relay/sse_splitter.cc
@@ -30,6 +30,7 @@
   line_.clear();
   is_inside_line_ = false;
   is_after_return_ = false;
+  has_crlf_ = false;
   is_at_boundary_ = false;
   has_fields_ = false;
   event_id_.reset();
@@ -43,6 +44,7 @@
   while (at < bytes.size()) {
     if (std::exchange(is_after_return_, false) && bytes[at] == '\n') {
       ++at;
+      has_crlf_ = true;
       if (is_at_boundary_) {
         boundary = at;
       }
--- a/src/relay/sse_splitter.h
+++ b/src/relay/sse_splitter.h
@@ -32,8 +32,11 @@
   std::size_t PartialBytes() const { return partial_bytes_; }
 
   /// Whether the stream ends within an event or a line. Complete comment lines
-  /// after the last event don't begin another one.
-  bool IsInsideEvent() const { return has_fields_ || is_inside_line_; }
+  /// after the last event don't begin another one. Where lines end with CRLF, a
+  /// final CR lacks its LF.
+  bool IsInsideEvent() const {
+    return has_fields_ || is_inside_line_ || (is_after_return_ && has_crlf_);
+  }
 
   /// Id of the last complete event that had one; empty if none.
   const std::string& LastEventId() const { return last_event_id_; }
@@ -54,6 +57,7 @@
   std::string line_;  ///< start of the current line
   bool is_inside_line_ = false;
   bool is_after_return_ = false;  ///< the last byte was CR; LF may follow
+  bool has_crlf_ = false;         ///< a line ended with CRLF
   bool is_at_boundary_ = false;   ///< the last line was blank
   bool has_fields_ = false;       ///< of the incomplete event
   std::optional<std::string> event_id_;  ///< of the incomplete event
--- a/tests/entry/cut_point_test.cc
+++ b/tests/entry/cut_point_test.cc
@@ -126,10 +126,14 @@
     char size[16];
     std::snprintf(size, sizeof(size), "%zx\r\n", body.size());
     const std::string type = "Content-Type: text/event-stream\r\n";
+    std::string chunked = "HTTP/1.1 200 OK\r\n" + type;
+    chunked.append("Transfer-Encoding: chunked\r\n\r\n")
+        .append(size)
+        .append(body)
+        .append("\r\n0\r\n\r\n");
     for (const std::string& response :
          {std::string(kStreamHead) + body, PlainAnswer("200 OK", type, body),
-          "HTTP/1.1 200 OK\r\n" + type + "Transfer-Encoding: chunked\r\n\r\n" +
-              size + body + "\r\n0\r\n\r\n"}) {
+          chunked}) {
       targets_.clear();
       config_ = std::make_shared<ConfigState>();
       FakeTarget* target =
--- a/tests/relay/sse_splitter_test.cc
+++ b/tests/relay/sse_splitter_test.cc
@@ -46,7 +46,7 @@
     SseSplitter splitter;
     std::string whole;
     for (std::size_t at = 0; at < stream.size(); at += size) {
-      whole += splitter.Feed(std::string_view(stream).substr(at, size));
+      whole += splitter.Feed(stream.substr(at, size));
     }
     EXPECT_EQ(whole, stream) << size;
     EXPECT_EQ(splitter.LastEventId(), "3") << size;
@@ -63,11 +63,12 @@
     for (std::size_t n = 1; n < event.size(); ++n) {
       SseSplitter splitter;
       splitter.Track(sent + event.substr(0, n));
-      // A final CR ends its line, with or without LF.
-      const bool is_whole = event.substr(0, n).ends_with("\r\n\r");
-      EXPECT_EQ(splitter.IsInsideEvent(), !is_whole) << sent + event << n;
+      EXPECT_TRUE(splitter.IsInsideEvent()) << sent + event << n;
     }
     sent += event;
+    SseSplitter splitter;
+    splitter.Track(sent);
+    EXPECT_FALSE(splitter.IsInsideEvent()) << sent;
   }
 }
 
