Report responses that callers leave or stop reading before their end

A response that was complete for its request but not sent to its end was dropped without a trace: 'ended outcome=answered' was all that the logs said.

CallerConnection tells its owner (on_response_cut); the relay logs 'response_cut unsent_bytes=' and counts responses_cut_total. 'paused' in the request lines starts anew with each attempt.

--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -295,6 +295,7 @@
     if (stream_->Unsent() < unsent_at_check_) {
       progress_at_ = now;
     } else if (now - progress_at_ >= options_.user_timeout) {
+      ReportUnsentResponse();
       Abort();
       return;
     }
@@ -303,7 +304,16 @@
 
   // A caller that closes its sending side no longer waits for the response, so
   // a request in progress is cancelled.
-  void OnEnd() { Close(); }
+  void OnEnd() {
+    ReportUnsentResponse();
+    Close();
+  }
+
+  void ReportUnsentResponse() {
+    if (state_ == State::kLingering && stream_->Unsent() > 0) {
+      delegate_.on_response_cut(stream_->Unsent());
+    }
+  }
 
   void Close() {
     if (state_ == State::kClosed) {
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -80,6 +80,8 @@
     std::function<bool()> is_draining;  ///< responses announce the close
     std::function<bool(std::size_t)> may_buffer;  ///< for request bodies
     std::function<void(std::string_view reason)> on_rejected;
+    /// The caller left or stopped reading before its response was sent.
+    std::function<void(std::size_t unsent)> on_response_cut;
     std::function<void()> on_closed;  ///< the owner frees the connection later
   };
 
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -206,6 +206,7 @@
     plan.user_timeout = kUnackedDataTimeout;
     plan.limits = kResponseLimits;
     response_.StartAttempt();
+    is_paused_ = false;
     call_ =
         TargetCall::Start(context_->GetLoop(), context_->GetConnectionPool(),
                           context_->GetCodec(), std::move(plan), Callbacks());
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -393,6 +393,11 @@
       request_log_.Warning(clock_->Now(), "event=rejected reason=\"{}\"",
                            reason);
     };
+    delegate.on_response_cut = [this](std::size_t unsent) {
+      metrics_->Count("responses_cut_total", "side", "callers");
+      request_log_.Warning(clock_->Now(), "event=response_cut unsent_bytes={}",
+                           unsent);
+    };
     return delegate;
   }
 
--- a/tests/platform/fake_store.cc
+++ b/tests/platform/fake_store.cc
@@ -102,6 +102,7 @@
   owner.is_draining = [] { return false; };
   owner.may_buffer = [](std::size_t) { return true; };
   owner.on_rejected = [](std::string_view) {};
+  owner.on_response_cut = [](std::size_t) {};
   owner.handle = [this](const CallerRequest& request, ResponseSink* sink) {
     return Handle(request, sink);
   };
--- a/tests/relay/caller_connection_test.cc
+++ b/tests/relay/caller_connection_test.cc
@@ -29,7 +29,7 @@
   CallerConnectionTest() {
     CallerConnection::Delegate delegate;
     delegate.handle =
-        [this](CallerRequest,
+        [this](const CallerRequest&,
                ResponseSink* sink) -> std::unique_ptr<RequestHandler> {
       sink_ = sink;
       return std::make_unique<IdleHandler>();
@@ -38,6 +38,7 @@
     delegate.is_draining = [] { return false; };
     delegate.may_buffer = [](std::size_t) { return true; };
     delegate.on_rejected = [](std::string_view) {};
+    delegate.on_response_cut = [this](std::size_t unsent) { cut_ = unsent; };
     options_.user_timeout = std::chrono::seconds(5);
     listener_.emplace(loop_.get(), clock_.get(), Address{"127.0.0.1", 0}, 10,
                       std::move(delegate));
@@ -79,6 +80,7 @@
   std::unique_ptr<PollLoop> loop_ = PollLoop::Make(clock_.get());
   CallerConnection::Options options_;
   ResponseSink* sink_ = nullptr;
+  std::size_t cut_ = 0;  ///< unsent bytes of a response that was cut
   std::optional<Listener> listener_;
 };
 
@@ -94,6 +96,7 @@
   ASSERT_TRUE(RunUntil([&caller] { return caller->Ended(); }));
   EXPECT_FALSE(caller->WasReset());
   EXPECT_GT(caller->Received().size(), kLargeBodyBytes);
+  EXPECT_EQ(cut_, 0U);
   EXPECT_TRUE(RunUntil([this] { return listener_->BusyConnections() == 0; }));
 }
 
@@ -104,6 +107,16 @@
   SendLargeBody(std::nullopt);
   ASSERT_TRUE(RunUntil([&caller] { return caller->Ended(); }));
   EXPECT_TRUE(caller->WasReset());
+  EXPECT_GT(cut_, 0U);
+}
+
+TEST_F(CallerConnectionTest,
+       CallerThatLeavesBeforeItsResponseIsSentIsReported) {
+  const std::unique_ptr<TestCaller> caller = Connect("HTTP/1.1");
+  caller->SetReading(false);
+  SendLargeBody(kLargeBodyBytes);
+  caller->Close();
+  EXPECT_TRUE(RunUntil([this] { return cut_ > 0; }));
 }
 
 // Without a length or chunks, only a reset tells the caller that a body was cut
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -124,6 +124,7 @@
       Violate(
           fmt::format("a target got bytes that are no request: {}", reason));
     };
+    owner.on_response_cut = [](std::size_t) {};
     owner.handle = [this, target](CallerRequest request, ResponseSink* sink) {
       return Serve(target, std::move(request), sink);
     };
