--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -395,16 +395,21 @@
     context_->GetMetrics()->Count("target_responses_total", "end", end);
   }
 
+  // Fields of log lines that tell how the target's response ended.
+  std::string ResponseDetails() const {
+    return fmt::format("framing={} events={} partial_bytes={} paused={}",
+                       BodyFramingName(response_.Framing()),
+                       response_.EventCount(), response_.PartialEventBytes(),
+                       is_paused_);
+  }
+
   // Handles a response that is incomplete or invalid. The target may have
   // executed the request.
   void OnBadResponse(const char* cause) {
     const std::string target = attempt_->Target();
     context_->GetLog()->Warning(
-        Now(),
-        "event=bad_answer id={} target={} cause={} framing={} events={} "
-        "partial_bytes={} paused={}",
-        request_info_.id, target, cause, BodyFramingName(response_.Framing()),
-        response_.EventCount(), response_.PartialEventBytes(), is_paused_);
+        Now(), "event=bad_answer id={} target={} cause={} {}", request_info_.id,
+        target, cause, ResponseDetails());
     FinishAttempt(TargetOutcome::kBroken);
     tried_targets_.push_back(target);
     if (admission_.route->MayRepeat() && response_.CanResume() &&
@@ -495,14 +500,11 @@
     context_->GetLog()->Info(
         Now(),
         "event=ended id={} outcome={} after_ms={:.1f} first_event_ms={:.1f} "
-        "longest_pause_ms={:.1f} route={} target={} framing={} events={} "
-        "partial_bytes={} paused={}",
+        "longest_pause_ms={:.1f} route={} target={} {}",
         request_info_.id, outcome, ToMs(Now() - request_.arrival),
         ToMs(response_.TimeToFirstEvent()), ToMs(response_.LongestPause()),
         admission_.route == nullptr ? "" : admission_.route->name,
-        attempt_.has_value() ? attempt_->Target() : "",
-        BodyFramingName(response_.Framing()), response_.EventCount(),
-        response_.PartialEventBytes(), is_paused_);
+        attempt_.has_value() ? attempt_->Target() : "", ResponseDetails());
     is_done_ = true;
     ReleaseResources(target_outcome);
   }
