Cancel a request at once when its caller's connection closes

Cause: a closed connection left its request to be freed by the loop and was itself freed right behind it, in the same turn. A decision on waiting requests in that turn still found the request and refused it through the freed connection, or placed it at a target for a caller that had left.

Change: RequestHandler::Cancel ends the request when its connection closes: out of the queue, timer and call released. Only freeing it waits for the loop.

--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -35,7 +35,9 @@
 
   ~Connection() override {
     *alive_ = false;
-    handler_.reset();
+    if (handler_ != nullptr) {
+      handler_->Cancel();
+    }
   }
 
   bool IsBusy() const override {
@@ -321,6 +323,10 @@
     }
     state_ = State::kClosed;
     timer_.reset();
+    if (handler_ != nullptr) {
+      handler_->Cancel();
+    }
+    // The handler may be on the call stack, so it is freed from the loop.
     PostIfAlive(
         [handler = std::shared_ptr<RequestHandler>(std::move(handler_))] {});
     const std::function<void()> on_closed = delegate_.on_closed;
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -55,9 +55,12 @@
 /// Request in progress.
 class RequestHandler {
  public:
-  /// Cancels the request if it is still in progress.
   virtual ~RequestHandler() = default;
 
+  /// The connection is closed: cancels the request if it is still in progress.
+  /// The sink must not be used from now on.
+  virtual void Cancel() {}
+
   /// The output buffer of the caller's connection is empty.
   virtual void OnFlushed() = 0;
 };
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -55,14 +55,9 @@
         id_(context->NextExchangeId()),
         response_(context->GetCodec(), sink, request_.arrival) {}
 
-  ~ExchangeImpl() override {
-    if (!is_done_) {
-      context_->GetLog()->Info(Now(), "event=caller_left id={} sent={}",
-                               request_info_.id, may_have_run_);
-      context_->GetMetrics()->Count("requests_total", "outcome", "caller_left");
-      ReleaseResources(TargetOutcome::kAbandoned);
-    }
-  }
+  ~ExchangeImpl() override { CancelIfInProgress(); }
+
+  void Cancel() override { CancelIfInProgress(); }
 
   void Begin() {
     if (context_->RejectsNewRequests()) {
@@ -127,6 +122,17 @@
  private:
   Time Now() const { return context_->GetClock()->Now(); }
 
+  void CancelIfInProgress() {
+    if (is_done_) {
+      return;
+    }
+    is_done_ = true;
+    context_->GetLog()->Info(Now(), "event=caller_left id={} sent={}",
+                             request_info_.id, may_have_run_);
+    context_->GetMetrics()->Count("requests_total", "outcome", "caller_left");
+    ReleaseResources(TargetOutcome::kAbandoned);
+  }
+
   std::string Workspace() const {
     return admission_.workspace == nullptr ? std::string()
                                            : admission_.workspace->name;
--- a/tests/relay/exchange_test.cc
+++ b/tests/relay/exchange_test.cc
@@ -1,8 +1,11 @@
 #include "src/relay/exchange.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "tests/relay/relay_fixture.h"
 
@@ -324,6 +327,38 @@
   EXPECT_TRUE(RunUntil([&target] { return target.ClosedCount() == 1; }));
 }
 
+// Guards against a decision for a request whose caller has just left: it was
+// sent to a target, or refused through a connection that was freed.
+TEST_F(ExchangeTest, RequestOfCallerThatLeftIsNotDecidedInSameTurn) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest&) {});
+  SetTargets({&target});
+  std::vector<std::unique_ptr<TestCaller>> callers;
+  for (int i = 0; i < kTargetSlots; ++i) {
+    callers.push_back(
+        std::make_unique<TestCaller>(loop_.get(), relay_->CallerAddress()));
+    callers.back()->Send(Request("unsafe", fmt::format("r{}", i)));
+  }
+  ASSERT_TRUE(
+      RunUntil([&target] { return target.RequestCount() == kTargetSlots; }));
+  TestCaller gone(loop_.get(), relay_->CallerAddress());
+  gone.Send(Request("unsafe", "gone"));
+  for (int i = 0; i < 10; ++i) {
+    loop_->RunOnce(std::chrono::milliseconds(2));
+  }
+  // One turn of the loop closes the caller's connection, frees a slot and
+  // decides on the requests that wait.
+  gone.Close();
+  const ReceivedRequest& first = target.ReceivedRequests()[0];
+  Reply(first, SignedResponse(first.Header("Request-Id"), "ok"));
+  for (int i = 0; i < 20; ++i) {
+    loop_->RunOnce(std::chrono::milliseconds(2));
+  }
+  EXPECT_EQ(target.RequestCount(), kTargetSlots);
+  const std::string decided =
+      fmt::format("wait_seconds_count{{service=\"s\"}} {}\n", kTargetSlots);
+  EXPECT_NE(metrics_->Expose().find(decided), std::string::npos);
+}
+
 TEST_F(ExchangeTest, SilentTargetIsAnsweredForAtTheTimeOut) {
   ScriptedTarget target(loop_.get(), [](const ReceivedRequest&) {});
   SetTargets({&target});
--- a/tests/relay/relay_fixture.cc
+++ b/tests/relay/relay_fixture.cc
@@ -161,7 +161,7 @@
     spec.service = "s";
     spec.address = target->Bound().ToString();
     spec.failure_domain = "d";
-    spec.slots = 4;
+    spec.slots = kTargetSlots;
     specs.push_back(spec);
   }
   relay_->SetTargets(specs);
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -82,6 +82,9 @@
   std::optional<StreamEnd> end_;
 };
 
+/// Requests that each target of the fixture runs at once.
+inline constexpr int kTargetSlots = 4;
+
 /// Relay and scripted targets on loopback addresses, all on one loop.
 class RelayFixture : public testing::Test {
  protected:
