Withdraw a likely slow version only before it has all traffic

Cause: the reference times come from the old version under half of the load; at the full share the load of all traffic slows a good version as well, so 'more likely slow than as fast' says nothing there.

Change: without proof a version is taken back only while it has less than the full share; after that only proof counts, as before.

VersionMovesTest.GoodVersionThatSlowsUnderAllTrafficIsCompleted failed before (61 of 200 completed, 190 wanted) and passes; VersionMovesTest 14 passed.

--- a/src/serving/version_moves.cc
+++ b/src/serving/version_moves.cc
@@ -29,9 +29,10 @@
 /// Fraction of the duration after which a move without the full share is rolled
 /// back.
 constexpr double kRollBackFraction = 0.8;
-/// Fraction of the duration after which a version that is more likely slow than
-/// as fast is rolled back without proof. Targets of unlike speed spread the
-/// times so much that proof can take longer than the move.
+/// Fraction of the duration after which a version without the full share that
+/// is more likely slow than as fast is rolled back without proof.
+/// Targets of unlike speed spread the times so much that proof can take longer
+/// than the move.
 constexpr double kSlowRollBackFraction = 0.6;
 /// Fraction of the duration after which a move completes even if old targets
 /// still run requests, to meet its deadline.
@@ -270,8 +271,11 @@
   const double fraction = move->ElapsedFraction(now);
   const bool is_overdue =
       fraction >= kRollBackFraction && move->permille < kPermille;
-  const bool is_likely_slow =
-      move->verdict.slower && fraction >= kSlowRollBackFraction;
+  // The load of all traffic slows a good version too, so then only proof
+  // counts.
+  const bool is_likely_slow = move->verdict.slower &&
+                              fraction >= kSlowRollBackFraction &&
+                              move->permille < kPermille;
   if (!move->is_rolling_back &&
       (move->verdict.bad || is_likely_slow || (is_overdue && is_leader))) {
     move->is_rolling_back = true;
