--- a/tests/serving/version_moves_test.cc
+++ b/tests/serving/version_moves_test.cc
@@ -223,6 +223,25 @@
   }
 }
 
+TEST_F(VersionMovesTest, VersionTwiceAsSlowOnUnlikeTargetsIsWithinLimit) {
+  constexpr double kSlowdown = 2.2;
+  for (int seed = 1; seed <= 200; ++seed) {
+    random_.seed(static_cast<unsigned>(seed));
+    Reset();
+    std::lognormal_distribution<double> spread(0, 0.8);
+    Simulate([&](const std::string& version, const std::string&, Time) {
+      return Answer{Chance(0.02),
+                    spread(random_) * (version == kNew ? kSlowdown : 1)};
+    });
+    EXPECT_EQ(Outcome(), MoveOutcome::kRolledBack) << "seed " << seed;
+    EXPECT_LE(new_requests_, ExposureLimit()) << "seed " << seed;
+    if (fiftieth_new_.has_value()) {
+      EXPECT_LE(last_new_ - *fiftieth_new_, kMaxTimeAfterFiftieth)
+          << "seed " << seed;
+    }
+  }
+}
+
 TEST_F(VersionMovesTest, GoodVersionsOnUnlikeTargetsAreCompletedInTime) {
   int completed = 0;
   for (int seed = 1; seed <= 200; ++seed) {
