Log the content of requests and the targets lost under it

admitted and refused say content, losses_own and losses_peers; content_loss says for each connection that ended before its answer at which stage and whether it counts; content_cleared says that a complete answer cleared losses. content_losses_total{stage} counts the same. The fingerprint is computed once a request.

No decision has changed: relay_tests and schedule_tests pass as before.

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -52,6 +52,9 @@
         request_(std::move(request)),
         request_info_(
             context->GetCodec()->ParseRequestHeaders(request_.head.headers)),
+        fingerprint_(
+            Hash64(request_.body,
+                   Hash64(request_info_.key, Hash64(request_.head.target)))),
         id_(context->NextExchangeId()),
         response_(context->GetCodec(), sink, request_.arrival) {}
 
@@ -87,10 +90,10 @@
     context_->GetLog()->Info(
         Now(),
         "event=admitted id={} route={} service={} rank={} workspace={} "
-        "charged={:.0f} level={:.0f} version={}",
+        "charged={:.0f} level={:.0f} version={} {}",
         request_info_.id, route.name, service_, admission_.rank, Workspace(),
         admission_.charged, admission_.quota.level,
-        admission_.table->Config().version);
+        admission_.table->Config().version, ContentDetails());
     deadline_timer_ = context_->GetLoop()->Timers()->At(
         deadline_, [this](Time) { OnDeadline(); });
     Enqueue(request_.arrival, request_.arrival + route.objective);
@@ -142,11 +145,6 @@
     return request_.head.target.substr(0, request_.head.target.find('?'));
   }
 
-  std::uint64_t Fingerprint() const {
-    return Hash64(request_.body,
-                  Hash64(request_info_.key, Hash64(request_.head.target)));
-  }
-
   AdmissionQuery Query() const {
     AdmissionQuery query;
     query.host = *FindHeader(request_.head.headers, "Host");
@@ -154,7 +152,7 @@
     query.key = request_info_.key;
     query.states_tokens = request_info_.states_tokens;
     query.tokens = request_info_.quota_tokens;
-    query.fingerprint = Fingerprint();
+    query.fingerprint = fingerprint_;
     query.now = Now();
     query.boot_now = context_->GetClock()->SuspendAwareNow();
     return query;
@@ -293,6 +291,7 @@
     switch (response_.Kind()) {
       case ResponseKind::kStream:
         if (fault != StreamFault::kNone) {
+          ReportContentLoss(StreamFaultName(fault), false);
           OnBadResponse(StreamFaultName(fault));
         } else {
           FinishStream();
@@ -314,15 +313,25 @@
     }
   }
 
+  // A complete answer rules the content out as the cause of lost targets.
+  void ClearContent() {
+    PoisonTable* poison = context_->GetAdmission()->Poison();
+    if (poison->Lost(fingerprint_, Now()) > 0) {
+      context_->GetLog()->Warning(Now(), "event=content_cleared id={} {}",
+                                  request_info_.id, ContentDetails());
+    }
+    poison->OnServed(fingerprint_, Now());
+  }
+
   void FinishStream() {
-    context_->GetAdmission()->Poison()->OnServed(Fingerprint(), Now());
+    ClearContent();
     response_.FinishStream();
     Finish("answered", TargetOutcome::kAnswered);
     sink_->EndBody();
   }
 
   void SendBufferedResponse() {
-    context_->GetAdmission()->Poison()->OnServed(Fingerprint(), Now());
+    ClearContent();
     Finish("answered", TargetOutcome::kAnswered);
     response_.SendBuffered();
   }
@@ -387,14 +396,40 @@
       return;
     }
     CountTargetResponse(CallFailureName(failure));
-    if (failure != CallFailure::kMalformed &&
-        response_.Kind() == ResponseKind::kNone) {
-      context_->GetAdmission()->Poison()->OnTargetLost(Fingerprint(), target,
+    const bool counts = failure != CallFailure::kMalformed &&
+                        response_.Kind() == ResponseKind::kNone;
+    if (counts) {
+      context_->GetAdmission()->Poison()->OnTargetLost(fingerprint_, target,
                                                        Now());
     }
+    ReportContentLoss(CallFailureName(failure), counts);
     OnBadResponse(CallFailureName(failure));
   }
 
+  // Reports a target's connection that ended before its response did, and
+  // whether that counts against the request's content.
+  void ReportContentLoss(const char* cause, bool counts) {
+    const char* stage = response_.Kind() == ResponseKind::kNone ? "before_head"
+                        : response_.EventCount() == 0           ? "before_event"
+                                                                : "after_event";
+    context_->GetMetrics()->Count("content_losses_total", "stage",
+                                  counts ? stage : "uncounted");
+    context_->GetLog()->Warning(
+        Now(),
+        "event=content_loss id={} target={} cause={} stage={} counts={} {}",
+        request_info_.id, attempt_->Target(), cause, stage, counts,
+        ContentDetails());
+  }
+
+  // Fields of log lines that tell which requests have the same content and how
+  // many lost targets are attributed to it, by this VM and by its peers.
+  std::string ContentDetails() const {
+    const PoisonTable& poison = *context_->GetAdmission()->Poison();
+    return fmt::format("content={:016x} losses_own={} losses_peers={}",
+                       fingerprint_, poison.OwnLosses(fingerprint_, Now()),
+                       poison.PeerLosses(fingerprint_));
+  }
+
   // Counts how a target's response ended: the framing that completed it, or
   // why it is incomplete.
   void CountTargetResponse(const char* end) {
@@ -481,11 +516,12 @@
     context_->GetLog()->Warning(
         Now(),
         "event=refused id={} reason={} status={} after_ms={:.1f} "
-        "retry_after_ms={:.0f} version={}",
+        "retry_after_ms={:.0f} version={} {}",
         request_info_.id, RefusalName(reason), status,
         ToMs(Now() - request_.arrival),
         retry_after.has_value() ? ToMs(*retry_after) : 0.0,
-        admission_.table == nullptr ? 0 : admission_.table->Config().version);
+        admission_.table == nullptr ? 0 : admission_.table->Config().version,
+        ContentDetails());
     if (!may_have_run_ && admission_.charged > 0) {
       context_->GetAdmission()->Quotas()->Refund(Workspace(),
                                                  admission_.charged);
@@ -549,6 +585,7 @@
   ResponseSink* const sink_;
   const CallerRequest request_;
   const RequestInfo request_info_;
+  const std::uint64_t fingerprint_;  ///< identifies the request's content
   const std::uint64_t id_;
   Admission admission_;
   std::string service_;
