--- a/tests/relay/relay_fixture.cc
+++ b/tests/relay/relay_fixture.cc
@@ -38,12 +38,20 @@
   EXPECT_EQ(
       bind(fd_.Get(), reinterpret_cast<const sockaddr*>(&any), sizeof(any)), 0);
   EXPECT_EQ(listen(fd_.Get(), 16), 0);
+  bound_ = BoundAddress(fd_.Get());
   loop_->Watch(fd_.Get(), EPOLLIN, [this](std::uint32_t) { Accept(); });
 }
 
-ScriptedTarget::~ScriptedTarget() { loop_->Unwatch(fd_.Get()); }
+ScriptedTarget::~ScriptedTarget() { StopListening(); }
 
-Address ScriptedTarget::Bound() const { return BoundAddress(fd_.Get()); }
+Address ScriptedTarget::Bound() const { return bound_; }
+
+void ScriptedTarget::StopListening() {
+  if (fd_.Get() >= 0) {
+    loop_->Unwatch(fd_.Get());
+    fd_.Reset();
+  }
+}
 
 void ScriptedTarget::Accept() {
   const std::shared_ptr<Connection> connection = std::make_shared<Connection>();
@@ -156,17 +164,22 @@
     const std::vector<const ScriptedTarget*>& targets) {
   std::vector<ServingTarget> specs;
   for (const ScriptedTarget* target : targets) {
-    ServingTarget spec;
-    spec.id = fmt::format("t{}", specs.size());
-    spec.service = "s";
-    spec.address = target->Bound().ToString();
-    spec.failure_domain = "d";
-    spec.slots = kTargetSlots;
-    specs.push_back(spec);
+    specs.push_back(Spec(fmt::format("t{}", specs.size()), *target));
   }
   relay_->SetTargets(specs);
 }
 
+ServingTarget RelayFixture::Spec(const std::string& id,
+                                 const ScriptedTarget& target) {
+  ServingTarget spec;
+  spec.id = id;
+  spec.service = "s";
+  spec.address = target.Bound().ToString();
+  spec.failure_domain = "d";
+  spec.slots = kTargetSlots;
+  return spec;
+}
+
 bool RelayFixture::RunUntil(const std::function<bool()>& done) {
   const Time start = clock_->Now();
   while (!done()) {
@@ -180,11 +193,12 @@
 
 std::string RelayFixture::Request(const std::string& kind,
                                   const std::string& id,
-                                  const std::string& more_headers) {
+                                  const std::string& more_headers,
+                                  const std::string& body) {
   return fmt::format(
       "POST /{}/x?q=1 HTTP/1.1\r\nHost: h\r\nRequest-Id: {}\r\n"
-      "Api-Key: key\r\nDeadline-Ms: 2000\r\n{}Content-Length: 4\r\n\r\nbody",
-      kind, id, more_headers);
+      "Api-Key: key\r\nDeadline-Ms: 2000\r\n{}Content-Length: {}\r\n\r\n{}",
+      kind, id, more_headers, body.size(), body);
 }
 
 std::unique_ptr<TestCaller> RelayFixture::SendRequest(
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -45,6 +45,8 @@
   /// Number of connections closed by the peer.
   int ClosedCount() const { return closed_; }
   void SetScript(Script script) { script_ = std::move(script); }
+  /// Refuses further connections, as an ended process does.
+  void StopListening();
 
  private:
   struct Connection;
@@ -54,6 +56,7 @@
   PollLoop* const loop_;
   Script script_;
   FileDescriptor fd_;
+  Address bound_;
   std::vector<std::shared_ptr<Connection>> connections_;
   std::vector<ReceivedRequest> requests_;
   int closed_ = 0;
@@ -98,6 +101,10 @@
   /// Registers the targets as "t0", "t1", ...
   void SetTargets(const std::vector<const ScriptedTarget*>& targets);
 
+  /// Returns the registration of a target.
+  static ServingTarget Spec(const std::string& id,
+                            const ScriptedTarget& target);
+
   void Configure(const ServingConfig& config);
 
   /// Runs the loop until `done`; false if it takes too long.
@@ -106,7 +113,8 @@
   /// Formats a request on a route.
   static std::string Request(const std::string& kind,
                              const std::string& id = "r1",
-                             const std::string& more_headers = "");
+                             const std::string& more_headers = "",
+                             const std::string& body = "body");
 
   /// Sends a request and waits for its response or the end of the connection.
   std::unique_ptr<TestCaller> SendRequest(const std::string& request);
