Count targets that end after the head of their answer against its content

Cause: a target's end counted against the request's content only while its head was missing. Engines send the head of a stream as soon as the request runs, so on streaming routes no end ever counted. Ruled out with the failing test's log: content_loss said counts=false and losses_own=0 at each stage but before_head, with one VM and no peers.

Now each connection that ends before its answer does counts, and so does a stream whose framing ends inside an event; bytes that are no answer still don't.

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -291,7 +291,7 @@
     switch (response_.Kind()) {
       case ResponseKind::kStream:
         if (fault != StreamFault::kNone) {
-          ReportContentLoss(StreamFaultName(fault), false);
+          OnContentLoss(StreamFaultName(fault));
           OnBadResponse(StreamFaultName(fault));
         } else {
           FinishStream();
@@ -396,29 +396,25 @@
       return;
     }
     CountTargetResponse(CallFailureName(failure));
-    const bool counts = failure != CallFailure::kMalformed &&
-                        response_.Kind() == ResponseKind::kNone;
-    if (counts) {
-      context_->GetAdmission()->Poison()->OnTargetLost(fingerprint_, target,
-                                                       Now());
+    if (failure != CallFailure::kMalformed) {
+      OnContentLoss(CallFailureName(failure));
     }
-    ReportContentLoss(CallFailureName(failure), counts);
     OnBadResponse(CallFailureName(failure));
   }
 
-  // Reports a target's connection that ended before its response did, and
-  // whether that counts against the request's content.
-  void ReportContentLoss(const char* cause, bool counts) {
+  // Counts a target's connection that ended before its response did against
+  // the request's content: the target may have crashed. Engines send the head
+  // as soon as a request runs, so this can happen at any stage of the response.
+  void OnContentLoss(const char* cause) {
     const char* stage = response_.Kind() == ResponseKind::kNone ? "before_head"
                         : response_.EventCount() == 0           ? "before_event"
                                                                 : "after_event";
-    context_->GetMetrics()->Count("content_losses_total", "stage",
-                                  counts ? stage : "uncounted");
+    context_->GetAdmission()->Poison()->OnTargetLost(fingerprint_,
+                                                     attempt_->Target(), Now());
+    context_->GetMetrics()->Count("content_losses_total", "stage", stage);
     context_->GetLog()->Warning(
-        Now(),
-        "event=content_loss id={} target={} cause={} stage={} counts={} {}",
-        request_info_.id, attempt_->Target(), cause, stage, counts,
-        ContentDetails());
+        Now(), "event=content_loss id={} target={} cause={} stage={} {}",
+        request_info_.id, attempt_->Target(), cause, stage, ContentDetails());
   }
 
   // Fields of log lines that tell which requests have the same content and how
--- a/tests/relay/crashing_content_test.cc
+++ b/tests/relay/crashing_content_test.cc
@@ -13,7 +13,7 @@
 constexpr char kStreamHead[] =
     "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nUpstream-Signature: sig\r\n"
     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-constexpr char kFirstEvent[] = "e\r\nid: 1\ndata: a\n\n\r\n";
+constexpr char kFirstEvent[] = "f\r\nid: 1\ndata: a\n\n\r\n";
 constexpr char kCutEvent[] = "7\r\nid: 2\nd\r\n";
 
 /// Requests whose content ends each target that runs it.
