Keep lost targets by content instead of counts of losses

- one target that ends while the same content runs there through two VMs counted twice;
- a VM that restarts or is lost took its losses with it, also from its peers;
- a refusal ended 30 s after the last loss although the content was still asked for, and then two more targets ended before the next one;
- a loss was forgotten after 30 s, so that content that comes once a minute was never refused;
- a complete answer cleared the losses of the VM that gave it; at all others they stood.

ContentLossTable keeps the incarnations of lost targets by content and merges the reports of all VMs: their union. Refusals go along, so that a refusal lasts until nobody asked for 30 s anywhere, and one further loss renews it. Complete answers go along and clear older losses. To a peer that has started, VMs report all they know, not only what they saw themselves. Content that a VM answered within 30 s may lose two more targets: many callers may ask for it, and it then runs on each target that is lost for another cause. Times are on the clock that includes suspension; contents, targets and reports are bounded.

Datagrams between VMs change format: a VM of an older build does not understand them.

--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -60,20 +60,37 @@
   bool operator==(const WorkspaceUsage&) const = default;
 };
 
-/// Request content that was being processed when targets failed.
+/// Request content that targets were running when they were lost.
 struct ContentLoss {
   std::uint64_t fingerprint = 0;
-  std::uint32_t losses = 0;
+  std::vector<std::uint32_t> targets;  ///< hashes of the lost incarnations
+  std::uint32_t age_ms = 0;            ///< of the latest loss
+  std::uint32_t request_age_ms = 0;    ///< of the latest loss or refusal
 
   bool operator==(const ContentLoss&) const = default;
 };
 
+/// Request content that was answered completely after losses.
+struct ContentClearance {
+  std::uint64_t fingerprint = 0;
+  std::uint32_t age_ms = 0;  ///< of the answer
+
+  bool operator==(const ContentClearance&) const = default;
+};
+
+/// What a VM knows of content that may crash targets.
+struct ContentReport {
+  std::vector<ContentLoss> losses;
+  std::vector<ContentClearance> clearances;
+
+  bool operator==(const ContentReport&) const = default;
+};
+
 /// Slowly changing state; sent only with heartbeats, not with every change.
 struct PeerDetails {
   std::string front;  ///< caller-facing address, IP:PORT
   std::string failure_domain;
   std::vector<TargetStats> findings;
-  std::vector<ContentLoss> losses;
   std::vector<VersionCounts> versions;  ///< of services with a move in progress
 
   bool operator==(const PeerDetails&) const = default;
@@ -92,6 +109,8 @@
   bool has_all_quotas = false;  ///< if false, only changed totals are sent
   std::vector<WorkspaceUsage> quotas;
   std::optional<PeerDetails> details;
+  /// With each `details`, and in a message of its own after a change.
+  std::optional<ContentReport> content;
 
   bool operator==(const PeerState&) const = default;
 };
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -124,6 +124,7 @@
 
  private:
   Time Now() const { return context_->GetClock()->Now(); }
+  Time BootNow() const { return context_->GetClock()->SuspendAwareNow(); }
 
   void CancelIfInProgress() {
     if (is_done_) {
@@ -154,7 +155,7 @@
     query.tokens = request_info_.quota_tokens;
     query.fingerprint = fingerprint_;
     query.now = Now();
-    query.boot_now = context_->GetClock()->SuspendAwareNow();
+    query.boot_now = BootNow();
     return query;
   }
 
@@ -191,6 +192,7 @@
       Retry("target_gone");
       return;
     }
+    target_incarnation_ = fmt::format("{}/{}", spec->id, spec->start_time_ms);
     DispatchInfo info;
     info.target_id = spec->id;
     info.workspace = Workspace();
@@ -233,7 +235,7 @@
   // Last check before the first byte is sent.
   bool ConfirmSend() {
     const RefusalReason refusal = context_->GetAdmission()->Revalidate(
-        admission_, request_info_.key, context_->GetClock()->SuspendAwareNow());
+        admission_, request_info_.key, BootNow());
     if (refusal != RefusalReason::kNone) {
       FinishAttempt(TargetOutcome::kAbandoned);
       Refuse(refusal, kNotExecutedRetryAfter);
@@ -315,12 +317,16 @@
 
   // A complete answer rules the content out as the cause of lost targets.
   void ClearContent() {
-    PoisonTable* poison = context_->GetAdmission()->Poison();
-    if (poison->Lost(fingerprint_, Now()) > 0) {
+    ContentLossTable* losses = context_->GetAdmission()->ContentLosses();
+    const bool had_losses = losses->Losses(fingerprint_) > 0;
+    if (had_losses) {
       context_->GetLog()->Warning(Now(), "event=content_cleared id={} {}",
                                   request_info_.id, ContentDetails());
     }
-    poison->OnServed(fingerprint_, Now());
+    losses->OnAnswered(fingerprint_, BootNow());
+    if (had_losses) {
+      context_->OnContentChange();
+    }
   }
 
   void FinishStream() {
@@ -409,21 +415,21 @@
     const char* stage = response_.Kind() == ResponseKind::kNone ? "before_head"
                         : response_.EventCount() == 0           ? "before_event"
                                                                 : "after_event";
-    context_->GetAdmission()->Poison()->OnTargetLost(fingerprint_,
-                                                     attempt_->Target(), Now());
+    context_->GetAdmission()->ContentLosses()->OnTargetLost(
+        fingerprint_, target_incarnation_, BootNow());
     context_->GetMetrics()->Count("content_losses_total", "stage", stage);
     context_->GetLog()->Warning(
         Now(), "event=content_loss id={} target={} cause={} stage={} {}",
         request_info_.id, attempt_->Target(), cause, stage, ContentDetails());
+    context_->OnContentChange();
   }
 
   // Fields of log lines that tell which requests have the same content and how
-  // many lost targets are attributed to it, by this VM and by its peers.
+  // many targets were lost under it, as far as this VM knows.
   std::string ContentDetails() const {
-    const PoisonTable& poison = *context_->GetAdmission()->Poison();
-    return fmt::format("content={:016x} losses_own={} losses_peers={}",
-                       fingerprint_, poison.OwnLosses(fingerprint_, Now()),
-                       poison.PeerLosses(fingerprint_));
+    return fmt::format(
+        "content={:016x} losses={}", fingerprint_,
+        context_->GetAdmission()->ContentLosses()->Losses(fingerprint_));
   }
 
   // Counts how a target's response ended: the framing that completed it, or
@@ -589,6 +595,7 @@
   std::unique_ptr<TimerService::Subscription> deadline_timer_;
   std::vector<std::string> tried_targets_;
   std::optional<TargetAttempt> attempt_;
+  std::string target_incarnation_;  ///< of the latest attempt
   std::unique_ptr<TargetCall> call_;
   ResponseForwarder response_;
   int executions_ = 0;  ///< sends, except those that a target did not execute
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -52,6 +52,8 @@
   /// Registers an exchange for queue decisions; nullptr unregisters it.
   virtual void SetWaiting(std::uint64_t id, Exchange* exchange) = 0;
   virtual std::uint64_t NextExchangeId() = 0;
+  /// Losses were recorded or cleared, which peers must hear of.
+  virtual void OnContentChange() = 0;
 };
 
 /// Processes one request of a caller: admission, queueing, dispatch to a
--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -113,7 +113,17 @@
 
 template <typename Archive>
 void serialize(Archive& ar, ContentLoss& loss) {
-  ar(loss.fingerprint, loss.losses);
+  ar(loss.fingerprint, loss.targets, loss.age_ms, loss.request_age_ms);
+}
+
+template <typename Archive>
+void serialize(Archive& ar, ContentClearance& clearance) {
+  ar(clearance.fingerprint, clearance.age_ms);
+}
+
+template <typename Archive>
+void serialize(Archive& ar, ContentReport& report) {
+  ar(report.losses, report.clearances);
 }
 
 template <typename Archive>
@@ -124,15 +134,14 @@
 
 template <typename Archive>
 void serialize(Archive& ar, PeerDetails& details) {
-  ar(details.front, details.failure_domain, details.findings, details.losses,
-     details.versions);
+  ar(details.front, details.failure_domain, details.findings, details.versions);
 }
 
 template <typename Archive>
 void serialize(Archive& ar, PeerState& state) {
   ar(state.incarnation, state.sequence, state.link, state.is_ready,
      state.has_load, state.uses, state.queues, state.has_all_quotas,
-     state.quotas, state.details);
+     state.quotas, state.details, state.content);
 }
 
 namespace {
--- a/src/relay/peer_reporter.cc
+++ b/src/relay/peer_reporter.cc
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr Duration kHeartbeatCheckPeriod = std::chrono::milliseconds(250);
+/// Time for which content reports are complete after a peer has started. Covers
+/// two reports to other failure domains, in case one is lost.
+constexpr Duration kCompleteContentTime = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -84,6 +87,7 @@
                      : sources_.admission->Quotas()->TakeLocalDomainUsage();
   if (with_details) {
     state.details = MakeDetails(now);
+    state.content = MakeContentReport();
   }
   if (to_all_vms) {
     far_sent_at_ = now;
@@ -121,11 +125,16 @@
   details.failure_domain = self_.failure_domain;
   details.findings = sources_.targets->LocalStats(now);
   details.versions = sources_.moves->Counts();
-  for (const auto& [fingerprint, losses] :
-       sources_.admission->LocalLosses(now)) {
-    details.losses.push_back({fingerprint, static_cast<std::uint32_t>(losses)});
-  }
   return details;
 }
 
+ContentReport PeerReporter::MakeContentReport() const {
+  return sources_.admission->ContentLosses()->Report(
+      clock_->Now() < complete_content_until_, clock_->SuspendAwareNow());
+}
+
+void PeerReporter::OnPeerStarted() {
+  complete_content_until_ = clock_->Now() + kCompleteContentTime;
+}
+
 }  // namespace hornbeamcleat
--- a/src/relay/peer_reporter.h
+++ b/src/relay/peer_reporter.h
@@ -48,6 +48,8 @@
   void SendChangesSoon();
   /// Sends the complete state to all VMs immediately.
   void SendAll() { Send(true, true); }
+  /// A peer has started and may lack what it or others knew before.
+  void OnPeerStarted();
 
  private:
   void SendHeartbeat();
@@ -55,6 +57,7 @@
   void SendLowQuotas();
   PeerState MakeState();
   PeerDetails MakeDetails(Time now) const;
+  ContentReport MakeContentReport() const;
   std::vector<std::string> LocalDomainLinks() const;
 
   PollLoop* const loop_;
@@ -70,6 +73,7 @@
   Time far_sent_at_;
   Time details_sent_at_;
   Time far_details_sent_at_;
+  Time complete_content_until_;
   std::unique_ptr<TimerService::Subscription> heartbeat_timer_;
   std::unique_ptr<TimerService::Subscription> send_timer_;
 };
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -200,6 +200,13 @@
     }
   }
   std::uint64_t NextExchangeId() override { return next_exchange_id_++; }
+  void OnContentChange() override {
+    ContentLossTable* content = admission_.ContentLosses();
+    for (const std::uint64_t fingerprint : content->TakeNewlyRefused()) {
+      Log().Warning("event=content_refused content={:016x} losses={}",
+                    fingerprint, content->Losses(fingerprint));
+    }
+  }
 
   void ScheduleDecisions() override {
     if (decisions_scheduled_) {
@@ -242,9 +249,13 @@
 
   void OnPeerState(const PeerState& state) {
     const Time now = clock_->Now();
+    const bool is_new_incarnation = directory_.IsNewIncarnation(state);
     if (!directory_.OnState(state, now)) {
       return;
     }
+    if (is_new_incarnation) {
+      peer_reporter_.OnPeerStarted();
+    }
     if (state.has_load) {
       targets_.SetPeerLoad(state.link, state.uses, now);
     }
@@ -262,8 +273,11 @@
       targets_.SetPeerStats(state.link, state.details->findings);
       moves_.SetPeerCounts(state.link, state.incarnation,
                            state.details->versions);
-      peer_losses_[state.link] = state.details->losses;
-      MergePeerLosses();
+    }
+    if (state.content.has_value()) {
+      admission_.ContentLosses()->OnPeerReport(*state.content,
+                                               clock_->SuspendAwareNow());
+      OnContentChange();
     }
     if (!waiting_exchanges_.empty()) {
       ScheduleDecisions();
@@ -315,16 +329,6 @@
     targets_.SetVersionRules(std::move(decisions.rules));
   }
 
-  void MergePeerLosses() {
-    std::map<std::uint64_t, int> sum;
-    for (const auto& [link, losses] : peer_losses_) {
-      for (const ContentLoss& loss : losses) {
-        sum[loss.fingerprint] += static_cast<int>(loss.losses);
-      }
-    }
-    admission_.Poison()->SetPeers(sum);
-  }
-
   bool IsReady() const {
     return !drain_started_at_.has_value() &&
            admission_.IsFresh(clock_->SuspendAwareNow());
@@ -348,14 +352,16 @@
     const Time now = clock_->Now();
     UpdateReadiness();
     target_connections_.CloseExpired();
-    admission_.Poison()->Expire(now);
+    ContentLossTable* content = admission_.ContentLosses();
+    content->Expire(clock_->SuspendAwareNow());
+    metrics_->Set("contents", "kind", "refused",
+                  content->RefusedCount(clock_->SuspendAwareNow()));
     DecideMoves();
     for (const std::string& link : directory_.TakeTimedOut(now)) {
       Log().Warning("event=peer_lost link={}", link);
       targets_.ForgetPeer(link);
       queue_.SetPeerQueues(link, {}, now);
       admission_.Quotas()->ForgetPeer(link);
-      peer_losses_.erase(link);
     }
     for (const VmRecord& gone : directory_.ExpiredMembers(now)) {
       if (now - last_removal_at_ > kGoneTimeout) {
@@ -426,7 +432,6 @@
   TargetConnectionPool target_connections_;
   RequestLog request_log_;
   std::map<std::string, RetryBudget> retry_budgets_;
-  std::map<std::string, std::vector<ContentLoss>> peer_losses_;
   std::map<std::uint64_t, Exchange*> waiting_exchanges_;
   std::uint64_t next_exchange_id_ = 0;
   ScalePlan scale_plan_ = PlanForScale(1, 1, Duration(0), Duration(0));
--- a/src/relay/relay_options.cc
+++ b/src/relay/relay_options.cc
@@ -75,7 +75,8 @@
       Rule("poison", "limit", integer, "2", 100,
            "Targets lost to one content before it is refused."),
       Rule("poison", "expiry", duration, "30s", 10 * kMinuteUs,
-           "How long a loss counts against its content."),
+           "How long a refused content must not be requested until it is tried "
+           "again."),
   };
 }
 
@@ -111,9 +112,10 @@
   options.moves.exposure_share = settings.Number("moves", "exposure_share");
   options.admission.fails_closed = settings.Boolean("keys", "fail_closed");
   options.admission.key_limit = settings.GetDuration("keys", "limit");
-  options.admission.poison_limit =
+  options.admission.content.limit =
       static_cast<int>(settings.Integer("poison", "limit"));
-  options.admission.poison_expiry = settings.GetDuration("poison", "expiry");
+  options.admission.content.refusal_time =
+      settings.GetDuration("poison", "expiry");
   return options;
 }
 
--- a/src/schedule/poison_table.cc
+++ b/src/schedule/poison_table.cc
@@ -31,20 +31,16 @@
 }
 
 int PoisonTable::Lost(std::uint64_t fingerprint, Time now) const {
-  return served_.contains(fingerprint)
-             ? 0
-             : OwnLosses(fingerprint, now) + PeerLosses(fingerprint);
-}
-
-int PoisonTable::OwnLosses(std::uint64_t fingerprint, Time now) const {
-  const auto it = entries_.find(fingerprint);
-  return it != entries_.end() && IsLive(it->second, now) ? it->second.losses
-                                                         : 0;
-}
-
-int PoisonTable::PeerLosses(std::uint64_t fingerprint) const {
-  const auto it = peers_.find(fingerprint);
-  return it == peers_.end() ? 0 : it->second;
+  if (served_.contains(fingerprint)) {
+    return 0;
+  }
+  int lost = 0;
+  const auto own = entries_.find(fingerprint);
+  if (own != entries_.end() && IsLive(own->second, now)) {
+    lost += own->second.losses;
+  }
+  const auto peers = peers_.find(fingerprint);
+  return peers == peers_.end() ? lost : lost + peers->second;
 }
 
 void PoisonTable::Expire(Time now) {
--- a/src/schedule/poison_table.h
+++ b/src/schedule/poison_table.h
@@ -37,10 +37,6 @@
   /// Number of crashes attributed to the content, at this entry and at peers.
   int Lost(std::uint64_t fingerprint, Time now) const;
 
-  /// The parts of Lost, also for content that was answered completely.
-  int OwnLosses(std::uint64_t fingerprint, Time now) const;
-  int PeerLosses(std::uint64_t fingerprint) const;
-
   bool Refused(std::uint64_t fingerprint, Time now) const {
     return Lost(fingerprint, now) >= limit_;
   }
--- a/src/serving/admission.cc
+++ b/src/serving/admission.cc
@@ -8,8 +8,6 @@
 /// Retry-After of a VM without a valid configuration. Short, since other VMs
 /// are likely to have one.
 constexpr Duration kStaleRetryAfter = std::chrono::milliseconds(500);
-/// Retry-After for content that has crashed targets.
-constexpr Duration kPoisonRetryAfter = std::chrono::seconds(30);
 /// Allowance for the time from the last check until the target receives the
 /// request, and for clock errors.
 constexpr Duration kKeyLimitMargin = std::chrono::milliseconds(300);
@@ -105,9 +103,9 @@
     }
     admission.rank = admission.workspace->rank.value_or(admission.rank);
   }
-  if (poison_.Refused(query.fingerprint, query.now)) {
+  if (RefusesContent(query.fingerprint, query.boot_now)) {
     admission.refusal = RefusalReason::kPoison;
-    admission.retry_after = kPoisonRetryAfter;
+    admission.retry_after = ContentRetryAfter();
     return admission;
   }
   if (admission.workspace != nullptr) {
@@ -127,6 +125,15 @@
   return admission;
 }
 
+bool AdmissionController::RefusesContent(std::uint64_t fingerprint,
+                                         Time boot_now) {
+  if (!content_losses_.IsRefused(fingerprint, boot_now)) {
+    return false;
+  }
+  content_losses_.OnRefused(fingerprint, boot_now);
+  return true;
+}
+
 RefusalReason AdmissionController::Revalidate(const Admission& admission,
                                               const std::string& key,
                                               Time boot_now) const {
--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -2,13 +2,12 @@
 #define HORNBEAMCLEAT_SRC_SERVING_ADMISSION_H_
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <string>
 
 #include "hornbeamcleat/base/time.h"
 #include "hornbeamcleat/serving/route_table.h"
-#include "src/schedule/poison_table.h"
+#include "src/serving/content_loss_table.h"
 #include "src/serving/freshness.h"
 #include "src/serving/quota_limiter.h"
 
@@ -73,15 +72,16 @@
   struct Options {
     bool fails_closed = true;  ///< refuses keys if the config may be stale
     Duration key_limit{0};     ///< maximum time a revoked key may be accepted
-    int poison_limit = 2;      ///< target failures until content is refused
-    Duration poison_expiry{0};
+    ContentLossTable::Options content;
   };
 
   explicit AdmissionController(const Options& options)
-      : options_(options),
-        poison_(options.poison_limit, options.poison_expiry) {}
+      : options_(options), content_losses_(options.content) {}
 
-  void SetOptions(const Options& options) { options_ = options; }
+  void SetOptions(const Options& options) {
+    options_ = options;
+    content_losses_.SetOptions(options.content);
+  }
 
   /// Activates a configuration if its version is newer than the active one's.
   /// @return whether the configuration was activated
@@ -95,25 +95,26 @@
   /// still be valid in a configuration known to be current.
   RefusalReason Revalidate(const Admission& admission, const std::string& key,
                            Time boot_now) const;
+  /// Whether content has crashed targets and is refused. Such a refusal renews
+  /// itself.
+  bool RefusesContent(std::uint64_t fingerprint, Time boot_now);
+  /// How long after a refusal for its content a request may come again.
+  Duration ContentRetryAfter() const { return options_.content.refusal_time; }
 
   /// Whether the configuration is current enough to accept keys.
   bool IsFresh(Time boot_now) const;
   const Freshness& Proof() const { return freshness_; }
   const RouteTable* Table() const { return table_.get(); }
   QuotaLimiter* Quotas() { return &quotas_; }
-  PoisonTable* Poison() { return &poison_; }
-  /// Target failures that this VM attributes to request content, by
-  /// fingerprint.
-  std::map<std::uint64_t, int> LocalLosses(Time now) const {
-    return poison_.Own(now);
-  }
+  /// Uses the clock that includes VM suspension.
+  ContentLossTable* ContentLosses() { return &content_losses_; }
 
  private:
   Options options_;
   std::shared_ptr<const RouteTable> table_;
   Freshness freshness_;
   QuotaLimiter quotas_;
-  PoisonTable poison_;
+  ContentLossTable content_losses_;
 };
 
 }  // namespace hornbeamcleat
--- /dev/null
+++ b/src/serving/content_loss_table.h
@@ -0,0 +1,125 @@
+#ifndef HORNBEAMCLEAT_SRC_SERVING_CONTENT_LOSS_TABLE_H_
+#define HORNBEAMCLEAT_SRC_SERVING_CONTENT_LOSS_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "hornbeamcleat/base/time.h"
+#include "hornbeamcleat/serving/peer_state.h"
+
+namespace hornbeamcleat {
+
+/// Tracks targets that were lost while they ran a request content, and refuses
+/// content that is likely to crash any target.
+///
+/// Load pattern: one content crashes each target that runs it, and its caller
+/// sends it again and again to any VM. Every crash also breaks off the requests
+/// beside it, which must not be refused in turn.
+///
+/// A content is refused once it has lost `limit` different incarnations of
+/// targets, whichever VMs saw them, without a complete answer since. The
+/// refusal lasts until the content hasn't been requested for the refusal time;
+/// the losses are remembered longer, so that the next one renews it at once.
+///
+/// VMs exchange losses, refusals and complete answers. Each VM reports what it
+/// has seen itself, and everything to peers that may have just started, so that
+/// losses outlive the VM that saw them. Times are those of the clock that
+/// includes VM suspension. Bounded in size; the oldest entries are evicted.
+class ContentLossTable {
+ public:
+  static constexpr std::size_t kMaxEntries = 4'096;
+  /// Contents in one report; the latest go first.
+  static constexpr std::size_t kMaxReported = 128;
+  /// Targets kept for one content; further ones change nothing.
+  static constexpr std::size_t kMaxTargetsPerContent = 8;
+
+  struct Options {
+    int limit = 2;             ///< lost targets from which content is refused
+    Duration refusal_time{0};  ///< without requests, until the refusal ends
+
+    bool operator==(const Options&) const = default;
+  };
+
+  explicit ContentLossTable(const Options& options) : options_(options) {}
+
+  void SetOptions(const Options& options) { options_ = options; }
+
+  /// Records that a target's connection was lost while it ran the content.
+  /// @param target_incarnation identifies the target and its start
+  void OnTargetLost(std::uint64_t fingerprint,
+                    std::string_view target_incarnation, Time now);
+
+  /// Records a complete answer, which rules the content out as the cause of
+  /// earlier losses.
+  void OnAnswered(std::uint64_t fingerprint, Time now);
+
+  /// Records that the content was requested while it was refused.
+  void OnRefused(std::uint64_t fingerprint, Time now);
+
+  /// Merges a peer's report.
+  void OnPeerReport(const ContentReport& report, Time now);
+
+  /// Number of different targets lost since the last complete answer.
+  int Losses(std::uint64_t fingerprint) const;
+
+  bool IsRefused(std::uint64_t fingerprint, Time now) const;
+
+  /// Whether content with losses may still be sent, to find out whether it
+  /// caused them.
+  bool IsSuspect(std::uint64_t fingerprint, Time now) const;
+
+  /// Returns contents that became refused since the last call.
+  std::vector<std::uint64_t> TakeNewlyRefused();
+
+  /// Returns what this VM has seen itself or, if `is_complete`, all it knows.
+  ContentReport Report(bool is_complete, Time now) const;
+
+  /// Number of changes that peers must hear of immediately.
+  std::uint64_t Changes() const { return changes_; }
+
+  int RefusedCount(Time now) const;
+
+  void Expire(Time now);
+
+ private:
+  struct Entry {
+    std::set<std::uint32_t> targets;  ///< hashes of lost incarnations
+    Time lost_at;                     ///< latest loss
+    Time requested_at;                ///< latest loss or refused request
+    Time reported_until;      ///< while this VM has seen a part of it itself
+    bool is_refused = false;  ///< reported by TakeNewlyRefused
+  };
+
+  bool IsTrusted(std::uint64_t fingerprint, Time now) const;
+  int LimitFor(std::uint64_t fingerprint, Time now) const;
+  bool HasLapsed(const Entry& entry, Time now) const {
+    return now >= entry.requested_at + options_.refusal_time;
+  }
+  bool IsForgotten(const Entry& entry, Time now) const;
+  Entry* FindOrAdd(std::uint64_t fingerprint);
+  void AddTarget(std::uint32_t target, Entry* entry);
+  void UpdateRefusal(std::uint64_t fingerprint, Entry* entry, Time now);
+  void Clear(std::uint64_t fingerprint, Time at);
+  void RememberAnswer(std::uint64_t fingerprint, Time now);
+
+  Options options_;
+  std::unordered_map<std::uint64_t, Entry> entries_;
+  std::map<std::uint64_t, Time> cleared_;  ///< by complete answers
+  /// Contents that this VM has answered completely, by time.
+  std::unordered_map<std::uint64_t, Time> answered_;
+  std::deque<std::pair<Time, std::uint64_t>> answered_order_;
+  std::vector<std::uint64_t> newly_refused_;
+  std::uint64_t changes_ = 0;
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SRC_SERVING_CONTENT_LOSS_TABLE_H_
--- a/src/serving/vm_directory.cc
+++ b/src/serving/vm_directory.cc
@@ -57,6 +57,12 @@
   return true;
 }
 
+bool VmDirectory::IsNewIncarnation(const PeerState& state) const {
+  const auto it = peers_.find(state.link);
+  return it == peers_.end() || !it->second.state.has_value() ||
+         it->second.state->incarnation != state.incarnation;
+}
+
 std::vector<std::string> VmDirectory::Links() const {
   std::vector<std::string> links;
   for (const auto& [link, peer] : peers_) {
--- a/src/serving/vm_directory.h
+++ b/src/serving/vm_directory.h
@@ -33,6 +33,10 @@
   /// applied.
   bool OnState(const PeerState& state, Time now);
 
+  /// Whether a message comes from a process not heard of before: a peer that is
+  /// new here or has restarted.
+  bool IsNewIncarnation(const PeerState& state) const;
+
   /// Links of all other VMs, reachable or not.
   std::vector<std::string> Links() const;
   /// Links of the other VMs in this VM's failure domain.
--- a/tests/relay/relay_fixture.cc
+++ b/tests/relay/relay_fixture.cc
@@ -122,8 +122,8 @@
   options.retry_ratio = 0.2;
   options.retry_slack = 50;
   options.admission.key_limit = std::chrono::seconds(5);
-  options.admission.poison_limit = 2;
-  options.admission.poison_expiry = std::chrono::seconds(30);
+  options.admission.content.limit = 2;
+  options.admission.content.refusal_time = std::chrono::seconds(30);
   return options;
 }
 
--- a/tests/serving/admission_test.cc
+++ b/tests/serving/admission_test.cc
@@ -18,8 +18,8 @@
   static AdmissionController::Options Options() {
     AdmissionController::Options options;
     options.key_limit = milliseconds(5'000);
-    options.poison_limit = 2;
-    options.poison_expiry = milliseconds(30'000);
+    options.content.limit = 2;
+    options.content.refusal_time = milliseconds(30'000);
     return options;
   }
 
@@ -137,17 +137,17 @@
 
 TEST_F(AdmissionTest, AdmitOfContentThatCostTargetsIsRefusedBeforeTheThird) {
   Configure();
-  controller_.Poison()->OnTargetLost(7, "a", now_);
+  controller_.ContentLosses()->OnTargetLost(7, "a", now_);
   EXPECT_TRUE(controller_.Admit(Query()).IsAdmitted());
-  controller_.Poison()->OnTargetLost(7, "b", now_);
+  controller_.ContentLosses()->OnTargetLost(7, "b", now_);
   EXPECT_EQ(controller_.Admit(Query()).refusal, RefusalReason::kPoison);
 }
 
 TEST_F(AdmissionTest, AdmitOfContentThatWasServedIsNotPoison) {
   Configure();
-  controller_.Poison()->OnTargetLost(7, "a", now_);
-  controller_.Poison()->OnServed(7, now_);
-  controller_.Poison()->OnTargetLost(7, "b", now_);
+  controller_.ContentLosses()->OnTargetLost(7, "a", now_);
+  controller_.ContentLosses()->OnAnswered(7, now_);
+  controller_.ContentLosses()->OnTargetLost(7, "b", now_);
   EXPECT_TRUE(controller_.Admit(Query()).IsAdmitted());
 }
 
--- a/tests/serving/vm_directory_test.cc
+++ b/tests/serving/vm_directory_test.cc
@@ -27,7 +27,7 @@
     state.incarnation = incarnation;
     state.sequence = ++sequence_;
     state.is_ready = is_ready;
-    state.details = PeerDetails{name + ":2", domain, {}, {}, {}};
+    state.details = PeerDetails{name + ":2", domain, {}, {}};
     directory_.OnState(state, now_);
   }
 
