Check for refused content at each send

A request was checked for content that crashes targets only when it was admitted.

Now the content is checked before each wait for another attempt and right before the first byte, and when it becomes refused, by this VM's losses or a peer's, all waiting requests are checked. Those that haven't run get 503 with Retry-After at once.

CrashingContentTest.RepeatsOfOneRequestEndNoMoreTargetsThanLimit (6 targets before, 2 now) and WaitingRequestsOfRefusedContentAreRefusedAtOnce (2.0 s and one send before) failed.

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -115,6 +115,8 @@
     Send(decision.placement);
   }
 
+  void RecheckContent() override { RefusedForContent(); }
+
   void OnFlushed() override {
     if (call_ != nullptr && is_paused_) {
       is_paused_ = false;
@@ -234,6 +236,9 @@
 
   // Last check before the first byte is sent.
   bool ConfirmSend() {
+    if (RefusedForContent()) {
+      return false;
+    }
     const RefusalReason refusal = context_->GetAdmission()->Revalidate(
         admission_, request_info_.key, BootNow());
     if (refusal != RefusalReason::kNone) {
@@ -474,6 +479,9 @@
     context_->GetLog()->Warning(Now(), "event=again id={} cause={} runs={}",
                                 request_info_.id, cause, executions_);
     CancelCall();
+    if (RefusedForContent()) {
+      return;
+    }
     const Time now = Now();
     const ServingRoute& route = *admission_.route;
     const Duration allowed =
@@ -483,6 +491,16 @@
     Enqueue(now, now + allowed);
   }
 
+  // Ends the request if its content is refused, at any point between two sends.
+  bool RefusedForContent() {
+    if (!context_->GetAdmission()->RefusesContent(fingerprint_, BootNow())) {
+      return false;
+    }
+    Refuse(RefusalReason::kPoison,
+           context_->GetAdmission()->ContentRetryAfter());
+    return true;
+  }
+
   void Fail(RefusalReason reason) { Refuse(reason, kNotExecutedRetryAfter); }
 
   void OnDeadline() {
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -72,6 +72,9 @@
 
   /// Applies the queue's decision on this request.
   virtual void OnDecision(const WaitDecision& decision) = 0;
+
+  /// Ends a waiting request if its content is refused by now.
+  virtual void RecheckContent() = 0;
 };
 
 }  // namespace hornbeamcleat
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -205,6 +205,7 @@
     for (const std::uint64_t fingerprint : content->TakeNewlyRefused()) {
       Log().Warning("event=content_refused content={:016x} losses={}",
                     fingerprint, content->Losses(fingerprint));
+      RecheckWaiting();
     }
   }
 
@@ -231,6 +232,29 @@
         .first->second;
   }
 
+  // Runs from the loop, since an exchange may be on the call stack.
+  void RecheckWaiting() {
+    if (std::exchange(recheck_scheduled_, true)) {
+      return;
+    }
+    loop_->Post([this, alive = alive_] {
+      if (!*alive) {
+        return;
+      }
+      recheck_scheduled_ = false;
+      std::vector<std::uint64_t> ids;
+      for (const auto& [id, exchange] : waiting_exchanges_) {
+        ids.push_back(id);
+      }
+      for (const std::uint64_t id : ids) {
+        const auto it = waiting_exchanges_.find(id);
+        if (it != waiting_exchanges_.end()) {
+          it->second->RecheckContent();
+        }
+      }
+    });
+  }
+
   void DecideWaiting() {
     const std::vector<WaitDecision> decisions = queue_.Decide(clock_->Now());
     for (const WaitDecision& decision : decisions) {
@@ -437,6 +461,7 @@
   ScalePlan scale_plan_ = PlanForScale(1, 1, Duration(0), Duration(0));
   Time last_removal_at_;
   bool decisions_scheduled_ = false;
+  bool recheck_scheduled_ = false;
   bool has_version_rules_ = false;
   bool was_ready_ = false;
   std::optional<Time> drain_started_at_;
--- a/tests/relay/crashing_content_test.cc
+++ b/tests/relay/crashing_content_test.cc
@@ -1,8 +1,10 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "tests/relay/relay_fixture.h"
@@ -24,19 +26,32 @@
   void StartCrashingTargets(int count, const std::string& bytes) {
     ++generation_;
     targets_.clear();
-    std::vector<ServingTarget> specs;
+    specs_.clear();
     for (int i = 0; i < count; ++i) {
-      targets_.push_back(std::make_unique<ScriptedTarget>(
-          loop_.get(), [](const ReceivedRequest&) {}));
-      ScriptedTarget* target = targets_.back().get();
+      ScriptedTarget* target = AddTarget([](const ReceivedRequest&) {});
       target->SetScript([target, bytes](const ReceivedRequest& request) {
-        request.stream->Write(bytes);
-        request.stream->FinishWriting();
-        target->StopListening();
+        Crash(target, request, bytes);
       });
-      specs.push_back(Spec(fmt::format("g{}-t{}", generation_, i), *target));
     }
-    relay_->SetTargets(specs);
+  }
+
+  /// Adds a target with one slot.
+  ScriptedTarget* AddTarget(ScriptedTarget::Script script) {
+    targets_.push_back(
+        std::make_unique<ScriptedTarget>(loop_.get(), std::move(script)));
+    specs_.push_back(Spec(fmt::format("g{}-t{}", generation_, specs_.size()),
+                          *targets_.back()));
+    specs_.back().slots = 1;
+    relay_->SetTargets(specs_);
+    return targets_.back().get();
+  }
+
+  /// Ends a target when it has sent `bytes` of a response.
+  static void Crash(ScriptedTarget* target, const ReceivedRequest& request,
+                    const std::string& bytes) {
+    request.stream->Write(bytes);
+    request.stream->FinishWriting();
+    target->StopListening();
   }
 
   int RequestCount() const {
@@ -48,6 +63,7 @@
   }
 
   std::vector<std::unique_ptr<ScriptedTarget>> targets_;
+  std::vector<ServingTarget> specs_;
   int generation_ = 0;  ///< of the targets' ids
 };
 
@@ -65,5 +81,56 @@
   }
 }
 
+TEST_F(CrashingContentTest, RepeatsOfOneRequestEndNoMoreTargetsThanLimit) {
+  ServingConfig config = Config(2);
+  for (ServingRoute& route : config.routes) {
+    route.max_attempts = 6;
+  }
+  Configure(config);
+  for (const char* kind : {"safe", "resume"}) {
+    StartCrashingTargets(8, std::string(kStreamHead) + kFirstEvent);
+    const std::unique_ptr<TestCaller> caller =
+        SendRequest(Request(kind, "r1", "", kind));
+    EXPECT_EQ(RequestCount(), 2) << kind;
+  }
+}
+
+// Two requests run and two wait for a slot when the targets end.
+TEST_F(CrashingContentTest, WaitingRequestsOfRefusedContentAreRefusedAtOnce) {
+  std::vector<ReceivedRequest> running;
+  const auto hold = [&running](const ReceivedRequest& request) {
+    running.push_back(request);
+  };
+  ScriptedTarget* a = AddTarget(hold);
+  ScriptedTarget* b = AddTarget(hold);
+  std::vector<std::unique_ptr<TestCaller>> callers;
+  for (int i = 0; i < 4; ++i) {
+    callers.push_back(
+        std::make_unique<TestCaller>(loop_.get(), relay_->CallerAddress()));
+    callers.back()->Send(Request("unsafe", fmt::format("r{}", i)));
+  }
+  ASSERT_TRUE(RunUntil([&running] { return running.size() == 2; }));
+  const Time crashed_at = clock_->Now();
+  Crash(a, running[0], "");
+  Crash(b, running[1], "");
+  ScriptedTarget* c = AddTarget(hold);
+  ASSERT_TRUE(RunUntil([&callers] {
+    return std::all_of(callers.begin(), callers.end(), [](const auto& caller) {
+      return caller->Response() != nullptr;
+    });
+  }));
+  EXPECT_LT(clock_->Now() - crashed_at, std::chrono::milliseconds(200));
+  EXPECT_EQ(c->RequestCount(), 0);
+  int not_run = 0;
+  for (const std::unique_ptr<TestCaller>& caller : callers) {
+    const std::unique_ptr<HttpParser> response = caller->Response();
+    if (response->Head().status == 503) {
+      ++not_run;
+      EXPECT_EQ(*FindHeader(response->Head().headers, "Retry-After"), "30.000");
+    }
+  }
+  EXPECT_EQ(not_run, 2);
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
