Clear losses of content only by answers that prove their end

An unframed stream ends with its connection, and one that a crash cuts between two events looks complete. It cleared the targets lost under its content, which then ran again.

Now only answers with a length or chunks clear losses; an unframed one leaves them as they are. CrashingContentTest.UnframedStreamDoesNotClearLosses failed before (sent once more after two losses).

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -320,8 +320,12 @@
     }
   }
 
-  // A complete answer rules the content out as the cause of lost targets.
+  // A complete answer rules the content out as the cause of lost targets. One
+  // that ends with its connection may have been cut by a crash.
   void ClearContent() {
+    if (response_.Framing() == BodyFraming::kUntilClose) {
+      return;
+    }
     ContentLossTable* losses = context_->GetAdmission()->ContentLosses();
     const bool had_losses = losses->Losses(fingerprint_) > 0;
     if (had_losses) {
--- a/tests/relay/crashing_content_test.cc
+++ b/tests/relay/crashing_content_test.cc
@@ -132,5 +132,23 @@
   EXPECT_EQ(not_run, 2);
 }
 
+// An unframed stream that a crash cuts between two events looks complete.
+TEST_F(CrashingContentTest, UnframedStreamDoesNotClearLosses) {
+  const std::string unframed =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nUpstream-Signature: sig\r\n"
+      "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n";
+  int total = 0;
+  for (const std::string& bytes :
+       {std::string(kStreamHead), unframed, std::string(kStreamHead)}) {
+    StartCrashingTargets(1, bytes);
+    SendRequest(Request("stream"));
+    total += RequestCount();
+  }
+  EXPECT_EQ(total, 3);
+  StartCrashingTargets(1, kStreamHead);
+  SendRequest(Request("stream"));
+  EXPECT_EQ(RequestCount(), 0);
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
