Give each case of two response end tests its own content

ResponseEndTest.UnframedResumableStreamCutInsideEventGoesOnElsewhere and CutPlainResponseIsReplacedWholeOnlyWhereItMayRepeat send the same content in each case, and each case loses a target under it. The cases are meant to be independent; what they check stays.

--- a/tests/relay/response_end_test.cc
+++ b/tests/relay/response_end_test.cc
@@ -124,7 +124,8 @@
     ScriptedTarget a(loop_.get(), script);
     ScriptedTarget b(loop_.get(), script);
     SetTargets({&a, &b});
-    const std::unique_ptr<TestCaller> caller = SendRequest(Request("resume"));
+    const std::unique_ptr<TestCaller> caller =
+        SendRequest(Request("resume", "r1", "", first));
     ASSERT_NE(caller->Response(), nullptr) << first;
     EXPECT_EQ(*caller->Response()->Body(),
               "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
@@ -161,7 +162,8 @@
       ScriptedTarget a(loop_.get(), script);
       ScriptedTarget b(loop_.get(), script);
       SetTargets({&a, &b});
-      const std::unique_ptr<TestCaller> caller = SendRequest(Request(kind));
+      const std::unique_ptr<TestCaller> caller =
+          SendRequest(Request(kind, "r1", "", first + kind));
       ASSERT_NE(caller->Response(), nullptr);
       const bool repeats = std::string(kind) == "safe";
       EXPECT_EQ(caller->Response()->Head().status, repeats ? 200 : 502);
