Drop losses of content at targets that answer soon after

Any connection that ends before its answer counts as a lost target, but connections also end by resets on the way, because a target has too many, or because a target breaks off some of its answers. Callers of content that met two of these got 503 for 30 s and more.

A target that answers a request sent within a second after the loss has not ended: no process starts again so fast, and a restarted one that does has another start time. Its losses are dropped, here and, as targets seen alive go along with the report, at all VMs.

--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -60,12 +60,19 @@
   bool operator==(const WorkspaceUsage&) const = default;
 };
 
+/// One start of a target, and when something was last seen of it.
+struct TargetSighting {
+  std::uint32_t target = 0;  ///< hash of the incarnation
+  std::uint32_t age_ms = 0;
+
+  bool operator==(const TargetSighting&) const = default;
+};
+
 /// Request content that targets were running when they were lost.
 struct ContentLoss {
   std::uint64_t fingerprint = 0;
-  std::vector<std::uint32_t> targets;  ///< hashes of the lost incarnations
-  std::uint32_t age_ms = 0;            ///< of the latest loss
-  std::uint32_t request_age_ms = 0;    ///< of the latest loss or refusal
+  std::vector<TargetSighting> targets;  ///< lost, each once
+  std::uint32_t request_age_ms = 0;     ///< of the latest loss or refusal
 
   bool operator==(const ContentLoss&) const = default;
 };
@@ -82,6 +89,9 @@
 struct ContentReport {
   std::vector<ContentLoss> losses;
   std::vector<ContentClearance> clearances;
+  /// Targets that answered after a connection to them was lost; the age is that
+  /// of the request.
+  std::vector<TargetSighting> alive;
 
   bool operator==(const ContentReport&) const = default;
 };
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -252,6 +252,7 @@
       Retry("target_leaving");
       return false;
     }
+    sent_at_ = BootNow();
     if (executions_ == 0 && !first_attempt_counted_) {
       first_attempt_counted_ = true;
       context_->OnFirstAttempt(service_);
@@ -263,6 +264,9 @@
   }
 
   void OnHead(const MessageHead& head) {
+    context_->GetAdmission()->ContentLosses()->OnTargetAnswered(
+        target_incarnation_, sent_at_);
+    context_->OnContentChange();
     if (response_.OnHead(head) == ResponseKind::kBuffered) {
       OnFirstEvent();
     }
@@ -618,6 +622,7 @@
   std::vector<std::string> tried_targets_;
   std::optional<TargetAttempt> attempt_;
   std::string target_incarnation_;  ///< of the latest attempt
+  Time sent_at_;  ///< of the latest attempt, on the suspension-aware clock
   std::unique_ptr<TargetCall> call_;
   ResponseForwarder response_;
   int executions_ = 0;  ///< sends, except those that a target did not execute
--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -111,9 +111,14 @@
   ar(use.workspace, use.admitted, use.level);
 }
 
+template <typename Archive>
+void serialize(Archive& ar, TargetSighting& sighting) {
+  ar(sighting.target, sighting.age_ms);
+}
+
 template <typename Archive>
 void serialize(Archive& ar, ContentLoss& loss) {
-  ar(loss.fingerprint, loss.targets, loss.age_ms, loss.request_age_ms);
+  ar(loss.fingerprint, loss.targets, loss.request_age_ms);
 }
 
 template <typename Archive>
@@ -123,7 +128,7 @@
 
 template <typename Archive>
 void serialize(Archive& ar, ContentReport& report) {
-  ar(report.losses, report.clearances);
+  ar(report.losses, report.clearances, report.alive);
 }
 
 template <typename Archive>
--- a/src/serving/content_loss_table.cc
+++ b/src/serving/content_loss_table.cc
@@ -14,6 +14,10 @@
 /// lost for another reason.
 constexpr int kExtraLossesIfAnswered = 2;
 
+/// A target that answers a request sent within this time after a connection was
+/// lost has not been restarted in between.
+constexpr Duration kMinRestartTime = std::chrono::seconds(1);
+
 std::uint32_t AgeMs(Time at, Time now) {
   return static_cast<std::uint32_t>(std::max(Duration(0), now - at) /
                                     std::chrono::milliseconds(1));
@@ -32,14 +36,30 @@
   if (IsForgotten(*entry, now)) {
     *entry = Entry();
   }
-  AddTarget(Hash32(target_incarnation), entry);
-  entry->lost_at = now;
+  AddTarget(Hash32(target_incarnation), now, entry);
   entry->requested_at = now;
   entry->reported_until = now + options_.refusal_time * kMemoryFactor;
   UpdateRefusal(fingerprint, entry, now);
   ++changes_;
 }
 
+void ContentLossTable::OnTargetAnswered(std::string_view target_incarnation,
+                                        Time sent_at) {
+  if (recently_lost_.empty()) {
+    return;
+  }
+  const std::uint32_t target = Hash32(target_incarnation);
+  const auto it = recently_lost_.find(target);
+  if (it == recently_lost_.end() || it->second > sent_at ||
+      sent_at - it->second >= kMinRestartTime) {
+    return;
+  }
+  alive_[target] = sent_at;
+  if (DropLosses(target, sent_at)) {
+    ++changes_;
+  }
+}
+
 void ContentLossTable::OnAnswered(std::uint64_t fingerprint, Time now) {
   RememberAnswer(fingerprint, now);
   if (entries_.contains(fingerprint)) {
@@ -61,21 +81,36 @@
   for (const ContentClearance& clearance : report.clearances) {
     const Time at = FromAge(clearance.age_ms, now);
     const auto it = entries_.find(clearance.fingerprint);
-    if (it != entries_.end() && it->second.lost_at <= at) {
+    if (it != entries_.end() &&
+        std::all_of(it->second.targets.begin(), it->second.targets.end(),
+                    [at](const auto& item) { return item.second <= at; })) {
       Clear(clearance.fingerprint, at);
     }
   }
+  for (const TargetSighting& sighting : report.alive) {
+    const Time at = FromAge(sighting.age_ms, now);
+    Time& known = alive_[sighting.target];
+    known = std::max(known, at);
+    DropLosses(sighting.target, at);
+  }
   for (const ContentLoss& loss : report.losses) {
-    const Time lost_at = FromAge(loss.age_ms, now);
-    const auto cleared = cleared_.find(loss.fingerprint);
-    if (cleared != cleared_.end() && lost_at <= cleared->second) {
+    MergeLoss(loss, now);
+  }
+}
+
+void ContentLossTable::MergeLoss(const ContentLoss& loss, Time now) {
+  const auto cleared = cleared_.find(loss.fingerprint);
+  Entry* entry = nullptr;
+  for (const TargetSighting& lost : loss.targets) {
+    const Time lost_at = FromAge(lost.age_ms, now);
+    if ((cleared != cleared_.end() && lost_at <= cleared->second) ||
+        WasAlive(lost.target, lost_at)) {
       continue;
     }
-    Entry* entry = FindOrAdd(loss.fingerprint);
-    for (const std::uint32_t target : loss.targets) {
-      AddTarget(target, entry);
-    }
-    entry->lost_at = std::max(entry->lost_at, lost_at);
+    entry = FindOrAdd(loss.fingerprint);
+    AddTarget(lost.target, lost_at, entry);
+  }
+  if (entry != nullptr) {
     entry->requested_at =
         std::max(entry->requested_at, FromAge(loss.request_age_ms, now));
     UpdateRefusal(loss.fingerprint, entry, now);
@@ -119,11 +154,18 @@
   latest.resize(n);
   ContentReport report;
   for (const auto& [requested_at, fingerprint] : latest) {
-    const Entry& entry = entries_.at(fingerprint);
-    report.losses.push_back({fingerprint,
-                             {entry.targets.begin(), entry.targets.end()},
-                             AgeMs(entry.lost_at, now),
-                             AgeMs(entry.requested_at, now)});
+    ContentLoss loss;
+    loss.fingerprint = fingerprint;
+    loss.request_age_ms = AgeMs(requested_at, now);
+    for (const auto& [target, lost_at] : entries_.at(fingerprint).targets) {
+      loss.targets.push_back({target, AgeMs(lost_at, now)});
+    }
+    report.losses.push_back(std::move(loss));
+  }
+  for (const auto& [target, at] : alive_) {
+    if (report.alive.size() < kMaxReported) {
+      report.alive.push_back({target, AgeMs(at, now)});
+    }
   }
   for (const auto& [fingerprint, at] : cleared_) {
     if (report.clearances.size() < kMaxReported) {
@@ -146,9 +188,12 @@
   for (auto& [fingerprint, entry] : entries_) {
     entry.is_refused = entry.is_refused && !HasLapsed(entry, now);
   }
-  std::erase_if(cleared_, [&](const auto& item) {
+  const auto is_old = [&](const auto& item) {
     return now >= item.second + options_.refusal_time;
-  });
+  };
+  std::erase_if(cleared_, is_old);
+  std::erase_if(alive_, is_old);
+  std::erase_if(recently_lost_, is_old);
   while (!answered_order_.empty() &&
          (answered_order_.size() > kMaxEntries ||
           now >= answered_order_.front().first + options_.refusal_time)) {
@@ -186,10 +231,37 @@
   return &entries_[fingerprint];
 }
 
-void ContentLossTable::AddTarget(std::uint32_t target, Entry* entry) {
-  if (entry->targets.size() < kMaxTargetsPerContent) {
-    entry->targets.insert(target);
+void ContentLossTable::AddTarget(std::uint32_t target, Time lost_at,
+                                 Entry* entry) {
+  if (entry->targets.size() < kMaxTargetsPerContent ||
+      entry->targets.contains(target)) {
+    Time& known = entry->targets[target];
+    known = std::max(known, lost_at);
+  }
+  Time& latest = recently_lost_[target];
+  latest = std::max(latest, lost_at);
+}
+
+bool ContentLossTable::WasAlive(std::uint32_t target, Time lost_at) const {
+  const auto it = alive_.find(target);
+  return it != alive_.end() && lost_at <= it->second &&
+         it->second - lost_at < kMinRestartTime;
+}
+
+bool ContentLossTable::DropLosses(std::uint32_t target, Time at) {
+  bool any = false;
+  for (auto& [fingerprint, entry] : entries_) {
+    const auto it = entry.targets.find(target);
+    if (it != entry.targets.end() && it->second <= at &&
+        at - it->second < kMinRestartTime) {
+      entry.targets.erase(it);
+      entry.is_refused = false;
+      any = true;
+    }
   }
+  std::erase_if(entries_,
+                [](const auto& item) { return item.second.targets.empty(); });
+  return any;
 }
 
 void ContentLossTable::UpdateRefusal(std::uint64_t fingerprint, Entry* entry,
--- a/src/serving/content_loss_table.h
+++ b/src/serving/content_loss_table.h
@@ -6,7 +6,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -57,6 +56,11 @@
   void OnTargetLost(std::uint64_t fingerprint,
                     std::string_view target_incarnation, Time now);
 
+  /// Records that a target answered a request sent at `sent_at`. Connections to
+  /// it that were lost shortly before were not lost by a crash, since a process
+  /// takes longer to start.
+  void OnTargetAnswered(std::string_view target_incarnation, Time sent_at);
+
   /// Records a complete answer, which rules the content out as the cause of
   /// earlier losses.
   void OnAnswered(std::uint64_t fingerprint, Time now);
@@ -91,13 +95,14 @@
 
  private:
   struct Entry {
-    std::set<std::uint32_t> targets;  ///< hashes of lost incarnations
-    Time lost_at;                     ///< latest loss
-    Time requested_at;                ///< latest loss or refused request
+    /// Latest loss of each incarnation, by its hash.
+    std::map<std::uint32_t, Time> targets;
+    Time requested_at;        ///< latest loss or refused request
     Time reported_until;      ///< while this VM has seen a part of it itself
     bool is_refused = false;  ///< reported by TakeNewlyRefused
   };
 
+  void MergeLoss(const ContentLoss& loss, Time now);
   bool IsTrusted(std::uint64_t fingerprint, Time now) const;
   int LimitFor(std::uint64_t fingerprint, Time now) const;
   bool HasLapsed(const Entry& entry, Time now) const {
@@ -105,7 +110,10 @@
   }
   bool IsForgotten(const Entry& entry, Time now) const;
   Entry* FindOrAdd(std::uint64_t fingerprint);
-  void AddTarget(std::uint32_t target, Entry* entry);
+  void AddTarget(std::uint32_t target, Time lost_at, Entry* entry);
+  bool WasAlive(std::uint32_t target, Time lost_at) const;
+  /// Drops losses of a target that was alive at `at`; returns whether any.
+  bool DropLosses(std::uint32_t target, Time at);
   void UpdateRefusal(std::uint64_t fingerprint, Entry* entry, Time now);
   void Clear(std::uint64_t fingerprint, Time at);
   void RememberAnswer(std::uint64_t fingerprint, Time now);
@@ -113,6 +121,9 @@
   Options options_;
   std::unordered_map<std::uint64_t, Entry> entries_;
   std::map<std::uint64_t, Time> cleared_;  ///< by complete answers
+  /// Latest loss of each target that may still turn out to be alive.
+  std::map<std::uint32_t, Time> recently_lost_;
+  std::map<std::uint32_t, Time> alive_;  ///< targets that answered after a loss
   /// Contents that this VM has answered completely, by time.
   std::unordered_map<std::uint64_t, Time> answered_;
   std::deque<std::pair<Time, std::uint64_t>> answered_order_;
--- a/tests/relay/crashing_content_test.cc
+++ b/tests/relay/crashing_content_test.cc
@@ -164,6 +164,32 @@
   EXPECT_EQ(RequestCount(), 0);
 }
 
+// Connections also end by resets on the way, or because a target has too many.
+TEST_F(CrashingContentTest, ConnectionLostByTargetThatAnswersIsNotCounted) {
+  const auto reset_content_x = [](const ReceivedRequest& request) {
+    if (request.body == "x") {
+      request.stream->Abort();
+    } else {
+      request.stream->Write(SignedResponse("r1", "ok"));
+    }
+  };
+  for (int i = 0; i < 3; ++i) {
+    targets_.clear();
+    specs_.clear();
+    ++generation_;
+    ScriptedTarget* target = AddTarget(reset_content_x);
+    SendRequest(Request("unsafe", "r1", "", "x"));
+    EXPECT_EQ(target->RequestCount(), 1) << i;
+    // The target is avoided for a moment after the lost connection.
+    std::unique_ptr<TestCaller> other;
+    do {
+      other = SendRequest(Request("unsafe", "r1", "", "y"));
+    } while (target->RequestCount() < 2);
+    ASSERT_NE(other->Response(), nullptr);
+    EXPECT_EQ(other->Response()->Head().status, 200);
+  }
+}
+
 // Beyond 16 VMs, other failure domains get details every two seconds.
 TEST_F(CrashingContentTest, LossIsReportedToVmsOfOtherDomainsAtOnce) {
   std::optional<ContentReport> report;
--- a/tests/serving/content_loss_table_test.cc
+++ b/tests/serving/content_loss_table_test.cc
@@ -127,6 +127,33 @@
   EXPECT_FALSE(table_.IsRefused(kContent, now_));
 }
 
+TEST_F(ContentLossTableTest, TargetThatAnswersSoonAfterLossWasNotLost) {
+  table_.OnTargetLost(kContent, "a/1", now_);
+  table_.OnTargetLost(kContent, "b/1", now_);
+  Report(table_, &peer_);
+  const Time sent_at = now_ + milliseconds(500);
+  now_ += seconds(3);
+  peer_.OnTargetAnswered("a/1", sent_at);
+  EXPECT_EQ(peer_.Losses(kContent), 1);
+  Report(peer_, &table_);
+  EXPECT_EQ(table_.Losses(kContent), 1);
+  EXPECT_FALSE(table_.IsRefused(kContent, now_));
+  ContentLossTable late({2, kRefusalTime});
+  late.OnTargetLost(kContent, "a/1", sent_at - milliseconds(100));
+  Report(late, &table_);
+  EXPECT_EQ(table_.Losses(kContent), 1);
+}
+
+// A target may start again under its id before its entry tells.
+TEST_F(ContentLossTableTest, TargetThatAnswersLaterMayHaveRestarted) {
+  table_.OnTargetLost(kContent, "a/1", now_);
+  table_.OnTargetAnswered("a/1", now_ - milliseconds(1));
+  EXPECT_EQ(table_.Losses(kContent), 1);
+  now_ += milliseconds(1'500);
+  table_.OnTargetAnswered("a/1", now_);
+  EXPECT_EQ(table_.Losses(kContent), 1);
+}
+
 TEST_F(ContentLossTableTest, OldReportDoesNotBringBackClearedLosses) {
   peer_.OnTargetLost(kContent, "a/1", now_);
   peer_.OnTargetLost(kContent, "b/1", now_);
