Send content with a loss to one target chosen by its hash

And repeats of one content through several VMs ended several targets at once.

Content with a loss and no answer since is now placed by the rendezvous hash of its fingerprint, among the targets that are allowed otherwise. Different contents go to different targets, so that innocent ones are answered and cleared; the same content goes to the same target from all VMs.

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -175,6 +175,13 @@
     waiting.need.failure_domain = context_->FailureDomain();
     waiting.need.tried = tried_targets_;
     waiting.need.seed = Hash32(request_info_.id);
+    // Different suspects go to different targets, so that the next loss tells
+    // them apart, and the same one to the same target, so that it ends only
+    // one.
+    if (context_->GetAdmission()->ContentLosses()->IsSuspect(fingerprint_,
+                                                             BootNow())) {
+      waiting.need.rendezvous_key = fingerprint_;
+    }
     context_->GetQueue()->Add(waiting);
     is_waiting_ = true;
     context_->SetWaiting(id_, this);
--- a/src/serving/target_balancer.cc
+++ b/src/serving/target_balancer.cc
@@ -276,9 +276,10 @@
 std::optional<Placement> TargetBalancer::PickSide(const PlacementNeed& need,
                                                   bool prefers_new,
                                                   Time now) const {
+  const double share = need.rendezvous_key.has_value() ? 1 : candidate_share_;
   std::optional<Placement> placement =
-      PickCandidate(need, {candidate_share_, prefers_new, false}, now);
-  if (!placement.has_value() && candidate_share_ < 1) {
+      PickCandidate(need, {share, prefers_new, false}, now);
+  if (!placement.has_value() && share < 1) {
     placement = PickCandidate(need, {1, prefers_new, false}, now);
   }
   // Peers may share a wrong view, so a target ejected by peers is still better
@@ -321,6 +322,9 @@
     if (!need.allows_long_pauses && !MeetsPauseLimit(target, need)) {
       continue;
     }
+    if (need.rendezvous_key.has_value()) {
+      cost = static_cast<double>(Hash64(id, *need.rendezvous_key));
+    }
     if (!best.has_value() || cost < best_cost) {
       best = Placement{id, expected};
       best_cost = cost;
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -25,6 +25,9 @@
   std::vector<std::string> tried;  ///< targets that refused or failed it
   bool allows_long_pauses = false;  ///< ignores `max_pause`
   std::uint32_t seed = 0;           ///< selects the subset of candidates
+  /// If set, targets are ranked by their rendezvous hash with this key instead
+  /// of by cost, so that all VMs choose the same one for equal keys.
+  std::optional<std::uint64_t> rendezvous_key;
 
   bool operator==(const PlacementNeed&) const = default;
 };
--- a/tests/relay/crashing_content_test.cc
+++ b/tests/relay/crashing_content_test.cc
@@ -190,6 +190,34 @@
   }
 }
 
+// A second loss then tells whether the content causes them, and repeats from
+// several VMs end one target instead of several.
+TEST_F(CrashingContentTest, ContentWithOneLossGoesToOneTargetOnly) {
+  for (int content = 0; content < 8; ++content) {
+    StartCrashingTargets(1, kStreamHead);
+    const std::string body = fmt::format("content {}", content);
+    SendRequest(Request("stream", "r1", "", body));
+    targets_.clear();
+    specs_.clear();
+    ++generation_;
+    for (int i = 0; i < 6; ++i) {
+      AddTarget([](const ReceivedRequest&) {});
+      specs_.back().slots = kTargetSlots;
+    }
+    relay_->SetTargets(specs_);
+    std::vector<std::unique_ptr<TestCaller>> callers;
+    for (int i = 0; i < 3; ++i) {
+      callers.push_back(
+          std::make_unique<TestCaller>(loop_.get(), relay_->CallerAddress()));
+      callers.back()->Send(Request("stream", fmt::format("r{}", i), "", body));
+    }
+    ASSERT_TRUE(RunUntil([this] { return RequestCount() == 3; }));
+    EXPECT_TRUE(std::any_of(
+        targets_.begin(), targets_.end(),
+        [](const auto& target) { return target->RequestCount() == 3; }));
+  }
+}
+
 // Beyond 16 VMs, other failure domains get details every two seconds.
 TEST_F(CrashingContentTest, LossIsReportedToVmsOfOtherDomainsAtOnce) {
   std::optional<ContentReport> report;
