Bound what is read of responses that don't end

A target in trouble may send bytes that are no answer without end, in a head or a body, until the connection is closed. Repeatable requests had to wait for their deadline and then failed, and the relay went on reading: in two seconds 260 MB of interim responses or of responses to other requests, 1.2 GB of one response to another request, and 390 MB of one event, which a resumable stream keeps in memory until it is whole: a VM with 260 MB is killed. Heads, which had a limit, were cut as they should.

- chunk sizes, chunk extensions and trailers count against the limit of heads;
- a call discards at most 1 MiB before its own response;
- an event of more than 1 MiB breaks its stream off, resumed ones too;
- bodies of errors and of responses without use have a size limit and half a second, then the request goes on as if they had ended: repeated where it may be.

An endless body that is forwarded ends at its request's deadline; reading pauses while the caller doesn't read, and requests beside it are answered (both held before).

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -31,6 +31,8 @@
 /// Failed connects after which a request fails.
 constexpr int kMaxConnectFailures = 4;
 constexpr MessageLimits kResponseLimits = {65'536, std::size_t{1} << 40};
+/// Time for the body of a response that is not forwarded, from its head on.
+constexpr Duration kRestTimeout = std::chrono::milliseconds(500);
 /// Minimum time to the deadline for another attempt.
 constexpr Duration kMinRetryTime = std::chrono::milliseconds(50);
 /// Retry-After when targets did not execute a request.
@@ -274,8 +276,22 @@
     context_->GetAdmission()->ContentLosses()->OnTargetAnswered(
         target_incarnation_, sent_at_);
     context_->OnContentChange();
-    if (response_.OnHead(head) == ResponseKind::kBuffered) {
+    const ResponseKind kind = response_.OnHead(head);
+    if (kind == ResponseKind::kBuffered) {
       OnFirstEvent();
+    } else if (kind != ResponseKind::kStream) {
+      rest_timer_ = context_->GetLoop()->Timers()->At(
+          Now() + kRestTimeout,
+          [this](Time) { OnUnusableRest("rest_too_slow"); });
+    }
+  }
+
+  // Ends an attempt whose target goes on sending a body without use.
+  void OnUnusableRest(const char* cause) {
+    if (response_.Kind() == ResponseKind::kNotExecuted) {
+      OnNotExecuted();
+    } else {
+      OnBadResponse(cause);
     }
   }
 
@@ -295,6 +311,12 @@
       OnFirstEvent();
     }
     response_.OnBody(body, Now());
+    const BodyLimit limit = response_.ExceededLimit();
+    if (limit != BodyLimit::kNone) {
+      CountTargetResponse(BodyLimitName(limit));
+      OnUnusableRest(BodyLimitName(limit));
+      return;
+    }
     if (response_.IsCallerBehind() && call_ != nullptr) {
       is_paused_ = true;
       call_->SetReading(false);
@@ -599,6 +621,7 @@
   }
 
   void FinishAttempt(TargetOutcome outcome) {
+    rest_timer_.reset();
     if (!attempt_.has_value()) {
       return;
     }
@@ -626,6 +649,7 @@
   std::string service_;
   Time deadline_;
   std::unique_ptr<TimerService::Subscription> deadline_timer_;
+  std::unique_ptr<TimerService::Subscription> rest_timer_;
   std::vector<std::string> tried_targets_;
   std::optional<TargetAttempt> attempt_;
   std::string target_incarnation_;  ///< of the latest attempt
--- a/src/relay/http_parser.cc
+++ b/src/relay/http_parser.cc
@@ -164,7 +164,7 @@
       return used > pending_before ? used - pending_before : 0;
     }
     pending_.erase(0, used);
-    CheckLineLength();
+    CheckPending();
     return bytes.size();
   }
 
@@ -190,10 +190,11 @@
   std::string* Body() override { return &parser_.body; }
 
  private:
-  void CheckLineLength() {
-    if (error_ == ParseError::kNone && !HeadDone() &&
-        pending_.size() > max_header_bytes_) {
-      error_ = ParseError::kHeaderTooLong;
+  // Bytes are kept while a line of the head, a chunk's size or the trailers are
+  // incomplete. Beast limits only those of the head.
+  void CheckPending() {
+    if (error_ == ParseError::kNone && pending_.size() > max_header_bytes_) {
+      error_ = HeadDone() ? ParseError::kMalformed : ParseError::kHeaderTooLong;
     }
   }
 
--- a/src/relay/response_forwarder.cc
+++ b/src/relay/response_forwarder.cc
@@ -12,6 +12,11 @@
 
 /// Responses up to this size are buffered until they are complete.
 constexpr std::size_t kMaxBufferedBytes = 262'144;
+/// Size of an event above which a stream counts as broken.
+constexpr std::size_t kMaxEventBytes = 1'048'576;
+/// Body bytes that are read of a response of no use, so that its connection can
+/// be reused.
+constexpr std::size_t kMaxRestBytes = 65'536;
 /// Unsent bytes above which reading from the target pauses.
 constexpr std::size_t kMaxUnsentBytes = 262'144;
 
@@ -40,12 +45,27 @@
   return "unknown";
 }
 
+const char* BodyLimitName(BodyLimit limit) {
+  switch (limit) {
+    case BodyLimit::kNone:
+      return "none";
+    case BodyLimit::kEvent:
+      return "event_too_long";
+    case BodyLimit::kFailure:
+      return "failure_too_long";
+    case BodyLimit::kRest:
+      return "rest_too_long";
+  }
+  return "unknown";
+}
+
 void ResponseForwarder::StartAttempt() {
   kind_ = ResponseKind::kNone;
   is_event_stream_ = false;
   events_before_attempt_ = splitter_.EventCount();
   head_ = MessageHead();
   body_.clear();
+  rest_bytes_ = 0;
   splitter_.DropPartial();
 }
 
@@ -81,10 +101,22 @@
       sink_->SendBody(body_);
       body_.clear();
     }
+  } else {
+    rest_bytes_ += body->size();
   }
   body->clear();
 }
 
+BodyLimit ResponseForwarder::ExceededLimit() const {
+  if (is_event_stream_ && splitter_.PartialBytes() > kMaxEventBytes) {
+    return BodyLimit::kEvent;
+  }
+  if (kind_ == ResponseKind::kFailure && body_.size() > kMaxBufferedBytes) {
+    return BodyLimit::kFailure;
+  }
+  return rest_bytes_ > kMaxRestBytes ? BodyLimit::kRest : BodyLimit::kNone;
+}
+
 bool ResponseForwarder::IsCallerBehind() const {
   return sink_->Unsent() > kMaxUnsentBytes;
 }
--- a/src/relay/response_forwarder.h
+++ b/src/relay/response_forwarder.h
@@ -34,6 +34,18 @@
 /// Name of a fault in logs and metrics.
 const char* StreamFaultName(StreamFault fault);
 
+/// Limit that a response's body has exceeded. A faulty target may send bytes
+/// without end.
+enum class BodyLimit {
+  kNone,
+  kEvent,    ///< bytes of one event
+  kFailure,  ///< buffered body of an error status
+  kRest,     ///< body of a response that is known to be of no use
+};
+
+/// Name of a limit in logs and metrics.
+const char* BodyLimitName(BodyLimit limit);
+
 /// Forwards the responses of one request's attempts to its caller. Streams are
 /// forwarded as they arrive, on resumable routes in whole events. Other
 /// responses are buffered until they are complete, so that an incomplete one
@@ -53,6 +65,9 @@
   /// Consumes all bytes of `body`.
   void OnBody(std::string* body, Time now);
 
+  /// Limit that the current attempt's body has exceeded.
+  BodyLimit ExceededLimit() const;
+
   /// Whether so much output is unsent that reading from the target should
   /// pause.
   bool IsCallerBehind() const;
@@ -103,6 +118,7 @@
   int events_before_attempt_ = 0;
   MessageHead head_;
   std::string body_;
+  std::size_t rest_bytes_ = 0;  ///< discarded body bytes of this attempt
   SseSplitter splitter_;
   bool has_started_ = false;
   Time last_event_at_;
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -15,6 +15,9 @@
 
 constexpr int kContinue = 100;
 constexpr int kFirstFinalStatus = 200;
+/// Bytes of interim responses and of responses to other requests that are read
+/// while a call waits for its own.
+constexpr std::size_t kMaxDiscardedBytes = 1'048'576;
 /// For targets that state no idle timeout; well below the defaults of common
 /// servers.
 constexpr Duration kDefaultIdleTime = std::chrono::seconds(1);
@@ -137,12 +140,17 @@
       return;
     }
     while (!bytes.empty()) {
-      bytes.remove_prefix(parser_->Feed(bytes));
+      const std::size_t n = parser_->Feed(bytes);
+      bytes.remove_prefix(n);
+      if (!head_seen_ || is_mismatched_) {
+        discarded_bytes_ += n;
+      }
       // Data parsed before an error is still delivered.
       if (!Deliver() || !*alive) {
         return;
       }
-      if (parser_->Error() != ParseError::kNone) {
+      if (parser_->Error() != ParseError::kNone ||
+          discarded_bytes_ > kMaxDiscardedBytes) {
         Fail(CallFailure::kMalformed);
         return;
       }
@@ -252,6 +260,7 @@
   bool may_have_sent_ = false;
   bool head_seen_ = false;
   bool is_mismatched_ = false;
+  std::size_t discarded_bytes_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
