Bound what calls to targets read beside answers

The same fault in the second front and in the control daemon: trailers and interim responses without end were kept or read on by TargetClient (16 MB in the test, its end); the answers to cancel and hand-over calls were read for as long as the peer sends; and a query of a target's state, on one of the control daemon's worker threads, took 8 s of a head that drips, which was as long as the target went on, since its timeout covers one read.

--- a/src/entry/target_calls.cc
+++ b/src/entry/target_calls.cc
@@ -12,6 +12,14 @@
 namespace {
 
 constexpr std::size_t kMaxUsageBytes = 64 * 1024;
+/// Limits of calls whose response nobody reads.
+constexpr Duration kUnreadCallTimeout = std::chrono::seconds(2);
+constexpr std::size_t kMaxUnreadBytes = 64 * 1024;
+
+void LimitUnreadResponse(TargetRequest* call) {
+  call->timeout = kUnreadCallTimeout;
+  call->max_body_bytes = kMaxUnreadBytes;
+}
 
 // Headers of callers that are forwarded to targets.
 constexpr const char* kForwardedHeaders[] = {
@@ -63,6 +71,7 @@
   TargetRequest call = StreamCall(*context, id, address);
   call.handle = ++context->last_exchange_handle;
   call.method = "DELETE";
+  LimitUnreadResponse(&call);
   context->client->Begin(call);
 }
 
@@ -75,6 +84,7 @@
   call.method = "PUT";
   call.path = "/v1/answers/" + handle.id;
   call.headers["Resume-Handle"] = encoded;
+  LimitUnreadResponse(&call);
   call.connect_timeout = context->options->connect_timeout;
   return call;
 }
--- a/src/net/target_client.cc
+++ b/src/net/target_client.cc
@@ -21,6 +21,8 @@
 constexpr int kEventsPerRun = 64;
 constexpr std::int64_t kUploadBufferBytes = 16 * 1024;  // libcurl's minimum
 constexpr int kFirstFinalStatus = 200;
+/// Bytes of heads and trailers in one exchange, interim responses included.
+constexpr std::size_t kMaxHeaderBytes = 65'536;
 constexpr Duration kLongestWait = std::chrono::seconds(1);
 
 class CurlTargetClient;
@@ -34,6 +36,9 @@
   std::string body;
   int status = 0;
   std::map<std::string, std::string> headers;
+  std::size_t header_bytes = 0;
+  std::size_t body_bytes = 0;
+  std::size_t max_body_bytes = 0;  // 0: unlimited
   bool sending = false;
   bool aborted = false;
   std::array<char, CURL_ERROR_SIZE> cause{};
@@ -98,6 +103,7 @@
     transfer->owner = this;
     transfer->handle = request.handle;
     transfer->body = request.body;
+    transfer->max_body_bytes = request.max_body_bytes;
     transfer->easy = curl_easy_init();
     SetRequest(transfer.get(), request);
     SetCallbacks(transfer.get());
@@ -231,6 +237,9 @@
         easy, CURLOPT_CONNECTTIMEOUT_MS,
         std::chrono::ceil<std::chrono::milliseconds>(request.connect_timeout)
             .count());
+    curl_easy_setopt(
+        easy, CURLOPT_TIMEOUT_MS,
+        std::chrono::ceil<std::chrono::milliseconds>(request.timeout).count());
     if (request.method == "POST") {
       curl_easy_setopt(easy, CURLOPT_POST, 1L);
       curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -301,6 +310,10 @@
   static std::size_t OnHeaderLine(char* data, std::size_t size, std::size_t n,
                                   void* user) {
     Transfer* transfer = static_cast<Transfer*>(user);
+    transfer->header_bytes += size * n;
+    if (transfer->header_bytes > kMaxHeaderBytes) {
+      return 0;
+    }
     std::string_view line(data, size * n);
     while (line.ends_with('\n') || line.ends_with('\r')) {
       line.remove_suffix(1);
@@ -346,6 +359,11 @@
   static std::size_t OnBytes(char* data, std::size_t size, std::size_t n,
                              void* user) {
     Transfer* transfer = static_cast<Transfer*>(user);
+    transfer->body_bytes += size * n;
+    if (transfer->max_body_bytes > 0 &&
+        transfer->body_bytes > transfer->max_body_bytes) {
+      return CURL_WRITEFUNC_ERROR;
+    }
     if (!transfer->aborted) {
       transfer->owner->handler_->OnBody(transfer->handle, {data, size * n});
     }
--- a/src/net/target_client.h
+++ b/src/net/target_client.h
@@ -20,6 +20,8 @@
   std::map<std::string, std::string> headers;
   std::string body;
   Duration connect_timeout = std::chrono::seconds(1);
+  Duration timeout{0};             ///< of the whole exchange; 0: none
+  std::size_t max_body_bytes = 0;  ///< of the answer; 0: unlimited
 };
 
 /// How an exchange with a target ended.
--- a/tests/net/socket_peer.h
+++ b/tests/net/socket_peer.h
@@ -51,14 +51,18 @@
 
   int Fd() const { return fd_.Get(); }
 
-  void Send(std::string_view bytes) const {
+  void Send(std::string_view bytes) const { TrySend(bytes); }
+
+  /// Sends all bytes; false if the connection has ended.
+  bool TrySend(std::string_view bytes) const {
     while (!bytes.empty()) {
       const ssize_t n = send(Fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
       if (n <= 0) {
-        return;
+        return false;
       }
       bytes.remove_prefix(static_cast<std::size_t>(n));
     }
+    return true;
   }
 
   /// Reads until `end` was received; the bytes up to and with it. Less if the
--- a/tests/net/target_client_test.cc
+++ b/tests/net/target_client_test.cc
@@ -11,6 +11,10 @@
 namespace hornbeamcleat {
 namespace {
 
+/// More than sockets on loopback hold; a server that can send this much is read
+/// without a limit.
+constexpr std::size_t kMaxTestBytes = std::size_t{16} << 20;
+
 class TargetClientTest : public testing::Test, public TargetHandler {
  protected:
   void OnSending(std::uint64_t) override { sending_ = true; }
@@ -144,6 +148,69 @@
   }
 }
 
+TEST_F(TargetClientTest, HeadOrTrailersWithoutEndAreBroken) {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+  int n = 0;
+  for (const std::string& begin :
+       {std::string("HTTP/1.1 200 OK\r\n"), chunked, std::string()}) {
+    std::atomic<std::size_t> taken{0};
+    const SocketServer server([&](SocketPeer& peer) {
+      peer.ReadUntil("\r\n\r\n");
+      peer.Send(begin);
+      while (taken < kMaxTestBytes) {
+        std::string part;
+        while (part.size() < 16'384) {
+          part += begin.empty() ? "HTTP/1.1 100 Continue\r\n\r\n"
+                                : "Name-" + std::to_string(++n) + ": value\r\n";
+        }
+        if (!peer.TrySend(part)) {
+          return;
+        }
+        taken += part.size();
+      }
+    });
+    end_.reset();
+    Begin(server.Listening(), "GET");
+    RunToEnd();
+    EXPECT_EQ(end_, TargetEnd::kBroken) << begin;
+    EXPECT_LT(taken, kMaxTestBytes) << begin;
+  }
+}
+
+TEST_F(TargetClientTest, ResponseBeyondLimitsOfRequestIsBroken) {
+  for (const bool drips : {false, true}) {
+    std::atomic<std::size_t> taken{0};
+    const SocketServer server([&](SocketPeer& peer) {
+      peer.ReadUntil("\r\n\r\n");
+      peer.Send("HTTP/1.1 200 OK\r\n\r\n");
+      const std::string part(drips ? 1 : 16'384, 'x');
+      while (taken < kMaxTestBytes && peer.TrySend(part)) {
+        taken += part.size();
+        if (drips) {
+          std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+      }
+    });
+    end_.reset();
+    TargetRequest request;
+    request.handle = 1;
+    request.address = server.Listening().ToString();
+    request.method = "GET";
+    request.path = "/v1/x";
+    request.max_body_bytes = 65'536;
+    request.timeout = std::chrono::milliseconds(500);
+    const std::chrono::steady_clock::time_point start =
+        std::chrono::steady_clock::now();
+    client_->Begin(request);
+    RunToEnd();
+    EXPECT_EQ(end_, TargetEnd::kBroken);
+    EXPECT_LT(std::chrono::steady_clock::now() - start,
+              std::chrono::seconds(2));
+    EXPECT_LT(taken, kMaxTestBytes);
+  }
+}
+
 TEST_F(TargetClientTest, AbortWithinBodyEndsSilently) {
   std::atomic<bool> closed{false};
   const SocketServer server([&](SocketPeer& peer) {
