Don't take a rejection for a sign of life of a lost target

Losses at a target that answers soon after are dropped. A rejection that says not run can come from another process: the address of a target that ended is used again, and the new one rejects requests that name the old instance (421). It dropped the losses of the crash.

Only answers of a run count now.

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -273,10 +273,13 @@
   }
 
   void OnHead(const MessageHead& head) {
-    context_->GetAdmission()->ContentLosses()->OnTargetAnswered(
-        target_incarnation_, sent_at_);
-    context_->OnContentChange();
     const ResponseKind kind = response_.OnHead(head);
+    // A rejection may come from another process at the target's address.
+    if (kind != ResponseKind::kNotExecuted) {
+      context_->GetAdmission()->ContentLosses()->OnTargetAnswered(
+          target_incarnation_, sent_at_);
+      context_->OnContentChange();
+    }
     if (kind == ResponseKind::kBuffered) {
       OnFirstEvent();
     } else if (kind != ResponseKind::kStream) {
--- a/tests/relay/crashing_content_test.cc
+++ b/tests/relay/crashing_content_test.cc
@@ -190,6 +190,30 @@
   }
 }
 
+// Another process at the address of a lost target rejects its requests.
+TEST_F(CrashingContentTest, RejectionByWrongInstanceDoesNotDropLosses) {
+  int answered = 0;
+  for (int i = 0; i < 3; ++i) {
+    targets_.clear();
+    specs_.clear();
+    ++generation_;
+    ScriptedTarget* target = AddTarget([](const ReceivedRequest& request) {
+      if (request.body == "x") {
+        request.stream->Abort();
+      } else {
+        request.stream->Write(
+            "HTTP/1.1 421 X\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n");
+      }
+    });
+    SendRequest(Request("unsafe", "r1", "", "x"));
+    answered += target->RequestCount();
+    while (target->RequestCount() < 2 && i < 2) {
+      SendRequest(Request("unsafe", "r1", "", "y"));
+    }
+  }
+  EXPECT_EQ(answered, 2);
+}
+
 // A second loss then tells whether the content causes them, and repeats from
 // several VMs end one target instead of several.
 TEST_F(CrashingContentTest, ContentWithOneLossGoesToOneTargetOnly) {
