Give content beside the cause of a crash a way back

- Content that another one was lost with at all of its targets needs one more loss, and losses that another refused content with more of them explains don't count.
- Refused content is tried again by one request, at one VM: after 5 s, then 30 s, 60 s and so on.
The refusal no longer depends on who asks; Retry-After says when the next trial is.
- An answer that ends with its connection clears losses once its target answers another request within a second, so content of targets that send no length can be cleared.

The soak checks that no more than three requests with such content reach targets once all VMs must know of three crashes.

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -360,6 +360,8 @@
   // that ends with its connection may have been cut by a crash.
   void ClearContent() {
     if (response_.Framing() == BodyFraming::kUntilClose) {
+      context_->GetAdmission()->ContentLosses()->OnUnprovenAnswer(
+          fingerprint_, target_incarnation_, BootNow());
       return;
     }
     ContentLossTable* losses = context_->GetAdmission()->ContentLosses();
@@ -460,6 +462,7 @@
     const char* stage = response_.Kind() == ResponseKind::kNone ? "before_head"
                         : response_.EventCount() == 0           ? "before_event"
                                                                 : "after_event";
+    admission_.is_content_trial = false;
     context_->GetAdmission()->ContentLosses()->OnTargetLost(
         fingerprint_, target_incarnation_, BootNow());
     context_->GetMetrics()->Count("content_losses_total", "stage", stage);
@@ -533,11 +536,11 @@
 
   // Ends the request if its content is refused, at any point between two sends.
   bool RefusedForContent() {
-    if (!context_->GetAdmission()->RefusesContent(fingerprint_, BootNow())) {
+    const ContentLossTable& losses = *context_->GetAdmission()->ContentLosses();
+    if (admission_.is_content_trial || !losses.IsRefused(fingerprint_)) {
       return false;
     }
-    Refuse(RefusalReason::kPoison,
-           context_->GetAdmission()->ContentRetryAfter());
+    Refuse(RefusalReason::kPoison, losses.TimeToTrial(fingerprint_, BootNow()));
     return true;
   }
 
--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -118,7 +118,7 @@
 
 template <typename Archive>
 void serialize(Archive& ar, ContentLoss& loss) {
-  ar(loss.fingerprint, loss.targets, loss.request_age_ms);
+  ar(loss.fingerprint, loss.targets, loss.trial_age_ms, loss.trials);
 }
 
 template <typename Archive>
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -379,8 +379,7 @@
     target_connections_.CloseExpired();
     ContentLossTable* content = admission_.ContentLosses();
     content->Expire(clock_->SuspendAwareNow());
-    metrics_->Set("contents", "kind", "refused",
-                  content->RefusedCount(clock_->SuspendAwareNow()));
+    metrics_->Set("contents", "kind", "refused", content->RefusedCount());
     DecideMoves();
     for (const std::string& link : directory_.TakeTimedOut(now)) {
       Log().Warning("event=peer_lost link={}", link);
--- a/src/relay/relay_options.cc
+++ b/src/relay/relay_options.cc
@@ -74,9 +74,10 @@
            "Part of a move's traffic that a bad version may get."),
       Rule("poison", "limit", integer, "2", 100,
            "Targets lost to one content before it is refused."),
-      Rule("poison", "expiry", duration, "30s", 10 * kMinuteUs,
-           "How long a refused content must not be requested until it is tried "
-           "again."),
+      Rule(
+          "poison", "expiry", duration, "30s", 10 * kMinuteUs,
+          "Time from the first trial of refused content to the second; doubles "
+          "with each further one. The first comes after a sixth of it."),
   };
 }
 
--- a/src/serving/admission.cc
+++ b/src/serving/admission.cc
@@ -103,10 +103,15 @@
     }
     admission.rank = admission.workspace->rank.value_or(admission.rank);
   }
-  if (RefusesContent(query.fingerprint, query.boot_now)) {
-    admission.refusal = RefusalReason::kPoison;
-    admission.retry_after = ContentRetryAfter();
-    return admission;
+  if (content_losses_.IsRefused(query.fingerprint)) {
+    admission.is_content_trial =
+        content_losses_.TakeTrial(query.fingerprint, query.boot_now);
+    if (!admission.is_content_trial) {
+      admission.refusal = RefusalReason::kPoison;
+      admission.retry_after =
+          content_losses_.TimeToTrial(query.fingerprint, query.boot_now);
+      return admission;
+    }
   }
   if (admission.workspace != nullptr) {
     const ServingWorkspace& workspace = *admission.workspace;
@@ -125,15 +130,6 @@
   return admission;
 }
 
-bool AdmissionController::RefusesContent(std::uint64_t fingerprint,
-                                         Time boot_now) {
-  if (!content_losses_.IsRefused(fingerprint, boot_now)) {
-    return false;
-  }
-  content_losses_.OnRefused(fingerprint, boot_now);
-  return true;
-}
-
 RefusalReason AdmissionController::Revalidate(const Admission& admission,
                                               const std::string& key,
                                               Time boot_now) const {
--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -60,6 +60,8 @@
   int rank = 0;
   double charged = 0;   ///< amount charged to the workspace's quota
   QuotaDecision quota;  ///< set if a quota was checked
+  /// Whether the request tries out content that is refused otherwise.
+  bool is_content_trial = false;
 
   bool IsAdmitted() const { return refusal == RefusalReason::kNone; }
 };
@@ -95,11 +97,6 @@
   /// still be valid in a configuration known to be current.
   RefusalReason Revalidate(const Admission& admission, const std::string& key,
                            Time boot_now) const;
-  /// Whether content has crashed targets and is refused. Such a refusal renews
-  /// itself.
-  bool RefusesContent(std::uint64_t fingerprint, Time boot_now);
-  /// How long after a refusal for its content a request may come again.
-  Duration ContentRetryAfter() const { return options_.content.refusal_time; }
 
   /// Whether the configuration is current enough to accept keys.
   bool IsFresh(Time boot_now) const;
--- a/src/serving/content_loss_table.cc
+++ b/src/serving/content_loss_table.cc
@@ -14,6 +14,9 @@
 /// lost for another reason.
 constexpr int kExtraLossesIfAnswered = 2;
 
+/// The first trial comes after this fraction (1/N) of the refusal time.
+constexpr int kFirstTrialDivisor = 6;
+constexpr std::uint32_t kMaxDoublings = 6;
 /// A target that answers a request sent within this time after a connection was
 /// lost has not been restarted in between.
 constexpr Duration kMinRestartTime = std::chrono::seconds(1);
@@ -32,23 +35,22 @@
 void ContentLossTable::OnTargetLost(std::uint64_t fingerprint,
                                     std::string_view target_incarnation,
                                     Time now) {
+  const std::uint32_t target = Hash32(target_incarnation);
   Entry* entry = FindOrAdd(fingerprint);
-  if (IsForgotten(*entry, now)) {
-    *entry = Entry();
-  }
-  AddTarget(Hash32(target_incarnation), now, entry);
-  entry->requested_at = now;
+  AddTarget(fingerprint, target, now, entry);
+  entry->tried_at = now;
   entry->reported_until = now + options_.refusal_time * kMemoryFactor;
-  UpdateRefusal(fingerprint, entry, now);
+  UpdateRefusals({target}, now);
   ++changes_;
 }
 
 void ContentLossTable::OnTargetAnswered(std::string_view target_incarnation,
                                         Time sent_at) {
-  if (recently_lost_.empty()) {
+  if (recently_lost_.empty() && unproven_.empty()) {
     return;
   }
   const std::uint32_t target = Hash32(target_incarnation);
+  ProveAnswers(target, sent_at);
   const auto it = recently_lost_.find(target);
   if (it == recently_lost_.end() || it->second > sent_at ||
       sent_at - it->second >= kMinRestartTime) {
@@ -68,13 +70,39 @@
   }
 }
 
-void ContentLossTable::OnRefused(std::uint64_t fingerprint, Time now) {
+void ContentLossTable::OnUnprovenAnswer(std::uint64_t fingerprint,
+                                        std::string_view target_incarnation,
+                                        Time now) {
+  if (entries_.contains(fingerprint)) {
+    unproven_[Hash32(target_incarnation)][fingerprint] = now;
+  }
+}
+
+void ContentLossTable::ProveAnswers(std::uint32_t target, Time alive_at) {
+  const auto answers = unproven_.find(target);
+  if (answers == unproven_.end()) {
+    return;
+  }
+  for (const auto& [fingerprint, answered_at] : answers->second) {
+    if (answered_at <= alive_at && alive_at - answered_at < kMinRestartTime) {
+      OnAnswered(fingerprint, answered_at);
+    }
+  }
+  unproven_.erase(answers);
+}
+
+bool ContentLossTable::TakeTrial(std::uint64_t fingerprint, Time now) {
   const auto it = entries_.find(fingerprint);
-  if (it != entries_.end()) {
-    it->second.requested_at = now;
-    it->second.reported_until =
-        std::max(it->second.reported_until, now + options_.refusal_time);
+  if (it == entries_.end() ||
+      now < it->second.tried_at + RefusalTime(it->second)) {
+    return false;
   }
+  it->second.tried_at = now;
+  ++it->second.trials;
+  it->second.reported_until =
+      std::max(it->second.reported_until, now + options_.refusal_time);
+  ++changes_;
+  return true;
 }
 
 void ContentLossTable::OnPeerReport(const ContentReport& report, Time now) {
@@ -100,21 +128,25 @@
 
 void ContentLossTable::MergeLoss(const ContentLoss& loss, Time now) {
   const auto cleared = cleared_.find(loss.fingerprint);
-  Entry* entry = nullptr;
+  std::vector<std::uint32_t> added;
   for (const TargetSighting& lost : loss.targets) {
     const Time lost_at = FromAge(lost.age_ms, now);
     if ((cleared != cleared_.end() && lost_at <= cleared->second) ||
         WasAlive(lost.target, lost_at)) {
       continue;
     }
-    entry = FindOrAdd(loss.fingerprint);
-    AddTarget(lost.target, lost_at, entry);
+    if (AddTarget(loss.fingerprint, lost.target, lost_at,
+                  FindOrAdd(loss.fingerprint))) {
+      added.push_back(lost.target);
+    }
   }
-  if (entry != nullptr) {
-    entry->requested_at =
-        std::max(entry->requested_at, FromAge(loss.request_age_ms, now));
-    UpdateRefusal(loss.fingerprint, entry, now);
+  const auto it = entries_.find(loss.fingerprint);
+  if (it != entries_.end()) {
+    it->second.tried_at =
+        std::max(it->second.tried_at, FromAge(loss.trial_age_ms, now));
+    it->second.trials = std::max(it->second.trials, loss.trials);
   }
+  UpdateRefusals(added, now);
 }
 
 int ContentLossTable::Losses(std::uint64_t fingerprint) const {
@@ -122,17 +154,24 @@
   return it == entries_.end() ? 0 : static_cast<int>(it->second.targets.size());
 }
 
-bool ContentLossTable::IsRefused(std::uint64_t fingerprint, Time now) const {
+bool ContentLossTable::IsRefused(std::uint64_t fingerprint) const {
+  const auto it = entries_.find(fingerprint);
+  return it != entries_.end() && it->second.is_refused;
+}
+
+Duration ContentLossTable::TimeToTrial(std::uint64_t fingerprint,
+                                       Time now) const {
   const auto it = entries_.find(fingerprint);
-  return it != entries_.end() && !HasLapsed(it->second, now) &&
-         static_cast<int>(it->second.targets.size()) >=
-             LimitFor(fingerprint, now);
+  return it == entries_.end()
+             ? Duration(0)
+             : std::max(Duration(0),
+                        it->second.tried_at + RefusalTime(it->second) - now);
 }
 
 bool ContentLossTable::IsSuspect(std::uint64_t fingerprint, Time now) const {
   const auto it = entries_.find(fingerprint);
-  return it != entries_.end() && !IsForgotten(it->second, now) &&
-         !IsTrusted(fingerprint, now);
+  return it != entries_.end() && !IsTrusted(fingerprint, now) &&
+         UnexplainedLosses(fingerprint, it->second) > 0;
 }
 
 std::vector<std::uint64_t> ContentLossTable::TakeNewlyRefused() {
@@ -144,7 +183,7 @@
   for (const auto& [fingerprint, entry] : entries_) {
     if (!IsForgotten(entry, now) &&
         (is_complete || now < entry.reported_until)) {
-      latest.emplace_back(entry.requested_at, fingerprint);
+      latest.emplace_back(entry.tried_at, fingerprint);
     }
   }
   const std::size_t n = std::min(latest.size(), kMaxReported);
@@ -153,10 +192,11 @@
                     latest.end(), std::greater<>());
   latest.resize(n);
   ContentReport report;
-  for (const auto& [requested_at, fingerprint] : latest) {
+  for (const auto& [tried_at, fingerprint] : latest) {
     ContentLoss loss;
     loss.fingerprint = fingerprint;
-    loss.request_age_ms = AgeMs(requested_at, now);
+    loss.trial_age_ms = AgeMs(tried_at, now);
+    loss.trials = entries_.at(fingerprint).trials;
     for (const auto& [target, lost_at] : entries_.at(fingerprint).targets) {
       loss.targets.push_back({target, AgeMs(lost_at, now)});
     }
@@ -175,18 +215,21 @@
   return report;
 }
 
-int ContentLossTable::RefusedCount(Time now) const {
-  return static_cast<int>(std::count_if(
-      entries_.begin(), entries_.end(),
-      [&](const auto& item) { return IsRefused(item.first, now); }));
+int ContentLossTable::RefusedCount() const {
+  return static_cast<int>(
+      std::count_if(entries_.begin(), entries_.end(),
+                    [](const auto& item) { return item.second.is_refused; }));
 }
 
 void ContentLossTable::Expire(Time now) {
-  std::erase_if(entries_, [&](const auto& item) {
-    return IsForgotten(item.second, now);
-  });
-  for (auto& [fingerprint, entry] : entries_) {
-    entry.is_refused = entry.is_refused && !HasLapsed(entry, now);
+  std::vector<std::uint64_t> forgotten;
+  for (const auto& [fingerprint, entry] : entries_) {
+    if (IsForgotten(entry, now)) {
+      forgotten.push_back(fingerprint);
+    }
+  }
+  for (const std::uint64_t fingerprint : forgotten) {
+    Erase(fingerprint);
   }
   const auto is_old = [&](const auto& item) {
     return now >= item.second + options_.refusal_time;
@@ -194,6 +237,9 @@
   std::erase_if(cleared_, is_old);
   std::erase_if(alive_, is_old);
   std::erase_if(recently_lost_, is_old);
+  std::erase_if(unproven_, [&](const auto& answers) {
+    return std::all_of(answers.second.begin(), answers.second.end(), is_old);
+  });
   while (!answered_order_.empty() &&
          (answered_order_.size() > kMaxEntries ||
           now >= answered_order_.front().first + options_.refusal_time)) {
@@ -211,35 +257,88 @@
   return it != answered_.end() && now < it->second + options_.refusal_time;
 }
 
-int ContentLossTable::LimitFor(std::uint64_t fingerprint, Time now) const {
-  return options_.limit +
-         (IsTrusted(fingerprint, now) ? kExtraLossesIfAnswered : 0);
+bool ContentLossTable::HasOtherCause(std::uint64_t fingerprint,
+                                     const Entry& entry) const {
+  const std::set<std::uint64_t>& candidates =
+      contents_by_target_.at(entry.targets.begin()->first);
+  return std::any_of(
+      candidates.begin(), candidates.end(), [&](std::uint64_t other) {
+        return other != fingerprint &&
+               std::all_of(
+                   entry.targets.begin(), entry.targets.end(),
+                   [&](const auto& item) {
+                     return contents_by_target_.at(item.first).contains(other);
+                   });
+      });
+}
+
+int ContentLossTable::UnexplainedLosses(std::uint64_t fingerprint,
+                                        const Entry& entry) const {
+  return static_cast<int>(std::count_if(
+      entry.targets.begin(), entry.targets.end(), [&](const auto& item) {
+        const std::set<std::uint64_t>& contents =
+            contents_by_target_.at(item.first);
+        return std::none_of(
+            contents.begin(), contents.end(), [&](std::uint64_t other) {
+              const Entry& cause = entries_.at(other);
+              return other != fingerprint && cause.is_refused &&
+                     cause.targets.size() > entry.targets.size();
+            });
+      }));
+}
+
+Duration ContentLossTable::RefusalTime(const Entry& entry) const {
+  return entry.trials == 0
+             ? options_.refusal_time / kFirstTrialDivisor
+             : options_.refusal_time *
+                   (1 << std::min(entry.trials - 1, kMaxDoublings));
 }
 
 bool ContentLossTable::IsForgotten(const Entry& entry, Time now) const {
-  return now >= entry.requested_at + options_.refusal_time * kMemoryFactor;
+  return now >= entry.tried_at + std::max(options_.refusal_time * kMemoryFactor,
+                                          RefusalTime(entry) * 2);
 }
 
 ContentLossTable::Entry* ContentLossTable::FindOrAdd(
     std::uint64_t fingerprint) {
   if (entries_.size() >= kMaxEntries && !entries_.contains(fingerprint)) {
-    entries_.erase(std::min_element(
-        entries_.begin(), entries_.end(), [](const auto& a, const auto& b) {
-          return a.second.requested_at < b.second.requested_at;
-        }));
+    Erase(std::min_element(entries_.begin(), entries_.end(),
+                           [](const auto& a, const auto& b) {
+                             return a.second.tried_at < b.second.tried_at;
+                           })
+              ->first);
   }
   return &entries_[fingerprint];
 }
 
-void ContentLossTable::AddTarget(std::uint32_t target, Time lost_at,
-                                 Entry* entry) {
-  if (entry->targets.size() < kMaxTargetsPerContent ||
-      entry->targets.contains(target)) {
-    Time& known = entry->targets[target];
-    known = std::max(known, lost_at);
+void ContentLossTable::Erase(std::uint64_t fingerprint) {
+  const auto it = entries_.find(fingerprint);
+  for (const auto& [target, lost_at] : it->second.targets) {
+    const auto contents = contents_by_target_.find(target);
+    contents->second.erase(fingerprint);
+    if (contents->second.empty()) {
+      contents_by_target_.erase(contents);
+    }
   }
+  entries_.erase(it);
+}
+
+bool ContentLossTable::AddTarget(std::uint64_t fingerprint,
+                                 std::uint32_t target, Time lost_at,
+                                 Entry* entry) {
   Time& latest = recently_lost_[target];
   latest = std::max(latest, lost_at);
+  const auto known = entry->targets.find(target);
+  if (known != entry->targets.end()) {
+    known->second = std::max(known->second, lost_at);
+    return false;
+  }
+  if (entry->targets.size() >= kMaxTargetsPerContent) {
+    return false;
+  }
+  entry->targets.emplace(target, lost_at);
+  contents_by_target_[target].insert(fingerprint);
+  return true;
 }
 
 bool ContentLossTable::WasAlive(std::uint32_t target, Time lost_at) const {
@@ -249,33 +348,63 @@
 }
 
 bool ContentLossTable::DropLosses(std::uint32_t target, Time at) {
+  const auto contents = contents_by_target_.find(target);
+  if (contents == contents_by_target_.end()) {
+    return false;
+  }
   bool any = false;
-  for (auto& [fingerprint, entry] : entries_) {
-    const auto it = entry.targets.find(target);
-    if (it != entry.targets.end() && it->second <= at &&
-        at - it->second < kMinRestartTime) {
-      entry.targets.erase(it);
-      entry.is_refused = false;
-      any = true;
+  const std::set<std::uint64_t> fingerprints = contents->second;
+  for (const std::uint64_t fingerprint : fingerprints) {
+    Entry& entry = entries_.at(fingerprint);
+    const Time lost_at = entry.targets.at(target);
+    if (lost_at > at || at - lost_at >= kMinRestartTime) {
+      continue;
+    }
+    any = true;
+    if (entry.targets.size() == 1) {
+      Erase(fingerprint);
+      continue;
     }
+    entry.targets.erase(target);
+    contents_by_target_.at(target).erase(fingerprint);
+    UpdateRefusals({entry.targets.begin()->first}, at);
+  }
+  if (contents_by_target_.contains(target) &&
+      contents_by_target_.at(target).empty()) {
+    contents_by_target_.erase(target);
   }
-  std::erase_if(entries_,
-                [](const auto& item) { return item.second.targets.empty(); });
   return any;
 }
 
-void ContentLossTable::UpdateRefusal(std::uint64_t fingerprint, Entry* entry,
-                                     Time now) {
-  const bool is_refused = IsRefused(fingerprint, now);
-  if (is_refused && !entry->is_refused) {
-    newly_refused_.push_back(fingerprint);
+void ContentLossTable::UpdateRefusals(const std::vector<std::uint32_t>& targets,
+                                      Time now) {
+  for (const std::uint32_t target : targets) {
+    const auto contents = contents_by_target_.find(target);
+    if (contents == contents_by_target_.end()) {
+      continue;
+    }
+    for (const std::uint64_t fingerprint : contents->second) {
+      Entry& entry = entries_.at(fingerprint);
+      const int limit =
+          options_.limit + (HasOtherCause(fingerprint, entry) ? 1 : 0) +
+          (IsTrusted(fingerprint, now) ? kExtraLossesIfAnswered : 0);
+      const bool was_refused = entry.is_refused;
+      entry.is_refused = UnexplainedLosses(fingerprint, entry) >= limit;
+      if (entry.is_refused && !was_refused) {
+        newly_refused_.push_back(fingerprint);
+      }
+    }
   }
-  entry->is_refused = is_refused;
 }
 
 void ContentLossTable::Clear(std::uint64_t fingerprint, Time at) {
-  entries_.erase(fingerprint);
+  std::vector<std::uint32_t> targets;
+  for (const auto& [target, lost_at] : entries_.at(fingerprint).targets) {
+    targets.push_back(target);
+  }
+  Erase(fingerprint);
   cleared_[fingerprint] = at;
+  UpdateRefusals(targets, at);
 }
 
 void ContentLossTable::RememberAnswer(std::uint64_t fingerprint, Time now) {
--- a/src/serving/content_loss_table.h
+++ b/src/serving/content_loss_table.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -24,11 +25,14 @@
 /// beside it, which must not be refused in turn.
 ///
 /// A content is refused once it has lost `limit` different incarnations of
-/// targets, whichever VMs saw them, without a complete answer since. The
-/// refusal lasts until the content hasn't been requested for the refusal time;
-/// the losses are remembered longer, so that the next one renews it at once.
+/// targets, whichever VMs saw them, without a complete answer since. It needs
+/// one more if another content was lost at all of these targets and may be the
+/// cause, and targets lost under another refused content don't count.
 ///
-/// VMs exchange losses, refusals and complete answers. Each VM reports what it
+/// After a while, one request of refused content is let through as a trial: a
+/// complete answer clears it, else the next trial comes after a longer time.
+///
+/// VMs exchange losses, trials and complete answers. Each VM reports what it
 /// has seen itself, and everything to peers that may have just started, so that
 /// losses outlive the VM that saw them. Times are those of the clock that
 /// includes VM suspension. Bounded in size; the oldest entries are evicted.
@@ -42,7 +46,7 @@
 
   struct Options {
     int limit = 2;             ///< lost targets from which content is refused
-    Duration refusal_time{0};  ///< without requests, until the refusal ends
+    Duration refusal_time{0};  ///< from the first trial to the second
 
     bool operator==(const Options&) const = default;
   };
@@ -65,8 +69,14 @@
   /// earlier losses.
   void OnAnswered(std::uint64_t fingerprint, Time now);
 
-  /// Records that the content was requested while it was refused.
-  void OnRefused(std::uint64_t fingerprint, Time now);
+  /// Records an answer that looks complete but ends with its connection, which
+  /// a crash may have closed. It counts once the target answers again.
+  void OnUnprovenAnswer(std::uint64_t fingerprint,
+                        std::string_view target_incarnation, Time now);
+
+  /// Lets one request of refused content through if a trial is due. Until the
+  /// next one is, the content stays refused at all VMs.
+  bool TakeTrial(std::uint64_t fingerprint, Time now);
 
   /// Merges a peer's report.
   void OnPeerReport(const ContentReport& report, Time now);
@@ -74,10 +84,14 @@
   /// Number of different targets lost since the last complete answer.
   int Losses(std::uint64_t fingerprint) const;
 
-  bool IsRefused(std::uint64_t fingerprint, Time now) const;
+  /// Whether the content is refused, but for trials.
+  bool IsRefused(std::uint64_t fingerprint) const;
+
+  /// Time until the next trial of refused content.
+  Duration TimeToTrial(std::uint64_t fingerprint, Time now) const;
 
-  /// Whether content with losses may still be sent, to find out whether it
-  /// caused them.
+  /// Whether content may have caused losses but is not trusted, so that it is
+  /// sent to a target of its own.
   bool IsSuspect(std::uint64_t fingerprint, Time now) const;
 
   /// Returns contents that became refused since the last call.
@@ -89,7 +103,7 @@
   /// Number of changes that peers must hear of immediately.
   std::uint64_t Changes() const { return changes_; }
 
-  int RefusedCount(Time now) const;
+  int RefusedCount() const;
 
   void Expire(Time now);
 
@@ -97,29 +111,39 @@
   struct Entry {
     /// Latest loss of each incarnation, by its hash.
     std::map<std::uint32_t, Time> targets;
-    Time requested_at;        ///< latest loss or refused request
-    Time reported_until;      ///< while this VM has seen a part of it itself
-    bool is_refused = false;  ///< reported by TakeNewlyRefused
+    Time tried_at;  ///< latest loss or trial
+    std::uint32_t trials = 0;
+    Time reported_until;  ///< while this VM has seen a part of it itself
+    bool is_refused = false;
   };
 
+  /// Counts unproven answers of a target that was alive later.
+  void ProveAnswers(std::uint32_t target, Time alive_at);
   void MergeLoss(const ContentLoss& loss, Time now);
   bool IsTrusted(std::uint64_t fingerprint, Time now) const;
-  int LimitFor(std::uint64_t fingerprint, Time now) const;
-  bool HasLapsed(const Entry& entry, Time now) const {
-    return now >= entry.requested_at + options_.refusal_time;
-  }
+  /// Whether another content was lost at all of these targets.
+  bool HasOtherCause(std::uint64_t fingerprint, const Entry& entry) const;
+  /// Lost targets that no other refused content with more losses explains.
+  int UnexplainedLosses(std::uint64_t fingerprint, const Entry& entry) const;
+  /// Time from the latest loss or trial to the next trial.
+  Duration RefusalTime(const Entry& entry) const;
   bool IsForgotten(const Entry& entry, Time now) const;
   Entry* FindOrAdd(std::uint64_t fingerprint);
-  void AddTarget(std::uint32_t target, Time lost_at, Entry* entry);
+  /// Returns whether the target is new to the content.
+  bool AddTarget(std::uint64_t fingerprint, std::uint32_t target, Time lost_at,
+                 Entry* entry);
+  void Erase(std::uint64_t fingerprint);
   bool WasAlive(std::uint32_t target, Time lost_at) const;
   /// Drops losses of a target that was alive at `at`; returns whether any.
   bool DropLosses(std::uint32_t target, Time at);
-  void UpdateRefusal(std::uint64_t fingerprint, Entry* entry, Time now);
+  /// Decides anew on all contents that were lost at one of the targets.
+  void UpdateRefusals(const std::vector<std::uint32_t>& targets, Time now);
   void Clear(std::uint64_t fingerprint, Time at);
   void RememberAnswer(std::uint64_t fingerprint, Time now);
 
   Options options_;
   std::unordered_map<std::uint64_t, Entry> entries_;
+  std::map<std::uint32_t, std::set<std::uint64_t>> contents_by_target_;
   std::map<std::uint64_t, Time> cleared_;  ///< by complete answers
   /// Latest loss of each target that may still turn out to be alive.
   std::map<std::uint32_t, Time> recently_lost_;
@@ -127,6 +151,8 @@
   /// Contents that this VM has answered completely, by time.
   std::unordered_map<std::uint64_t, Time> answered_;
   std::deque<std::pair<Time, std::uint64_t>> answered_order_;
+  /// Content with losses and the time of its latest unproven answer, by target.
+  std::map<std::uint32_t, std::map<std::uint64_t, Time>> unproven_;
   std::vector<std::uint64_t> newly_refused_;
   std::uint64_t changes_ = 0;
 };
--- a/tests/soak/loopback_proxy.cc
+++ b/tests/soak/loopback_proxy.cc
@@ -59,6 +59,10 @@
   }
   const std::shared_ptr<Pair> pair = std::make_shared<Pair>();
   pair->caller = ByteStream::Accepted(loop_, std::move(fd), kSilenceLimit);
+  if (mode_ == Mode::kRefuse) {
+    pair->caller->Abort();
+    return;
+  }
   try {
     pair->target = ByteStream::Connect(loop_, to_, kSilenceLimit);
   } catch (const Error&) {
--- a/tests/soak/loopback_proxy.h
+++ b/tests/soak/loopback_proxy.h
@@ -22,6 +22,7 @@
     kDelay,   ///< bytes towards the caller come late
     kSilent,  ///< nothing passes either way, connections stay open
     kOneWay,  ///< requests pass, answers don't
+    kRefuse,  ///< new connections are reset, as by an ended process
   };
 
   LoopbackProxy(PollLoop* loop, const Clock* clock, const Address& to);
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -34,6 +34,13 @@
 constexpr int kPlaces = 6;
 /// Events of a stream.
 constexpr int kEvents = 5;
+/// Content that crashes each target that runs it, and the requests that may
+/// still reach targets once all VMs must know of three crashes.
+constexpr char kCrashingBody[] = "crash";
+constexpr int kMaxSendsAfterCrashes = 3;
+constexpr Duration kCrashesKnownAfter = milliseconds(1'000);
+/// Time until a crashed target is back.
+constexpr Duration kRestartTime = milliseconds(400);
 /// Share of answers during the calm end that must be successes.
 constexpr double kRecovered = 0.8;
 
@@ -281,6 +288,9 @@
   }
   const HeaderList signed_by = {{"Request-Id", id},
                                 {"Upstream-Signature", "sig"}};
+  if (request.body == kCrashingBody) {
+    return ServeCrashing(target, request.head.target, signed_by, sink);
+  }
   const Duration work = milliseconds(2 + Pick(60));
   const bool is_broken = target->breaks_off && Pick(3) == 0;
   if (is_stream || request.head.target.starts_with("/resume/")) {
@@ -312,8 +322,74 @@
       this, work, [=] { sink->SendResponse(200, "", signed_by, BodyFor(id)); });
 }
 
+std::unique_ptr<RequestHandler> SoakWorld::ServeCrashing(
+    Target* target, const std::string& path, const HeaderList& headers,
+    ResponseSink* sink) {
+  CrashingContent& content = crashing_[path];
+  if (content.crashes >= 3 &&
+      clock_->Now() > content.third_crash_at + kCrashesKnownAfter &&
+      ++content.sends_after == kMaxSendsAfterCrashes + 1) {
+    Violate(fmt::format("{} was sent again after {} crashes", path,
+                        content.crashes));
+  }
+  const int stage = Pick(3);
+  return std::make_unique<TargetWork>(
+      this, milliseconds(2 + Pick(30)), [=, this] {
+        if (stage > 0) {
+          sink->BeginBody(200, "", headers, std::nullopt);
+        }
+        if (stage > 1) {
+          sink->SendBody("id: 1\ndata: a\n\nid: 2\nda");
+        }
+        // The bytes pass the proxy before the target ends.
+        After(milliseconds(5), [this, target, path, id = target->id] {
+          if (target->id == id) {
+            Crash(target, path);
+          }
+        });
+      });
+}
+
+void SoakWorld::Crash(Target* target, const std::string& path) {
+  Fault(fmt::format("{} crashes of {}", target->id, path));
+  CrashingContent& content = crashing_[path];
+  if (++content.crashes == 3) {
+    content.third_crash_at = clock_->Now();
+  }
+  target->proxy->ResetAll();
+  target->proxy->SetMode(LoopbackProxy::Mode::kRefuse);
+  const std::string old_id = std::exchange(target->id, "");
+  After(kRestartTime, [this, target, old_id] {
+    target->proxy->SetMode(LoopbackProxy::Mode::kPass);
+    store_->Put("keyed.servers", old_id, "");
+    Replace(target);
+  });
+}
+
+void SoakWorld::AskCrashing() {
+  if (crashing_caller_ != nullptr) {
+    crashing_caller_->Abort();
+  }
+  static const char* const kinds[] = {"safe", "unsafe", "resume", "stream"};
+  const Vm& vm = *vms_[static_cast<std::size_t>(Pick(options_.vms))];
+  try {
+    crashing_caller_ =
+        ByteStream::Connect(loop_.get(), vm.front, std::chrono::seconds(10));
+    const std::string id = fmt::format("c{}", next_request_++);
+    sent_[id] = clock_->Now();
+    crashing_caller_->Write(
+        FormatRequest("POST", fmt::format("/{}/x", kinds[Pick(4)]),
+                      {{"Host", "h"}, {"Request-Id", id}, {"Api-Key", "ka"}},
+                      kCrashingBody, true));
+  } catch (const Error&) {
+    Fault(vm.name + " unreached");
+  }
+  After(milliseconds(80 + Pick(80)), [this] { AskCrashing(); });
+}
+
 void SoakWorld::Run() {
   RunFor(kStartTime);
+  AskCrashing();
   for (const std::unique_ptr<Caller>& caller : callers_) {
     Ask(caller.get());
   }
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -44,6 +44,13 @@
   const std::vector<std::string>& Faults() const { return faults_; }
 
  private:
+  /// Content that crashes each target that runs it.
+  struct CrashingContent {
+    int crashes = 0;
+    Time third_crash_at;  ///< valid from the third crash on
+    int sends_after = 0;  ///< later than all VMs must know of three crashes
+  };
+
   struct Vm;
   struct Target;
   struct Caller;
@@ -56,6 +63,13 @@
   void Replace(Target* target);
   std::unique_ptr<RequestHandler> Serve(Target* target, CallerRequest request,
                                         ResponseSink* sink);
+  std::unique_ptr<RequestHandler> ServeCrashing(Target* target,
+                                                const std::string& path,
+                                                const HeaderList& headers,
+                                                ResponseSink* sink);
+  void Crash(Target* target, const std::string& path);
+  /// Sends the content that crashes targets, again and again, to any VM.
+  void AskCrashing();
   void Strike();
   void Continue(Vm* vm);
   void StrikeVm();
@@ -91,6 +105,8 @@
   bool is_key_removed_ = false;
   bool is_striking_ = false;
   int config_version_ = 0;
+  std::map<std::string, CrashingContent> crashing_;  ///< by path
+  std::unique_ptr<ByteStream> crashing_caller_;
   int next_target_id_ = 0;
   int next_request_ = 0;
   int asked_ = 0;
