--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -274,8 +274,8 @@
 
   void OnHead(const MessageHead& head) {
     const ResponseKind kind = response_.OnHead(head);
-    // A rejection may come from another process at the target's address.
-    if (kind != ResponseKind::kNotExecuted) {
+    // Anything else may come from another process at the target's address.
+    if (kind == ResponseKind::kStream || kind == ResponseKind::kBuffered) {
       context_->GetAdmission()->ContentLosses()->OnTargetAnswered(
           target_incarnation_, sent_at_);
       context_->OnContentChange();
