--- a/bench/serving/serving_bench.cc
+++ b/bench/serving/serving_bench.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "src/serving/content_loss_table.h"
 #include "src/serving/target_balancer.h"
 #include "src/serving/wait_queue.h"
 
@@ -72,5 +73,41 @@
 }
 BENCHMARK(DecideFullQueue)->Arg(10)->Arg(1'000);
 
+// Losses after a failure domain with `n` targets ended, ten contents each.
+ContentLossTable LossesOf(int n) {
+  ContentLossTable table({2, std::chrono::seconds(30)});
+  for (int i = 0; i < 10 * n; ++i) {
+    table.OnTargetLost(static_cast<std::uint64_t>(i),
+                       "t" + std::to_string(i % n) + "/1", kNow);
+  }
+  return table;
+}
+
+void MergeKnownContentReport(benchmark::State& state) {
+  ContentLossTable table = LossesOf(static_cast<int>(state.range(0)));
+  const ContentReport report = table.Report(true, kNow);
+  for (auto _ : state) {
+    table.OnPeerReport(report, kNow);
+  }
+}
+BENCHMARK(MergeKnownContentReport)->Arg(10)->Arg(340);
+
+void MakeContentReport(benchmark::State& state) {
+  const ContentLossTable table = LossesOf(static_cast<int>(state.range(0)));
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(table.Report(false, kNow));
+  }
+}
+BENCHMARK(MakeContentReport)->Arg(10)->Arg(340);
+
+void CheckContent(benchmark::State& state) {
+  const ContentLossTable table = LossesOf(static_cast<int>(state.range(0)));
+  std::uint64_t fingerprint = 0;
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(table.IsRefused(++fingerprint % 100));
+  }
+}
+BENCHMARK(CheckContent)->Arg(10)->Arg(340);
+
 }  // namespace
 }  // namespace hornbeamcleat
