Count only trials of refused content that end in a loss

A trial that ended without a result, with its caller or with an answer that proves nothing, put the next one off for 30 s like one that lost a target.

Now only a trial that ends in a loss lengthens the refusal. Content that crashes its target is recorded as a loss and is unaffected.

--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -73,7 +73,7 @@
   std::uint64_t fingerprint = 0;
   std::vector<TargetSighting> targets;  ///< lost, each once
   std::uint32_t trial_age_ms = 0;       ///< of the latest loss or trial
-  std::uint32_t trials = 0;             ///< while it was refused
+  std::uint32_t trials = 0;             ///< that ended in a loss
 
   bool operator==(const ContentLoss&) const = default;
 };
--- a/src/serving/content_loss_table.cc
+++ b/src/serving/content_loss_table.cc
@@ -39,6 +39,10 @@
   Entry* entry = FindOrAdd(fingerprint);
   AddTarget(fingerprint, target, now, entry);
   entry->tried_at = now;
+  // A trial that ends otherwise tells nothing, and the next one comes as soon.
+  if (std::exchange(entry->has_open_trial, false)) {
+    ++entry->trials;
+  }
   entry->reported_until = now + options_.refusal_time * kMemoryFactor;
   UpdateRefusals({target}, now);
   ++changes_;
@@ -98,7 +102,7 @@
     return false;
   }
   it->second.tried_at = now;
-  ++it->second.trials;
+  it->second.has_open_trial = true;
   it->second.reported_until =
       std::max(it->second.reported_until, now + options_.refusal_time);
   ++changes_;
--- a/src/serving/content_loss_table.h
+++ b/src/serving/content_loss_table.h
@@ -111,8 +111,9 @@
   struct Entry {
     /// Latest loss of each incarnation, by its hash.
     std::map<std::uint32_t, Time> targets;
-    Time tried_at;  ///< latest loss or trial
-    std::uint32_t trials = 0;
+    Time tried_at;                ///< latest loss or trial
+    std::uint32_t trials = 0;     ///< that ended in a loss
+    bool has_open_trial = false;  ///< of this VM
     Time reported_until;  ///< while this VM has seen a part of it itself
     bool is_refused = false;
   };
--- a/tests/relay/relay_fixture.cc
+++ b/tests/relay/relay_fixture.cc
@@ -163,6 +163,7 @@
 void RelayFixture::SetTargets(
     const std::vector<const ScriptedTarget*>& targets) {
   std::vector<ServingTarget> specs;
+  specs.reserve(targets.size());
   for (const ScriptedTarget* target : targets) {
     specs.push_back(Spec(fmt::format("t{}", specs.size()), *target));
   }
--- a/tests/serving/content_loss_table_test.cc
+++ b/tests/serving/content_loss_table_test.cc
@@ -81,7 +81,7 @@
   EXPECT_TRUE(peer_.TakeTrial(kContent, now_));
   EXPECT_FALSE(peer_.TakeTrial(kContent, now_));
   Report(peer_, &table_);
-  now_ += kFirstTrialTime;
+  now_ += kFirstTrialTime - milliseconds(1);
   EXPECT_FALSE(table_.TakeTrial(kContent, now_));
   EXPECT_TRUE(table_.IsRefused(kContent));
   now_ += milliseconds(50);
@@ -90,6 +90,19 @@
   EXPECT_FALSE(table_.IsRefused(kContent));
 }
 
+// A trial can end with its caller, or with an answer that proves nothing.
+TEST_F(ContentLossTableTest, TrialWithoutResultDoesNotLengthenRefusal) {
+  table_.OnTargetLost(kContent, "a/1", now_);
+  table_.OnTargetLost(kContent, "b/1", now_);
+  for (int i = 0; i < 3; ++i) {
+    now_ += kFirstTrialTime;
+    EXPECT_TRUE(table_.TakeTrial(kContent, now_)) << i;
+  }
+  table_.OnTargetLost(kContent, "c/1", now_);
+  now_ += kFirstTrialTime;
+  EXPECT_FALSE(table_.TakeTrial(kContent, now_));
+}
+
 // The stated bound: three sends later than 3 s after the third lost target.
 TEST_F(ContentLossTableTest, ContentThatIsAlwaysRequestedHasFewTrials) {
   table_.OnTargetLost(kContent, "t0/1", now_);
