Report changes of content for six seconds instead of ten minutes

Each VM repeated all its losses of ten minutes to all others, with each change and every two seconds: the reports grew with every loss.

A change is now repeated for six seconds, three reports to other failure domains. Peers keep what they heard, and those that start are told all for five seconds, as before. ContentLossTableTest.OldChangesAreReportedToStartedPeersOnly failed before (the loss was reported without end).

--- a/src/serving/content_loss_table.cc
+++ b/src/serving/content_loss_table.cc
@@ -9,6 +9,9 @@
 
 /// Losses are remembered for this multiple of the refusal time.
 constexpr int kMemoryFactor = 20;
+/// Time for which a change is reported to peers that have been up: three
+/// reports to other failure domains, in case some are lost.
+constexpr Duration kReportTime = std::chrono::seconds(6);
 /// Further losses allowed to content that this VM answered recently. Many
 /// callers may ask for the same thing, so that it runs on each target that is
 /// lost for another reason.
@@ -43,7 +46,7 @@
   if (std::exchange(entry->has_open_trial, false)) {
     ++entry->trials;
   }
-  entry->reported_until = now + options_.refusal_time * kMemoryFactor;
+  entry->reported_until = now + kReportTime;
   UpdateRefusals({target}, now);
   ++changes_;
 }
@@ -103,8 +106,7 @@
   }
   it->second.tried_at = now;
   it->second.has_open_trial = true;
-  it->second.reported_until =
-      std::max(it->second.reported_until, now + options_.refusal_time);
+  it->second.reported_until = now + kReportTime;
   ++changes_;
   return true;
 }
@@ -207,12 +209,12 @@
     report.losses.push_back(std::move(loss));
   }
   for (const auto& [target, at] : alive_) {
-    if (report.alive.size() < kMaxReported) {
+    if (report.alive.size() < kMaxReported && now < at + kReportTime) {
       report.alive.push_back({target, AgeMs(at, now)});
     }
   }
   for (const auto& [fingerprint, at] : cleared_) {
-    if (report.clearances.size() < kMaxReported) {
+    if (report.clearances.size() < kMaxReported && now < at + kReportTime) {
       report.clearances.push_back({fingerprint, AgeMs(at, now)});
     }
   }
