Decide on the contents of a lost target in linear time

Cause: after each loss, every content lost with the same target was compared with all others of that target to see whether a refused one explains its losses.

Change: a lost target keeps how many refused contents have lost how many targets, so that the question is answered from at most eight counters; another cause is searched in the smallest of the sets; contents with fewer losses than the limit are passed over.

Ruled out: a change of what is decided.

--- a/src/serving/content_loss_table.cc
+++ b/src/serving/content_loss_table.cc
@@ -177,7 +177,7 @@
 bool ContentLossTable::IsSuspect(std::uint64_t fingerprint, Time now) const {
   const auto it = entries_.find(fingerprint);
   return it != entries_.end() && !IsTrusted(fingerprint, now) &&
-         UnexplainedLosses(fingerprint, it->second) > 0;
+         UnexplainedLosses(it->second) > 0;
 }
 
 std::vector<std::uint64_t> ContentLossTable::TakeNewlyRefused() {
@@ -265,34 +265,51 @@
 
 bool ContentLossTable::HasOtherCause(std::uint64_t fingerprint,
                                      const Entry& entry) const {
-  const std::set<std::uint64_t>& candidates =
-      contents_by_target_.at(entry.targets.begin()->first);
+  // The smallest of the sets keeps the search short.
+  const LostTarget* fewest = nullptr;
+  for (const auto& [target, lost_at] : entry.targets) {
+    const LostTarget& lost = lost_targets_.at(target);
+    if (fewest == nullptr || lost.contents.size() < fewest->contents.size()) {
+      fewest = &lost;
+    }
+  }
   return std::any_of(
-      candidates.begin(), candidates.end(), [&](std::uint64_t other) {
-        return other != fingerprint &&
-               std::all_of(
-                   entry.targets.begin(), entry.targets.end(),
-                   [&](const auto& item) {
-                     return contents_by_target_.at(item.first).contains(other);
-                   });
+      fewest->contents.begin(), fewest->contents.end(), [&](const auto& other) {
+        const std::map<std::uint32_t, Time>& losses = other.second->targets;
+        return other.first != fingerprint &&
+               std::all_of(entry.targets.begin(), entry.targets.end(),
+                           [&](const auto& item) {
+                             return losses.contains(item.first);
+                           });
       });
 }
 
-int ContentLossTable::UnexplainedLosses(std::uint64_t fingerprint,
-                                        const Entry& entry) const {
+int ContentLossTable::UnexplainedLosses(const Entry& entry) const {
   return static_cast<int>(std::count_if(
       entry.targets.begin(), entry.targets.end(), [&](const auto& item) {
-        const std::set<std::uint64_t>& contents =
-            contents_by_target_.at(item.first);
-        return std::none_of(
-            contents.begin(), contents.end(), [&](std::uint64_t other) {
-              const Entry& cause = entries_.at(other);
-              return other != fingerprint && cause.is_refused &&
-                     cause.targets.size() > entry.targets.size();
-            });
+        const auto& refused = lost_targets_.at(item.first).refused_by_losses;
+        return std::all_of(
+            refused.begin() +
+                static_cast<std::ptrdiff_t>(entry.targets.size()) + 1,
+            refused.end(), [](int count) { return count == 0; });
       }));
 }
 
+void ContentLossTable::SetRefused(bool is_refused, Entry* entry) {
+  CountRefused(*entry, -1);
+  entry->is_refused = is_refused;
+  CountRefused(*entry, 1);
+}
+
+void ContentLossTable::CountRefused(const Entry& entry, int sign) {
+  if (!entry.is_refused) {
+    return;
+  }
+  for (const auto& [target, lost_at] : entry.targets) {
+    lost_targets_.at(target).refused_by_losses[entry.targets.size()] += sign;
+  }
+}
+
 Duration ContentLossTable::RefusalTime(const Entry& entry) const {
   return entry.trials == 0
              ? options_.refusal_time / kFirstTrialDivisor
@@ -319,16 +336,22 @@
 
 void ContentLossTable::Erase(std::uint64_t fingerprint) {
   const auto it = entries_.find(fingerprint);
+  CountRefused(it->second, -1);
   for (const auto& [target, lost_at] : it->second.targets) {
-    const auto contents = contents_by_target_.find(target);
-    contents->second.erase(fingerprint);
-    if (contents->second.empty()) {
-      contents_by_target_.erase(contents);
-    }
+    RemoveContent(target, fingerprint);
   }
   entries_.erase(it);
 }
 
+void ContentLossTable::RemoveContent(std::uint32_t target,
+                                     std::uint64_t fingerprint) {
+  const auto lost = lost_targets_.find(target);
+  lost->second.contents.erase(fingerprint);
+  if (lost->second.contents.empty()) {
+    lost_targets_.erase(lost);
+  }
+}
+
 bool ContentLossTable::AddTarget(std::uint64_t fingerprint,
                                  std::uint32_t target, Time lost_at,
                                  Entry* entry) {
@@ -342,8 +365,10 @@
   if (entry->targets.size() >= kMaxTargetsPerContent) {
     return false;
   }
+  CountRefused(*entry, -1);
   entry->targets.emplace(target, lost_at);
-  contents_by_target_[target].insert(fingerprint);
+  lost_targets_[target].contents[fingerprint] = entry;
+  CountRefused(*entry, 1);
   return true;
 }
 
@@ -354,30 +379,27 @@
 }
 
 bool ContentLossTable::DropLosses(std::uint32_t target, Time at) {
-  const auto contents = contents_by_target_.find(target);
-  if (contents == contents_by_target_.end()) {
+  const auto lost = lost_targets_.find(target);
+  if (lost == lost_targets_.end()) {
     return false;
   }
   bool any = false;
-  const std::set<std::uint64_t> fingerprints = contents->second;
-  for (const std::uint64_t fingerprint : fingerprints) {
-    Entry& entry = entries_.at(fingerprint);
-    const Time lost_at = entry.targets.at(target);
+  const std::map<std::uint64_t, Entry*> contents = lost->second.contents;
+  for (const auto& [fingerprint, entry] : contents) {
+    const Time lost_at = entry->targets.at(target);
     if (lost_at > at || at - lost_at >= kMinRestartTime) {
       continue;
     }
     any = true;
-    if (entry.targets.size() == 1) {
+    if (entry->targets.size() == 1) {
       Erase(fingerprint);
       continue;
     }
-    entry.targets.erase(target);
-    contents_by_target_.at(target).erase(fingerprint);
-    UpdateRefusals({entry.targets.begin()->first}, at);
-  }
-  if (contents_by_target_.contains(target) &&
-      contents_by_target_.at(target).empty()) {
-    contents_by_target_.erase(target);
+    CountRefused(*entry, -1);
+    entry->targets.erase(target);
+    RemoveContent(target, fingerprint);
+    CountRefused(*entry, 1);
+    UpdateRefusals({entry->targets.begin()->first}, at);
   }
   return any;
 }
@@ -385,18 +407,22 @@
 void ContentLossTable::UpdateRefusals(const std::vector<std::uint32_t>& targets,
                                       Time now) {
   for (const std::uint32_t target : targets) {
-    const auto contents = contents_by_target_.find(target);
-    if (contents == contents_by_target_.end()) {
+    const auto lost = lost_targets_.find(target);
+    if (lost == lost_targets_.end()) {
       continue;
     }
-    for (const std::uint64_t fingerprint : contents->second) {
-      Entry& entry = entries_.at(fingerprint);
+    for (const auto& [fingerprint, entry] : lost->second.contents) {
+      // Too few losses to be refused; most contents beside a cause have one.
+      if (!entry->is_refused &&
+          static_cast<int>(entry->targets.size()) < options_.limit) {
+        continue;
+      }
       const int limit =
-          options_.limit + (HasOtherCause(fingerprint, entry) ? 1 : 0) +
+          options_.limit + (HasOtherCause(fingerprint, *entry) ? 1 : 0) +
           (IsTrusted(fingerprint, now) ? kExtraLossesIfAnswered : 0);
-      const bool was_refused = entry.is_refused;
-      entry.is_refused = UnexplainedLosses(fingerprint, entry) >= limit;
-      if (entry.is_refused && !was_refused) {
+      const bool was_refused = entry->is_refused;
+      SetRefused(UnexplainedLosses(*entry) >= limit, entry);
+      if (entry->is_refused && !was_refused) {
         newly_refused_.push_back(fingerprint);
       }
     }
--- a/src/serving/content_loss_table.h
+++ b/src/serving/content_loss_table.h
@@ -1,12 +1,12 @@
 #ifndef HORNBEAMCLEAT_SRC_SERVING_CONTENT_LOSS_TABLE_H_
 #define HORNBEAMCLEAT_SRC_SERVING_CONTENT_LOSS_TABLE_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -118,6 +118,13 @@
     bool is_refused = false;
   };
 
+  /// Contents that were lost with one target.
+  struct LostTarget {
+    std::map<std::uint64_t, Entry*> contents;
+    /// Number of refused contents by how many targets they lost.
+    std::array<int, kMaxTargetsPerContent + 1> refused_by_losses{};
+  };
+
   /// Counts unproven answers of a target that was alive later.
   void ProveAnswers(std::uint32_t target, Time alive_at);
   void MergeLoss(const ContentLoss& loss, Time now);
@@ -125,15 +132,19 @@
   /// Whether another content was lost at all of these targets.
   bool HasOtherCause(std::uint64_t fingerprint, const Entry& entry) const;
   /// Lost targets that no other refused content with more losses explains.
-  int UnexplainedLosses(std::uint64_t fingerprint, const Entry& entry) const;
+  int UnexplainedLosses(const Entry& entry) const;
   /// Time from the latest loss or trial to the next trial.
   Duration RefusalTime(const Entry& entry) const;
   bool IsForgotten(const Entry& entry, Time now) const;
+  void SetRefused(bool is_refused, Entry* entry);
+  /// Adds refused content to the counts of its targets, or removes it.
+  void CountRefused(const Entry& entry, int sign);
   Entry* FindOrAdd(std::uint64_t fingerprint);
   /// Returns whether the target is new to the content.
   bool AddTarget(std::uint64_t fingerprint, std::uint32_t target, Time lost_at,
                  Entry* entry);
   void Erase(std::uint64_t fingerprint);
+  void RemoveContent(std::uint32_t target, std::uint64_t fingerprint);
   bool WasAlive(std::uint32_t target, Time lost_at) const;
   /// Drops losses of a target that was alive at `at`; returns whether any.
   bool DropLosses(std::uint32_t target, Time at);
@@ -144,7 +155,7 @@
 
   Options options_;
   std::unordered_map<std::uint64_t, Entry> entries_;
-  std::map<std::uint32_t, std::set<std::uint64_t>> contents_by_target_;
+  std::map<std::uint32_t, LostTarget> lost_targets_;
   std::map<std::uint64_t, Time> cleared_;  ///< by complete answers
   /// Latest loss of each target that may still turn out to be alive.
   std::map<std::uint32_t, Time> recently_lost_;
--- a/tests/serving/content_loss_table_test.cc
+++ b/tests/serving/content_loss_table_test.cc
@@ -2,7 +2,13 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace hornbeamcleat {
 namespace {
@@ -10,6 +16,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr int kLimit = 2;
 constexpr Duration kRefusalTime = seconds(30);
 constexpr Duration kFirstTrialTime = kRefusalTime / 6;
 constexpr std::uint64_t kContent = 7;
@@ -18,7 +25,7 @@
 class ContentLossTableTest : public testing::Test {
  protected:
   ContentLossTableTest()
-      : table_({2, kRefusalTime}), peer_({2, kRefusalTime}) {}
+      : table_({kLimit, kRefusalTime}), peer_({kLimit, kRefusalTime}) {}
 
   void Report(const ContentLossTable& from, ContentLossTable* to,
               bool is_complete = false) {
@@ -282,6 +289,80 @@
             static_cast<int>(ContentLossTable::kMaxTargetsPerContent));
 }
 
+// Each loss compared all contents of the target with each other.
+TEST_F(ContentLossTableTest, LossOfTargetWithAllContentsIsDecidedWithin1Ms) {
+  constexpr Duration kMaxDecisionTime = milliseconds(1);
+  constexpr int kMeasured = 64;
+  for (std::size_t i = 0; i < ContentLossTable::kMaxEntries; ++i) {
+    table_.OnTargetLost(i, "a/1", now_);
+    if (i % 4 == 0) {
+      table_.OnTargetLost(i, "b/1", now_);
+    }
+  }
+  std::vector<std::chrono::steady_clock::duration> times;
+  for (std::size_t i = 0; i < kMeasured; ++i) {
+    const auto start = std::chrono::steady_clock::now();
+    table_.OnTargetLost(i, "a/2", now_);
+    table_.OnTargetLost(i, "a/1", now_);
+    times.push_back((std::chrono::steady_clock::now() - start) / 2);
+  }
+  std::nth_element(times.begin(), times.begin() + kMeasured / 2, times.end());
+  EXPECT_LT(times[kMeasured / 2], kMaxDecisionTime);
+}
+
+// Decides as the class comment says, from the losses alone.
+class ReferenceDecision {
+ public:
+  using Losses = std::map<std::uint64_t, std::set<std::uint32_t>>;
+
+  // Contents that are refused when no other refused content explains their
+  // losses.
+  static std::set<std::uint64_t> SurelyRefused(const Losses& losses,
+                                               std::size_t limit) {
+    std::set<std::uint64_t> refused;
+    for (const auto& [content, targets] : losses) {
+      const bool is_largest =
+          std::none_of(losses.begin(), losses.end(), [&](const auto& other) {
+            return other.second.size() > targets.size();
+          });
+      const bool has_other_cause =
+          std::any_of(losses.begin(), losses.end(), [&](const auto& other) {
+            return other.first != content &&
+                   std::includes(other.second.begin(), other.second.end(),
+                                 targets.begin(), targets.end());
+          });
+      if (is_largest && targets.size() >= limit + (has_other_cause ? 1 : 0)) {
+        refused.insert(content);
+      }
+    }
+    return refused;
+  }
+};
+
+TEST_F(ContentLossTableTest, RefusalsAfterRandomLossesFollowTheRule) {
+  for (std::uint32_t seed = 1; seed <= 200; ++seed) {
+    std::mt19937 random(seed);
+    ContentLossTable table({kLimit, kRefusalTime});
+    ReferenceDecision::Losses losses;
+    for (int step = 0; step < 60; ++step) {
+      const std::uint64_t content = random() % 8;
+      const std::uint32_t target = random() % 6;
+      table.OnTargetLost(content, "t" + std::to_string(target), now_);
+      losses[content].insert(target);
+      for (const auto& [known, targets] : losses) {
+        ASSERT_EQ(table.Losses(known), static_cast<int>(targets.size()));
+        ASSERT_TRUE(!table.IsRefused(known) || targets.size() >= kLimit)
+            << "seed " << seed << " step " << step << " content " << known;
+      }
+      for (const std::uint64_t refused :
+           ReferenceDecision::SurelyRefused(losses, kLimit)) {
+        ASSERT_TRUE(table.IsRefused(refused))
+            << "seed " << seed << " step " << step << " content " << refused;
+      }
+    }
+  }
+}
+
 TEST_F(ContentLossTableTest, EntryExpiresWhenNobodyAsks) {
   table_.OnTargetLost(kContent, "a/1", now_);
   now_ += kRefusalTime * 20;
