Report each change of content once, and all of it to started peers only

Cause: when a VM restarted, all VMs sent all they knew of lost content, up to 128 entries of some 30 to 80 bytes, to all others for five seconds: with each heartbeat with details and, at once, with each further loss, as often as every 50 ms. They also passed on what they had heard from each other. With 84 VMs one such round is half a megabyte from each VM, on links from 10 Mbit/s, just when the repeats of the broken requests need them.

Change: a message at once holds only what this VM has seen since the last one; heartbeats with details repeat six seconds of it; what peers reported is not passed on. A peer that has started gets everything from four VMs that the rendezvous hash names, once a second for five seconds.

Tests: `EachLossIsReportedOnceBetweenHeartbeats` failed before; `ChangesHeardFromPeersAreNotReportedAgain`, `ReportersToStartedVmAreFewAndAgreedOn` are of new interfaces; `StartedPeerIsSentAllLosses` passed before and after.

--- a/bench/serving/serving_bench.cc
+++ b/bench/serving/serving_bench.cc
@@ -85,7 +85,7 @@
 
 void MergeKnownContentReport(benchmark::State& state) {
   ContentLossTable table = LossesOf(static_cast<int>(state.range(0)));
-  const ContentReport report = table.Report(true, kNow);
+  const ContentReport report = table.CompleteReport(kNow);
   for (auto _ : state) {
     table.OnPeerReport(report, kNow);
   }
@@ -95,11 +95,23 @@
 void MakeContentReport(benchmark::State& state) {
   const ContentLossTable table = LossesOf(static_cast<int>(state.range(0)));
   for (auto _ : state) {
-    benchmark::DoNotOptimize(table.Report(false, kNow));
+    benchmark::DoNotOptimize(table.ChangesSince(kNow, kNow));
   }
 }
 BENCHMARK(MakeContentReport)->Arg(10)->Arg(340);
 
+// Decision after a loss by a target with which `n` contents were lost.
+void DecideOnLoss(benchmark::State& state) {
+  ContentLossTable table({2, std::chrono::seconds(30)});
+  for (int i = 0; i < state.range(0); ++i) {
+    table.OnTargetLost(static_cast<std::uint64_t>(i), "t/1", kNow);
+  }
+  for (auto _ : state) {
+    table.OnTargetLost(0, "t/1", kNow);
+  }
+}
+BENCHMARK(DecideOnLoss)->Arg(10)->Arg(4'096);
+
 void CheckContent(benchmark::State& state) {
   const ContentLossTable table = LossesOf(static_cast<int>(state.range(0)));
   std::uint64_t fingerprint = 0;
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -277,7 +277,7 @@
     // Anything else may come from another process at the target's address.
     if (kind == ResponseKind::kStream || kind == ResponseKind::kBuffered) {
       context_->GetAdmission()->ContentLosses()->OnTargetAnswered(
-          target_incarnation_, sent_at_);
+          target_incarnation_, sent_at_, BootNow());
       context_->OnContentChange();
     }
     if (kind == ResponseKind::kBuffered) {
--- a/src/relay/peer_reporter.cc
+++ b/src/relay/peer_reporter.cc
@@ -17,9 +17,13 @@
 namespace {
 
 constexpr Duration kHeartbeatCheckPeriod = std::chrono::milliseconds(250);
-/// Time for which content reports are complete after a peer has started. Covers
-/// two reports to other failure domains, in case one is lost.
-constexpr Duration kCompleteContentTime = std::chrono::seconds(5);
+/// Time for which a peer that has started is sent all content, and the interval
+/// between two such messages, in case one is lost.
+constexpr Duration kStartedPeerTime = std::chrono::seconds(5);
+constexpr Duration kStartedPeerInterval = std::chrono::seconds(1);
+/// Changes of content are repeated with the details for this time: three
+/// reports to other failure domains, in case some are lost.
+constexpr Duration kContentRepeatTime = std::chrono::seconds(6);
 /// Minimum interval between two messages about content. Bounds their number
 /// when a failure domain with hundreds of targets is lost.
 constexpr Duration kMinContentInterval = std::chrono::milliseconds(50);
@@ -36,6 +40,7 @@
       plan_(PlanForScale(1, 1, Duration(0), Duration(0))) {
   std::random_device random;
   incarnation_ = (std::uint64_t{random()} << 32) | random();
+  started_at_ = clock_->Now();
   heartbeat_timer_ = loop_->Timers()->Every(
       clock_->Now() + kHeartbeatCheckPeriod, kHeartbeatCheckPeriod,
       [this](Time) { SendHeartbeat(); });
@@ -75,6 +80,7 @@
   if (!to_all_vms) {
     SendLowQuotas();
   }
+  SendContentToStarted();
 }
 
 void PeerReporter::Send(bool with_details, bool to_all_vms) {
@@ -91,7 +97,9 @@
                      : sources_.admission->Quotas()->TakeLocalDomainUsage();
   if (with_details) {
     state.details = MakeDetails(now);
-    state.content = MakeContentReport();
+    const Time content_now = clock_->SuspendAwareNow();
+    state.content = sources_.admission->ContentLosses()->ChangesSince(
+        content_now - kContentRepeatTime, content_now);
   }
   if (to_all_vms) {
     far_sent_at_ = now;
@@ -132,11 +140,6 @@
   return details;
 }
 
-ContentReport PeerReporter::MakeContentReport() const {
-  return sources_.admission->ContentLosses()->Report(
-      clock_->Now() < complete_content_until_, clock_->SuspendAwareNow());
-}
-
 void PeerReporter::SendContentSoon() {
   if (content_timer_ == nullptr &&
       sent_content_changes_ != sources_.admission->ContentLosses()->Changes()) {
@@ -152,12 +155,42 @@
   sent_content_changes_ = sources_.admission->ContentLosses()->Changes();
   PeerState state = MakeState();
   state.has_load = false;
-  state.content = MakeContentReport();
+  const Time content_now = clock_->SuspendAwareNow();
+  state.content = sources_.admission->ContentLosses()->ChangesSince(
+      content_sent_until_, content_now);
+  content_sent_until_ = content_now;
   link_->Send(state, sources_.directory->Links());
 }
 
-void PeerReporter::OnPeerStarted() {
-  complete_content_until_ = clock_->Now() + kCompleteContentTime;
+// Only some VMs send all they know to a peer that has started. If all did, the
+// reports would hold up its link, and their own, just when requests of the VMs
+// that were lost are repeated.
+void PeerReporter::SendContentToStarted() {
+  const Time now = clock_->Now();
+  std::erase_if(started_peers_,
+                [now](const auto& item) { return now >= item.second.until; });
+  for (auto& [link, peer] : started_peers_) {
+    if (now < peer.next ||
+        !sources_.directory->IsReporterTo(link, kStartedPeerTime, now)) {
+      continue;
+    }
+    PeerState state = MakeState();
+    state.has_load = false;
+    state.content = sources_.admission->ContentLosses()->CompleteReport(
+        clock_->SuspendAwareNow());
+    if (*state.content != ContentReport()) {
+      peer.next = now + kStartedPeerInterval;
+      link_->Send(state, {link});
+    }
+  }
+}
+
+// To a process that has just started itself, all peers seem to have.
+void PeerReporter::OnPeerStarted(const std::string& link) {
+  const Time now = clock_->Now();
+  if (now - started_at_ >= kStartedPeerTime) {
+    started_peers_[link] = {now + kStartedPeerTime, now};
+  }
 }
 
 }  // namespace hornbeamcleat
--- a/src/relay/peer_reporter.h
+++ b/src/relay/peer_reporter.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -52,16 +53,16 @@
   /// changed, once this turn of the loop has ended.
   void SendContentSoon();
   /// A peer has started and may lack what it or others knew before.
-  void OnPeerStarted();
+  void OnPeerStarted(const std::string& link);
 
  private:
   void SendHeartbeat();
   void Send(bool with_details, bool to_all_vms);
   void SendLowQuotas();
   void SendContent();
+  void SendContentToStarted();
   PeerState MakeState();
   PeerDetails MakeDetails(Time now) const;
-  ContentReport MakeContentReport() const;
   std::vector<std::string> LocalDomainLinks() const;
 
   PollLoop* const loop_;
@@ -77,9 +78,18 @@
   Time far_sent_at_;
   Time details_sent_at_;
   Time far_details_sent_at_;
-  Time complete_content_until_;
   std::uint64_t sent_content_changes_ = 0;
   Time content_sent_at_;
+  /// Changes of content before this time have been sent once; on the clock of
+  /// the content losses.
+  Time content_sent_until_;
+  Time started_at_;
+  /// Peers that started recently, and when each is sent all content next.
+  struct StartedPeer {
+    Time until;
+    Time next;
+  };
+  std::map<std::string, StartedPeer> started_peers_;
   std::unique_ptr<TimerService::Subscription> heartbeat_timer_;
   std::unique_ptr<TimerService::Subscription> send_timer_;
   std::unique_ptr<TimerService::Subscription> content_timer_;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -279,7 +279,7 @@
       return;
     }
     if (is_new_incarnation) {
-      peer_reporter_.OnPeerStarted();
+      peer_reporter_.OnPeerStarted(state.link);
     }
     if (state.has_load) {
       targets_.SetPeerLoad(state.link, state.uses, now);
--- a/src/serving/content_loss_table.cc
+++ b/src/serving/content_loss_table.cc
@@ -1,6 +1,7 @@
 #include "src/serving/content_loss_table.h"
 
 #include <algorithm>
+#include <functional>
 
 #include "hornbeamcleat/base/hash.h"
 
@@ -9,9 +10,6 @@
 
 /// Losses are remembered for this multiple of the refusal time.
 constexpr int kMemoryFactor = 20;
-/// Time for which a change is reported to peers that have been up: three
-/// reports to other failure domains, in case some are lost.
-constexpr Duration kReportTime = std::chrono::seconds(6);
 /// Further losses allowed to content that this VM answered recently. Many
 /// callers may ask for the same thing, so that it runs on each target that is
 /// lost for another reason.
@@ -46,33 +44,39 @@
   if (std::exchange(entry->has_open_trial, false)) {
     ++entry->trials;
   }
-  entry->reported_until = now + kReportTime;
+  entry->changed_at = now;
   UpdateRefusals({target}, now);
   ++changes_;
 }
 
 void ContentLossTable::OnTargetAnswered(std::string_view target_incarnation,
-                                        Time sent_at) {
+                                        Time sent_at, Time now) {
   if (recently_lost_.empty() && unproven_.empty()) {
     return;
   }
   const std::uint32_t target = Hash32(target_incarnation);
-  ProveAnswers(target, sent_at);
+  ProveAnswers(target, sent_at, now);
   const auto it = recently_lost_.find(target);
   if (it == recently_lost_.end() || it->second > sent_at ||
       sent_at - it->second >= kMinRestartTime) {
     return;
   }
-  alive_[target] = sent_at;
+  alive_[target] = {sent_at, now};
   if (DropLosses(target, sent_at)) {
     ++changes_;
   }
 }
 
 void ContentLossTable::OnAnswered(std::uint64_t fingerprint, Time now) {
-  RememberAnswer(fingerprint, now);
+  CountAnswer(fingerprint, now, now);
+}
+
+void ContentLossTable::CountAnswer(std::uint64_t fingerprint, Time answered_at,
+                                   Time now) {
+  RememberAnswer(fingerprint, answered_at);
   if (entries_.contains(fingerprint)) {
-    Clear(fingerprint, now);
+    Clear(fingerprint, answered_at);
+    cleared_[fingerprint].seen_at = now;
     ++changes_;
   }
 }
@@ -85,14 +89,15 @@
   }
 }
 
-void ContentLossTable::ProveAnswers(std::uint32_t target, Time alive_at) {
+void ContentLossTable::ProveAnswers(std::uint32_t target, Time alive_at,
+                                    Time now) {
   const auto answers = unproven_.find(target);
   if (answers == unproven_.end()) {
     return;
   }
   for (const auto& [fingerprint, answered_at] : answers->second) {
     if (answered_at <= alive_at && alive_at - answered_at < kMinRestartTime) {
-      OnAnswered(fingerprint, answered_at);
+      CountAnswer(fingerprint, answered_at, now);
     }
   }
   unproven_.erase(answers);
@@ -106,7 +111,7 @@
   }
   it->second.tried_at = now;
   it->second.has_open_trial = true;
-  it->second.reported_until = now + kReportTime;
+  it->second.changed_at = now;
   ++changes_;
   return true;
 }
@@ -123,7 +128,7 @@
   }
   for (const TargetSighting& sighting : report.alive) {
     const Time at = FromAge(sighting.age_ms, now);
-    Time& known = alive_[sighting.target];
+    Time& known = alive_[sighting.target].at;
     known = std::max(known, at);
     DropLosses(sighting.target, at);
   }
@@ -137,7 +142,7 @@
   std::vector<std::uint32_t> added;
   for (const TargetSighting& lost : loss.targets) {
     const Time lost_at = FromAge(lost.age_ms, now);
-    if ((cleared != cleared_.end() && lost_at <= cleared->second) ||
+    if ((cleared != cleared_.end() && lost_at <= cleared->second.at) ||
         WasAlive(lost.target, lost_at)) {
       continue;
     }
@@ -184,11 +189,18 @@
   return std::exchange(newly_refused_, {});
 }
 
-ContentReport ContentLossTable::Report(bool is_complete, Time now) const {
+ContentReport ContentLossTable::ChangesSince(Time since, Time now) const {
+  return MakeReport(since, now);
+}
+
+ContentReport ContentLossTable::CompleteReport(Time now) const {
+  return MakeReport(kNeverSeen, now);
+}
+
+ContentReport ContentLossTable::MakeReport(Time since, Time now) const {
   std::vector<std::pair<Time, std::uint64_t>> latest;
   for (const auto& [fingerprint, entry] : entries_) {
-    if (!IsForgotten(entry, now) &&
-        (is_complete || now < entry.reported_until)) {
+    if (entry.changed_at >= since && !IsForgotten(entry, now)) {
       latest.emplace_back(entry.tried_at, fingerprint);
     }
   }
@@ -199,23 +211,24 @@
   latest.resize(n);
   ContentReport report;
   for (const auto& [tried_at, fingerprint] : latest) {
+    const Entry& entry = entries_.at(fingerprint);
     ContentLoss loss;
     loss.fingerprint = fingerprint;
     loss.trial_age_ms = AgeMs(tried_at, now);
-    loss.trials = entries_.at(fingerprint).trials;
-    for (const auto& [target, lost_at] : entries_.at(fingerprint).targets) {
+    loss.trials = entry.trials;
+    for (const auto& [target, lost_at] : entry.targets) {
       loss.targets.push_back({target, AgeMs(lost_at, now)});
     }
     report.losses.push_back(std::move(loss));
   }
-  for (const auto& [target, at] : alive_) {
-    if (report.alive.size() < kMaxReported && now < at + kReportTime) {
-      report.alive.push_back({target, AgeMs(at, now)});
+  for (const auto& [target, sighting] : alive_) {
+    if (report.alive.size() < kMaxReported && sighting.seen_at >= since) {
+      report.alive.push_back({target, AgeMs(sighting.at, now)});
     }
   }
-  for (const auto& [fingerprint, at] : cleared_) {
-    if (report.clearances.size() < kMaxReported && now < at + kReportTime) {
-      report.clearances.push_back({fingerprint, AgeMs(at, now)});
+  for (const auto& [fingerprint, clearance] : cleared_) {
+    if (report.clearances.size() < kMaxReported && clearance.seen_at >= since) {
+      report.clearances.push_back({fingerprint, AgeMs(clearance.at, now)});
     }
   }
   return report;
@@ -240,8 +253,11 @@
   const auto is_old = [&](const auto& item) {
     return now >= item.second + options_.refusal_time;
   };
-  std::erase_if(cleared_, is_old);
-  std::erase_if(alive_, is_old);
+  const auto is_old_sighting = [&](const auto& item) {
+    return now >= item.second.at + options_.refusal_time;
+  };
+  std::erase_if(cleared_, is_old_sighting);
+  std::erase_if(alive_, is_old_sighting);
   std::erase_if(recently_lost_, is_old);
   std::erase_if(unproven_, [&](const auto& answers) {
     return std::all_of(answers.second.begin(), answers.second.end(), is_old);
@@ -374,8 +390,8 @@
 
 bool ContentLossTable::WasAlive(std::uint32_t target, Time lost_at) const {
   const auto it = alive_.find(target);
-  return it != alive_.end() && lost_at <= it->second &&
-         it->second - lost_at < kMinRestartTime;
+  return it != alive_.end() && lost_at <= it->second.at &&
+         it->second.at - lost_at < kMinRestartTime;
 }
 
 bool ContentLossTable::DropLosses(std::uint32_t target, Time at) {
@@ -435,7 +451,7 @@
     targets.push_back(target);
   }
   Erase(fingerprint);
-  cleared_[fingerprint] = at;
+  cleared_[fingerprint].at = at;
   UpdateRefusals(targets, at);
 }
 
--- a/src/serving/content_loss_table.h
+++ b/src/serving/content_loss_table.h
@@ -63,7 +63,8 @@
   /// Records that a target answered a request sent at `sent_at`. Connections to
   /// it that were lost shortly before were not lost by a crash, since a process
   /// takes longer to start.
-  void OnTargetAnswered(std::string_view target_incarnation, Time sent_at);
+  void OnTargetAnswered(std::string_view target_incarnation, Time sent_at,
+                        Time now);
 
   /// Records a complete answer, which rules the content out as the cause of
   /// earlier losses.
@@ -97,8 +98,11 @@
   /// Returns contents that became refused since the last call.
   std::vector<std::uint64_t> TakeNewlyRefused();
 
-  /// Returns what this VM has seen itself or, if `is_complete`, all it knows.
-  ContentReport Report(bool is_complete, Time now) const;
+  /// Returns what this VM has seen itself since a time.
+  ContentReport ChangesSince(Time since, Time now) const;
+
+  /// Returns all that this VM knows, for a peer that has started.
+  ContentReport CompleteReport(Time now) const;
 
   /// Number of changes that peers must hear of immediately.
   std::uint64_t Changes() const { return changes_; }
@@ -108,16 +112,24 @@
   void Expire(Time now);
 
  private:
+  static constexpr Time kNeverSeen = Time::min();
+
   struct Entry {
     /// Latest loss of each incarnation, by its hash.
     std::map<std::uint32_t, Time> targets;
-    Time tried_at;                ///< latest loss or trial
-    std::uint32_t trials = 0;     ///< that ended in a loss
-    bool has_open_trial = false;  ///< of this VM
-    Time reported_until;  ///< while this VM has seen a part of it itself
+    Time tried_at;                 ///< latest loss or trial
+    std::uint32_t trials = 0;      ///< that ended in a loss
+    bool has_open_trial = false;   ///< of this VM
+    Time changed_at = kNeverSeen;  ///< by what this VM has seen itself
     bool is_refused = false;
   };
 
+  /// When a content was cleared or a target was alive.
+  struct Sighting {
+    Time at;
+    Time seen_at = kNeverSeen;  ///< by this VM itself
+  };
+
   /// Contents that were lost with one target.
   struct LostTarget {
     std::map<std::uint64_t, Entry*> contents;
@@ -126,8 +138,10 @@
   };
 
   /// Counts unproven answers of a target that was alive later.
-  void ProveAnswers(std::uint32_t target, Time alive_at);
+  void ProveAnswers(std::uint32_t target, Time alive_at, Time now);
+  void CountAnswer(std::uint64_t fingerprint, Time answered_at, Time now);
   void MergeLoss(const ContentLoss& loss, Time now);
+  ContentReport MakeReport(Time since, Time now) const;
   bool IsTrusted(std::uint64_t fingerprint, Time now) const;
   /// Whether another content was lost at all of these targets.
   bool HasOtherCause(std::uint64_t fingerprint, const Entry& entry) const;
@@ -156,10 +170,11 @@
   Options options_;
   std::unordered_map<std::uint64_t, Entry> entries_;
   std::map<std::uint32_t, LostTarget> lost_targets_;
-  std::map<std::uint64_t, Time> cleared_;  ///< by complete answers
+  std::map<std::uint64_t, Sighting> cleared_;  ///< by complete answers
   /// Latest loss of each target that may still turn out to be alive.
   std::map<std::uint32_t, Time> recently_lost_;
-  std::map<std::uint32_t, Time> alive_;  ///< targets that answered after a loss
+  /// Targets that answered after a loss.
+  std::map<std::uint32_t, Sighting> alive_;
   /// Contents that this VM has answered completely, by time.
   std::unordered_map<std::uint64_t, Time> answered_;
   std::deque<std::pair<Time, std::uint64_t>> answered_order_;
--- a/src/serving/vm_directory.cc
+++ b/src/serving/vm_directory.cc
@@ -2,12 +2,16 @@
 
 #include <algorithm>
 
+#include "hornbeamcleat/base/hash.h"
+
 namespace hornbeamcleat {
 namespace {
 
 /// Minimum ready VMs in a failure domain for which no VMs of other domains are
 /// added.
 constexpr std::size_t kMinLocalAddresses = 2;
+/// Several, since some may just have ended or started.
+constexpr int kReportersToStartedVm = 4;
 /// Maximum addresses per answer; callers read no more.
 constexpr std::size_t kMaxAddresses = 64;
 
@@ -61,7 +65,10 @@
     SetRecord({state.link, state.details->front, state.details->failure_domain},
               &peer);
   }
-  peer.heard = {state.incarnation, state.sequence, state.is_ready, now};
+  const bool is_same =
+      peer.heard.has_value() && peer.heard->incarnation == state.incarnation;
+  peer.heard = {state.incarnation, state.sequence, state.is_ready, now,
+                is_same ? peer.heard->incarnation_since : now};
   peer.is_timed_out = false;
   return true;
 }
@@ -72,6 +79,19 @@
          it->second.heard->incarnation != state.incarnation;
 }
 
+bool VmDirectory::IsReporterTo(const std::string& link, Duration min_uptime,
+                               Time now) const {
+  const std::uint64_t own = Hash64(self_.link, Hash64(link, 0));
+  const auto before =
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& item) {
+        return item.first != link &&
+               IsReachable(item.second, options_.peer_timeout, now) &&
+               now - item.second.heard->incarnation_since >= min_uptime &&
+               Hash64(item.first, Hash64(link, 0)) < own;
+      });
+  return before < kReportersToStartedVm;
+}
+
 std::vector<std::string> VmDirectory::Links() const {
   std::vector<std::string> links;
   for (const auto& [link, peer] : peers_) {
--- a/src/serving/vm_directory.h
+++ b/src/serving/vm_directory.h
@@ -37,6 +37,11 @@
   /// new here or has restarted.
   bool IsNewIncarnation(const PeerState& state) const;
 
+  /// Whether this VM is one of the few that report to a VM that has started.
+  /// VMs that have themselves been up for less than `min_uptime` don't count.
+  bool IsReporterTo(const std::string& link, Duration min_uptime,
+                    Time now) const;
+
   /// Links of all other VMs, reachable or not.
   std::vector<std::string> Links() const;
   /// Links of the other VMs in this VM's failure domain.
@@ -82,6 +87,7 @@
     std::uint32_t sequence = 0;
     bool is_ready = false;
     Time at;
+    Time incarnation_since;
   };
 
   struct Peer {
--- a/tests/relay/crashing_content_test.cc
+++ b/tests/relay/crashing_content_test.cc
@@ -265,5 +265,58 @@
   EXPECT_EQ(report->losses.size(), 1U);
 }
 
+// When many targets end at once, reports that grow with each loss fill the
+// links of all VMs for seconds.
+TEST_F(CrashingContentTest, EachLossIsReportedOnceBetweenHeartbeats) {
+  constexpr int kLosses = 20;
+  std::size_t reported = 0;
+  const Address address = FreeUdpAddress();
+  const std::unique_ptr<PeerLink> peer = PeerLink::Open(
+      loop_.get(), clock_.get(), address, [&reported](const PeerState& state) {
+        if (state.content.has_value() && !state.details.has_value()) {
+          reported += state.content->losses.size();
+        }
+      });
+  relay_->SetMembers({{address.ToString(), "127.0.0.1:1", "far"}});
+  for (int i = 0; i < kLosses; ++i) {
+    StartCrashingTargets(1, kStreamHead);
+    SendRequest(Request("stream", "r1", "", fmt::format("content {}", i)));
+  }
+  ASSERT_TRUE(RunUntil([&reported] { return reported >= kLosses; }));
+  EXPECT_EQ(reported, kLosses);
+}
+
+TEST_F(CrashingContentTest, StartedPeerIsSentAllLosses) {
+  RelayOptions options = Options();
+  options.peer_address = FreeUdpAddress();
+  relay_ = Relay::Make(loop_.get(), clock_.get(), codec_.get(), metrics_.get(),
+                       options,
+                       {[](const VmRecord&) {}, [](const ScalePlan&) {},
+                        [](const MoveRecord&) {}});
+  Configure(Config());
+  StartCrashingTargets(1, kStreamHead);
+  SendRequest(Request("stream"));
+  const Time lost_at = clock_->Now();
+  // The relay reports to peers that start after it.
+  constexpr Duration kStartedPeerTime = std::chrono::milliseconds(6'200);
+  ASSERT_TRUE(
+      RunUntil([&] { return clock_->Now() - lost_at > kStartedPeerTime; }));
+  std::size_t losses = 0;
+  const Address address = FreeUdpAddress();
+  const std::unique_ptr<PeerLink> peer = PeerLink::Open(
+      loop_.get(), clock_.get(), address, [&losses](const PeerState& state) {
+        losses += state.content.has_value() ? state.content->losses.size() : 0;
+      });
+  relay_->SetMembers({{address.ToString(), "127.0.0.1:1", "d"}});
+  PeerState first;
+  first.incarnation = 1;
+  first.sequence = 1;
+  first.link = address.ToString();
+  peer->Send(first, {relay_->SelfRecord().link});
+  const Time started_at = clock_->Now();
+  ASSERT_TRUE(RunUntil([&losses] { return losses > 0; }));
+  EXPECT_LT(clock_->Now() - started_at, std::chrono::seconds(1));
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
--- a/tests/serving/content_loss_table_test.cc
+++ b/tests/serving/content_loss_table_test.cc
@@ -19,6 +19,7 @@
 constexpr int kLimit = 2;
 constexpr Duration kRefusalTime = seconds(30);
 constexpr Duration kFirstTrialTime = kRefusalTime / 6;
+constexpr Duration kRepeatTime = seconds(6);
 constexpr std::uint64_t kContent = 7;
 
 /// Two VMs that exchange reports.
@@ -29,7 +30,9 @@
 
   void Report(const ContentLossTable& from, ContentLossTable* to,
               bool is_complete = false) {
-    to->OnPeerReport(from.Report(is_complete, now_), now_);
+    to->OnPeerReport(is_complete ? from.CompleteReport(now_)
+                                 : from.ChangesSince(now_ - kRepeatTime, now_),
+                     now_);
   }
 
   Time now_ = Time(seconds(1'000));
@@ -102,11 +105,37 @@
   table_.OnTargetLost(kContent, "a/1", now_);
   table_.OnTargetLost(kContent + 1, "a/1", now_);
   table_.OnAnswered(kContent + 1, now_);
-  EXPECT_EQ(table_.Report(false, now_).losses.size(), 1U);
-  EXPECT_EQ(table_.Report(false, now_).clearances.size(), 1U);
+  const Time changed = now_;
+  EXPECT_EQ(table_.ChangesSince(changed, now_).losses.size(), 1U);
+  EXPECT_EQ(table_.ChangesSince(changed, now_).clearances.size(), 1U);
   now_ += seconds(10);
-  EXPECT_EQ(table_.Report(false, now_), ContentReport());
-  EXPECT_EQ(table_.Report(true, now_).losses.size(), 1U);
+  EXPECT_EQ(table_.ChangesSince(changed, now_).losses.size(), 1U);
+  EXPECT_EQ(table_.ChangesSince(changed + milliseconds(1), now_),
+            ContentReport());
+  EXPECT_EQ(table_.CompleteReport(now_).losses.size(), 1U);
+  EXPECT_EQ(table_.CompleteReport(now_).clearances.size(), 1U);
+}
+
+// All VMs repeated what they had heard from each other.
+TEST_F(ContentLossTableTest, ChangesHeardFromPeersAreNotReportedAgain) {
+  peer_.OnTargetLost(kContent, "a/1", now_);
+  peer_.OnTargetLost(kContent + 1, "b/1", now_);
+  Report(peer_, &table_);
+  now_ += milliseconds(1);
+  const Time second = now_;
+  peer_.OnAnswered(kContent + 1, now_);
+  peer_.OnTargetLost(kContent + 2, "c/1", now_);
+  peer_.OnTargetAnswered("c/1", now_, now_);
+  const ContentReport report = peer_.ChangesSince(second, now_);
+  EXPECT_TRUE(report.losses.empty());
+  EXPECT_EQ(report.clearances.size(), 1U);
+  EXPECT_EQ(report.alive.size(), 1U);
+  table_.OnPeerReport(report, now_);
+  EXPECT_EQ(table_.ChangesSince(now_ - kRepeatTime, now_), ContentReport());
+  const ContentReport complete = table_.CompleteReport(now_);
+  EXPECT_EQ(complete.losses.size(), 1U);
+  EXPECT_EQ(complete.clearances.size(), 1U);
+  EXPECT_EQ(complete.alive.size(), 1U);
 }
 
 // A trial can end with its caller, or with an answer that proves nothing.
@@ -144,13 +173,13 @@
   table_.OnTargetLost(kContent, "a/1", now_);
   table_.OnUnprovenAnswer(kContent, "b/1", now_);
   EXPECT_EQ(table_.Losses(kContent), 1);
-  table_.OnTargetAnswered("c/1", now_ + milliseconds(10));
+  table_.OnTargetAnswered("c/1", now_ + milliseconds(10), now_);
   EXPECT_EQ(table_.Losses(kContent), 1);
-  table_.OnTargetAnswered("b/1", now_ + milliseconds(10));
+  table_.OnTargetAnswered("b/1", now_ + milliseconds(10), now_);
   EXPECT_EQ(table_.Losses(kContent), 0);
   table_.OnTargetLost(kContent, "a/1", now_);
   table_.OnUnprovenAnswer(kContent, "b/1", now_);
-  table_.OnTargetAnswered("b/1", now_ + seconds(2));
+  table_.OnTargetAnswered("b/1", now_ + seconds(2), now_);
   EXPECT_EQ(table_.Losses(kContent), 1);
 }
 
@@ -217,7 +246,7 @@
   Report(table_, &peer_);
   const Time sent_at = now_ + milliseconds(500);
   now_ += seconds(3);
-  peer_.OnTargetAnswered("a/1", sent_at);
+  peer_.OnTargetAnswered("a/1", sent_at, now_);
   EXPECT_EQ(peer_.Losses(kContent), 1);
   Report(peer_, &table_);
   EXPECT_EQ(table_.Losses(kContent), 1);
@@ -231,10 +260,10 @@
 // A target may start again under its id before its entry tells.
 TEST_F(ContentLossTableTest, TargetThatAnswersLaterMayHaveRestarted) {
   table_.OnTargetLost(kContent, "a/1", now_);
-  table_.OnTargetAnswered("a/1", now_ - milliseconds(1));
+  table_.OnTargetAnswered("a/1", now_ - milliseconds(1), now_);
   EXPECT_EQ(table_.Losses(kContent), 1);
   now_ += milliseconds(1'500);
-  table_.OnTargetAnswered("a/1", now_);
+  table_.OnTargetAnswered("a/1", now_, now_);
   EXPECT_EQ(table_.Losses(kContent), 1);
 }
 
@@ -279,7 +308,7 @@
     table_.OnAnswered(1'000'000 + i, now_);
   }
   EXPECT_EQ(table_.Losses(0), 0);
-  const ContentReport report = table_.Report(true, now_);
+  const ContentReport report = table_.CompleteReport(now_);
   ASSERT_EQ(report.losses.size(), ContentLossTable::kMaxReported);
   EXPECT_EQ(report.losses[0].fingerprint, ContentLossTable::kMaxEntries + 9);
   for (int i = 0; i < 100; ++i) {
@@ -368,7 +397,7 @@
   now_ += kRefusalTime * 20;
   table_.Expire(now_);
   EXPECT_EQ(table_.Losses(kContent), 0);
-  EXPECT_TRUE(table_.Report(true, now_).losses.empty());
+  EXPECT_TRUE(table_.CompleteReport(now_).losses.empty());
 }
 
 }  // namespace
--- a/tests/serving/vm_directory_test.cc
+++ b/tests/serving/vm_directory_test.cc
@@ -141,5 +141,35 @@
   EXPECT_EQ(directory_.LocalDomainSize(), 2);
 }
 
+// Of hundreds of VMs, a few report to one that has started.
+TEST_F(VmDirectoryTest, ReportersToStartedVmAreFewAndAgreedOn) {
+  constexpr int kVms = 60;
+  constexpr Duration kUptime = milliseconds(5'000);
+  int reporters = 0;
+  for (int self = 0; self < kVms; ++self) {
+    VmDirectory directory(Record("vm" + std::to_string(self), "x"), Options());
+    for (int peer = 0; peer < kVms; ++peer) {
+      PeerState state;
+      state.link = Record("vm" + std::to_string(peer), "x").link;
+      state.incarnation = 1;
+      state.sequence = 1;
+      directory.OnState(state, now_);
+      state.sequence = 2;
+      directory.OnState(state, now_ + kUptime);
+    }
+    reporters +=
+        directory.IsReporterTo("vm7:1", kUptime, now_ + kUptime) ? 1 : 0;
+  }
+  EXPECT_EQ(reporters, 4);
+}
+
+TEST_F(VmDirectoryTest, ReporterToStartedVmWithoutOlderPeersIsThisVm) {
+  constexpr Duration kUptime = milliseconds(5'000);
+  for (int peer = 0; peer < 20; ++peer) {
+    ReceiveState("young" + std::to_string(peer), "x");
+  }
+  EXPECT_TRUE(directory_.IsReporterTo("young3:1", kUptime, now_));
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
