Keep the linter clean in the new tests

Two loops reserve their vector, and the reference of the random test of the table of losses is a function. serving_tests ContentLoss*: 23 passed.

--- a/bench/relay/peer_message_bench.cc
+++ b/bench/relay/peer_message_bench.cc
@@ -48,6 +48,7 @@
                          {[](const VmRecord&) {}, [](const ScalePlan&) {},
                           [](const MoveRecord&) {}});
     std::vector<VmRecord> members;
+    members.reserve(static_cast<std::size_t>(vms));
     for (int i = 0; i < vms; ++i) {
       members.push_back({LinkOf(i), fmt::format("127.0.1.1:{}", 10'000 + i),
                          fmt::format("d{}", i / (local_peers_ + 1))});
--- a/tests/relay/peer_cost_test.cc
+++ b/tests/relay/peer_cost_test.cc
@@ -46,6 +46,7 @@
                          {[](const VmRecord&) {}, [](const ScalePlan&) {},
                           [](const MoveRecord&) {}});
     std::vector<VmRecord> members;
+    members.reserve(static_cast<std::size_t>(vms));
     for (int i = 0; i < vms; ++i) {
       members.push_back({LinkOf(i), fmt::format("127.0.1.1:{}", 10'000 + i),
                          i % 5 == 0 ? Options().failure_domain
--- a/tests/serving/content_loss_table_test.cc
+++ b/tests/serving/content_loss_table_test.cc
@@ -339,40 +339,37 @@
   EXPECT_LT(times[kMeasured / 2], kMaxDecisionTime);
 }
 
-// Decides as the class comment says, from the losses alone.
-class ReferenceDecision {
- public:
-  using Losses = std::map<std::uint64_t, std::set<std::uint32_t>>;
-
-  // Contents that are refused when no other refused content explains their
-  // losses.
-  static std::set<std::uint64_t> SurelyRefused(const Losses& losses,
-                                               std::size_t limit) {
-    std::set<std::uint64_t> refused;
-    for (const auto& [content, targets] : losses) {
-      const bool is_largest =
-          std::none_of(losses.begin(), losses.end(), [&](const auto& other) {
-            return other.second.size() > targets.size();
-          });
-      const bool has_other_cause =
-          std::any_of(losses.begin(), losses.end(), [&](const auto& other) {
-            return other.first != content &&
-                   std::includes(other.second.begin(), other.second.end(),
-                                 targets.begin(), targets.end());
-          });
-      if (is_largest && targets.size() >= limit + (has_other_cause ? 1 : 0)) {
-        refused.insert(content);
-      }
+using LossesByContent = std::map<std::uint64_t, std::set<std::uint32_t>>;
+
+// Contents that must be refused by their losses alone, since no other content
+// has lost more targets and could explain them.
+std::set<std::uint64_t> SurelyRefused(const LossesByContent& losses) {
+  std::set<std::uint64_t> refused;
+  for (const LossesByContent::value_type& entry : losses) {
+    const std::set<std::uint32_t>& targets = entry.second;
+    const bool is_largest =
+        std::none_of(losses.begin(), losses.end(), [&](const auto& other) {
+          return other.second.size() > targets.size();
+        });
+    const bool has_other_cause =
+        std::any_of(losses.begin(), losses.end(), [&](const auto& other) {
+          return other.first != entry.first &&
+                 std::includes(other.second.begin(), other.second.end(),
+                               targets.begin(), targets.end());
+        });
+    const std::size_t limit = kLimit + (has_other_cause ? 1 : 0);
+    if (is_largest && targets.size() >= limit) {
+      refused.insert(entry.first);
     }
-    return refused;
   }
-};
+  return refused;
+}
 
 TEST_F(ContentLossTableTest, RefusalsAfterRandomLossesFollowTheRule) {
   for (std::uint32_t seed = 1; seed <= 200; ++seed) {
     std::mt19937 random(seed);
     ContentLossTable table({kLimit, kRefusalTime});
-    ReferenceDecision::Losses losses;
+    LossesByContent losses;
     for (int step = 0; step < 60; ++step) {
       const std::uint64_t content = random() % 8;
       const std::uint32_t target = random() % 6;
@@ -383,8 +380,7 @@
         ASSERT_TRUE(!table.IsRefused(known) || targets.size() >= kLimit)
             << "seed " << seed << " step " << step << " content " << known;
       }
-      for (const std::uint64_t refused :
-           ReferenceDecision::SurelyRefused(losses, kLimit)) {
+      for (const std::uint64_t refused : SurelyRefused(losses)) {
         ASSERT_TRUE(table.IsRefused(refused))
             << "seed " << seed << " step " << step << " content " << refused;
       }
