Send other failure domains what they don't know yet

Cause: heartbeats to other domains repeated the totals of all workspaces each second (40 of them, 640 bytes) and every two seconds what the VM had measured of all targets (up to 256, 2 KB), though a domain has VMs enough to know its own targets.

Change: messages to the own domain and to others are made apart. Others get totals that changed, all of them every 4 s and while a peer or this VM has just started, and measurements of the sender's own domain's targets.

Ruled out: sending the own domain less (its VMs choose among all targets).

Tests: `TotalsReportedToOneReachAreStillDueToTheOther`, `LocalStatsOfOneDomainOmitsTargetsOfOthers` (new interfaces); `QuotaFleetTest` reports the new way and keeps both bounds.

--- a/src/relay/peer_reporter.cc
+++ b/src/relay/peer_reporter.cc
@@ -21,6 +21,8 @@
 /// between two such messages, in case one is lost.
 constexpr Duration kStartedPeerTime = std::chrono::seconds(5);
 constexpr Duration kStartedPeerInterval = std::chrono::seconds(1);
+/// Interval between complete lists of quotas to other failure domains.
+constexpr Duration kAllQuotasPeriod = std::chrono::seconds(4);
 /// Changes of content are repeated with the details for this time: three
 /// reports to other failure domains, in case some are lost.
 constexpr Duration kContentRepeatTime = std::chrono::seconds(6);
@@ -54,10 +56,10 @@
   const Time now = clock_->Now();
   const Time due = sent_at_ + plan_.min_change_interval;
   if (now >= due) {
-    Send(false, false);
+    SendToLocalDomain(false);
   } else if (send_timer_ == nullptr) {
     send_timer_ =
-        loop_->Timers()->At(due, [this](Time) { Send(false, false); });
+        loop_->Timers()->At(due, [this](Time) { SendToLocalDomain(false); });
   }
 }
 
@@ -67,54 +69,77 @@
 }
 
 void PeerReporter::SendHeartbeat() {
+  SendToLocalDomain(TakeDue(plan_.local_details_period, &details_sent_at_));
+  if (plan_.is_domain_scoped) {
+    if (TakeDue(plan_.remote_heartbeat_period, &remote_sent_at_)) {
+      SendToRemoteDomains(
+          TakeDue(plan_.remote_details_period, &remote_details_sent_at_));
+    } else {
+      SendLowQuotas();
+    }
+  }
+  SendContentToStarted();
+}
+
+// The timer's delays vary, so that a period counts as over a little early.
+bool PeerReporter::TakeDue(Duration period, Time* last) const {
   const Time now = clock_->Now();
-  const bool to_all_vms = now - far_sent_at_ >= plan_.remote_heartbeat_period;
-  const Duration local_details_period =
-      to_all_vms ? plan_.remote_details_period : plan_.local_details_period;
-  Time& detailed_at = to_all_vms ? far_details_sent_at_ : details_sent_at_;
-  const bool with_details = now - detailed_at >= local_details_period;
-  if (with_details) {
-    detailed_at = now;
+  if (now - *last < period - kHeartbeatCheckPeriod / 2) {
+    return false;
   }
-  Send(with_details, to_all_vms);
-  if (!to_all_vms) {
-    SendLowQuotas();
+  *last = now;
+  return true;
+}
+
+void PeerReporter::SendAll() {
+  SendToLocalDomain(true);
+  if (plan_.is_domain_scoped) {
+    SendToRemoteDomains(true);
   }
-  SendContentToStarted();
 }
 
-void PeerReporter::Send(bool with_details, bool to_all_vms) {
+void PeerReporter::SendToLocalDomain(bool with_details) {
   const Time now = clock_->Now();
   send_timer_.reset();
   sent_at_ = now;
   sent_changes_ = sources_.targets->Changes() + sources_.queue->Changes();
-  PeerState state = MakeState();
-  state.uses = sources_.targets->LocalLoad(now);
-  state.queues = sources_.queue->Queues(now);
-  state.has_all_quotas = with_details || to_all_vms;
-  state.quotas =
-      state.has_all_quotas
-          ? sources_.admission->Quotas()->TakeAllUsage(to_all_vms, now)
-          : sources_.admission->Quotas()->TakeLocalDomainUsage(now);
+  QuotaLimiter* quotas = sources_.admission->Quotas();
+  PeerState state = MakeLoadState(now);
+  state.has_all_quotas = with_details;
+  state.quotas = with_details ? quotas->TakeAllUsage(false, now)
+                              : quotas->TakeLocalDomainUsage(now);
   if (with_details) {
-    state.details = MakeDetails(now);
-    const Time content_now = clock_->SuspendAwareNow();
-    state.content = sources_.admission->ContentLosses()->ChangesSince(
-        content_now - kContentRepeatTime, content_now);
+    AddDetails("", now, &state);
+  }
+  link_->Send(state, LocalDomainLinks());
+}
+
+// Most of a list of all quotas is known in other domains already, so that they
+// are sent it at intervals only. A peer that has started needs it, as this VM's
+// peers do after its own start: totals count from the first complete list on.
+void PeerReporter::SendToRemoteDomains(bool with_details) {
+  const Time now = clock_->Now();
+  QuotaLimiter* quotas = sources_.admission->Quotas();
+  PeerState state = MakeLoadState(now);
+  state.has_all_quotas = !started_peers_.empty() ||
+                         now - started_at_ < kStartedPeerTime ||
+                         now - all_quotas_sent_at_ >= kAllQuotasPeriod;
+  if (state.has_all_quotas) {
+    all_quotas_sent_at_ = now;
+    state.quotas = quotas->TakeAllUsage(true, now);
+  } else {
+    state.quotas = quotas->TakeRemoteDomainUsage(now);
   }
-  if (to_all_vms) {
-    far_sent_at_ = now;
+  if (with_details) {
+    // Each domain has VMs enough to know its own targets.
+    AddDetails(self_.failure_domain, now, &state);
   }
-  link_->Send(state,
-              to_all_vms ? sources_.directory->Links() : LocalDomainLinks());
+  link_->Send(state, sources_.directory->RemoteDomainLinks());
 }
 
 // Between heartbeats, VMs of other failure domains are sent only quotas that
 // are nearly used up.
 void PeerReporter::SendLowQuotas() {
-  if (!plan_.is_domain_scoped) {
-    return;
-  }
   PeerState state = MakeState();
   state.has_load = false;
   state.quotas = sources_.admission->Quotas()->TakeLowQuotaUsage(clock_->Now());
@@ -132,13 +157,24 @@
   return state;
 }
 
-PeerDetails PeerReporter::MakeDetails(Time now) const {
+PeerState PeerReporter::MakeLoadState(Time now) {
+  PeerState state = MakeState();
+  state.uses = sources_.targets->LocalLoad(now);
+  state.queues = sources_.queue->Queues(now);
+  return state;
+}
+
+void PeerReporter::AddDetails(const std::string& failure_domain, Time now,
+                              PeerState* state) const {
   PeerDetails details;
   details.front = self_.front;
   details.failure_domain = self_.failure_domain;
-  details.findings = sources_.targets->LocalStats(now);
+  details.findings = sources_.targets->LocalStats(failure_domain, now);
   details.versions = sources_.moves->Counts();
-  return details;
+  state->details = std::move(details);
+  const Time content_now = clock_->SuspendAwareNow();
+  state->content = sources_.admission->ContentLosses()->ChangesSince(
+      content_now - kContentRepeatTime, content_now);
 }
 
 void PeerReporter::SendContentSoon() {
--- a/src/relay/peer_reporter.h
+++ b/src/relay/peer_reporter.h
@@ -48,7 +48,7 @@
   /// two messages has not passed.
   void SendChangesSoon();
   /// Sends the complete state to all VMs immediately.
-  void SendAll() { Send(true, true); }
+  void SendAll();
   /// Sends what is known of content that crashes targets to all VMs if it has
   /// changed, once this turn of the loop has ended.
   void SendContentSoon();
@@ -57,12 +57,18 @@
 
  private:
   void SendHeartbeat();
-  void Send(bool with_details, bool to_all_vms);
+  /// Returns whether `period` has passed since `*last`, and if so, sets it.
+  bool TakeDue(Duration period, Time* last) const;
+  void SendToLocalDomain(bool with_details);
+  void SendToRemoteDomains(bool with_details);
   void SendLowQuotas();
   void SendContent();
   void SendContentToStarted();
   PeerState MakeState();
-  PeerDetails MakeDetails(Time now) const;
+  PeerState MakeLoadState(Time now);
+  /// @param failure_domain of the targets that are reported on; empty: all
+  void AddDetails(const std::string& failure_domain, Time now,
+                  PeerState* state) const;
   std::vector<std::string> LocalDomainLinks() const;
 
   PollLoop* const loop_;
@@ -75,15 +81,16 @@
   std::uint32_t sequence_ = 0;
   std::uint64_t sent_changes_ = 0;
   Time sent_at_;
-  Time far_sent_at_;
   Time details_sent_at_;
-  Time far_details_sent_at_;
+  Time remote_sent_at_;
+  Time remote_details_sent_at_;
   std::uint64_t sent_content_changes_ = 0;
   Time content_sent_at_;
   /// Changes of content before this time have been sent once; on the clock of
   /// the content losses.
   Time content_sent_until_;
   Time started_at_;
+  Time all_quotas_sent_at_;
   /// Peers that started recently, and when each is sent all content next.
   struct StartedPeer {
     Time until;
--- a/src/serving/quota_limiter.cc
+++ b/src/serving/quota_limiter.cc
@@ -184,11 +184,20 @@
                                                        Time now) {
   std::vector<WorkspaceUsage> usages;
   for (auto& [name, bucket] : buckets_) {
-    bucket.reported_local = bucket.admitted;
-    if (to_remote_domains) {
+    (to_remote_domains ? bucket.reported_remote : bucket.reported_local) =
+        bucket.admitted;
+    usages.push_back(MakeUsage(name, now, &bucket));
+  }
+  return usages;
+}
+
+std::vector<WorkspaceUsage> QuotaLimiter::TakeRemoteDomainUsage(Time now) {
+  std::vector<WorkspaceUsage> usages;
+  for (auto& [name, bucket] : buckets_) {
+    if (bucket.admitted != bucket.reported_remote) {
       bucket.reported_remote = bucket.admitted;
+      usages.push_back(MakeUsage(name, now, &bucket));
     }
-    usages.push_back(MakeUsage(name, now, &bucket));
   }
   return usages;
 }
--- a/src/serving/quota_limiter.h
+++ b/src/serving/quota_limiter.h
@@ -84,8 +84,11 @@
   void Refund(const std::string& workspace, double cost);
 
   /// Returns all totals of this VM and marks them as reported.
-  /// @param to_remote_domains whether they are also sent to other domains
+  /// @param to_remote_domains whether they are sent to other domains or to the
+  ///   local one
   std::vector<WorkspaceUsage> TakeAllUsage(bool to_remote_domains, Time now);
+  /// Returns totals that changed since the last report to other domains.
+  std::vector<WorkspaceUsage> TakeRemoteDomainUsage(Time now);
   /// Returns totals that changed since the last report to the local domain.
   std::vector<WorkspaceUsage> TakeLocalDomainUsage(Time now);
   /// Returns totals of workspaces with little quota left that changed since the
--- a/src/serving/target_balancer.cc
+++ b/src/serving/target_balancer.cc
@@ -572,11 +572,16 @@
   return loads;
 }
 
-std::vector<TargetStats> TargetBalancer::LocalStats(Time now) const {
+std::vector<TargetStats> TargetBalancer::LocalStats(
+    const std::string& failure_domain, Time now) const {
   // Statistics with less weight are not reported.
   constexpr float kMinWeight = 0.01F;
   std::vector<TargetStats> all_stats;
   for (const auto& [id, target] : targets_) {
+    if (!failure_domain.empty() &&
+        target.spec.failure_domain != failure_domain) {
+      continue;
+    }
     const double age = ToSeconds(now - target.decayed_at);
     const double decay = std::exp2(-age / ToSeconds(kAnswerHalfLife));
     TargetStats stats;
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -143,7 +143,9 @@
   /// Returns this VM's load, to report to peers.
   std::vector<TargetLoad> LocalLoad(Time now) const;
   /// Returns the statistics measured by this VM, to report to peers.
-  std::vector<TargetStats> LocalStats(Time now) const;
+  /// @param failure_domain restricts them to targets of one domain; empty: all
+  std::vector<TargetStats> LocalStats(const std::string& failure_domain,
+                                      Time now) const;
   /// Number of changes to this VM's load so far.
   std::uint64_t Changes() const { return changes_; }
 
--- a/tests/serving/quota_limiter_test.cc
+++ b/tests/serving/quota_limiter_test.cc
@@ -388,6 +388,19 @@
   EXPECT_TRUE(limiter.TakeLowQuotaUsage(now_).empty()) << "already reported";
 }
 
+TEST_F(QuotaLimiterTest, TotalsReportedToOneReachAreStillDueToTheOther) {
+  QuotaLimiter limiter;
+  limiter.SetMembers(4, 2);
+  limiter.Admit(workspace_, 10, now_);
+  EXPECT_EQ(limiter.TakeRemoteDomainUsage(now_).size(), 1U);
+  EXPECT_TRUE(limiter.TakeRemoteDomainUsage(now_).empty());
+  EXPECT_EQ(limiter.TakeLocalDomainUsage(now_).size(), 1U);
+  limiter.Admit(workspace_, 10, now_);
+  EXPECT_EQ(limiter.TakeAllUsage(true, now_).size(), 1U);
+  EXPECT_EQ(limiter.TakeLocalDomainUsage(now_).size(), 1U);
+  EXPECT_TRUE(limiter.TakeRemoteDomainUsage(now_).empty());
+}
+
 TEST_F(QuotaLimiterTest, RefundRestoresCharge) {
   QuotaLimiter limiter;
   const double all = Drain(&limiter, 1);
@@ -396,8 +409,8 @@
 }
 
 /// 295 VMs in five failure domains that report as PeerReporter does: changes to
-/// the own domain at once, all totals to it twice a second and to all VMs once,
-/// low quotas to the others four times.
+/// the own domain at once and all totals to it twice a second; to the others
+/// changes once a second, low quotas four times, and all totals every 4 s.
 class QuotaFleetTest : public QuotaLimiterTest {
  protected:
   static constexpr int kDomains = 5;
@@ -420,14 +433,13 @@
     return a / kVmsPerDomain == b / kVmsPerDomain;
   }
 
-  enum class Reach { kLocal, kRemote, kAll };
+  enum class Reach { kLocal, kRemote };
 
   void Report(int from, const std::vector<WorkspaceUsage>& usages, bool is_full,
               Reach reach) {
     for (int to = 0; to < kVms; ++to) {
       const bool is_local = IsLocal(from, to);
-      if (to != from &&
-          (reach == Reach::kAll || (reach == Reach::kLocal) == is_local)) {
+      if (to != from && (reach == Reach::kLocal) == is_local) {
         limiters_[to].SetPeerUsage(std::to_string(from), {1, is_full, is_local},
                                    usages, now_);
       }
@@ -449,12 +461,17 @@
     for (int vm = 0; vm < kVms; ++vm) {
       // VMs are out of step with each other.
       const int phase = (step + vm) % kStepsPerSecond;
-      if (phase == 0) {
-        Report(vm, limiters_[vm].TakeAllUsage(true, now_), true, Reach::kAll);
-      } else if (phase == 10) {
+      if (phase % 10 == 0) {
         Report(vm, limiters_[vm].TakeAllUsage(false, now_), true,
                Reach::kLocal);
       }
+      const bool is_complete = (step + vm) % (4 * kStepsPerSecond) == 0;
+      if (phase == 0) {
+        Report(vm,
+               is_complete ? limiters_[vm].TakeAllUsage(true, now_)
+                           : limiters_[vm].TakeRemoteDomainUsage(now_),
+               is_complete, Reach::kRemote);
+      }
       if (phase % 5 == 2) {
         const std::vector<WorkspaceUsage> low =
             limiters_[vm].TakeLowQuotaUsage(now_);
--- a/tests/serving/target_balancer_test.cc
+++ b/tests/serving/target_balancer_test.cc
@@ -310,5 +310,18 @@
   EXPECT_GT(picked.size(), 20U);
 }
 
+// What one VM has measured of all targets goes to hundreds of VMs.
+TEST_F(TargetBalancerTest, LocalStatsOfOneDomainOmitsTargetsOfOthers) {
+  ServingTarget remote = Spec("b");
+  remote.failure_domain = "e";
+  balancer_.SetTargets({Spec("a"), remote}, now_);
+  Run("a", 1);
+  Run("b", 1);
+  EXPECT_EQ(balancer_.LocalStats("", now_).size(), 2U);
+  const std::vector<TargetStats> stats = balancer_.LocalStats("d", now_);
+  ASSERT_EQ(stats.size(), 1U);
+  EXPECT_EQ(stats[0].target, Hash32("a"));
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
