--- a/tests/platform/fake_store.cc
+++ b/tests/platform/fake_store.cc
@@ -160,7 +160,13 @@
   if (fault_ == Fault::kBusy) {
     sink->SendResponse(503, "", {}, "");
   } else if (target.starts_with("/-/log-newest")) {
-    sink->SendResponse(200, "", {}, Page(topics_[topic]));
+    ++page_reads_;
+    if (rejects_each_page_once_ && rejected_pages_.insert(target).second) {
+      sink->SendResponse(503, "", {}, "");
+    } else {
+      sink->SendResponse(200, "", {},
+                         Page(topics_[topic], QueryValue(target, "after")));
+    }
   } else if (target.starts_with("/-/log-read")) {
     return Read(topic, QueryNumber(target, "from"),
                 std::chrono::milliseconds(QueryNumber(target, "wait_ms")),
@@ -207,14 +213,18 @@
   }
 }
 
-std::string FakeStore::Page(const Topic& topic) const {
+std::string FakeStore::Page(const Topic& topic,
+                            const std::string& after) const {
   std::string items;
-  for (const auto& [key, value] : topic.newest) {
+  std::size_t n = 0;
+  auto it = topic.newest.upper_bound(after);
+  for (; it != topic.newest.end() && n < page_size_; ++it, ++n) {
     items += fmt::format(R"({}{{"key":"{}","value":"{}","offset":0}})",
-                         items.empty() ? "" : ",", key, EncodeBase64(value));
+                         items.empty() ? "" : ",", it->first,
+                         EncodeBase64(it->second));
   }
-  return fmt::format(R"({{"items":[{}],"truncated":false,"end":{}}})", items,
-                     topic.End());
+  return fmt::format(R"({{"items":[{}],"truncated":{},"end":{}}})", items,
+                     it != topic.newest.end(), topic.End());
 }
 
 std::string FakeStore::Batch(const Topic& topic, std::uint64_t from) {
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -6,6 +6,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,12 @@
 
   void SetFault(Fault fault) { fault_ = fault; }
 
+  /// Limits the records of a page of newest records.
+  void SetPageSize(std::size_t size) { page_size_ = size; }
+  /// Rejects the first read of each page of newest records.
+  void RejectEachPageOnce() { rejects_each_page_once_ = true; }
+  int PageReads() const { return page_reads_; }
+
   /// Drops all records but the newest of each key.
   void Compact();
 
@@ -65,7 +72,7 @@
                                        std::uint64_t from, Duration wait,
                                        ResponseSink* sink);
   void Append(const std::string& topic, const std::string& body);
-  std::string Page(const Topic& topic) const;
+  std::string Page(const Topic& topic, const std::string& after) const;
   static std::string Batch(const Topic& topic, std::uint64_t from);
 
   PollLoop* const loop_;
@@ -74,6 +81,10 @@
   std::list<PendingRead*> pending_reads_;
   Fault fault_ = Fault::kNone;
   int calls_ = 0;
+  std::size_t page_size_ = 500;
+  bool rejects_each_page_once_ = false;
+  std::set<std::string> rejected_pages_;
+  int page_reads_ = 0;
   std::unique_ptr<Listener> listener_;
 };
 
--- a/tests/platform/store_source_test.cc
+++ b/tests/platform/store_source_test.cc
@@ -190,6 +190,25 @@
   EXPECT_TRUE(HasTargets(2));
 }
 
+// After all VMs have started at once, reads of pages fail often. Lists began
+// anew each time, and VMs with thousands of targets knew none for half a
+// minute.
+TEST_F(StoreSourceTest, ListWithFailedPageGoesOnWithThatPage) {
+  constexpr int kTargets = 20;
+  constexpr int kPageSize = 4;
+  for (int i = 0; i < kTargets; ++i) {
+    PutTarget(fmt::format("t{:02}", i));
+  }
+  store_.SetPageSize(kPageSize);
+  store_.RejectEachPageOnce();
+  Start();
+  ASSERT_TRUE(HasTargets(kTargets));
+  ASSERT_TRUE(HasVersion(1));
+  // The pages of the targets, and one each of configuration and members.
+  constexpr int kPages = kTargets / kPageSize + 2;
+  EXPECT_LE(store_.PageReads(), 2 * kPages);
+}
+
 TEST_F(StoreSourceTest, InvalidTargetEntryIsIgnored) {
   PutTarget("a");
   store_.Put("keyed.servers", "x", R"({"service":7})");
