Spread messages to other domains over the seconds

Cause: all VMs of a deployment start within a third of a second, so their heartbeats to other domains, once a second with details every two seconds, leave in the same quarter of a second.

Change: the first message and the first details are due at one of eight heartbeat checks, chosen by the hash of the VM's link.

--- a/src/relay/peer_reporter.cc
+++ b/src/relay/peer_reporter.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "hornbeamcleat/base/clock.h"
+#include "hornbeamcleat/base/hash.h"
 #include "src/base/poll_loop.h"
 #include "src/relay/peer_link.h"
 #include "src/serving/admission.h"
@@ -21,6 +22,11 @@
 /// between two such messages, in case one is lost.
 constexpr Duration kStartedPeerTime = std::chrono::seconds(5);
 constexpr Duration kStartedPeerInterval = std::chrono::seconds(1);
+constexpr std::int64_t kChecksPerSecond =
+    std::chrono::seconds(1) / kHeartbeatCheckPeriod;
+/// Heartbeat checks over which VMs spread their messages to other domains:
+/// those of the longer period, two seconds.
+constexpr std::int64_t kRemotePhases = 2 * kChecksPerSecond;
 /// Interval between complete lists of quotas to other failure domains.
 constexpr Duration kAllQuotasPeriod = std::chrono::seconds(4);
 /// Changes of content are repeated with the details for this time: three
@@ -43,6 +49,13 @@
   std::random_device random;
   incarnation_ = (std::uint64_t{random()} << 32) | random();
   started_at_ = clock_->Now();
+  // VMs that start together would otherwise send to others in the same instant,
+  // which fills the receivers' links.
+  const std::int64_t phase = Hash32(self_.link) % kRemotePhases;
+  const std::int64_t seconds = phase / kChecksPerSecond;
+  remote_sent_at_ =
+      started_at_ - kHeartbeatCheckPeriod * (phase % kChecksPerSecond);
+  remote_details_sent_at_ = remote_sent_at_ - std::chrono::seconds(1) * seconds;
   heartbeat_timer_ = loop_->Timers()->Every(
       clock_->Now() + kHeartbeatCheckPeriod, kHeartbeatCheckPeriod,
       [this](Time) { SendHeartbeat(); });
