Let one VM after the other try refused content

Cause, by the logs of all VMs: five seconds after the last loss a trial is due, at all VMs in the same instant, and all callers that were refused come back in it, since Retry-After named it. Each VM let one through: four at 15.732 s, two at 11.68 s, four between 14.35 and 14.66 s. Besides, a trial was told to peers only with its loss.

Change: a trial is told at once; a VM may take it 250 ms later for each reachable VM that precedes it in the rendezvous order of the content; callers are told to come back within three seconds after it is due.

Ruled out: trials by VMs that are cut off (the rule leaves them out), losses that peers didn't hear of (all 84 VMs refused within 17 ms of the second one).

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -96,6 +96,9 @@
         request_info_.id, route.name, service_, admission_.rank, Workspace(),
         admission_.charged, admission_.quota.level,
         admission_.table->Config().version, ContentDetails());
+    if (admission_.is_content_trial) {
+      context_->OnContentChange();
+    }
     deadline_timer_ = context_->GetLoop()->Timers()->At(
         deadline_, [this](Time) { OnDeadline(); });
     Enqueue(request_.arrival, request_.arrival + route.objective);
@@ -158,6 +161,7 @@
     query.states_tokens = request_info_.states_tokens;
     query.tokens = request_info_.quota_tokens;
     query.fingerprint = fingerprint_;
+    query.seed = Hash32(request_info_.id);
     query.now = Now();
     query.boot_now = BootNow();
     return query;
@@ -540,7 +544,9 @@
     if (admission_.is_content_trial || !losses.IsRefused(fingerprint_)) {
       return false;
     }
-    Refuse(RefusalReason::kPoison, losses.TimeToTrial(fingerprint_, BootNow()));
+    Refuse(RefusalReason::kPoison,
+           context_->GetAdmission()->ContentRetryAfter(
+               fingerprint_, Hash32(request_info_.id), BootNow()));
     return true;
   }
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -34,6 +34,9 @@
 constexpr Duration kAdvertiseTimeout = std::chrono::milliseconds(1'300);
 /// Longer than a VM takes to restart or to resume from suspension.
 constexpr Duration kGoneTimeout = std::chrono::seconds(20);
+/// Interval at which one more VM may try refused content. Longer than the
+/// report of a trial takes to all VMs.
+constexpr Duration kTrialStep = std::chrono::milliseconds(250);
 /// Interval of placement decisions while requests wait.
 constexpr Duration kDecisionPeriod = std::chrono::milliseconds(20);
 constexpr Duration kHousekeepingPeriod = std::chrono::milliseconds(250);
@@ -93,6 +96,9 @@
     const Time now = clock_->Now();
     admission_.Quotas()->SetSlack(options.quota_slack);
     admission_.Quotas()->SetStart(now);
+    admission_.SetTrialDelay([this](std::uint64_t fingerprint) {
+      return kTrialStep * directory_.RankFor(fingerprint, clock_->Now());
+    });
     housekeeping_timer_ =
         loop_->Timers()->Every(now + kHousekeepingPeriod, kHousekeepingPeriod,
                                [this](Time) { RunHousekeeping(); });
--- a/src/serving/admission.cc
+++ b/src/serving/admission.cc
@@ -1,5 +1,6 @@
 #include "src/serving/admission.h"
 
+#include <limits>
 #include <utility>
 
 namespace hornbeamcleat {
@@ -12,6 +13,9 @@
 /// request, and for clock errors.
 constexpr Duration kKeyLimitMargin = std::chrono::milliseconds(300);
 
+/// Time over which callers return after a trial of their content is due.
+constexpr Duration kContentRetrySpread = std::chrono::seconds(3);
+
 }  // namespace
 
 const char* RefusalName(RefusalReason reason) {
@@ -104,12 +108,12 @@
     admission.rank = admission.workspace->rank.value_or(admission.rank);
   }
   if (content_losses_.IsRefused(query.fingerprint)) {
-    admission.is_content_trial =
-        content_losses_.TakeTrial(query.fingerprint, query.boot_now);
+    admission.is_content_trial = content_losses_.TakeTrial(
+        query.fingerprint, trial_delay_(query.fingerprint), query.boot_now);
     if (!admission.is_content_trial) {
       admission.refusal = RefusalReason::kPoison;
       admission.retry_after =
-          content_losses_.TimeToTrial(query.fingerprint, query.boot_now);
+          ContentRetryAfter(query.fingerprint, query.seed, query.boot_now);
       return admission;
     }
   }
@@ -130,6 +134,15 @@
   return admission;
 }
 
+Duration AdmissionController::ContentRetryAfter(std::uint64_t fingerprint,
+                                                std::uint32_t seed,
+                                                Time boot_now) const {
+  const double share =
+      static_cast<double>(seed) / std::numeric_limits<std::uint32_t>::max();
+  return content_losses_.TimeToTrial(fingerprint, boot_now) +
+         FromSeconds(share * ToSeconds(kContentRetrySpread));
+}
+
 RefusalReason AdmissionController::Revalidate(const Admission& admission,
                                               const std::string& key,
                                               Time boot_now) const {
--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -2,8 +2,10 @@
 #define HORNBEAMCLEAT_SRC_SERVING_ADMISSION_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "hornbeamcleat/base/time.h"
 #include "hornbeamcleat/serving/route_table.h"
@@ -45,6 +47,7 @@
   bool states_tokens = false;
   double tokens = 0;              ///< in quota units
   std::uint64_t fingerprint = 0;  ///< hash of the request's content
+  std::uint32_t seed = 0;         ///< spreads callers that are refused together
   Time now;
   Time boot_now;  ///< on the clock that includes VM suspension
 };
@@ -93,6 +96,17 @@
 
   Admission Admit(const AdmissionQuery& query);
 
+  /// Sets a function that returns how long after a trial of refused content is
+  /// due this VM may take it.
+  void SetTrialDelay(std::function<Duration(std::uint64_t)> delay) {
+    trial_delay_ = std::move(delay);
+  }
+
+  /// Returns when a caller refused for its content should return. Callers that
+  /// all returned when the next trial is due would reach all VMs at once.
+  Duration ContentRetryAfter(std::uint64_t fingerprint, std::uint32_t seed,
+                             Time boot_now) const;
+
   /// Checks an admitted request again right before it is sent: its key must
   /// still be valid in a configuration known to be current.
   RefusalReason Revalidate(const Admission& admission, const std::string& key,
@@ -112,6 +126,9 @@
   Freshness freshness_;
   QuotaLimiter quotas_;
   ContentLossTable content_losses_;
+  std::function<Duration(std::uint64_t)> trial_delay_ = [](std::uint64_t) {
+    return Duration(0);
+  };
 };
 
 }  // namespace hornbeamcleat
--- a/src/serving/content_loss_table.cc
+++ b/src/serving/content_loss_table.cc
@@ -103,10 +103,11 @@
   unproven_.erase(answers);
 }
 
-bool ContentLossTable::TakeTrial(std::uint64_t fingerprint, Time now) {
+bool ContentLossTable::TakeTrial(std::uint64_t fingerprint, Duration delay,
+                                 Time now) {
   const auto it = entries_.find(fingerprint);
   if (it == entries_.end() ||
-      now < it->second.tried_at + RefusalTime(it->second)) {
+      now < it->second.tried_at + RefusalTime(it->second) + delay) {
     return false;
   }
   it->second.tried_at = now;
--- a/src/serving/content_loss_table.h
+++ b/src/serving/content_loss_table.h
@@ -77,7 +77,9 @@
 
   /// Lets one request of refused content through if a trial is due. Until the
   /// next one is, the content stays refused at all VMs.
-  bool TakeTrial(std::uint64_t fingerprint, Time now);
+  /// @param delay after a trial is due, so that one VM takes it and others hear
+  ///   of it first
+  bool TakeTrial(std::uint64_t fingerprint, Duration delay, Time now);
 
   /// Merges a peer's report.
   void OnPeerReport(const ContentReport& report, Time now);
--- a/src/serving/vm_directory.cc
+++ b/src/serving/vm_directory.cc
@@ -92,6 +92,15 @@
   return before < kReportersToStartedVm;
 }
 
+int VmDirectory::RankFor(std::uint64_t key, Time now) const {
+  const std::uint64_t own = Hash64(self_.link, key);
+  return static_cast<int>(
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& item) {
+        return IsReachable(item.second, options_.peer_timeout, now) &&
+               Hash64(item.first, key) < own;
+      }));
+}
+
 std::vector<std::string> VmDirectory::Links() const {
   std::vector<std::string> links;
   for (const auto& [link, peer] : peers_) {
--- a/src/serving/vm_directory.h
+++ b/src/serving/vm_directory.h
@@ -42,6 +42,10 @@
   bool IsReporterTo(const std::string& link, Duration min_uptime,
                     Time now) const;
 
+  /// Number of reachable VMs that come before this one in the order that the
+  /// rendezvous hash gives for a key.
+  int RankFor(std::uint64_t key, Time now) const;
+
   /// Links of all other VMs, reachable or not.
   std::vector<std::string> Links() const;
   /// Links of the other VMs in this VM's failure domain.
--- a/tests/serving/vm_directory_test.cc
+++ b/tests/serving/vm_directory_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <vector>
 
 namespace hornbeamcleat {
 namespace {
@@ -171,5 +172,25 @@
   EXPECT_TRUE(directory_.IsReporterTo("young3:1", kUptime, now_));
 }
 
+TEST_F(VmDirectoryTest, RankForKeyDiffersAtEachVm) {
+  constexpr int kVms = 20;
+  std::vector<int> ranks;
+  for (int self = 0; self < kVms; ++self) {
+    VmDirectory directory(Record("vm" + std::to_string(self), "x"), Options());
+    for (int peer = 0; peer < kVms; ++peer) {
+      PeerState state;
+      state.link = Record("vm" + std::to_string(peer), "x").link;
+      state.incarnation = 1;
+      state.sequence = 1;
+      directory.OnState(state, now_);
+    }
+    ranks.push_back(directory.RankFor(7, now_));
+  }
+  std::sort(ranks.begin(), ranks.end());
+  for (int rank = 0; rank < kVms; ++rank) {
+    EXPECT_EQ(ranks[rank], rank);
+  }
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
