--- a/tests/relay/peer_reporter_test.cc
+++ b/tests/relay/peer_reporter_test.cc
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "hornbeamcleat/base/hash.h"
@@ -50,6 +51,7 @@
   struct Received {
     Time at;
     bool has_details = false;
+    bool has_versions = false;
   };
 
   const Address kObserver = {"127.0.0.1", 18'759};
@@ -59,7 +61,8 @@
       loop_.get(), clock_.get(), kObserver, [this](const PeerState& state) {
         if (state.has_load) {
           received_[state.link].push_back(
-              {clock_->Now(), state.details.has_value()});
+              {clock_->Now(), state.details.has_value(),
+               state.details.has_value() && !state.details->versions.empty()});
         }
       });
   Time started_at_;
@@ -90,5 +93,31 @@
   EXPECT_LE(details, kVms + kVms / 2);
 }
 
+// Details are due every two seconds, and a bad version was withdrawn 28 ms
+// after the five seconds that are allowed.
+TEST_F(PeerReporterTest, AnswersOfVersionsInMoveAreReportedEachSecond) {
+  relay_ = std::move(relays_[0]);
+  Configure(Config());
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest& request) {
+    request.stream->Write(SignedResponse("r1", "answer"));
+  });
+  ServingTarget spec = Spec("t", target);
+  spec.software_version = "v1";
+  relay_->SetTargets({spec});
+  relay_->SetMoves({{"s", "v2", std::chrono::seconds(60)}},
+                   {{"s", "v2", MoveOutcome::kInProgress, clock_->WallNow()}});
+  SendRequest(Request("safe"));
+  received_.clear();
+  const Time start = clock_->Now();
+  ASSERT_TRUE(RunUntil([&] {
+    return clock_->Now() - start > std::chrono::milliseconds(3'200);
+  }));
+  const std::vector<Received>& messages = received_[LinkOf(0).ToString()];
+  EXPECT_GE(
+      std::count_if(messages.begin(), messages.end(),
+                    [](const Received& item) { return item.has_versions; }),
+      3);
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
