--- a/bench/relay/peer_message_bench.cc
+++ b/bench/relay/peer_message_bench.cc
@@ -109,8 +109,8 @@
   std::uint32_t sequence_ = 0;
 };
 
-// Cost of one message of a peer, sending included, with 12 VMs in each domain
-// or 59, as in deployments of 60 and 295.
+// Cost of one message of a peer, sending included, by the numbers of VMs in
+// five failure domains and of targets.
 void ReceivePeerMessage(benchmark::State& state) {
   RelayWithPeers relay(static_cast<int>(state.range(0)), 5,
                        static_cast<int>(state.range(1)));
--- a/tests/relay/peer_reporter_test.cc
+++ b/tests/relay/peer_reporter_test.cc
@@ -93,8 +93,8 @@
   EXPECT_LE(details, kVms + kVms / 2);
 }
 
-// Details are due every two seconds, and a bad version was withdrawn 28 ms
-// after the five seconds that are allowed.
+// A bad version must be withdrawn within five seconds, and details are due
+// only every two.
 TEST_F(PeerReporterTest, AnswersOfVersionsInMoveAreReportedEachSecond) {
   relay_ = std::move(relays_[0]);
   Configure(Config());
