Log what requests can have in common: parts, model, key, path and sizes

The logs of the incident can't tell whether one property explains all lost targets: they name a request's whole content only. The headers' properties are decoded once in platform/, and the lines admitted, refused and content_loss list them. No decision uses them yet.

--- /dev/null
+++ b/include/hornbeamcleat/serving/request_property.h
@@ -0,0 +1,57 @@
+#ifndef HORNBEAMCLEAT_SERVING_REQUEST_PROPERTY_H_
+#define HORNBEAMCLEAT_SERVING_REQUEST_PROPERTY_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hornbeamcleat {
+
+/// What requests can have in common. Lower values are more specific.
+enum class PropertyKind : std::uint8_t {
+  kContent,   ///< path, key and body
+  kPart,      ///< part of the prompt, at any place
+  kPath,      ///< host and path, without the query string
+  kPartPair,  ///< two parts of one prompt
+  kSize,      ///< order of magnitude of the prompt, answer or body
+  kKey,       ///< API key
+  kModel,     ///< model that the request names
+};
+
+/// Identifies a property by its kind and a hash of its value. The same on all
+/// VMs.
+class RequestProperty {
+ public:
+  RequestProperty() = default;
+  RequestProperty(PropertyKind kind, std::string_view value);
+
+  /// Restores a property from its code.
+  static RequestProperty FromCode(std::uint64_t code);
+
+  /// Combines two parts of one prompt, in any order.
+  static RequestProperty PairOf(RequestProperty a, RequestProperty b);
+
+  PropertyKind Kind() const;
+  /// Number that identifies the property, for messages and hashes.
+  std::uint64_t Code() const { return code_; }
+  /// Text for logs, "KIND:HEX".
+  std::string ToString() const;
+
+  bool operator==(const RequestProperty&) const = default;
+  auto operator<=>(const RequestProperty&) const = default;
+
+ private:
+  std::uint64_t code_ = 0;  ///< hash; the lowest bits are the kind
+};
+
+/// Returns the property of an amount: its order of magnitude, to the base 2.
+/// @param unit tells amounts of different kinds apart
+RequestProperty SizeProperty(std::string_view unit, std::uint64_t amount);
+
+/// Returns the text of several properties for logs.
+std::string PropertiesToString(const std::vector<RequestProperty>& properties);
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SERVING_REQUEST_PROPERTY_H_
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -57,6 +57,7 @@
         fingerprint_(
             Hash64(request_.body,
                    Hash64(request_info_.key, Hash64(request_.head.target)))),
+        properties_(AllProperties()),
         id_(context->NextExchangeId()),
         response_(context->GetCodec(), sink, request_.arrival) {}
 
@@ -149,6 +150,20 @@
                                            : admission_.workspace->name;
   }
 
+  // Properties that other requests can share, the content first.
+  std::vector<RequestProperty> AllProperties() const {
+    const std::string* host = FindHeader(request_.head.headers, "Host");
+    std::vector<RequestProperty> all = {
+        {PropertyKind::kContent, fmt::format("{:x}", fingerprint_)},
+        {PropertyKind::kPath, (host == nullptr ? "" : *host) + Path()}};
+    if (!request_.body.empty()) {
+      all.push_back(SizeProperty("body", request_.body.size()));
+    }
+    all.insert(all.end(), request_info_.properties.begin(),
+               request_info_.properties.end());
+    return all;
+  }
+
   std::string Path() const {
     return request_.head.target.substr(0, request_.head.target.find('?'));
   }
@@ -480,8 +495,9 @@
   // many targets were lost under it, as far as this VM knows.
   std::string ContentDetails() const {
     return fmt::format(
-        "content={:016x} losses={}", fingerprint_,
-        context_->GetAdmission()->ContentLosses()->Losses(fingerprint_));
+        "content={:016x} losses={} properties={}", fingerprint_,
+        context_->GetAdmission()->ContentLosses()->Losses(fingerprint_),
+        PropertiesToString(properties_));
   }
 
   // Counts how a target's response ended: the framing that completed it, or
@@ -656,6 +672,7 @@
   const CallerRequest request_;
   const RequestInfo request_info_;
   const std::uint64_t fingerprint_;  ///< identifies the request's content
+  const std::vector<RequestProperty> properties_;
   const std::uint64_t id_;
   Admission admission_;
   std::string service_;
--- a/src/relay/http_codec.h
+++ b/src/relay/http_codec.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "hornbeamcleat/base/time.h"
+#include "hornbeamcleat/serving/request_property.h"
 #include "src/relay/header_list.h"
 
 namespace hornbeamcleat {
@@ -23,6 +24,8 @@
   std::uint32_t max_output_tokens = 0;
   std::uint32_t expected_output_tokens = 0;  ///< caller estimate; 0: none
   bool resumes = false;  ///< continues after an event that it names
+  /// What the headers state that other requests can have in common.
+  std::vector<RequestProperty> properties;
 
   bool operator==(const RequestInfo&) const = default;
 };
--- /dev/null
+++ b/src/serving/request_property.cc
@@ -0,0 +1,77 @@
+#include "hornbeamcleat/serving/request_property.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <bit>
+
+#include "hornbeamcleat/base/hash.h"
+
+namespace hornbeamcleat {
+namespace {
+
+constexpr std::uint64_t kKindMask = 0xF;
+
+std::uint64_t MakeCode(PropertyKind kind, std::uint64_t hash) {
+  return (hash & ~kKindMask) | static_cast<std::uint64_t>(kind);
+}
+
+const char* KindName(PropertyKind kind) {
+  switch (kind) {
+    case PropertyKind::kContent:
+      return "content";
+    case PropertyKind::kPart:
+      return "part";
+    case PropertyKind::kPath:
+      return "path";
+    case PropertyKind::kPartPair:
+      return "pair";
+    case PropertyKind::kSize:
+      return "size";
+    case PropertyKind::kKey:
+      return "key";
+    case PropertyKind::kModel:
+      return "model";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+RequestProperty::RequestProperty(PropertyKind kind, std::string_view value)
+    : code_(MakeCode(kind, Hash64(value, static_cast<std::uint64_t>(kind)))) {}
+
+RequestProperty RequestProperty::FromCode(std::uint64_t code) {
+  RequestProperty property;
+  property.code_ = code;
+  return property;
+}
+
+RequestProperty RequestProperty::PairOf(RequestProperty a, RequestProperty b) {
+  const auto [low, high] = std::minmax(a.code_, b.code_);
+  return FromCode(MakeCode(PropertyKind::kPartPair,
+                           Hash64(fmt::format("{:x},{:x}", low, high))));
+}
+
+PropertyKind RequestProperty::Kind() const {
+  return static_cast<PropertyKind>(code_ & kKindMask);
+}
+
+std::string RequestProperty::ToString() const {
+  return fmt::format("{}:{:016x}", KindName(Kind()), code_);
+}
+
+RequestProperty SizeProperty(std::string_view unit, std::uint64_t amount) {
+  return {PropertyKind::kSize,
+          fmt::format("{}/{}", unit, std::bit_width(amount))};
+}
+
+std::string PropertiesToString(const std::vector<RequestProperty>& properties) {
+  std::string text;
+  for (const RequestProperty& property : properties) {
+    text += (text.empty() ? "" : ",") + property.ToString();
+  }
+  return text;
+}
+
+}  // namespace hornbeamcleat
--- a/tests/platform/wire_codec_test.cc
+++ b/tests/platform/wire_codec_test.cc
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace hornbeamcleat::platform {
 namespace {
@@ -43,6 +44,30 @@
   EXPECT_FALSE(facts.states_tokens);
 }
 
+TEST_F(WireCodecTest, ParseRequestHeadersReadsWhatRequestsShare) {
+  const RequestInfo info = codec_->ParseRequestHeaders(
+      {{"Prefix-Hash", "5c1e07a2:800, 91bd3f06:410,,e4402b7d"},
+       {"Model", "m"},
+       {"Api-Key", "k"},
+       {"Token-Count", "1460,80"}});
+  const std::vector<RequestProperty> expected = {
+      SizeProperty("prompt", 1'024),     SizeProperty("output", 64),
+      {PropertyKind::kPart, "5c1e07a2"}, {PropertyKind::kPart, "91bd3f06"},
+      {PropertyKind::kPart, "e4402b7d"}, {PropertyKind::kModel, "m"},
+      {PropertyKind::kKey, "k"}};
+  EXPECT_EQ(info.properties, expected);
+}
+
+TEST_F(WireCodecTest, ParseRequestHeadersBoundsNumberOfParts) {
+  std::string parts;
+  for (int i = 0; i < 5'000; ++i) {
+    parts += "1:1,";
+  }
+  EXPECT_EQ(
+      codec_->ParseRequestHeaders({{"Prefix-Hash", parts}}).properties.size(),
+      16U);
+}
+
 // A client must not set the headers that only the scheduler sends to a target.
 TEST_F(WireCodecTest, BuildRequestHeadersReplacesReservedHeaders) {
   HeaderList sent = {{"Request-Id", "i"},
