--- a/tests/relay/crashing_content_test.cc
+++ b/tests/relay/crashing_content_test.cc
@@ -1,86 +1,23 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
-#include "src/base/socket_address.h"
 #include "src/relay/peer_link.h"
-#include "tests/relay/relay_fixture.h"
+#include "tests/relay/crashing_targets_fixture.h"
 
 namespace hornbeamcleat {
 namespace {
 
-constexpr char kStreamHead[] =
-    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nUpstream-Signature: sig\r\n"
-    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-constexpr char kFirstEvent[] = "f\r\nid: 1\ndata: a\n\n\r\n";
 constexpr char kCutEvent[] = "7\r\nid: 2\nd\r\n";
 
 /// Requests whose content ends each target that runs it.
-class CrashingContentTest : public RelayFixture {
- protected:
-  /// Replaces all targets by new ones that crash when they have sent `bytes` of
-  /// a response.
-  void StartCrashingTargets(int count, const std::string& bytes) {
-    ++generation_;
-    targets_.clear();
-    specs_.clear();
-    for (int i = 0; i < count; ++i) {
-      ScriptedTarget* target = AddTarget([](const ReceivedRequest&) {});
-      target->SetScript([target, bytes](const ReceivedRequest& request) {
-        Crash(target, request, bytes);
-      });
-    }
-  }
-
-  /// Adds a target with one slot.
-  ScriptedTarget* AddTarget(ScriptedTarget::Script script) {
-    targets_.push_back(
-        std::make_unique<ScriptedTarget>(loop_.get(), std::move(script)));
-    specs_.push_back(Spec(fmt::format("g{}-t{}", generation_, specs_.size()),
-                          *targets_.back()));
-    specs_.back().slots = 1;
-    relay_->SetTargets(specs_);
-    return targets_.back().get();
-  }
-
-  /// Ends a target when it has sent `bytes` of a response.
-  static void Crash(ScriptedTarget* target, const ReceivedRequest& request,
-                    const std::string& bytes) {
-    request.stream->Write(bytes);
-    request.stream->FinishWriting();
-    target->StopListening();
-  }
-
-  static Address FreeUdpAddress() {
-    const FileDescriptor fd(socket(AF_INET, SOCK_DGRAM, 0));
-    const sockaddr_in any = ToSocketAddress({"127.0.0.1", 0});
-    EXPECT_EQ(
-        bind(fd.Get(), reinterpret_cast<const sockaddr*>(&any), sizeof(any)),
-        0);
-    return BoundAddress(fd.Get());
-  }
-
-  int RequestCount() const {
-    int n = 0;
-    for (const std::unique_ptr<ScriptedTarget>& target : targets_) {
-      n += target->RequestCount();
-    }
-    return n;
-  }
-
-  std::vector<std::unique_ptr<ScriptedTarget>> targets_;
-  std::vector<ServingTarget> specs_;
-  int generation_ = 0;  ///< of the targets' ids
-};
+using CrashingContentTest = CrashingTargetsFixture;
 
 TEST_F(CrashingContentTest, ContentThatEndsTargetsIsRefusedAtAnyStage) {
   const std::string head = kStreamHead;
