--- a/bench/relay/peer_message_bench.cc
+++ b/bench/relay/peer_message_bench.cc
@@ -41,8 +41,8 @@
     options.memory_bytes = std::size_t{64} << 20;
     options.max_connections = 100;
     options.admission.key_limit = std::chrono::seconds(5);
-    options.admission.content.limit = 2;
-    options.admission.content.refusal_time = std::chrono::seconds(30);
+    options.admission.losses.limit = 2;
+    options.admission.losses.refusal_time = std::chrono::seconds(30);
     relay_ = Relay::Make(loop_.get(), clock_.get(), codec_.get(),
                          metrics_.get(), options,
                          {[](const VmRecord&) {}, [](const ScalePlan&) {},
--- a/bench/serving/serving_bench.cc
+++ b/bench/serving/serving_bench.cc
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "src/serving/content_loss_table.h"
+#include "src/serving/loss_table.h"
 #include "src/serving/target_balancer.h"
 #include "src/serving/wait_queue.h"
 
@@ -73,53 +73,87 @@
 }
 BENCHMARK(DecideFullQueue)->Arg(10)->Arg(1'000);
 
-// Losses after a failure domain with `n` targets ended, ten contents each.
-ContentLossTable LossesOf(int n) {
-  ContentLossTable table({2, std::chrono::seconds(30)});
-  for (int i = 0; i < 10 * n; ++i) {
-    table.OnTargetLost(static_cast<std::uint64_t>(i),
-                       "t" + std::to_string(i % n) + "/1", kNow);
+// Request with `n` parts in its prompt, of which it shares the first half.
+std::vector<RequestProperty> PropertiesOf(int request, int n) {
+  std::vector<RequestProperty> properties = {
+      {PropertyKind::kContent, std::to_string(request)},
+      {PropertyKind::kPath, "h/p/"},
+      {PropertyKind::kKey, std::to_string(request % 40)},
+      {PropertyKind::kModel, "m"},
+      SizeProperty("prompt", 6'610)};
+  for (int i = 0; i < n; ++i) {
+    properties.emplace_back(
+        PropertyKind::kPart,
+        i < n / 2 ? std::to_string(i) : std::to_string(request * 100 + i));
+  }
+  return properties;
+}
+
+// Losses after a failure domain with `n` targets ended, six requests each.
+LossTable LossesOf(int n, int parts) {
+  LossTable table({2, std::chrono::seconds(30)});
+  for (int i = 0; i < 6 * n; ++i) {
+    table.OnTargetLost(
+        TargetRun::Make(PropertiesOf(i, parts),
+                        "t" + std::to_string(i % n) + "/1", kNow),
+        kNow);
   }
   return table;
 }
 
-void MergeKnownContentReport(benchmark::State& state) {
-  ContentLossTable table = LossesOf(static_cast<int>(state.range(0)));
-  const ContentReport report = table.CompleteReport(kNow);
+void MergeKnownLossReport(benchmark::State& state) {
+  LossTable table = LossesOf(static_cast<int>(state.range(0)), 4);
+  const LossReport report = table.CompleteReport(kNow);
   for (auto _ : state) {
     table.OnPeerReport(report, kNow);
   }
 }
-BENCHMARK(MergeKnownContentReport)->Arg(10)->Arg(340);
+BENCHMARK(MergeKnownLossReport)->Arg(10)->Arg(340);
 
-void MakeContentReport(benchmark::State& state) {
-  const ContentLossTable table = LossesOf(static_cast<int>(state.range(0)));
+void MakeLossReport(benchmark::State& state) {
+  const LossTable table = LossesOf(static_cast<int>(state.range(0)), 4);
   for (auto _ : state) {
     benchmark::DoNotOptimize(table.ChangesSince(kNow, kNow));
   }
 }
-BENCHMARK(MakeContentReport)->Arg(10)->Arg(340);
+BENCHMARK(MakeLossReport)->Arg(10)->Arg(340);
 
-// Decision after a loss by a target with which `n` contents were lost.
+// Decision after a loss beside those of `n` targets, requests of eight parts.
 void DecideOnLoss(benchmark::State& state) {
-  ContentLossTable table({2, std::chrono::seconds(30)});
-  for (int i = 0; i < state.range(0); ++i) {
-    table.OnTargetLost(static_cast<std::uint64_t>(i), "t/1", kNow);
+  LossTable table = LossesOf(static_cast<int>(state.range(0)), 8);
+  int request = 0;
+  for (auto _ : state) {
+    ++request;
+    table.OnTargetLost(TargetRun::Make(PropertiesOf(request % 64, 8),
+                                       "t" + std::to_string(request % 7) + "/1",
+                                       kNow),
+                       kNow);
   }
+}
+BENCHMARK(DecideOnLoss)->Arg(10)->Arg(340);
+
+void CheckRequest(benchmark::State& state) {
+  const LossTable table = LossesOf(static_cast<int>(state.range(0)), 8);
+  const std::vector<RequestProperty> properties = PropertiesOf(1'000'000, 8);
   for (auto _ : state) {
-    table.OnTargetLost(0, "t/1", kNow);
+    benchmark::DoNotOptimize(table.RefusedOf(properties));
   }
 }
-BENCHMARK(DecideOnLoss)->Arg(10)->Arg(4'096);
+BENCHMARK(CheckRequest)->Arg(10)->Arg(340);
 
-void CheckContent(benchmark::State& state) {
-  const ContentLossTable table = LossesOf(static_cast<int>(state.range(0)));
-  std::uint64_t fingerprint = 0;
+void CountAnswer(benchmark::State& state) {
+  LossTable table = LossesOf(static_cast<int>(state.range(0)), 8);
+  int request = 0;
   for (auto _ : state) {
-    benchmark::DoNotOptimize(table.IsRefused(++fingerprint % 100));
+    table.OnAnswered(
+        TargetRun::Make(PropertiesOf(++request % 100'000, 8), "a/1", kNow),
+        kNow, kNow);
+    if (request % 1'000 == 0) {
+      table.Expire(kNow);
+    }
   }
 }
-BENCHMARK(CheckContent)->Arg(10)->Arg(340);
+BENCHMARK(CountAnswer)->Arg(10)->Arg(340);
 
 }  // namespace
 }  // namespace hornbeamcleat
--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "hornbeamcleat/serving/request_property.h"
 #include "hornbeamcleat/serving/version_move.h"
 
 namespace hornbeamcleat {
@@ -68,33 +69,53 @@
   bool operator==(const TargetSighting&) const = default;
 };
 
-/// Request content that targets were running when they were lost.
-struct ContentLoss {
-  std::uint64_t fingerprint = 0;
-  std::vector<TargetSighting> targets;  ///< lost, each once
-  std::uint32_t trial_age_ms = 0;       ///< of the latest loss or trial
-  std::uint32_t trials = 0;             ///< that ended in a loss
+/// Run of a request that a target was lost with.
+struct LostRun {
+  std::uint32_t target = 0;     ///< hash of the incarnation
+  std::uint32_t age_ms = 0;     ///< of the loss
+  std::uint32_t lasted_ms = 0;  ///< from the send to the loss
+  std::uint16_t request = 0;    ///< tells requests on one target apart
 
-  bool operator==(const ContentLoss&) const = default;
+  bool operator==(const LostRun&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(target, age_ms, lasted_ms, request);
+  }
+};
+
+/// Property of requests that targets were running when they were lost.
+struct PropertyLoss {
+  RequestProperty property;
+  std::vector<LostRun> runs;       ///< one for each lost target
+  std::uint32_t trial_age_ms = 0;  ///< of the latest loss or trial
+  std::uint32_t trials = 0;        ///< that did not end in an answer
+
+  bool operator==(const PropertyLoss&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(property, runs, trial_age_ms, trials);
+  }
 };
 
-/// Request content that was answered completely after losses.
-struct ContentClearance {
-  std::uint64_t fingerprint = 0;
-  std::uint32_t age_ms = 0;  ///< of the answer
+/// Property of a request that was answered completely.
+struct PropertyAnswer {
+  RequestProperty property;
+  std::uint32_t age_ms = 0;  ///< of the answer's first event
 
-  bool operator==(const ContentClearance&) const = default;
+  bool operator==(const PropertyAnswer&) const = default;
 };
 
-/// What a VM knows of content that may crash targets.
-struct ContentReport {
-  std::vector<ContentLoss> losses;
-  std::vector<ContentClearance> clearances;
+/// What a VM knows of properties that may crash targets.
+struct LossReport {
+  std::vector<PropertyLoss> losses;
+  std::vector<PropertyAnswer> answers;
   /// Targets that answered after a connection to them was lost; the age is that
   /// of the request.
   std::vector<TargetSighting> alive;
 
-  bool operator==(const ContentReport&) const = default;
+  bool operator==(const LossReport&) const = default;
 };
 
 /// Slowly changing state; sent only with heartbeats, not with every change.
@@ -121,7 +142,7 @@
   std::vector<WorkspaceUsage> quotas;
   std::optional<PeerDetails> details;
   /// With each `details`, and in a message of its own after a change.
-  std::optional<ContentReport> content;
+  std::optional<LossReport> losses;
 
   bool operator==(const PeerState&) const = default;
 };
--- a/include/hornbeamcleat/serving/request_property.h
+++ b/include/hornbeamcleat/serving/request_property.h
@@ -1,6 +1,7 @@
 #ifndef HORNBEAMCLEAT_SERVING_REQUEST_PROPERTY_H_
 #define HORNBEAMCLEAT_SERVING_REQUEST_PROPERTY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -18,6 +19,7 @@
   kKey,       ///< API key
   kModel,     ///< model that the request names
 };
+inline constexpr int kPropertyKinds = 7;
 
 /// Identifies a property by its kind and a hash of its value. The same on all
 /// VMs.
@@ -32,6 +34,8 @@
   /// Combines two parts of one prompt, in any order.
   static RequestProperty PairOf(RequestProperty a, RequestProperty b);
 
+  /// Whether this build knows the kind; codes come from other builds, too.
+  bool IsKnown() const;
   PropertyKind Kind() const;
   /// Number that identifies the property, for messages and hashes.
   std::uint64_t Code() const { return code_; }
@@ -41,10 +45,22 @@
   bool operator==(const RequestProperty&) const = default;
   auto operator<=>(const RequestProperty&) const = default;
 
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(code_);
+  }
+
  private:
   std::uint64_t code_ = 0;  ///< hash; the lowest bits are the kind
 };
 
+/// Hash for unordered containers.
+struct RequestPropertyHash {
+  std::size_t operator()(RequestProperty property) const {
+    return property.Code();
+  }
+};
+
 /// Returns the property of an amount: its order of magnitude, to the base 2.
 /// @param unit tells amounts of different kinds apart
 RequestProperty SizeProperty(std::string_view unit, std::uint64_t amount);
--- a/include/hornbeamcleat/serving/serving_config.h
+++ b/include/hornbeamcleat/serving/serving_config.h
@@ -105,6 +105,11 @@
   bool is_draining = false;
   std::int64_t start_time_ms = 0;  ///< Unix time; tells restarts apart
 
+  /// Identifies this start of the target.
+  std::string Incarnation() const {
+    return id + "/" + std::to_string(start_time_ms);
+  }
+
   bool operator==(const ServingTarget&) const = default;
 };
 
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -54,9 +54,6 @@
         request_(std::move(request)),
         request_info_(
             context->GetCodec()->ParseRequestHeaders(request_.head.headers)),
-        fingerprint_(
-            Hash64(request_.body,
-                   Hash64(request_info_.key, Hash64(request_.head.target)))),
         properties_(AllProperties()),
         id_(context->NextExchangeId()),
         response_(context->GetCodec(), sink, request_.arrival) {}
@@ -93,12 +90,12 @@
     context_->GetLog()->Info(
         Now(),
         "event=admitted id={} route={} service={} rank={} workspace={} "
-        "charged={:.0f} level={:.0f} version={} {}",
+        "charged={:.0f} level={:.0f} version={} properties={}",
         request_info_.id, route.name, service_, admission_.rank, Workspace(),
         admission_.charged, admission_.quota.level,
-        admission_.table->Config().version, ContentDetails());
-    if (admission_.is_content_trial) {
-      context_->OnContentChange();
+        admission_.table->Config().version, PropertiesToString(properties_));
+    if (admission_.is_trial) {
+      context_->OnLossesChange();
     }
     deadline_timer_ = context_->GetLoop()->Timers()->At(
         deadline_, [this](Time) { OnDeadline(); });
@@ -121,7 +118,13 @@
     Send(decision.placement);
   }
 
-  void RecheckContent() override { RefusedForContent(); }
+  void RecheckProperties() override {
+    if (is_waiting_) {
+      RefusedForLosses();
+    } else {
+      WithdrawIfRefused();
+    }
+  }
 
   void OnFlushed() override {
     if (call_ != nullptr && is_paused_) {
@@ -133,6 +136,7 @@
  private:
   Time Now() const { return context_->GetClock()->Now(); }
   Time BootNow() const { return context_->GetClock()->SuspendAwareNow(); }
+  LossTable* Losses() const { return context_->GetAdmission()->Losses(); }
 
   void CancelIfInProgress() {
     if (is_done_) {
@@ -153,8 +157,10 @@
   // Properties that other requests can share, the content first.
   std::vector<RequestProperty> AllProperties() const {
     const std::string* host = FindHeader(request_.head.headers, "Host");
+    const std::uint64_t content = Hash64(
+        request_.body, Hash64(request_info_.key, Hash64(request_.head.target)));
     std::vector<RequestProperty> all = {
-        {PropertyKind::kContent, fmt::format("{:x}", fingerprint_)},
+        {PropertyKind::kContent, fmt::format("{:x}", content)},
         {PropertyKind::kPath, (host == nullptr ? "" : *host) + Path()}};
     if (!request_.body.empty()) {
       all.push_back(SizeProperty("body", request_.body.size()));
@@ -175,7 +181,7 @@
     query.key = request_info_.key;
     query.states_tokens = request_info_.states_tokens;
     query.tokens = request_info_.quota_tokens;
-    query.fingerprint = fingerprint_;
+    query.properties = properties_;
     query.seed = Hash32(request_info_.id);
     query.now = Now();
     query.boot_now = BootNow();
@@ -199,9 +205,10 @@
     // Different suspects go to different targets, so that the next loss tells
     // them apart, and the same one to the same target, so that it ends only
     // one.
-    if (context_->GetAdmission()->ContentLosses()->IsSuspect(fingerprint_,
-                                                             BootNow())) {
-      waiting.need.rendezvous_key = fingerprint_;
+    const RequestProperty* suspect =
+        Losses()->FindSuspect(properties_, BootNow());
+    if (suspect != nullptr) {
+      waiting.need.rendezvous_key = suspect->Code();
     }
     context_->GetQueue()->Add(waiting);
     is_waiting_ = true;
@@ -222,7 +229,7 @@
       Retry("target_gone");
       return;
     }
-    target_incarnation_ = fmt::format("{}/{}", spec->id, spec->start_time_ms);
+    run_ = TargetRun::Make(properties_, attempt_->Incarnation(), BootNow());
     DispatchInfo info;
     info.target_id = spec->id;
     info.workspace = Workspace();
@@ -264,7 +271,7 @@
 
   // Last check before the first byte is sent.
   bool ConfirmSend() {
-    if (RefusedForContent()) {
+    if (RefusedForLosses()) {
       return false;
     }
     const RefusalReason refusal = context_->GetAdmission()->Revalidate(
@@ -280,7 +287,13 @@
       Retry("target_leaving");
       return false;
     }
-    sent_at_ = BootNow();
+    run_.sent_at = BootNow();
+    is_sent_ = true;
+    context_->SetInFlight(id_, this);
+    if (admission_.is_trial) {
+      Losses()->OnTrialSent(properties_, BootNow());
+      context_->OnLossesChange();
+    }
     if (executions_ == 0 && !first_attempt_counted_) {
       first_attempt_counted_ = true;
       context_->OnFirstAttempt(service_);
@@ -295,9 +308,9 @@
     const ResponseKind kind = response_.OnHead(head);
     // Anything else may come from another process at the target's address.
     if (kind == ResponseKind::kStream || kind == ResponseKind::kBuffered) {
-      context_->GetAdmission()->ContentLosses()->OnTargetAnswered(
-          target_incarnation_, sent_at_, BootNow());
-      context_->OnContentChange();
+      began_at_ = BootNow();
+      Losses()->OnTargetAnswered(run_.target, run_.sent_at, began_at_);
+      context_->OnLossesChange();
     }
     if (kind == ResponseKind::kBuffered) {
       OnFirstEvent();
@@ -321,6 +334,7 @@
     if (!attempt_.has_value()) {
       return;
     }
+    context_->SetInFlight(id_, nullptr);
     const std::optional<Duration> after = attempt_->OnFirstEvent(Now());
     if (after.has_value()) {
       context_->GetMetrics()->Observe("first_event_seconds", "service",
@@ -353,8 +367,8 @@
     switch (response_.Kind()) {
       case ResponseKind::kStream:
         if (fault != StreamFault::kNone) {
-          OnContentLoss(StreamFaultName(fault));
-          OnBadResponse(StreamFaultName(fault));
+          OnTargetLost(StreamFaultName(fault));
+          OnBadResponse(StreamFaultName(fault), TargetOutcome::kLost);
         } else {
           FinishStream();
         }
@@ -375,35 +389,27 @@
     }
   }
 
-  // A complete answer rules the content out as the cause of lost targets. One
+  // A complete answer rules the request out as the cause of lost targets. One
   // that ends with its connection may have been cut by a crash.
-  void ClearContent() {
+  void ClearLosses() {
+    is_sent_ = false;
     if (response_.Framing() == BodyFraming::kUntilClose) {
-      context_->GetAdmission()->ContentLosses()->OnUnprovenAnswer(
-          fingerprint_, target_incarnation_, BootNow());
-      return;
-    }
-    ContentLossTable* losses = context_->GetAdmission()->ContentLosses();
-    const bool had_losses = losses->Losses(fingerprint_) > 0;
-    if (had_losses) {
-      context_->GetLog()->Warning(Now(), "event=content_cleared id={} {}",
-                                  request_info_.id, ContentDetails());
-    }
-    losses->OnAnswered(fingerprint_, BootNow());
-    if (had_losses) {
-      context_->OnContentChange();
+      Losses()->OnUnprovenAnswer(run_, began_at_, BootNow());
+    } else {
+      Losses()->OnAnswered(run_, began_at_, BootNow());
     }
+    context_->OnLossesChange();
   }
 
   void FinishStream() {
-    ClearContent();
+    ClearLosses();
     response_.FinishStream();
     Finish("answered", TargetOutcome::kAnswered);
     sink_->EndBody();
   }
 
   void SendBufferedResponse() {
-    ClearContent();
+    ClearLosses();
     Finish("answered", TargetOutcome::kAnswered);
     response_.SendBuffered();
   }
@@ -457,6 +463,8 @@
   void OnFailure(CallFailure failure) {
     const std::string target = attempt_->Target();
     if (failure == CallFailure::kConnectFailed) {
+      Losses()->OnTargetUnreached(run_.target, BootNow());
+      context_->OnLossesChange();
       FinishAttempt(TargetOutcome::kUnreached);
       tried_targets_.push_back(target);
       ++connect_failures_;
@@ -468,36 +476,42 @@
       return;
     }
     CountTargetResponse(CallFailureName(failure));
-    if (failure != CallFailure::kMalformed) {
-      OnContentLoss(CallFailureName(failure));
+    if (failure == CallFailure::kMalformed) {
+      OnBadResponse(CallFailureName(failure));
+      return;
     }
-    OnBadResponse(CallFailureName(failure));
+    OnTargetLost(CallFailureName(failure));
+    OnBadResponse(CallFailureName(failure), TargetOutcome::kLost);
   }
 
   // Counts a target's connection that ended before its response did against
-  // the request's content: the target may have crashed. Engines send the head
-  // as soon as a request runs, so this can happen at any stage of the response.
-  void OnContentLoss(const char* cause) {
+  // the request's properties: the target may have crashed. Engines send the
+  // head as soon as a request runs, so this can happen at any stage of the
+  // response.
+  void OnTargetLost(const char* cause) {
     const char* stage = response_.Kind() == ResponseKind::kNone ? "before_head"
                         : response_.EventCount() == 0           ? "before_event"
                                                                 : "after_event";
-    admission_.is_content_trial = false;
-    context_->GetAdmission()->ContentLosses()->OnTargetLost(
-        fingerprint_, target_incarnation_, BootNow());
-    context_->GetMetrics()->Count("content_losses_total", "stage", stage);
+    admission_.is_trial = false;
+    is_sent_ = false;
+    Losses()->OnTargetLost(run_, BootNow());
+    context_->GetMetrics()->Count("target_losses_total", "stage", stage);
     context_->GetLog()->Warning(
-        Now(), "event=content_loss id={} target={} cause={} stage={} {}",
-        request_info_.id, attempt_->Target(), cause, stage, ContentDetails());
-    context_->OnContentChange();
+        Now(), "event=target_lost id={} target={} cause={} stage={} {}",
+        request_info_.id, attempt_->Target(), cause, stage, LossDetails());
+    context_->OnLossesChange();
   }
 
-  // Fields of log lines that tell which requests have the same content and how
-  // many targets were lost under it, as far as this VM knows.
-  std::string ContentDetails() const {
-    return fmt::format(
-        "content={:016x} losses={} properties={}", fingerprint_,
-        context_->GetAdmission()->ContentLosses()->Losses(fingerprint_),
-        PropertiesToString(properties_));
+  // Fields of log lines that tell what the request has in common with others,
+  // and how many targets were lost with the property that lost most, as far as
+  // this VM knows.
+  std::string LossDetails() const {
+    int most = 0;
+    for (const RequestProperty& property : properties_) {
+      most = std::max(most, Losses()->Losses(property));
+    }
+    return fmt::format("losses={} properties={}", most,
+                       PropertiesToString(properties_));
   }
 
   // Counts how a target's response ended: the framing that completed it, or
@@ -516,12 +530,13 @@
 
   // Handles a response that is incomplete or invalid. The target may have
   // executed the request.
-  void OnBadResponse(const char* cause) {
+  void OnBadResponse(const char* cause,
+                     TargetOutcome outcome = TargetOutcome::kBroken) {
     const std::string target = attempt_->Target();
     context_->GetLog()->Warning(
         Now(), "event=bad_answer id={} target={} cause={} {}", request_info_.id,
         target, cause, ResponseDetails());
-    FinishAttempt(TargetOutcome::kBroken);
+    FinishAttempt(outcome);
     tried_targets_.push_back(target);
     if (admission_.route->MayRepeat() && response_.CanResume() &&
         TakeRetryIfAllowed()) {
@@ -542,7 +557,7 @@
     context_->GetLog()->Warning(Now(), "event=again id={} cause={} runs={}",
                                 request_info_.id, cause, executions_);
     CancelCall();
-    if (RefusedForContent()) {
+    if (RefusedForLosses()) {
       return;
     }
     const Time now = Now();
@@ -554,18 +569,36 @@
     Enqueue(now, now + allowed);
   }
 
-  // Ends the request if its content is refused, at any point between two sends.
-  bool RefusedForContent() {
-    const ContentLossTable& losses = *context_->GetAdmission()->ContentLosses();
-    if (admission_.is_content_trial || !losses.IsRefused(fingerprint_)) {
+  // Ends the request if one of its properties is refused, at any point between
+  // two sends.
+  bool RefusedForLosses() {
+    if (admission_.is_trial || Losses()->RefusedOf(properties_).empty()) {
       return false;
     }
     Refuse(RefusalReason::kPoison,
-           context_->GetAdmission()->ContentRetryAfter(
-               fingerprint_, Hash32(request_info_.id), BootNow()));
+           context_->GetAdmission()->TrialRetryAfter(
+               properties_, Hash32(request_info_.id), BootNow()));
     return true;
   }
 
+  // Takes back a request that its target has not begun to answer, if it is
+  // likely to crash the target. Properties that were answered recently may be
+  // refused by mistake, so they are left to run.
+  void WithdrawIfRefused() {
+    const std::vector<RequestProperty> refused =
+        Losses()->RefusedOf(properties_);
+    if (admission_.is_trial || std::all_of(refused.begin(), refused.end(),
+                                           [this](RequestProperty property) {
+                                             return Losses()->IsTrusted(
+                                                 property, BootNow());
+                                           })) {
+      return;
+    }
+    context_->GetLog()->Warning(Now(), "event=withdrawn id={} target={}",
+                                request_info_.id, attempt_->Target());
+    RefusedForLosses();
+  }
+
   void Fail(RefusalReason reason) { Refuse(reason, kNotExecutedRetryAfter); }
 
   void OnDeadline() {
@@ -606,7 +639,7 @@
         ToMs(Now() - request_.arrival),
         retry_after.has_value() ? ToMs(*retry_after) : 0.0,
         admission_.table == nullptr ? 0 : admission_.table->Config().version,
-        ContentDetails());
+        LossDetails());
     if (!may_have_run_ && admission_.charged > 0) {
       context_->GetAdmission()->Quotas()->Refund(Workspace(),
                                                  admission_.charged);
@@ -650,9 +683,15 @@
 
   void FinishAttempt(TargetOutcome outcome) {
     rest_timer_.reset();
+    context_->SetInFlight(id_, nullptr);
     if (!attempt_.has_value()) {
       return;
     }
+    if (std::exchange(is_sent_, false) &&
+        (outcome == TargetOutcome::kAbandoned ||
+         outcome == TargetOutcome::kBroken)) {
+      Losses()->OnAbandoned(run_, BootNow());
+    }
     attempt_->Finish(outcome, may_have_run_, Now());
     attempt_.reset();
     context_->ScheduleDecisions();
@@ -671,7 +710,6 @@
   ResponseSink* const sink_;
   const CallerRequest request_;
   const RequestInfo request_info_;
-  const std::uint64_t fingerprint_;  ///< identifies the request's content
   const std::vector<RequestProperty> properties_;
   const std::uint64_t id_;
   Admission admission_;
@@ -681,8 +719,11 @@
   std::unique_ptr<TimerService::Subscription> rest_timer_;
   std::vector<std::string> tried_targets_;
   std::optional<TargetAttempt> attempt_;
-  std::string target_incarnation_;  ///< of the latest attempt
-  Time sent_at_;  ///< of the latest attempt, on the suspension-aware clock
+  /// Latest attempt, and when its response began, on the suspension-aware
+  /// clock.
+  TargetRun run_;
+  Time began_at_;
+  bool is_sent_ = false;  ///< `run_` is sent and has not ended
   std::unique_ptr<TargetCall> call_;
   ResponseForwarder response_;
   int executions_ = 0;  ///< sends, except those that a target did not execute
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -51,9 +51,12 @@
   virtual void ScheduleDecisions() = 0;
   /// Registers an exchange for queue decisions; nullptr unregisters it.
   virtual void SetWaiting(std::uint64_t id, Exchange* exchange) = 0;
+  /// Registers an exchange whose target has not begun to answer, for changes to
+  /// what is refused; nullptr unregisters it.
+  virtual void SetInFlight(std::uint64_t id, Exchange* exchange) = 0;
   virtual std::uint64_t NextExchangeId() = 0;
-  /// Losses were recorded or cleared, which peers must hear of.
-  virtual void OnContentChange() = 0;
+  /// Losses may have been recorded or cleared, which peers must hear of.
+  virtual void OnLossesChange() = 0;
 };
 
 /// Processes one request of a caller: admission, queueing, dispatch to a
@@ -73,8 +76,9 @@
   /// Applies the queue's decision on this request.
   virtual void OnDecision(const WaitDecision& decision) = 0;
 
-  /// Ends a waiting request if its content is refused by now.
-  virtual void RecheckContent() = 0;
+  /// Ends a request that waits, or that its target has not begun to answer, if
+  /// one of its properties is refused by now.
+  virtual void RecheckProperties() = 0;
 };
 
 }  // namespace hornbeamcleat
--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -119,18 +119,13 @@
 }
 
 template <typename Archive>
-void serialize(Archive& ar, ContentLoss& loss) {
-  ar(loss.fingerprint, loss.targets, loss.trial_age_ms, loss.trials);
+void serialize(Archive& ar, PropertyAnswer& answer) {
+  ar(answer.property, answer.age_ms);
 }
 
 template <typename Archive>
-void serialize(Archive& ar, ContentClearance& clearance) {
-  ar(clearance.fingerprint, clearance.age_ms);
-}
-
-template <typename Archive>
-void serialize(Archive& ar, ContentReport& report) {
-  ar(report.losses, report.clearances, report.alive);
+void serialize(Archive& ar, LossReport& report) {
+  ar(report.losses, report.answers, report.alive);
 }
 
 template <typename Archive>
@@ -148,7 +143,7 @@
 void serialize(Archive& ar, PeerState& state) {
   ar(state.incarnation, state.sequence, state.link, state.is_ready,
      state.has_load, state.uses, state.queues, state.has_all_quotas,
-     state.quotas, state.details, state.content);
+     state.quotas, state.details, state.losses);
 }
 
 namespace {
--- a/src/relay/peer_reporter.cc
+++ b/src/relay/peer_reporter.cc
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr Duration kHeartbeatCheckPeriod = std::chrono::milliseconds(250);
-/// Time for which a peer that has started is sent all content, and the interval
+/// Time for which a peer that has started is sent all losses, and the interval
 /// between two such messages, in case one is lost.
 constexpr Duration kStartedPeerTime = std::chrono::seconds(5);
 constexpr Duration kStartedPeerInterval = std::chrono::seconds(1);
@@ -29,12 +29,12 @@
 constexpr std::int64_t kRemotePhases = 2 * kChecksPerSecond;
 /// Interval between complete lists of quotas to other failure domains.
 constexpr Duration kAllQuotasPeriod = std::chrono::seconds(4);
-/// Changes of content are repeated with the details for this time: three
+/// Changes to losses are repeated with the details for this time: three
 /// reports to other failure domains, in case some are lost.
-constexpr Duration kContentRepeatTime = std::chrono::seconds(6);
-/// Minimum interval between two messages about content. Bounds their number
+constexpr Duration kLossRepeatTime = std::chrono::seconds(6);
+/// Minimum interval between two messages about losses. Bounds their number
 /// when a failure domain with hundreds of targets is lost.
-constexpr Duration kMinContentInterval = std::chrono::milliseconds(50);
+constexpr Duration kMinLossInterval = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -94,7 +94,7 @@
       SendLowQuotas();
     }
   }
-  SendContentToStarted();
+  SendLossesToStarted();
 }
 
 // The timer's delays vary, so that a period counts as over a little early.
@@ -188,37 +188,37 @@
   details.findings = sources_.targets->LocalStats(failure_domain, now);
   details.versions = sources_.moves->Counts();
   state->details = std::move(details);
-  const Time content_now = clock_->SuspendAwareNow();
-  state->content = sources_.admission->ContentLosses()->ChangesSince(
-      content_now - kContentRepeatTime, content_now);
+  const Time boot_now = clock_->SuspendAwareNow();
+  state->losses = sources_.admission->Losses()->ChangesSince(
+      boot_now - kLossRepeatTime, boot_now);
 }
 
-void PeerReporter::SendContentSoon() {
-  if (content_timer_ == nullptr &&
-      sent_content_changes_ != sources_.admission->ContentLosses()->Changes()) {
-    content_timer_ = loop_->Timers()->At(
-        std::max(clock_->Now(), content_sent_at_ + kMinContentInterval),
-        [this](Time) { SendContent(); });
+void PeerReporter::SendLossesSoon() {
+  if (losses_timer_ == nullptr &&
+      sent_loss_changes_ != sources_.admission->Losses()->Changes()) {
+    losses_timer_ = loop_->Timers()->At(
+        std::max(clock_->Now(), losses_sent_at_ + kMinLossInterval),
+        [this](Time) { SendLosses(); });
   }
 }
 
-void PeerReporter::SendContent() {
-  content_timer_.reset();
-  content_sent_at_ = clock_->Now();
-  sent_content_changes_ = sources_.admission->ContentLosses()->Changes();
+void PeerReporter::SendLosses() {
+  losses_timer_.reset();
+  losses_sent_at_ = clock_->Now();
+  sent_loss_changes_ = sources_.admission->Losses()->Changes();
   PeerState state = MakeState();
   state.has_load = false;
-  const Time content_now = clock_->SuspendAwareNow();
-  state.content = sources_.admission->ContentLosses()->ChangesSince(
-      content_sent_until_, content_now);
-  content_sent_until_ = content_now;
+  const Time boot_now = clock_->SuspendAwareNow();
+  state.losses =
+      sources_.admission->Losses()->ChangesSince(losses_sent_until_, boot_now);
+  losses_sent_until_ = boot_now;
   link_->Send(state, sources_.directory->Links());
 }
 
 // Only some VMs send all they know to a peer that has started. If all did, the
 // reports would hold up its link, and their own, just when requests of the VMs
 // that were lost are repeated.
-void PeerReporter::SendContentToStarted() {
+void PeerReporter::SendLossesToStarted() {
   const Time now = clock_->Now();
   std::erase_if(started_peers_,
                 [now](const auto& item) { return now >= item.second.until; });
@@ -229,9 +229,9 @@
     }
     PeerState state = MakeState();
     state.has_load = false;
-    state.content = sources_.admission->ContentLosses()->CompleteReport(
-        clock_->SuspendAwareNow());
-    if (*state.content != ContentReport()) {
+    state.losses =
+        sources_.admission->Losses()->CompleteReport(clock_->SuspendAwareNow());
+    if (*state.losses != LossReport()) {
       peer.next = now + kStartedPeerInterval;
       link_->Send(state, {link});
     }
--- a/src/relay/peer_reporter.h
+++ b/src/relay/peer_reporter.h
@@ -49,10 +49,11 @@
   void SendChangesSoon();
   /// Sends the complete state to all VMs immediately.
   void SendAll();
-  /// Sends what is known of content that crashes targets to all VMs if it has
+  /// Sends what is known of properties that crash targets to all VMs if it has
   /// changed, once this turn of the loop has ended.
-  void SendContentSoon();
-  /// A peer has started and may lack what it or others knew before.
+  void SendLossesSoon();
+  /// A peer has started, or is heard again after it was cut off, and may lack
+  /// what others know.
   void OnPeerStarted(const std::string& link);
 
  private:
@@ -62,8 +63,8 @@
   void SendToLocalDomain(bool with_details);
   void SendToRemoteDomains(bool with_details);
   void SendLowQuotas();
-  void SendContent();
-  void SendContentToStarted();
+  void SendLosses();
+  void SendLossesToStarted();
   PeerState MakeState();
   PeerState MakeLoadState(Time now);
   /// @param failure_domain of the targets that are reported on; empty: all
@@ -84,14 +85,14 @@
   Time details_sent_at_;
   Time remote_sent_at_;
   Time remote_details_sent_at_;
-  std::uint64_t sent_content_changes_ = 0;
-  Time content_sent_at_;
-  /// Changes of content before this time have been sent once; on the clock of
-  /// the content losses.
-  Time content_sent_until_;
+  std::uint64_t sent_loss_changes_ = 0;
+  Time losses_sent_at_;
+  /// Changes to losses before this time have been sent once; on the clock of
+  /// the losses.
+  Time losses_sent_until_;
   Time started_at_;
   Time all_quotas_sent_at_;
-  /// Peers that started recently, and when each is sent all content next.
+  /// Peers that started recently, and when each is sent all losses next.
   struct StartedPeer {
     Time until;
     Time next;
@@ -99,7 +100,7 @@
   std::map<std::string, StartedPeer> started_peers_;
   std::unique_ptr<TimerService::Subscription> heartbeat_timer_;
   std::unique_ptr<TimerService::Subscription> send_timer_;
-  std::unique_ptr<TimerService::Subscription> content_timer_;
+  std::unique_ptr<TimerService::Subscription> losses_timer_;
 };
 
 }  // namespace hornbeamcleat
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -34,7 +34,7 @@
 constexpr Duration kAdvertiseTimeout = std::chrono::milliseconds(1'300);
 /// Longer than a VM takes to restart or to resume from suspension.
 constexpr Duration kGoneTimeout = std::chrono::seconds(20);
-/// Interval at which one more VM may try refused content. Longer than the
+/// Interval at which one more VM may try a refused property. Longer than the
 /// report of a trial takes to all VMs.
 constexpr Duration kTrialStep = std::chrono::milliseconds(250);
 /// Interval of placement decisions while requests wait.
@@ -96,8 +96,8 @@
     const Time now = clock_->Now();
     admission_.Quotas()->SetSlack(options.quota_slack);
     admission_.Quotas()->SetStart(now);
-    admission_.SetTrialDelay([this](std::uint64_t fingerprint) {
-      return kTrialStep * directory_.RankFor(fingerprint, clock_->Now());
+    admission_.SetTrialDelay([this](std::uint64_t code) {
+      return kTrialStep * directory_.RankFor(code, clock_->Now());
     });
     housekeeping_timer_ =
         loop_->Timers()->Every(now + kHousekeepingPeriod, kHousekeepingPeriod,
@@ -206,14 +206,22 @@
     }
   }
   std::uint64_t NextExchangeId() override { return next_exchange_id_++; }
-  void OnContentChange() override {
-    ContentLossTable* content = admission_.ContentLosses();
-    for (const std::uint64_t fingerprint : content->TakeNewlyRefused()) {
-      Log().Warning("event=content_refused content={:016x} losses={}",
-                    fingerprint, content->Losses(fingerprint));
-      RecheckWaiting();
+  void SetInFlight(std::uint64_t id, Exchange* exchange) override {
+    if (exchange == nullptr) {
+      in_flight_exchanges_.erase(id);
+    } else {
+      in_flight_exchanges_[id] = exchange;
+    }
+  }
+  void OnLossesChange() override {
+    LossTable* losses = admission_.Losses();
+    for (const RequestProperty& property : losses->TakeNewlyRefused()) {
+      Log().Warning("event=property_refused property={} losses={} trusted={}",
+                    property.ToString(), losses->Losses(property),
+                    losses->IsTrusted(property, clock_->SuspendAwareNow()));
+      RecheckExchanges();
     }
-    peer_reporter_.SendContentSoon();
+    peer_reporter_.SendLossesSoon();
   }
 
   void ScheduleDecisions() override {
@@ -240,28 +248,34 @@
   }
 
   // Runs from the loop, since an exchange may be on the call stack.
-  void RecheckWaiting() {
+  void RecheckExchanges() {
     if (std::exchange(recheck_scheduled_, true)) {
       return;
     }
     loop_->Post([this, alive = alive_] {
-      if (!*alive) {
-        return;
-      }
-      recheck_scheduled_ = false;
-      std::vector<std::uint64_t> ids;
-      for (const auto& [id, exchange] : waiting_exchanges_) {
-        ids.push_back(id);
-      }
-      for (const std::uint64_t id : ids) {
-        const auto it = waiting_exchanges_.find(id);
-        if (it != waiting_exchanges_.end()) {
-          it->second->RecheckContent();
-        }
+      if (*alive) {
+        recheck_scheduled_ = false;
+        Recheck(waiting_exchanges_);
+        Recheck(in_flight_exchanges_);
       }
     });
   }
 
+  // An exchange that ends leaves the map.
+  static void Recheck(const std::map<std::uint64_t, Exchange*>& exchanges) {
+    std::vector<std::uint64_t> ids;
+    ids.reserve(exchanges.size());
+    for (const auto& [id, exchange] : exchanges) {
+      ids.push_back(id);
+    }
+    for (const std::uint64_t id : ids) {
+      const auto it = exchanges.find(id);
+      if (it != exchanges.end()) {
+        it->second->RecheckProperties();
+      }
+    }
+  }
+
   void DecideWaiting() {
     const std::vector<WaitDecision> decisions = queue_.Decide(clock_->Now());
     for (const WaitDecision& decision : decisions) {
@@ -280,11 +294,11 @@
 
   void OnPeerState(const PeerState& state) {
     const Time now = clock_->Now();
-    const bool is_new_incarnation = directory_.IsNewIncarnation(state);
+    const bool may_lack_reports = directory_.IsNewlyHeard(state);
     if (!directory_.OnState(state, now)) {
       return;
     }
-    if (is_new_incarnation) {
+    if (may_lack_reports) {
       peer_reporter_.OnPeerStarted(state.link);
     }
     if (state.has_load) {
@@ -305,10 +319,10 @@
       moves_.SetPeerCounts(state.link, state.incarnation,
                            state.details->versions);
     }
-    if (state.content.has_value()) {
-      admission_.ContentLosses()->OnPeerReport(*state.content,
-                                               clock_->SuspendAwareNow());
-      OnContentChange();
+    if (state.losses.has_value()) {
+      admission_.Losses()->OnPeerReport(*state.losses,
+                                        clock_->SuspendAwareNow());
+      OnLossesChange();
     }
     if (!waiting_exchanges_.empty()) {
       ScheduleDecisions();
@@ -349,6 +363,11 @@
           targets_.RunningOf(order.service, order.version, false);
     }
     const Time now = clock_->Now();
+    moves_.CountLost(
+        [this](std::uint32_t target) {
+          return admission_.Losses()->IsExplained(target);
+        },
+        now);
     VersionMoves::Decisions decisions =
         moves_.Decide(sides, directory_.IsLeader(now), now, clock_->WallNow());
     for (const std::string& note : decisions.log_lines) {
@@ -384,9 +403,15 @@
     const Time now = clock_->Now();
     UpdateReadiness();
     target_connections_.CloseExpired();
-    ContentLossTable* content = admission_.ContentLosses();
-    content->Expire(clock_->SuspendAwareNow());
-    metrics_->Set("contents", "kind", "refused", content->RefusedCount());
+    LossTable* losses = admission_.Losses();
+    losses->Expire(clock_->SuspendAwareNow());
+    losses->ReportAnswers(
+        [this, now](std::uint64_t code) {
+          return directory_.RankFor(code, now);
+        },
+        clock_->SuspendAwareNow());
+    OnLossesChange();
+    metrics_->Set("properties", "kind", "refused", losses->RefusedCount());
     DecideMoves();
     for (const std::string& link : directory_.TakeTimedOut(now)) {
       Log().Warning("event=peer_lost link={}", link);
@@ -464,6 +489,7 @@
   RequestLog request_log_;
   std::map<std::string, RetryBudget> retry_budgets_;
   std::map<std::uint64_t, Exchange*> waiting_exchanges_;
+  std::map<std::uint64_t, Exchange*> in_flight_exchanges_;
   std::uint64_t next_exchange_id_ = 0;
   ScalePlan scale_plan_ = PlanForScale(1, 1, Duration(0), Duration(0));
   Time last_removal_at_;
--- a/src/relay/relay_options.cc
+++ b/src/relay/relay_options.cc
@@ -73,10 +73,11 @@
       Rule("moves", "exposure_share", number, "0.1", 1,
            "Part of a move's traffic that a bad version may get."),
       Rule("poison", "limit", integer, "2", 100,
-           "Targets lost to one content before it is refused."),
+           "Targets lost to one content or part of prompts before it is "
+           "refused; other properties need one more."),
       Rule(
           "poison", "expiry", duration, "30s", 10 * kMinuteUs,
-          "Time from the first trial of refused content to the second; doubles "
+          "Time from the first trial of what is refused to the second; doubles "
           "with each further one. The first comes after a sixth of it."),
   };
 }
@@ -113,9 +114,9 @@
   options.moves.exposure_share = settings.Number("moves", "exposure_share");
   options.admission.fails_closed = settings.Boolean("keys", "fail_closed");
   options.admission.key_limit = settings.GetDuration("keys", "limit");
-  options.admission.content.limit =
+  options.admission.losses.limit =
       static_cast<int>(settings.Integer("poison", "limit"));
-  options.admission.content.refusal_time =
+  options.admission.losses.refusal_time =
       settings.GetDuration("poison", "expiry");
   return options;
 }
--- a/src/relay/target_attempt.cc
+++ b/src/relay/target_attempt.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "hornbeamcleat/base/hash.h"
 #include "src/serving/version_moves.h"
 #include "src/serving/wait_queue.h"
 
@@ -25,6 +26,7 @@
   const ServingTarget* spec = observers_.targets->Find(placement_.target);
   if (spec != nullptr) {
     version_ = spec->software_version;
+    incarnation_ = spec->Incarnation();
   }
 }
 
@@ -52,10 +54,15 @@
   if (outcome == TargetOutcome::kAnswered) {
     observers_.queue->OnSlotReleased(request_.service, held_for);
   }
-  ReportToMoves(outcome);
+  ReportToMoves(outcome, now);
 }
 
-void TargetAttempt::ReportToMoves(TargetOutcome outcome) const {
+void TargetAttempt::ReportToMoves(TargetOutcome outcome, Time now) const {
+  if (outcome == TargetOutcome::kLost) {
+    observers_.moves->OnLost(request_.service, request_.route, version_,
+                             Hash32(incarnation_), now);
+    return;
+  }
   const bool is_answered = outcome == TargetOutcome::kAnswered;
   if (outcome == TargetOutcome::kFailed || outcome == TargetOutcome::kBroken ||
       (is_answered && finding_.is_late)) {
--- a/src/relay/target_attempt.h
+++ b/src/relay/target_attempt.h
@@ -34,6 +34,8 @@
                 const Placement& placement, Time now);
 
   const std::string& Target() const { return placement_.target; }
+  /// Identifies the target and its start.
+  const std::string& Incarnation() const { return incarnation_; }
   bool HadFirstEvent() const { return had_first_event_; }
 
   /// Records the first event or, without events, the head of the response.
@@ -45,13 +47,14 @@
   void Finish(TargetOutcome outcome, bool may_have_run, Time now);
 
  private:
-  void ReportToMoves(TargetOutcome outcome) const;
+  void ReportToMoves(TargetOutcome outcome, Time now) const;
 
   const Observers observers_;
   const Request request_;
   const Placement placement_;
   const Time started_at_;
-  std::string version_;  ///< software version of the target
+  std::string version_;      ///< software version of the target
+  std::string incarnation_;  ///< of the target
   bool had_first_event_ = false;
   FirstEventStats finding_;
 };
--- a/src/serving/admission.cc
+++ b/src/serving/admission.cc
@@ -13,8 +13,8 @@
 /// request, and for clock errors.
 constexpr Duration kKeyLimitMargin = std::chrono::milliseconds(300);
 
-/// Time over which callers return after a trial of their content is due.
-constexpr Duration kContentRetrySpread = std::chrono::seconds(3);
+/// Time over which callers return after a trial is due.
+constexpr Duration kTrialRetrySpread = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -107,13 +107,13 @@
     }
     admission.rank = admission.workspace->rank.value_or(admission.rank);
   }
-  if (content_losses_.IsRefused(query.fingerprint)) {
-    admission.is_content_trial = content_losses_.TakeTrial(
-        query.fingerprint, trial_delay_(query.fingerprint), query.boot_now);
-    if (!admission.is_content_trial) {
+  if (!losses_.RefusedOf(query.properties).empty()) {
+    admission.is_trial =
+        losses_.TakeTrial(query.properties, trial_delay_, query.boot_now);
+    if (!admission.is_trial) {
       admission.refusal = RefusalReason::kPoison;
       admission.retry_after =
-          ContentRetryAfter(query.fingerprint, query.seed, query.boot_now);
+          TrialRetryAfter(query.properties, query.seed, query.boot_now);
       return admission;
     }
   }
@@ -134,13 +134,13 @@
   return admission;
 }
 
-Duration AdmissionController::ContentRetryAfter(std::uint64_t fingerprint,
-                                                std::uint32_t seed,
-                                                Time boot_now) const {
+Duration AdmissionController::TrialRetryAfter(
+    const std::vector<RequestProperty>& properties, std::uint32_t seed,
+    Time boot_now) const {
   const double share =
       static_cast<double>(seed) / std::numeric_limits<std::uint32_t>::max();
-  return content_losses_.TimeToTrial(fingerprint, boot_now) +
-         FromSeconds(share * ToSeconds(kContentRetrySpread));
+  return losses_.TimeToTrial(properties, boot_now) +
+         FromSeconds(share * ToSeconds(kTrialRetrySpread));
 }
 
 RefusalReason AdmissionController::Revalidate(const Admission& admission,
--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -6,11 +6,12 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "hornbeamcleat/base/time.h"
 #include "hornbeamcleat/serving/route_table.h"
-#include "src/serving/content_loss_table.h"
 #include "src/serving/freshness.h"
+#include "src/serving/loss_table.h"
 #include "src/serving/quota_limiter.h"
 
 namespace hornbeamcleat {
@@ -23,7 +24,7 @@
   kNoRoute,
   kUnknownKey,
   kOverQuota,
-  kPoison,     ///< the request's content has crashed targets
+  kPoison,     ///< requests with a property of this one have crashed targets
   kDraining,   ///< this VM is shutting down
   kNoPlace,    ///< no target has capacity within the objective
   kNotRun,     ///< targets rejected the request without running it
@@ -45,9 +46,9 @@
   std::string path;  ///< without the query string
   std::string key;   ///< empty if the request has none
   bool states_tokens = false;
-  double tokens = 0;              ///< in quota units
-  std::uint64_t fingerprint = 0;  ///< hash of the request's content
-  std::uint32_t seed = 0;         ///< spreads callers that are refused together
+  double tokens = 0;  ///< in quota units
+  std::vector<RequestProperty> properties;
+  std::uint32_t seed = 0;  ///< spreads callers that are refused together
   Time now;
   Time boot_now;  ///< on the clock that includes VM suspension
 };
@@ -63,29 +64,29 @@
   int rank = 0;
   double charged = 0;   ///< amount charged to the workspace's quota
   QuotaDecision quota;  ///< set if a quota was checked
-  /// Whether the request tries out content that is refused otherwise.
-  bool is_content_trial = false;
+  /// Whether the request tries out properties that are refused otherwise.
+  bool is_trial = false;
 
   bool IsAdmitted() const { return refusal == RefusalReason::kNone; }
 };
 
 /// Checks requests against the active configuration: route, key, configuration
-/// freshness, quota and content. Owns the configuration and tracks when it was
-/// last confirmed to be current.
+/// freshness, quota and properties that crash targets. Owns the configuration
+/// and tracks when it was last confirmed to be current.
 class AdmissionController {
  public:
   struct Options {
     bool fails_closed = true;  ///< refuses keys if the config may be stale
     Duration key_limit{0};     ///< maximum time a revoked key may be accepted
-    ContentLossTable::Options content;
+    LossTable::Options losses;
   };
 
   explicit AdmissionController(const Options& options)
-      : options_(options), content_losses_(options.content) {}
+      : options_(options), losses_(options.losses) {}
 
   void SetOptions(const Options& options) {
     options_ = options;
-    content_losses_.SetOptions(options.content);
+    losses_.SetOptions(options.losses);
   }
 
   /// Activates a configuration if its version is newer than the active one's.
@@ -96,16 +97,16 @@
 
   Admission Admit(const AdmissionQuery& query);
 
-  /// Sets a function that returns how long after a trial of refused content is
-  /// due this VM may take it.
+  /// Sets a function that returns how long after a trial of a refused property
+  /// is due this VM may take it.
   void SetTrialDelay(std::function<Duration(std::uint64_t)> delay) {
     trial_delay_ = std::move(delay);
   }
 
-  /// Returns when a caller refused for its content should return. Callers that
+  /// Returns when a caller refused for a property should return. Callers that
   /// all returned when the next trial is due would reach all VMs at once.
-  Duration ContentRetryAfter(std::uint64_t fingerprint, std::uint32_t seed,
-                             Time boot_now) const;
+  Duration TrialRetryAfter(const std::vector<RequestProperty>& properties,
+                           std::uint32_t seed, Time boot_now) const;
 
   /// Checks an admitted request again right before it is sent: its key must
   /// still be valid in a configuration known to be current.
@@ -118,14 +119,14 @@
   const RouteTable* Table() const { return table_.get(); }
   QuotaLimiter* Quotas() { return &quotas_; }
   /// Uses the clock that includes VM suspension.
-  ContentLossTable* ContentLosses() { return &content_losses_; }
+  LossTable* Losses() { return &losses_; }
 
  private:
   Options options_;
   std::shared_ptr<const RouteTable> table_;
   Freshness freshness_;
   QuotaLimiter quotas_;
-  ContentLossTable content_losses_;
+  LossTable losses_;
   std::function<Duration(std::uint64_t)> trial_delay_ = [](std::uint64_t) {
     return Duration(0);
   };
--- a/src/serving/request_property.cc
+++ b/src/serving/request_property.cc
@@ -53,6 +53,10 @@
                            Hash64(fmt::format("{:x},{:x}", low, high))));
 }
 
+bool RequestProperty::IsKnown() const {
+  return (code_ & kKindMask) < kPropertyKinds;
+}
+
 PropertyKind RequestProperty::Kind() const {
   return static_cast<PropertyKind>(code_ & kKindMask);
 }
--- a/src/serving/target_balancer.cc
+++ b/src/serving/target_balancer.cc
@@ -432,6 +432,7 @@
       RecordFailure(&entry, now);
       break;
     case TargetOutcome::kBroken:
+    case TargetOutcome::kLost:
       entry.answers += 1;
       entry.failures += 1;
       // A target that closes connections immediately appears idle and would
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -62,7 +62,8 @@
 enum class TargetOutcome {
   kAnswered,   ///< complete answer
   kFailed,     ///< the target returned a failure status
-  kBroken,     ///< truncated, malformed or missing answer
+  kBroken,     ///< malformed or missing answer
+  kLost,       ///< the connection ended before the answer did
   kNotRun,     ///< the target reported that it did not run the request
   kUnreached,  ///< the connection failed
   kAbandoned,  ///< ended by this VM; no evidence about the target
--- a/src/serving/version_moves.cc
+++ b/src/serving/version_moves.cc
@@ -57,6 +57,11 @@
   return record.has_value() && record->outcome != MoveOutcome::kInProgress;
 }
 
+/// Time within which a request that crashes targets is usually found out.
+constexpr Duration kLossExplanationTime = std::chrono::seconds(1);
+/// Answers that wait for an explanation; further ones count at once.
+constexpr std::size_t kMaxLostAnswers = 4'096;
+
 // Evidence key of a move. Includes the version, so that evidence of earlier
 // orders of the service does not count.
 std::string EvidenceKey(const std::string& service,
@@ -185,6 +190,31 @@
   }
 }
 
+void VersionMoves::OnLost(const std::string& service, const std::string& route,
+                          const std::string& version, std::uint32_t target,
+                          Time now) {
+  if (!IsMoving(service)) {
+    return;
+  }
+  if (lost_answers_.size() >= kMaxLostAnswers) {
+    OnFailed(service, route, version);
+    return;
+  }
+  lost_answers_.push_back({service, route, version, target, now});
+}
+
+void VersionMoves::CountLost(
+    const std::function<bool(std::uint32_t)>& is_explained, Time now) {
+  while (!lost_answers_.empty() &&
+         now - lost_answers_.front().lost_at >= kLossExplanationTime) {
+    const LostAnswer lost = std::move(lost_answers_.front());
+    lost_answers_.pop_front();
+    if (!is_explained(lost.target)) {
+      OnFailed(lost.service, lost.route, lost.version);
+    }
+  }
+}
+
 std::vector<VersionCounts> VersionMoves::Counts() const {
   std::vector<VersionCounts> counts;
   for (const auto& [key, item] : counts_) {
--- a/src/serving/version_moves.h
+++ b/src/serving/version_moves.h
@@ -2,6 +2,8 @@
 #define HORNBEAMCLEAT_SRC_SERVING_VERSION_MOVES_H_
 
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -69,6 +71,16 @@
   void OnFailed(const std::string& service, const std::string& route,
                 const std::string& version);
 
+  /// Records an answer that was cut off when its target was lost. It counts as
+  /// failed after a while, unless a request turns out to have crashed the
+  /// target.
+  void OnLost(const std::string& service, const std::string& route,
+              const std::string& version, std::uint32_t target, Time now);
+  /// Counts answers that were cut off a while ago.
+  /// @param is_explained whether a request crashed the target
+  void CountLost(const std::function<bool(std::uint32_t)>& is_explained,
+                 Time now);
+
   /// Returns this VM's counts, to report to peers; empty without moves in
   /// progress.
   std::vector<VersionCounts> Counts() const;
@@ -88,6 +100,14 @@
   /// version.
   using CountKey = std::tuple<std::string, std::string, std::string, bool>;
 
+  struct LostAnswer {
+    std::string service;
+    std::string route;
+    std::string version;
+    std::uint32_t target = 0;
+    Time lost_at;
+  };
+
   VersionCounts* Counter(const std::string& service, const std::string& route,
                          const std::string& version);
   void Judge(Move* move, Time now, WallTime wall_now);
@@ -100,6 +120,7 @@
   const Options options_;
   std::map<std::string, std::unique_ptr<Move>> moves_;  ///< keyed by service
   std::map<CountKey, VersionCounts> counts_;
+  std::deque<LostAnswer> lost_answers_;  ///< not counted yet
   std::unique_ptr<EvidenceTable> evidence_;
 };
 
--- a/src/serving/vm_directory.cc
+++ b/src/serving/vm_directory.cc
@@ -73,10 +73,11 @@
   return true;
 }
 
-bool VmDirectory::IsNewIncarnation(const PeerState& state) const {
+bool VmDirectory::IsNewlyHeard(const PeerState& state) const {
   const auto it = peers_.find(state.link);
   return it == peers_.end() || !it->second.heard.has_value() ||
-         it->second.heard->incarnation != state.incarnation;
+         it->second.heard->incarnation != state.incarnation ||
+         it->second.is_timed_out;
 }
 
 bool VmDirectory::IsReporterTo(const std::string& link, Duration min_uptime,
--- a/tests/relay/crashing_content_test.cc
+++ b/tests/relay/crashing_content_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "src/relay/peer_link.h"
+#include "src/serving/loss_table.h"
 #include "tests/relay/crashing_targets_fixture.h"
 
 namespace hornbeamcleat {
@@ -24,6 +25,7 @@
   for (const char* kind : {"stream", "resume", "unsafe", "safe"}) {
     for (const std::string& bytes : {std::string(), head, head + kFirstEvent,
                                      head + kFirstEvent + kCutEvent}) {
+      AnswerSoundRequest(kind, kind + bytes);
       StartCrashingTargets(8, bytes);
       for (int i = 0; i < 6; ++i) {
         SendRequest(Request(kind, "r1", "", kind + bytes));
@@ -40,6 +42,7 @@
   }
   Configure(config);
   for (const char* kind : {"safe", "resume"}) {
+    AnswerSoundRequest(kind, kind);
     StartCrashingTargets(8, std::string(kStreamHead) + kFirstEvent);
     const std::unique_ptr<TestCaller> caller =
         SendRequest(Request(kind, "r1", "", kind));
@@ -163,8 +166,9 @@
 // several VMs end one target instead of several.
 TEST_F(CrashingContentTest, ContentWithOneLossGoesToOneTargetOnly) {
   for (int content = 0; content < 8; ++content) {
-    StartCrashingTargets(1, kStreamHead);
     const std::string body = fmt::format("content {}", content);
+    AnswerSoundRequest("stream", body);
+    StartCrashingTargets(1, kStreamHead);
     SendRequest(Request("stream", "r1", "", body));
     targets_.clear();
     specs_.clear();
@@ -189,12 +193,12 @@
 
 // Beyond 16 VMs, other failure domains get details every two seconds.
 TEST_F(CrashingContentTest, LossIsReportedToVmsOfOtherDomainsAtOnce) {
-  std::optional<ContentReport> report;
+  std::optional<LossReport> report;
   const Address address = FreeUdpAddress();
   const std::unique_ptr<PeerLink> peer = PeerLink::Open(
       loop_.get(), clock_.get(), address, [&report](const PeerState& state) {
-        if (state.content.has_value() && !state.content->losses.empty()) {
-          report = state.content;
+        if (state.losses.has_value() && !state.losses->losses.empty()) {
+          report = state.losses;
         }
       });
   std::vector<VmRecord> members = {{address.ToString(), "127.0.0.1:1", "far"}};
@@ -207,7 +211,12 @@
   const Time lost_at = clock_->Now();
   ASSERT_TRUE(RunUntil([&report] { return report.has_value(); }));
   EXPECT_LT(clock_->Now() - lost_at, std::chrono::milliseconds(200));
-  EXPECT_EQ(report->losses.size(), 1U);
+  EXPECT_EQ(std::count_if(report->losses.begin(), report->losses.end(),
+                          [](const PropertyLoss& loss) {
+                            return loss.property.Kind() ==
+                                   PropertyKind::kContent;
+                          }),
+            1);
 }
 
 // When many targets end at once, reports that grow with each loss fill the
@@ -218,14 +227,22 @@
   const Address address = FreeUdpAddress();
   const std::unique_ptr<PeerLink> peer = PeerLink::Open(
       loop_.get(), clock_.get(), address, [&reported](const PeerState& state) {
-        if (state.content.has_value() && !state.details.has_value()) {
-          reported += state.content->losses.size();
+        if (state.losses.has_value() && !state.details.has_value()) {
+          for (const PropertyLoss& loss : state.losses->losses) {
+            const bool is_content =
+                loss.property.Kind() == PropertyKind::kContent;
+            reported += is_content ? 1 : 0;
+            EXPECT_LE(loss.runs.size(),
+                      is_content ? 1 : LossTable::kMaxTargetsPerProperty);
+          }
         }
       });
   relay_->SetMembers({{address.ToString(), "127.0.0.1:1", "far"}});
   for (int i = 0; i < kLosses; ++i) {
+    const std::string body = fmt::format("content {}", i);
+    AnswerSoundRequest("stream", body);
     StartCrashingTargets(1, kStreamHead);
-    SendRequest(Request("stream", "r1", "", fmt::format("content {}", i)));
+    SendRequest(Request("stream", "r1", "", body));
   }
   ASSERT_TRUE(RunUntil([&reported] { return reported >= kLosses; }));
   EXPECT_EQ(reported, kLosses);
@@ -250,7 +267,7 @@
   const Address address = FreeUdpAddress();
   const std::unique_ptr<PeerLink> peer = PeerLink::Open(
       loop_.get(), clock_.get(), address, [&losses](const PeerState& state) {
-        losses += state.content.has_value() ? state.content->losses.size() : 0;
+        losses += state.losses.has_value() ? state.losses->losses.size() : 0;
       });
   relay_->SetMembers({{address.ToString(), "127.0.0.1:1", "d"}});
   PeerState first;
--- a/tests/relay/crashing_targets_fixture.cc
+++ b/tests/relay/crashing_targets_fixture.cc
@@ -68,6 +68,21 @@
   relay_->SetTargets(specs_);
 }
 
+void CrashingTargetsFixture::AnswerSoundRequest(const std::string& kind,
+                                                const std::string& body) {
+  ++generation_;
+  targets_.clear();
+  specs_.clear();
+  AddTarget([](const ReceivedRequest& request) {
+    request.stream->Write(std::string(kStreamHead) + kFirstEvent +
+                          kStreamLastChunk);
+  });
+  const std::unique_ptr<TestCaller> caller =
+      SendRequest(Request(kind, "r1", "", std::string(body.size(), 's')));
+  ASSERT_NE(caller->Response(), nullptr);
+  EXPECT_EQ(caller->Response()->Head().status, 200);
+}
+
 void CrashingTargetsFixture::Crash(ScriptedTarget* target,
                                    const ReceivedRequest& request,
                                    const std::string& bytes) {
--- a/tests/relay/crashing_targets_fixture.h
+++ b/tests/relay/crashing_targets_fixture.h
@@ -35,6 +35,11 @@
   /// deadly.
   void KeepTargets(int count, const IsDeadly& is_deadly);
 
+  /// Replaces all targets by one that answers a request with another body of
+  /// the same size, so that nothing but the content is left as the cause of
+  /// losses.
+  void AnswerSoundRequest(const std::string& kind, const std::string& body);
+
   /// Ends a target when it has sent `bytes` of a response.
   static void Crash(ScriptedTarget* target, const ReceivedRequest& request,
                     const std::string& bytes);
--- a/tests/relay/relay_fixture.cc
+++ b/tests/relay/relay_fixture.cc
@@ -122,8 +122,8 @@
   options.retry_ratio = 0.2;
   options.retry_slack = 50;
   options.admission.key_limit = std::chrono::seconds(5);
-  options.admission.content.limit = 2;
-  options.admission.content.refusal_time = std::chrono::seconds(30);
+  options.admission.losses.limit = 2;
+  options.admission.losses.refusal_time = std::chrono::seconds(30);
   return options;
 }
 
--- a/tests/serving/admission_test.cc
+++ b/tests/serving/admission_test.cc
@@ -11,6 +11,8 @@
 
 using std::chrono::milliseconds;
 
+const RequestProperty kContent = {PropertyKind::kContent, "7"};
+
 class AdmissionTest : public testing::Test {
  protected:
   AdmissionTest() : controller_(Options()) {}
@@ -18,8 +20,8 @@
   static AdmissionController::Options Options() {
     AdmissionController::Options options;
     options.key_limit = milliseconds(5'000);
-    options.content.limit = 2;
-    options.content.refusal_time = milliseconds(30'000);
+    options.losses.limit = 2;
+    options.losses.refusal_time = milliseconds(30'000);
     return options;
   }
 
@@ -52,7 +54,7 @@
     query.host = "h";
     query.path = path;
     query.key = key;
-    query.fingerprint = 7;
+    query.properties = {kContent};
     query.now = now_;
     query.boot_now = now_;
     return query;
@@ -137,17 +139,22 @@
 
 TEST_F(AdmissionTest, AdmitOfContentThatCostTargetsIsRefusedBeforeTheThird) {
   Configure();
-  controller_.ContentLosses()->OnTargetLost(7, "a", now_);
+  controller_.Losses()->OnTargetLost(TargetRun::Make({kContent}, "a", now_),
+                                     now_);
   EXPECT_TRUE(controller_.Admit(Query()).IsAdmitted());
-  controller_.ContentLosses()->OnTargetLost(7, "b", now_);
+  controller_.Losses()->OnTargetLost(TargetRun::Make({kContent}, "b", now_),
+                                     now_);
   EXPECT_EQ(controller_.Admit(Query()).refusal, RefusalReason::kPoison);
 }
 
 TEST_F(AdmissionTest, AdmitOfContentThatWasServedIsNotPoison) {
   Configure();
-  controller_.ContentLosses()->OnTargetLost(7, "a", now_);
-  controller_.ContentLosses()->OnAnswered(7, now_);
-  controller_.ContentLosses()->OnTargetLost(7, "b", now_);
+  controller_.Losses()->OnTargetLost(TargetRun::Make({kContent}, "a", now_),
+                                     now_);
+  controller_.Losses()->OnAnswered(TargetRun::Make({kContent}, "a", now_), now_,
+                                   now_);
+  controller_.Losses()->OnTargetLost(TargetRun::Make({kContent}, "b", now_),
+                                     now_);
   EXPECT_TRUE(controller_.Admit(Query()).IsAdmitted());
 }
 
--- a/tests/serving/content_loss_table_test.cc
+++ b/tests/serving/loss_table_test.cc
@@ -1,4 +1,4 @@
-#include "src/serving/content_loss_table.h"
+#include "src/serving/loss_table.h"
 
 #include <gtest/gtest.h>
 
@@ -8,9 +8,12 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
+#include "hornbeamcleat/base/hash.h"
+
 namespace hornbeamcleat {
 namespace {
 
@@ -23,13 +26,57 @@
 constexpr Duration kRepeatTime = seconds(6);
 constexpr std::uint64_t kContent = 7;
 
+RequestProperty Content(std::uint64_t number) {
+  return {PropertyKind::kContent, std::to_string(number)};
+}
+
+/// Table of requests that have nothing but a content, by its number.
+class ContentTable : public LossTable {
+ public:
+  using LossTable::LossTable;
+
+  void OnTargetLost(std::uint64_t content, std::string_view target, Time now) {
+    LossTable::OnTargetLost(TargetRun::Make({Content(content)}, target, now),
+                            now);
+  }
+  void OnTargetAnswered(std::string_view target, Time sent_at, Time now) {
+    LossTable::OnTargetAnswered(Hash32(target), sent_at, now);
+  }
+  void OnAnswered(std::uint64_t content, Time now) {
+    LossTable::OnAnswered({{Content(content)}, 0, now}, now, now);
+  }
+  void OnUnprovenAnswer(std::uint64_t content, std::string_view target,
+                        Time now) {
+    LossTable::OnUnprovenAnswer(
+        TargetRun::Make({Content(content)}, target, now), now, now);
+  }
+  bool TakeTrial(std::uint64_t content, Duration delay, Time now) {
+    return IsRefused(content) &&
+           LossTable::TakeTrial(
+               {Content(content)}, [delay](std::uint64_t) { return delay; },
+               now);
+  }
+  int Losses(std::uint64_t content) const {
+    return LossTable::Losses(Content(content));
+  }
+  bool IsRefused(std::uint64_t content) const {
+    return LossTable::IsRefused(Content(content));
+  }
+  bool IsSuspect(std::uint64_t content, Time now) const {
+    return FindSuspect({Content(content)}, now) != nullptr;
+  }
+  Duration TimeToTrial(std::uint64_t content, Time now) const {
+    return LossTable::TimeToTrial({Content(content)}, now);
+  }
+};
+
 /// Two VMs that exchange reports.
-class ContentLossTableTest : public testing::Test {
+class LossTableContentTest : public testing::Test {
  protected:
-  ContentLossTableTest()
+  LossTableContentTest()
       : table_({kLimit, kRefusalTime}), peer_({kLimit, kRefusalTime}) {}
 
-  void Report(const ContentLossTable& from, ContentLossTable* to,
+  void Report(const ContentTable& from, ContentTable* to,
               bool is_complete = false) {
     to->OnPeerReport(is_complete ? from.CompleteReport(now_)
                                  : from.ChangesSince(now_ - kRepeatTime, now_),
@@ -37,11 +84,11 @@
   }
 
   Time now_ = Time(seconds(1'000));
-  ContentLossTable table_;
-  ContentLossTable peer_;
+  ContentTable table_;
+  ContentTable peer_;
 };
 
-TEST_F(ContentLossTableTest, ContentIsRefusedAtLimitOfDifferentIncarnations) {
+TEST_F(LossTableContentTest, ContentIsRefusedAtLimitOfDifferentIncarnations) {
   table_.OnTargetLost(kContent, "a/1", now_);
   EXPECT_FALSE(table_.IsRefused(kContent));
   table_.OnTargetLost(kContent, "a/1", now_);
@@ -54,7 +101,7 @@
 }
 
 // The same content can run at one target through several VMs.
-TEST_F(ContentLossTableTest, TargetLostAtTwoVmsCountsOnce) {
+TEST_F(LossTableContentTest, TargetLostAtTwoVmsCountsOnce) {
   table_.OnTargetLost(kContent, "a/1", now_);
   peer_.OnTargetLost(kContent, "a/1", now_);
   Report(peer_, &table_);
@@ -62,7 +109,7 @@
   EXPECT_FALSE(table_.IsRefused(kContent));
 }
 
-TEST_F(ContentLossTableTest, DifferentTargetsLostAtTwoVmsAddUp) {
+TEST_F(LossTableContentTest, DifferentTargetsLostAtTwoVmsAddUp) {
   table_.OnTargetLost(kContent, "a/1", now_);
   peer_.OnTargetLost(kContent, "b/1", now_);
   Report(peer_, &table_);
@@ -70,18 +117,18 @@
   EXPECT_EQ(table_.TakeNewlyRefused().size(), 1U);
 }
 
-TEST_F(ContentLossTableTest, LossesOutliveTheVmThatSawThem) {
+TEST_F(LossTableContentTest, LossesOutliveTheVmThatSawThem) {
   peer_.OnTargetLost(kContent, "a/1", now_);
   peer_.OnTargetLost(kContent, "b/1", now_);
   Report(peer_, &table_);
-  ContentLossTable restarted({2, kRefusalTime});
+  ContentTable restarted({2, kRefusalTime});
   Report(table_, &restarted);
   EXPECT_FALSE(restarted.IsRefused(kContent));
   Report(table_, &restarted, true);
   EXPECT_TRUE(restarted.IsRefused(kContent));
 }
 
-TEST_F(ContentLossTableTest, OneRequestTriesRefusedContentAfterSomeTime) {
+TEST_F(LossTableContentTest, OneRequestTriesRefusedContentAfterSomeTime) {
   table_.OnTargetLost(kContent, "a/1", now_);
   table_.OnTargetLost(kContent, "b/1", now_);
   Report(table_, &peer_);
@@ -102,23 +149,22 @@
 }
 
 // Each report goes to hundreds of VMs, so that old losses would add up.
-TEST_F(ContentLossTableTest, OldChangesAreReportedToStartedPeersOnly) {
+TEST_F(LossTableContentTest, OldChangesAreReportedToStartedPeersOnly) {
   table_.OnTargetLost(kContent, "a/1", now_);
   table_.OnTargetLost(kContent + 1, "a/1", now_);
   table_.OnAnswered(kContent + 1, now_);
   const Time changed = now_;
   EXPECT_EQ(table_.ChangesSince(changed, now_).losses.size(), 1U);
-  EXPECT_EQ(table_.ChangesSince(changed, now_).clearances.size(), 1U);
+  EXPECT_EQ(table_.ChangesSince(changed, now_).answers.size(), 1U);
   now_ += seconds(10);
   EXPECT_EQ(table_.ChangesSince(changed, now_).losses.size(), 1U);
-  EXPECT_EQ(table_.ChangesSince(changed + milliseconds(1), now_),
-            ContentReport());
+  EXPECT_EQ(table_.ChangesSince(changed + milliseconds(1), now_), LossReport());
   EXPECT_EQ(table_.CompleteReport(now_).losses.size(), 1U);
-  EXPECT_EQ(table_.CompleteReport(now_).clearances.size(), 1U);
+  EXPECT_EQ(table_.CompleteReport(now_).answers.size(), 1U);
 }
 
 // All VMs repeated what they had heard from each other.
-TEST_F(ContentLossTableTest, ChangesHeardFromPeersAreNotReportedAgain) {
+TEST_F(LossTableContentTest, ChangesHeardFromPeersAreNotReportedAgain) {
   peer_.OnTargetLost(kContent, "a/1", now_);
   peer_.OnTargetLost(kContent + 1, "b/1", now_);
   Report(peer_, &table_);
@@ -127,20 +173,20 @@
   peer_.OnAnswered(kContent + 1, now_);
   peer_.OnTargetLost(kContent + 2, "c/1", now_);
   peer_.OnTargetAnswered("c/1", now_, now_);
-  const ContentReport report = peer_.ChangesSince(second, now_);
+  const LossReport report = peer_.ChangesSince(second, now_);
   EXPECT_TRUE(report.losses.empty());
-  EXPECT_EQ(report.clearances.size(), 1U);
+  EXPECT_EQ(report.answers.size(), 1U);
   EXPECT_EQ(report.alive.size(), 1U);
   table_.OnPeerReport(report, now_);
-  EXPECT_EQ(table_.ChangesSince(now_ - kRepeatTime, now_), ContentReport());
-  const ContentReport complete = table_.CompleteReport(now_);
+  EXPECT_EQ(table_.ChangesSince(now_ - kRepeatTime, now_), LossReport());
+  const LossReport complete = table_.CompleteReport(now_);
   EXPECT_EQ(complete.losses.size(), 1U);
-  EXPECT_EQ(complete.clearances.size(), 1U);
+  EXPECT_EQ(complete.answers.size(), 1U);
   EXPECT_EQ(complete.alive.size(), 1U);
 }
 
 // A trial can end with its caller, or with an answer that proves nothing.
-TEST_F(ContentLossTableTest, TrialWithoutResultDoesNotLengthenRefusal) {
+TEST_F(LossTableContentTest, TrialWithoutResultDoesNotLengthenRefusal) {
   table_.OnTargetLost(kContent, "a/1", now_);
   table_.OnTargetLost(kContent, "b/1", now_);
   for (int i = 0; i < 3; ++i) {
@@ -153,7 +199,7 @@
 }
 
 // The stated bound: three sends later than 3 s after the third lost target.
-TEST_F(ContentLossTableTest, ContentThatIsAlwaysRequestedHasFewTrials) {
+TEST_F(LossTableContentTest, ContentThatIsAlwaysRequestedHasFewTrials) {
   table_.OnTargetLost(kContent, "t0/1", now_);
   table_.OnTargetLost(kContent, "t1/1", now_);
   table_.OnTargetLost(kContent, "t2/1", now_);
@@ -172,7 +218,7 @@
 
 // Callers that were refused together came back together, to any VM, and each VM
 // let one of them through: four sends within a millisecond.
-TEST_F(ContentLossTableTest, TrialThatIsDueAtManyVmsIsTakenByFew) {
+TEST_F(LossTableContentTest, TrialThatIsDueAtManyVmsIsTakenByFew) {
   constexpr int kVms = 84;
   constexpr int kCallers = 24;
   constexpr std::int64_t kRetrySpreadMs = 3'000;
@@ -180,9 +226,9 @@
   constexpr Duration kStep = milliseconds(250);
   for (std::uint32_t seed = 1; seed <= 100; ++seed) {
     std::mt19937 random(seed);
-    std::vector<ContentLossTable> tables(
-        kVms, ContentLossTable({kLimit, kRefusalTime}));
-    for (ContentLossTable& table : tables) {
+    std::vector<ContentTable> tables(kVms,
+                                     ContentTable({kLimit, kRefusalTime}));
+    for (ContentTable& table : tables) {
       table.OnTargetLost(kContent, "a/1", now_);
       table.OnTargetLost(kContent, "b/1", now_);
       table.OnTargetLost(kContent, "c/1", now_);
@@ -196,11 +242,11 @@
           milliseconds(static_cast<std::int64_t>(random()) % kRetrySpreadMs));
     }
     std::sort(arrivals.begin(), arrivals.end());
-    std::vector<std::pair<Time, ContentReport>> reports;
+    std::vector<std::pair<Time, LossReport>> reports;
     for (const Time at : arrivals) {
       for (const auto& [heard_at, report] : reports) {
         if (heard_at <= at) {
-          for (ContentLossTable& table : tables) {
+          for (ContentTable& table : tables) {
             table.OnPeerReport(report, heard_at);
           }
         }
@@ -216,7 +262,7 @@
   }
 }
 
-TEST_F(ContentLossTableTest, UnprovenAnswerClearsOnceTargetAnswersAgain) {
+TEST_F(LossTableContentTest, UnprovenAnswerClearsOnceTargetAnswersAgain) {
   table_.OnTargetLost(kContent, "a/1", now_);
   table_.OnUnprovenAnswer(kContent, "b/1", now_);
   EXPECT_EQ(table_.Losses(kContent), 1);
@@ -231,7 +277,7 @@
 }
 
 // Two contents ran at the same two targets when these ended.
-TEST_F(ContentLossTableTest, ContentBesideTheCauseIsGivenOneMoreLoss) {
+TEST_F(LossTableContentTest, ContentBesideTheCauseIsGivenOneMoreLoss) {
   constexpr std::uint64_t kOther = 8;
   for (const char* target : {"a/1", "b/1"}) {
     table_.OnTargetLost(kContent, target, now_);
@@ -240,20 +286,20 @@
   EXPECT_TRUE(peer_.IsRefused(kOther));
   Report(table_, &peer_);
   Report(peer_, &table_);
-  for (const ContentLossTable* vm : {&table_, &peer_}) {
+  for (const ContentTable* vm : {&table_, &peer_}) {
     EXPECT_FALSE(vm->IsRefused(kContent));
     EXPECT_FALSE(vm->IsRefused(kOther));
   }
   table_.OnTargetLost(kContent, "c/1", now_);
   Report(table_, &peer_);
-  for (const ContentLossTable* vm : {&table_, &peer_}) {
+  for (const ContentTable* vm : {&table_, &peer_}) {
     EXPECT_TRUE(vm->IsRefused(kContent));
     EXPECT_FALSE(vm->IsRefused(kOther));
     EXPECT_FALSE(vm->IsSuspect(kOther, now_));
   }
 }
 
-TEST_F(ContentLossTableTest, ContentAtAllLostTargetsIsRefusedBeforeOthers) {
+TEST_F(LossTableContentTest, ContentAtAllLostTargetsIsRefusedBeforeOthers) {
   constexpr std::uint64_t kBesideA = 100;
   constexpr std::uint64_t kBesideB = 200;
   for (std::uint64_t i = 0; i < 10; ++i) {
@@ -268,7 +314,7 @@
   EXPECT_EQ(table_.RefusedCount(), 1);
 }
 
-TEST_F(ContentLossTableTest, SeldomRequestedContentIsRefusedToo) {
+TEST_F(LossTableContentTest, SeldomRequestedContentIsRefusedToo) {
   table_.OnTargetLost(kContent, "a/1", now_);
   now_ += kRefusalTime * 2;
   table_.Expire(now_);
@@ -276,7 +322,7 @@
   EXPECT_TRUE(table_.IsRefused(kContent));
 }
 
-TEST_F(ContentLossTableTest, CompleteAnswerClearsLossesAtAllVms) {
+TEST_F(LossTableContentTest, CompleteAnswerClearsLossesAtAllVms) {
   table_.OnTargetLost(kContent, "a/1", now_);
   Report(table_, &peer_);
   now_ += milliseconds(5);
@@ -287,7 +333,7 @@
   EXPECT_FALSE(table_.IsRefused(kContent));
 }
 
-TEST_F(ContentLossTableTest, TargetThatAnswersSoonAfterLossWasNotLost) {
+TEST_F(LossTableContentTest, TargetThatAnswersSoonAfterLossWasNotLost) {
   table_.OnTargetLost(kContent, "a/1", now_);
   table_.OnTargetLost(kContent, "b/1", now_);
   Report(table_, &peer_);
@@ -298,14 +344,14 @@
   Report(peer_, &table_);
   EXPECT_EQ(table_.Losses(kContent), 1);
   EXPECT_FALSE(table_.IsRefused(kContent));
-  ContentLossTable late({2, kRefusalTime});
+  ContentTable late({2, kRefusalTime});
   late.OnTargetLost(kContent, "a/1", sent_at - milliseconds(100));
   Report(late, &table_);
   EXPECT_EQ(table_.Losses(kContent), 1);
 }
 
 // A target may start again under its id before its entry tells.
-TEST_F(ContentLossTableTest, TargetThatAnswersLaterMayHaveRestarted) {
+TEST_F(LossTableContentTest, TargetThatAnswersLaterMayHaveRestarted) {
   table_.OnTargetLost(kContent, "a/1", now_);
   table_.OnTargetAnswered("a/1", now_ - milliseconds(1), now_);
   EXPECT_EQ(table_.Losses(kContent), 1);
@@ -314,20 +360,19 @@
   EXPECT_EQ(table_.Losses(kContent), 1);
 }
 
-TEST_F(ContentLossTableTest, OldReportDoesNotBringBackClearedLosses) {
+TEST_F(LossTableContentTest, OldReportDoesNotBringBackClearedLosses) {
   peer_.OnTargetLost(kContent, "a/1", now_);
   peer_.OnTargetLost(kContent, "b/1", now_);
   now_ += milliseconds(5);
   table_.OnAnswered(kContent, now_);
   Report(peer_, &table_);
-  EXPECT_EQ(table_.Losses(kContent), 2);
-  table_.OnAnswered(kContent, now_);
+  EXPECT_EQ(table_.Losses(kContent), 0);
   now_ += seconds(5);
   Report(peer_, &table_);
   EXPECT_EQ(table_.Losses(kContent), 0);
 }
 
-TEST_F(ContentLossTableTest, LossAfterCompleteAnswerElsewhereStays) {
+TEST_F(LossTableContentTest, LossAfterCompleteAnswerElsewhereStays) {
   peer_.OnTargetLost(kContent, "z/1", now_);
   peer_.OnAnswered(kContent, now_);
   now_ += seconds(1);
@@ -337,7 +382,7 @@
 }
 
 // Many callers ask for the same thing, which runs on every target.
-TEST_F(ContentLossTableTest, ContentAnsweredRecentlyIsGivenTwoMoreLosses) {
+TEST_F(LossTableContentTest, ContentAnsweredRecentlyIsGivenTwoMoreLosses) {
   table_.OnAnswered(kContent, now_);
   table_.OnTargetLost(kContent, "a/1", now_);
   table_.OnTargetLost(kContent, "b/1", now_);
@@ -348,28 +393,28 @@
   EXPECT_TRUE(table_.IsRefused(kContent));
 }
 
-TEST_F(ContentLossTableTest, EntriesAndReportsAreBoundedAndKeepTheLatest) {
-  for (std::size_t i = 0; i < ContentLossTable::kMaxEntries + 10; ++i) {
+TEST_F(LossTableContentTest, EntriesAndReportsAreBoundedAndKeepTheLatest) {
+  for (std::size_t i = 0; i < LossTable::kMaxEntries + 10; ++i) {
     now_ += milliseconds(1);
     table_.OnTargetLost(i, "a/1", now_);
     table_.OnAnswered(1'000'000 + i, now_);
   }
   EXPECT_EQ(table_.Losses(0), 0);
-  const ContentReport report = table_.CompleteReport(now_);
-  ASSERT_EQ(report.losses.size(), ContentLossTable::kMaxReported);
-  EXPECT_EQ(report.losses[0].fingerprint, ContentLossTable::kMaxEntries + 9);
+  const LossReport report = table_.CompleteReport(now_);
+  ASSERT_EQ(report.losses.size(), LossTable::kMaxReported);
+  EXPECT_EQ(report.losses[0].property, Content(LossTable::kMaxEntries + 9));
   for (int i = 0; i < 100; ++i) {
     table_.OnTargetLost(kContent, "t" + std::to_string(i), now_);
   }
   EXPECT_EQ(table_.Losses(kContent),
-            static_cast<int>(ContentLossTable::kMaxTargetsPerContent));
+            static_cast<int>(LossTable::kMaxTargetsPerProperty));
 }
 
 // Each loss compared all contents of the target with each other.
-TEST_F(ContentLossTableTest, LossOfTargetWithAllContentsIsDecidedWithin1Ms) {
+TEST_F(LossTableContentTest, LossOfTargetWithAllContentsIsDecidedWithin1Ms) {
   constexpr Duration kMaxDecisionTime = milliseconds(1);
   constexpr int kMeasured = 64;
-  for (std::size_t i = 0; i < ContentLossTable::kMaxEntries; ++i) {
+  for (std::size_t i = 0; i < LossTable::kMaxEntries; ++i) {
     table_.OnTargetLost(i, "a/1", now_);
     if (i % 4 == 0) {
       table_.OnTargetLost(i, "b/1", now_);
@@ -412,10 +457,10 @@
   return refused;
 }
 
-TEST_F(ContentLossTableTest, RefusalsAfterRandomLossesFollowTheRule) {
+TEST_F(LossTableContentTest, RefusalsAfterRandomLossesFollowTheRule) {
   for (std::uint32_t seed = 1; seed <= 200; ++seed) {
     std::mt19937 random(seed);
-    ContentLossTable table({kLimit, kRefusalTime});
+    ContentTable table({kLimit, kRefusalTime});
     LossesByContent losses;
     for (int step = 0; step < 60; ++step) {
       const std::uint64_t content = random() % 8;
@@ -435,7 +480,7 @@
   }
 }
 
-TEST_F(ContentLossTableTest, EntryExpiresWhenNobodyAsks) {
+TEST_F(LossTableContentTest, EntryExpiresWhenNobodyAsks) {
   table_.OnTargetLost(kContent, "a/1", now_);
   now_ += kRefusalTime * 20;
   table_.Expire(now_);
