--- a/src/serving/request_property.cc
+++ b/src/serving/request_property.cc
@@ -73,7 +73,10 @@
 std::string PropertiesToString(const std::vector<RequestProperty>& properties) {
   std::string text;
   for (const RequestProperty& property : properties) {
-    text += (text.empty() ? "" : ",") + property.ToString();
+    if (!text.empty()) {
+      text += ',';
+    }
+    text += property.ToString();
   }
   return text;
 }
