Test that cut answers don't mislead moves, and that silent peers are told all

Answers that a deadly request cut off count against no version; others count after a second, also beyond the bound on those that wait. A VM that was cut off for longer than changes are repeated is told all losses when it is heard again: without it, it would send refused requests once more.

--- a/tests/relay/crashing_content_test.cc
+++ b/tests/relay/crashing_content_test.cc
@@ -251,11 +251,7 @@
 TEST_F(CrashingContentTest, StartedPeerIsSentAllLosses) {
   RelayOptions options = Options();
   options.peer_address = FreeUdpAddress();
-  relay_ = Relay::Make(loop_.get(), clock_.get(), codec_.get(), metrics_.get(),
-                       options,
-                       {[](const VmRecord&) {}, [](const ScalePlan&) {},
-                        [](const MoveRecord&) {}, [](const PropertyLoss&) {},
-                        [](RequestProperty) {}});
+  relay_ = MakeRelay(options);
   Configure(Config());
   StartCrashingTargets(1, kStreamHead);
   SendRequest(Request("stream"));
--- a/tests/relay/crashing_property_test.cc
+++ b/tests/relay/crashing_property_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "src/relay/peer_link.h"
 #include "tests/relay/crashing_targets_fixture.h"
 
 namespace hornbeamcleat {
@@ -285,5 +286,50 @@
   RecordProperty("served", served);
 }
 
+// A VM that was cut off missed the reports and sent what others refuse.
+TEST_F(CrashingPropertyTest, PeerThatWasSilentIsToldAllLosses) {
+  const auto is_deadly = [](const ReceivedRequest& request) {
+    return request.Header("Prefix-Hash").find("bad") != std::string::npos;
+  };
+  RelayOptions options = Options();
+  options.peer_address = FreeUdpAddress();
+  relay_.reset();
+  relay_ = MakeRelay(options);
+  Configure(Config());
+  const Address address = FreeUdpAddress();
+  std::size_t told = 0;
+  const std::unique_ptr<PeerLink> peer = PeerLink::Open(
+      loop_.get(), clock_.get(), address, [&told](const PeerState& state) {
+        told += state.losses.has_value() ? state.losses->losses.size() : 0;
+      });
+  relay_->SetMembers({{address.ToString(), "127.0.0.1:1", "d"}});
+  PeerState heartbeat;
+  heartbeat.incarnation = 1;
+  heartbeat.link = address.ToString();
+  const auto send = [&] {
+    ++heartbeat.sequence;
+    peer->Send(heartbeat, {relay_->SelfRecord().link});
+  };
+  send();
+  Alternate(
+      "stream", 4,
+      [](int n, bool deadly) {
+        return fmt::format("Prefix-Hash: first:60,{}:300,{}:50\r\n",
+                           deadly ? "bad" : "good", n);
+      },
+      is_deadly);
+  // Changes are repeated for six seconds, and reported to started peers by
+  // processes that have run for five.
+  const Time lost_at = clock_->Now();
+  ASSERT_TRUE(RunUntil([&] {
+    return clock_->Now() - lost_at > std::chrono::milliseconds(6'600);
+  }));
+  told = 0;
+  const Time heard_at = clock_->Now();
+  send();
+  ASSERT_TRUE(RunUntil([&told] { return told > 0; }));
+  EXPECT_LT(clock_->Now() - heard_at, std::chrono::seconds(1));
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
--- a/tests/relay/relay_fixture.cc
+++ b/tests/relay/relay_fixture.cc
@@ -103,6 +103,11 @@
 
 void RelayFixture::RestartRelay() {
   relay_.reset();
+  relay_ = MakeRelay(Options());
+  Configure(Config());
+}
+
+std::unique_ptr<Relay> RelayFixture::MakeRelay(const RelayOptions& options) {
   Relay::Callbacks callbacks;
   callbacks.remove_member = [](const VmRecord&) {};
   callbacks.on_scale = [](const ScalePlan&) {};
@@ -115,9 +120,8 @@
   callbacks.remove_refusal = [this](RequestProperty property) {
     removed_refusals_.push_back(property);
   };
-  relay_ = Relay::Make(loop_.get(), clock_.get(), codec_.get(), metrics_.get(),
-                       Options(), std::move(callbacks));
-  Configure(Config());
+  return Relay::Make(loop_.get(), clock_.get(), codec_.get(), metrics_.get(),
+                     options, std::move(callbacks));
 }
 
 RelayOptions RelayFixture::Options() {
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -101,6 +101,8 @@
   /// Route "/KIND/" to service "s"; kinds: safe, unsafe, stream, resume.
   static ServingConfig Config(std::int64_t version = 1);
 
+  std::unique_ptr<Relay> MakeRelay(const RelayOptions& options);
+
   /// Registers the targets as "t0", "t1", ...
   void SetTargets(const std::vector<const ScriptedTarget*>& targets);
 
--- a/tests/serving/version_moves_test.cc
+++ b/tests/serving/version_moves_test.cc
@@ -306,6 +306,45 @@
   EXPECT_EQ(Outcome(), MoveOutcome::kCompleted);
 }
 
+// A request that crashes targets breaks off what runs beside it, on the targets
+// of the new version as well.
+TEST_F(VersionMovesTest, AnswersCutByDeadlyRequestsDoNotCount) {
+  constexpr std::uint32_t kCrashed = 1;
+  constexpr std::uint32_t kLost = 2;
+  VersionMoves& vm = *vms_[0];
+  DeliverMoves();
+  const auto is_explained = [](std::uint32_t target) {
+    return target == kCrashed;
+  };
+  const auto faults = [&vm] {
+    std::uint32_t n = 0;
+    for (const VersionCounts& counts : vm.Counts()) {
+      n += counts.faults;
+    }
+    return n;
+  };
+  for (int i = 0; i < 11; ++i) {
+    vm.OnLost(kService, "usual", kNew, kCrashed, now_);
+    vm.OnLost(kService, "usual", kNew, kLost, now_);
+  }
+  vm.CountLost(is_explained, now_ + milliseconds(900));
+  EXPECT_EQ(faults(), 0U);
+  vm.CountLost(is_explained, now_ + milliseconds(1'000));
+  EXPECT_EQ(faults(), 11U);
+}
+
+TEST_F(VersionMovesTest, LostAnswersOutsideMovesAndBeyondBoundAreHandled) {
+  VersionMoves& vm = *vms_[0];
+  vm.OnLost(kService, "usual", kNew, 1, now_);
+  DeliverMoves();
+  for (int i = 0; i < 5'000; ++i) {
+    vm.OnLost(kService, "usual", kNew, 1, now_);
+  }
+  vm.CountLost([](std::uint32_t) { return false; }, now_ + milliseconds(1'000));
+  ASSERT_EQ(vm.Counts().size(), 1U);
+  EXPECT_EQ(vm.Counts()[0].faults, 5'000U);
+}
+
 TEST_F(VersionMovesTest, VersionWithoutTargetsIsRolledBackBeforeDeadline) {
   sides_.new_slots = 0;
   Simulate(good_);
