Let a part that crashes targets come up in the soak; keep runs off each other's ports

The soak had deadly content but no deadly part. Now requests that differ but for one part come through the faults, to any VM, and sound ones share the first part and the key with them; bounds are the stated ones (three sends later than 3 s after the fifth crash). Their choices have a generator of their own, so that a seed goes on to choose the same faults.

A run of three soaks side by side failed once (seed 1, 1,651 restarts of vm0: 'listen with 127.0.0.1:40171: Address already in use'): ports came from the range that the kernel gives to outgoing connections, and another soak took one while the daemon was down. Each process now has a range of its own below it.

--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -39,19 +39,37 @@
 constexpr char kCrashingBody[] = "crash";
 constexpr int kMaxSendsAfterCrashes = 3;
 constexpr Duration kCrashesKnownAfter = milliseconds(1'000);
+/// Part of prompts that crashes each target, in requests that differ otherwise.
+constexpr char kCrashingPart[] = "bad";
+constexpr int kCrashesOfPart = 5;
+constexpr Duration kPartKnownAfter = milliseconds(3'000);
+/// Parts that sound requests share with those.
+constexpr int kSoundParts = 4;
 /// Time until a crashed target is back.
 constexpr Duration kRestartTime = milliseconds(400);
 /// Share of answers during the calm end that must be successes.
 constexpr double kRecovered = 0.8;
 
+// Below the ports that the kernel gives to outgoing connections, in a range of
+// this process, so that runs side by side don't take each other's ports while a
+// daemon is down.
 int FreePort(int type) {
-  const FileDescriptor fd(socket(AF_INET, type, 0));
-  const sockaddr_in any = ToSocketAddress({"127.0.0.1", 0});
-  if (bind(fd.Get(), reinterpret_cast<const sockaddr*>(&any), sizeof(any)) !=
-      0) {
-    throw Error("find port", "", "no port is free");
+  constexpr int kFirstPort = 20'000;
+  constexpr int kRanges = 40;
+  constexpr int kPortsPerRange = 300;
+  static int next = 0;
+  for (int i = 0; i < kPortsPerRange; ++i) {
+    const int port = kFirstPort + getpid() % kRanges * kPortsPerRange +
+                     next++ % kPortsPerRange;
+    const FileDescriptor fd(socket(AF_INET, type, 0));
+    const sockaddr_in address =
+        ToSocketAddress({"127.0.0.1", static_cast<std::uint16_t>(port)});
+    if (bind(fd.Get(), reinterpret_cast<const sockaddr*>(&address),
+             sizeof(address)) == 0) {
+      return port;
+    }
   }
-  return BoundAddress(fd.Get()).port;
+  throw Error("find port", "", "no port is free");
 }
 
 std::string BodyFor(const std::string& id) { return "answer to " + id; }
@@ -110,7 +128,8 @@
       random_(options.seed),
       clock_(Clock::Make()),
       loop_(PollLoop::Make(clock_.get())),
-      store_(std::make_unique<platform::FakeStore>(loop_.get(), clock_.get())) {
+      store_(std::make_unique<platform::FakeStore>(loop_.get(), clock_.get())),
+      part_random_(options.seed) {
   char folder[] = "/tmp/hornbeamcleat-soak-XXXXXX";
   if (mkdtemp(folder) == nullptr) {
     throw Error("make folder", folder, "the folder can't be made");
@@ -291,6 +310,9 @@
   if (request.body == kCrashingBody) {
     return ServeCrashing(target, request.head.target, signed_by, sink);
   }
+  if (header("Prefix-Hash").find(kCrashingPart) != std::string::npos) {
+    return ServeCrashing(target, kCrashingPart, signed_by, sink);
+  }
   const Duration work = milliseconds(2 + Pick(60));
   const bool is_broken = target->breaks_off && Pick(3) == 0;
   if (is_stream || request.head.target.starts_with("/resume/")) {
@@ -323,14 +345,16 @@
 }
 
 std::unique_ptr<RequestHandler> SoakWorld::ServeCrashing(
-    Target* target, const std::string& path, const HeaderList& headers,
+    Target* target, const std::string& cause, const HeaderList& headers,
     ResponseSink* sink) {
-  CrashingContent& content = crashing_[path];
-  if (content.crashes >= 3 &&
-      clock_->Now() > content.third_crash_at + kCrashesKnownAfter &&
-      ++content.sends_after == kMaxSendsAfterCrashes + 1) {
-    Violate(fmt::format("{} was sent again after {} crashes", path,
-                        content.crashes));
+  CrashCause& crashing = crashing_[cause];
+  const Duration known_after =
+      cause == kCrashingPart ? kPartKnownAfter : kCrashesKnownAfter;
+  if (crashing.limit_reached_at.has_value() &&
+      clock_->Now() > *crashing.limit_reached_at + known_after &&
+      ++crashing.sends_after == kMaxSendsAfterCrashes + 1) {
+    Violate(fmt::format("{} was sent again after {} crashes", cause,
+                        crashing.crashes));
   }
   const int stage = Pick(3);
   return std::make_unique<TargetWork>(
@@ -342,19 +366,20 @@
           sink->SendBody("id: 1\ndata: a\n\nid: 2\nda");
         }
         // The bytes pass the proxy before the target ends.
-        After(milliseconds(5), [this, target, path, id = target->id] {
+        After(milliseconds(5), [this, target, cause, id = target->id] {
           if (target->id == id) {
-            Crash(target, path);
+            Crash(target, cause);
           }
         });
       });
 }
 
-void SoakWorld::Crash(Target* target, const std::string& path) {
-  Fault(fmt::format("{} crashes of {}", target->id, path));
-  CrashingContent& content = crashing_[path];
-  if (++content.crashes == 3) {
-    content.third_crash_at = clock_->Now();
+void SoakWorld::Crash(Target* target, const std::string& cause) {
+  Fault(fmt::format("{} crashes of {}", target->id, cause));
+  CrashCause& crashing = crashing_[cause];
+  const int limit = cause == kCrashingPart ? kCrashesOfPart : 3;
+  if (++crashing.crashes == limit) {
+    crashing.limit_reached_at = clock_->Now();
   }
   target->proxy->ResetAll();
   target->proxy->SetMode(LoopbackProxy::Mode::kRefuse);
@@ -387,6 +412,34 @@
   After(milliseconds(80 + Pick(80)), [this] { AskCrashing(); });
 }
 
+void SoakWorld::AskCrashingPart() {
+  if (!is_striking_) {
+    return;
+  }
+  static const char* const kinds[] = {"safe", "unsafe", "resume", "stream"};
+  const auto pick = [this](int n) {
+    return static_cast<int>(part_random_() % static_cast<std::uint64_t>(n));
+  };
+  const Vm& vm = *vms_[static_cast<std::size_t>(pick(options_.vms))];
+  try {
+    part_caller_ =
+        ByteStream::Connect(loop_.get(), vm.front, std::chrono::seconds(10));
+    const std::string id = fmt::format("p{}", next_part_request_++);
+    sent_[id] = clock_->Now();
+    part_caller_->Write(FormatRequest(
+        "POST", fmt::format("/{}/x", kinds[pick(4)]),
+        {{"Host", "h"},
+         {"Request-Id", id},
+         {"Api-Key", "ka"},
+         {"Prefix-Hash",
+          fmt::format("first:60,{}:300,{}:20", kCrashingPart, id)}},
+        "request " + id, true));
+  } catch (const Error&) {
+    Fault(vm.name + " unreached");
+  }
+  After(milliseconds(80 + pick(80)), [this] { AskCrashingPart(); });
+}
+
 void SoakWorld::Run() {
   RunFor(kStartTime);
   AskCrashing();
@@ -394,6 +447,7 @@
     Ask(caller.get());
   }
   is_striking_ = true;
+  After(kCrashesKnownAfter, [this] { AskCrashingPart(); });
   const Time end = clock_->Now() + options_.faults_for;
   while (clock_->Now() < end) {
     Strike();
@@ -599,6 +653,8 @@
       "POST", "/" + caller->kind + "/x",
       {{"Host", "h"},
        {"Request-Id", caller->id},
+       {"Prefix-Hash", fmt::format("first:60,doc{}:300,{}:20",
+                                   caller->number % kSoundParts, caller->id)},
        {"Api-Key", uses_b || still_b ? "kb" : "ka"},
        {"Deadline-Ms", fmt::format("{}", kPatience / milliseconds(1))}},
       "body", true));
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -44,11 +44,12 @@
   const std::vector<std::string>& Faults() const { return faults_; }
 
  private:
-  /// Content that crashes each target that runs it.
-  struct CrashingContent {
+  /// What requests have in common that crash each target that runs them.
+  struct CrashCause {
     int crashes = 0;
-    Time third_crash_at;  ///< valid from the third crash on
-    int sends_after = 0;  ///< later than all VMs must know of three crashes
+    /// Time of the crash from which few requests may still be sent.
+    std::optional<Time> limit_reached_at;
+    int sends_after = 0;  ///< later than all VMs must know of these crashes
   };
 
   struct Vm;
@@ -64,12 +65,15 @@
   std::unique_ptr<RequestHandler> Serve(Target* target, CallerRequest request,
                                         ResponseSink* sink);
   std::unique_ptr<RequestHandler> ServeCrashing(Target* target,
-                                                const std::string& path,
+                                                const std::string& cause,
                                                 const HeaderList& headers,
                                                 ResponseSink* sink);
-  void Crash(Target* target, const std::string& path);
+  void Crash(Target* target, const std::string& cause);
   /// Sends the content that crashes targets, again and again, to any VM.
   void AskCrashing();
+  /// Sends requests that share one part, which crashes targets, during the
+  /// faults.
+  void AskCrashingPart();
   void Strike();
   void Continue(Vm* vm);
   void StrikeVm();
@@ -105,8 +109,12 @@
   bool is_key_removed_ = false;
   bool is_striking_ = false;
   int config_version_ = 0;
-  std::map<std::string, CrashingContent> crashing_;  ///< by path
+  std::map<std::string, CrashCause> crashing_;  ///< by path or part
   std::unique_ptr<ByteStream> crashing_caller_;
+  std::unique_ptr<ByteStream> part_caller_;
+  /// Of its own, so that a seed goes on to choose the same faults.
+  std::mt19937_64 part_random_;
+  int next_part_request_ = 0;
   int next_target_id_ = 0;
   int next_request_ = 0;
   int asked_ = 0;
