--- a/bench/serving/serving_bench.cc
+++ b/bench/serving/serving_bench.cc
@@ -124,10 +124,10 @@
   int request = 0;
   for (auto _ : state) {
     ++request;
-    table.OnTargetLost(TargetRun::Make(PropertiesOf(request % 64, 8),
-                                       "t" + std::to_string(request % 7) + "/1",
-                                       kNow),
-                       kNow);
+    table.OnTargetLost(
+        TargetRun::Make(PropertiesOf(request % 64, 8),
+                        "t" + std::to_string(request % 7) + "/1", kNow),
+        kNow);
   }
 }
 BENCHMARK(DecideOnLoss)->Arg(10)->Arg(340);
--- a/include/hornbeamcleat/serving/request_property.h
+++ b/include/hornbeamcleat/serving/request_property.h
@@ -43,7 +43,9 @@
   std::string ToString() const;
 
   bool operator==(const RequestProperty&) const = default;
-  auto operator<=>(const RequestProperty&) const = default;
+  bool operator<(const RequestProperty& other) const {
+    return code_ < other.code_;
+  }
 
   template <typename Archive>
   void serialize(Archive& archive) {
