Withdraw a version that is likely slow in the time that is allowed for it

Cause: without proof, the time to withdraw was a fraction of the move's duration and had nothing to do with the bound. Counts told more often couldn't help. In a move of 60 s it would be 30 s late.

--- a/src/relay/relay_options.cc
+++ b/src/relay/relay_options.cc
@@ -72,6 +72,9 @@
            "Longest time that a key works after it was taken away."),
       Rule("moves", "exposure_share", number, "0.1", 1,
            "Part of a move's traffic that a bad version may get."),
+      Rule("moves", "rollback_limit", duration, "5s", kMinuteUs,
+           "Time after its 50th bad answer from which a bad version gets no "
+           "requests."),
       Rule("poison", "limit", integer, "2", 100,
            "Targets lost to one content or part of prompts before it is "
            "refused; other properties need one more."),
@@ -112,6 +115,8 @@
   options.quota_slack =
       settings.Number("quotas", "token_slack") * kQuotaSlackShare;
   options.moves.exposure_share = settings.Number("moves", "exposure_share");
+  options.moves.rollback_limit =
+      settings.GetDuration("moves", "rollback_limit");
   options.admission.fails_closed = settings.Boolean("keys", "fail_closed");
   options.admission.key_limit = settings.GetDuration("keys", "limit");
   options.admission.losses.limit =
--- a/src/serving/version_moves.cc
+++ b/src/serving/version_moves.cc
@@ -34,6 +34,12 @@
 /// Targets of unlike speed spread the times so much that proof can take longer
 /// than the move.
 constexpr double kSlowRollBackFraction = 0.6;
+/// A version that is more likely slow is also rolled back after this fraction
+/// of the time that is allowed for it. The rest is for reports of VMs in other
+/// failure domains, decisions and the record.
+constexpr double kDoubtShare = 0.6;
+/// Answers of a version from which that time counts.
+constexpr std::uint64_t kDoubtfulAnswers = 50;
 /// Fraction of the duration after which a move completes even if old targets
 /// still run requests, to meet its deadline.
 constexpr double kForcedCompletionFraction = 0.92;
@@ -96,6 +102,8 @@
   std::optional<Time> start_point;
   Time started;  ///< on this VM's steady clock
   std::optional<Time> idle_since;
+  /// Since when the version is more likely slow, with enough answers.
+  std::optional<Time> doubtful_since;
   bool is_rolling_back = false;
   int permille = 0;
 };
@@ -303,9 +311,19 @@
       fraction >= kRollBackFraction && move->permille < kPermille;
   // The load of all traffic slows a good version too, so then only proof
   // counts.
-  const bool is_likely_slow = move->verdict.slower &&
-                              fraction >= kSlowRollBackFraction &&
-                              move->permille < kPermille;
+  if (!move->verdict.slower || move->verdict.ends < kDoubtfulAnswers) {
+    move->doubtful_since.reset();
+  } else if (!move->doubtful_since.has_value()) {
+    move->doubtful_since = now;
+  }
+  const bool is_doubt_over =
+      move->doubtful_since.has_value() &&
+      now - *move->doubtful_since >=
+          FromSeconds(kDoubtShare * ToSeconds(options_.rollback_limit));
+  const bool is_likely_slow =
+      move->verdict.slower &&
+      (fraction >= kSlowRollBackFraction || is_doubt_over) &&
+      move->permille < kPermille;
   if (!move->is_rolling_back &&
       (move->verdict.bad || is_likely_slow || (is_overdue && is_leader))) {
     move->is_rolling_back = true;
--- a/tests/serving/version_moves_test.cc
+++ b/tests/serving/version_moves_test.cc
@@ -72,7 +72,7 @@
         record_.has_value() ? std::vector<MoveRecord>{*record_}
                             : std::vector<MoveRecord>();
     for (const std::unique_ptr<VersionMoves>& vm : vms_) {
-      vm->SetMoves({{kService, kNew, kMoveTime}}, records, now_, Wall());
+      vm->SetMoves({{kService, kNew, move_time_}}, records, now_, Wall());
     }
   }
 
@@ -128,7 +128,7 @@
   void Simulate(const Behaviour& behaviour) {
     start_ = now_;
     DeliverMoves();
-    while (now_ - start_ < kMoveTime) {
+    while (now_ - start_ < move_time_) {
       RunRound();
       for (int i = 0; i < 15; ++i) {
         Serve(behaviour);
@@ -152,6 +152,7 @@
   VersionMoves::SideCapacity sides_{60, 60, 0};
   std::optional<MoveRecord> record_;
   Behaviour good_;
+  Duration move_time_ = kMoveTime;
   Time now_{milliseconds(1'000'000)};
   Time start_;
   std::uint64_t next_request_ = 0;
@@ -242,6 +243,44 @@
   }
 }
 
+// The time that is left to withdraw a bad version doesn't depend on that of the
+// move.
+TEST_F(VersionMovesTest, SlowVersionInLongMoveIsWithdrawnWithinLimit) {
+  for (const std::int64_t move_seconds : {15, 40, 120}) {
+    move_time_ = std::chrono::seconds(move_seconds);
+    for (int seed = 1; seed <= 100; ++seed) {
+      random_.seed(static_cast<unsigned>(seed));
+      Reset();
+      std::lognormal_distribution<double> spread(0, 0.8);
+      Simulate([&](const std::string& version, const std::string&, Time) {
+        return Answer{Chance(0.02),
+                      spread(random_) * (version == kNew ? 2.6 : 1)};
+      });
+      EXPECT_EQ(Outcome(), MoveOutcome::kRolledBack)
+          << move_seconds << " seed " << seed;
+      if (fiftieth_new_.has_value()) {
+        EXPECT_LE(last_new_ - *fiftieth_new_, kMaxTimeAfterFiftieth)
+            << move_seconds << " seed " << seed;
+      }
+    }
+  }
+}
+
+TEST_F(VersionMovesTest, GoodVersionsInLongMovesAreCompletedInTime) {
+  int completed = 0;
+  move_time_ = std::chrono::seconds(40);
+  for (int seed = 1; seed <= 100; ++seed) {
+    random_.seed(static_cast<unsigned>(seed));
+    Reset();
+    std::lognormal_distribution<double> spread(0, 0.8);
+    Simulate([&](const std::string&, const std::string&, Time) {
+      return Answer{Chance(0.02), spread(random_)};
+    });
+    completed += Outcome() == MoveOutcome::kCompleted ? 1 : 0;
+  }
+  EXPECT_GE(completed, 95);
+}
+
 TEST_F(VersionMovesTest, GoodVersionsOnUnlikeTargetsAreCompletedInTime) {
   int completed = 0;
   for (int seed = 1; seed <= 200; ++seed) {
