--- a/src/serving/loss_table.cc
+++ b/src/serving/loss_table.cc
@@ -5,8 +5,6 @@
 #include <optional>
 #include <tuple>
 
-#include "hornbeamcleat/base/hash.h"
-
 namespace hornbeamcleat {
 namespace {
 
@@ -27,16 +25,6 @@
 /// Trials after which the next ones come at the intervals of kMemoryFactor.
 constexpr std::uint32_t kQuickTrials = 3;
 constexpr std::uint32_t kMaxDoublings = 6;
-/// A target that answers a request sent within this time after a connection was
-/// lost has not been restarted in between. Also the time for which a run with
-/// an open end may turn out to be lost.
-constexpr Duration kMinRestartTime = std::chrono::seconds(1);
-/// Runs with an open end that are kept; further ones are not recorded.
-constexpr std::size_t kMaxOpenEnds = 512;
-/// Properties of recent answers that are kept; the oldest are evicted.
-constexpr std::size_t kMaxAnswers = 16'384;
-/// A later answer renews the record of a property after this time.
-constexpr Duration kAnswerRecordInterval = std::chrono::seconds(5);
 constexpr std::size_t kMaxLostParts = 4'096;
 /// Fraction (1/N) of the entries that are evicted together.
 constexpr std::size_t kEvictionDivisor = 16;
@@ -80,14 +68,9 @@
 
 }  // namespace
 
-TargetRun TargetRun::Make(std::vector<RequestProperty> properties,
-                          std::string_view incarnation, Time sent_at) {
-  return {std::move(properties), Hash32(incarnation), sent_at};
-}
-
 void LossTable::OnTargetLost(const TargetRun& run, Time now) {
   AddLoss(run, now, now);
-  CountOpenEnds(run.target, now, now);
+  CountOpenRuns(run.target, now, now);
 }
 
 void LossTable::AddLoss(const TargetRun& run, Time lost_at, Time now) {
@@ -110,8 +93,7 @@
     if (is_new || entry->is_refused) {
       entry->changed_at = now;
     }
-    const auto answer = answers_.find(property);
-    if (answer != answers_.end() && answer->second.is_own &&
+    if (answered_.LatestOwnBegin(property).has_value() &&
         IsTrusted(property, now)) {
       ReportAnswer(property, now);
     }
@@ -139,45 +121,35 @@
 }
 
 void LossTable::OnAbandoned(const TargetRun& run, Time now) {
-  AddOpenEnd({run, now, kNeverSeen}, now);
+  AddOpenRun({run, now, std::nullopt}, now);
 }
 
-void LossTable::AddOpenEnd(OpenEnd end, Time now) {
-  const auto lost = recently_lost_.find(end.run.target);
-  if (lost != recently_lost_.end() && end.run.sent_at <= lost->second &&
-      now - lost->second < kMinRestartTime) {
-    AddLoss(end.run, lost->second, now);
-    return;
-  }
-  if (open_end_count_ < kMaxOpenEnds) {
-    ++open_end_count_;
-    open_ends_[end.run.target].push_back(std::move(end));
+void LossTable::AddOpenRun(OpenRuns::OpenRun run, Time now) {
+  const auto lost = recently_lost_.find(run.run.target);
+  if (lost != recently_lost_.end() && run.run.sent_at <= lost->second &&
+      now - lost->second < OpenRuns::kMinRestartTime) {
+    AddLoss(run.run, lost->second, now);
+  } else {
+    open_runs_.Add(std::move(run));
   }
 }
 
-void LossTable::CountOpenEnds(std::uint32_t target, Time lost_at, Time now) {
-  const auto it = open_ends_.find(target);
-  if (it == open_ends_.end()) {
-    return;
-  }
-  const std::vector<OpenEnd> ends = std::move(it->second);
-  open_ends_.erase(it);
-  open_end_count_ -= ends.size();
-  for (const OpenEnd& end : ends) {
-    if (lost_at - end.ended_at < kMinRestartTime) {
-      AddLoss(end.run, lost_at, now);
-    }
+void LossTable::CountOpenRuns(std::uint32_t target, Time lost_at, Time now) {
+  for (const OpenRuns::OpenRun& run : open_runs_.TakeLost(target, lost_at)) {
+    AddLoss(run.run, lost_at, now);
   }
 }
 
 void LossTable::OnTargetAnswered(std::uint32_t target, Time sent_at, Time now) {
-  if (recently_lost_.empty() && open_ends_.empty()) {
+  if (recently_lost_.empty() && open_runs_.IsEmpty()) {
     return;
   }
-  ProveAnswers(target, sent_at, now);
+  for (const OpenRuns::OpenRun& run : open_runs_.TakeProven(target, sent_at)) {
+    CountAnswer(run.run, *run.began_at, now);
+  }
   const auto it = recently_lost_.find(target);
   if (it == recently_lost_.end() || it->second > sent_at ||
-      sent_at - it->second >= kMinRestartTime) {
+      sent_at - it->second >= OpenRuns::kMinRestartTime) {
     return;
   }
   alive_[target] = {sent_at, now};
@@ -187,19 +159,10 @@
 }
 
 void LossTable::OnTargetUnreached(std::uint32_t target, Time now) {
-  const auto it = open_ends_.find(target);
-  if (it == open_ends_.end()) {
-    return;
-  }
   // The end of an unproven answer was the last sign of the target.
-  Time lost_at = kNeverSeen;
-  for (const OpenEnd& end : it->second) {
-    if (end.began_at != kNeverSeen) {
-      lost_at = std::max(lost_at, end.ended_at);
-    }
-  }
-  if (lost_at != kNeverSeen && now - lost_at < kMinRestartTime) {
-    CountOpenEnds(target, lost_at, now);
+  const std::optional<Time> lost_at = open_runs_.LatestAnswerEnd(target, now);
+  if (lost_at.has_value()) {
+    CountOpenRuns(target, *lost_at, now);
   }
 }
 
@@ -209,7 +172,7 @@
 
 void LossTable::CountAnswer(const TargetRun& run, Time began_at, Time now) {
   for (const RequestProperty& property : run.properties) {
-    RememberAnswer(property, began_at, true, now);
+    answered_.Add(property, began_at, true, now);
   }
   std::vector<RequestProperty> cleared;
   ForEachKnown(run.properties, [&](RequestProperty property) {
@@ -227,46 +190,7 @@
 
 void LossTable::OnUnprovenAnswer(const TargetRun& run, Time began_at,
                                  Time now) {
-  AddOpenEnd({run, now, began_at}, now);
-}
-
-void LossTable::ProveAnswers(std::uint32_t target, Time alive_at, Time now) {
-  const auto it = open_ends_.find(target);
-  if (it == open_ends_.end()) {
-    return;
-  }
-  std::vector<OpenEnd> proven;
-  std::vector<OpenEnd>& ends = it->second;
-  for (const OpenEnd& end : ends) {
-    if (end.began_at != kNeverSeen && end.ended_at <= alive_at &&
-        alive_at - end.ended_at < kMinRestartTime) {
-      proven.push_back(end);
-    }
-  }
-  open_end_count_ -= std::erase_if(ends, [&](const OpenEnd& end) {
-    return end.began_at != kNeverSeen && end.ended_at <= alive_at;
-  });
-  if (ends.empty()) {
-    open_ends_.erase(it);
-  }
-  for (const OpenEnd& end : proven) {
-    CountAnswer(end.run, end.began_at, now);
-  }
-}
-
-void LossTable::RememberAnswer(RequestProperty property, Time began_at,
-                               bool is_own, Time now) {
-  Answer& answer = answers_[property];
-  if (began_at < answer.began_at) {
-    return;
-  }
-  answer.began_at = began_at;
-  answer.is_own = is_own;
-  if (answer.recorded_at == kNeverSeen ||
-      now - answer.recorded_at >= kAnswerRecordInterval) {
-    answer.recorded_at = now;
-    answer_order_.emplace_back(now, property);
-  }
+  AddOpenRun({run, now, began_at}, now);
 }
 
 bool LossTable::TakeTrial(const std::vector<RequestProperty>& properties,
@@ -305,7 +229,7 @@
   for (const PropertyAnswer& answer : report.answers) {
     if (answer.property.IsKnown()) {
       const Time began_at = FromAge(answer.age_ms, now);
-      RememberAnswer(answer.property, began_at, false, now);
+      answered_.Add(answer.property, began_at, false, now);
       if (DropLossesUntil(answer.property, began_at)) {
         reported_answers_[answer.property].at = began_at;
       }
@@ -325,12 +249,12 @@
 }
 
 void LossTable::MergeLoss(const PropertyLoss& loss, Time now) {
-  const auto answer = answers_.find(loss.property);
+  const Time answered_at =
+      answered_.LatestBegin(loss.property).value_or(kNeverSeen);
   std::vector<std::uint32_t> added;
   for (const LostRun& run : loss.runs) {
     const Time lost_at = FromAge(run.age_ms, now);
-    if ((answer != answers_.end() && lost_at <= answer->second.began_at) ||
-        WasAlive(run.target, lost_at)) {
+    if (lost_at <= answered_at || WasAlive(run.target, lost_at)) {
       continue;
     }
     if (AddTarget(
@@ -348,7 +272,7 @@
   }
   UpdateRefusals(added, now);
   for (const std::uint32_t target : added) {
-    CountOpenEnds(target, recently_lost_.at(target), now);
+    CountOpenRuns(target, recently_lost_.at(target), now);
   }
 }
 
@@ -369,8 +293,7 @@
 void LossTable::ReportAnswers(const std::function<int(std::uint64_t)>& rank,
                               Time now) {
   for (const auto& [property, entry] : entries_) {
-    const auto answer = answers_.find(property);
-    if (answer == answers_.end() || !answer->second.is_own ||
+    if (!answered_.LatestOwnBegin(property).has_value() ||
         !IsTrusted(property, now) || IsReportedRecently(property, now)) {
       continue;
     }
@@ -391,7 +314,7 @@
 
 void LossTable::ReportAnswer(RequestProperty property, Time now) {
   if (!IsReportedRecently(property, now)) {
-    reported_answers_[property] = {answers_.at(property).began_at, now};
+    reported_answers_[property] = {*answered_.LatestBegin(property), now};
     ++changes_;
   }
 }
@@ -439,9 +362,8 @@
 }
 
 bool LossTable::IsTrusted(RequestProperty property, Time now) const {
-  const auto it = answers_.find(property);
-  return it != answers_.end() &&
-         now < it->second.began_at + options_.refusal_time;
+  const std::optional<Time> began_at = answered_.LatestBegin(property);
+  return began_at.has_value() && now < *began_at + options_.refusal_time;
 }
 
 Duration LossTable::TimeToTrial(const std::vector<RequestProperty>& properties,
@@ -577,24 +499,8 @@
   std::erase_if(alive_, is_old_sighting);
   std::erase_if(recently_lost_, is_old);
   std::erase_if(lost_parts_, is_old);
-  open_end_count_ = 0;
-  for (auto it = open_ends_.begin(); it != open_ends_.end();) {
-    std::erase_if(it->second, [now](const OpenEnd& end) {
-      return now >= end.ended_at + kMinRestartTime;
-    });
-    open_end_count_ += it->second.size();
-    it = it->second.empty() ? open_ends_.erase(it) : std::next(it);
-  }
-  while (!answer_order_.empty() &&
-         (answer_order_.size() > kMaxAnswers ||
-          now >= answer_order_.front().first + options_.refusal_time)) {
-    const auto [at, property] = answer_order_.front();
-    answer_order_.pop_front();
-    const auto it = answers_.find(property);
-    if (it != answers_.end() && it->second.recorded_at == at) {
-      answers_.erase(it);
-    }
-  }
+  open_runs_.Expire(now);
+  answered_.Expire(options_.refusal_time, now);
 }
 
 bool LossTable::HasRival(RequestProperty property, const Entry& entry,
@@ -832,7 +738,7 @@
 bool LossTable::WasAlive(std::uint32_t target, Time lost_at) const {
   const auto it = alive_.find(target);
   return it != alive_.end() && lost_at <= it->second.at &&
-         it->second.at - lost_at < kMinRestartTime;
+         it->second.at - lost_at < OpenRuns::kMinRestartTime;
 }
 
 bool LossTable::DropLossesOf(std::uint32_t target, Time at) {
@@ -844,7 +750,7 @@
   const std::map<RequestProperty, Entry*> properties = lost->second.properties;
   for (const auto& [property, entry] : properties) {
     const Time lost_at = entry->targets.at(target).lost_at;
-    if (lost_at > at || at - lost_at >= kMinRestartTime) {
+    if (lost_at > at || at - lost_at >= OpenRuns::kMinRestartTime) {
       continue;
     }
     any = true;
--- a/src/serving/loss_table.h
+++ b/src/serving/loss_table.h
@@ -4,11 +4,9 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
-#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -16,22 +14,12 @@
 #include "hornbeamcleat/base/time.h"
 #include "hornbeamcleat/serving/peer_state.h"
 #include "hornbeamcleat/serving/request_property.h"
+#include "src/serving/answered_properties.h"
+#include "src/serving/open_runs.h"
+#include "src/serving/target_run.h"
 
 namespace hornbeamcleat {
 
-/// Run of a request at a target.
-struct TargetRun {
-  std::vector<RequestProperty> properties;  ///< of the request
-  std::uint32_t target = 0;  ///< hash of the target's incarnation
-  Time sent_at;
-
-  /// @param incarnation identifies the target and its start
-  static TargetRun Make(std::vector<RequestProperty> properties,
-                        std::string_view incarnation, Time sent_at);
-
-  bool operator==(const TargetRun&) const = default;
-};
-
 /// Tracks targets that were lost while they ran requests, by the requests'
 /// properties, and refuses properties that are likely to crash any target.
 ///
@@ -198,13 +186,6 @@
     Time seen_at = kNeverSeen;  ///< by this VM itself
   };
 
-  /// Latest answer to a property.
-  struct Answer {
-    Time began_at = kNeverSeen;
-    bool is_own = false;  ///< of this VM
-    Time recorded_at = kNeverSeen;
-  };
-
   /// Properties that were lost with one target.
   struct LostTarget {
     std::map<RequestProperty, Entry*> properties;
@@ -214,13 +195,6 @@
         refused{};
   };
 
-  /// Run that ended without telling whether its target had crashed.
-  struct OpenEnd {
-    TargetRun run;
-    Time ended_at;
-    Time began_at = kNeverSeen;  ///< of an unproven answer
-  };
-
   const Entry* Find(RequestProperty property) const;
   /// Calls `use` for each property of a request, pairs of parts included if any
   /// pair has losses.
@@ -233,13 +207,9 @@
       const std::vector<RequestProperty>& properties, Time now);
   void AddLoss(const TargetRun& run, Time lost_at, Time now);
   /// Counts runs with an open end at a target that was lost.
-  void CountOpenEnds(std::uint32_t target, Time lost_at, Time now);
-  void AddOpenEnd(OpenEnd end, Time now);
-  /// Counts unproven answers of a target that was alive later.
-  void ProveAnswers(std::uint32_t target, Time alive_at, Time now);
+  void CountOpenRuns(std::uint32_t target, Time lost_at, Time now);
+  void AddOpenRun(OpenRuns::OpenRun run, Time now);
   void CountAnswer(const TargetRun& run, Time began_at, Time now);
-  void RememberAnswer(RequestProperty property, Time began_at, bool is_own,
-                      Time now);
   void MergeLoss(const PropertyLoss& loss, Time now);
   LossReport MakeReport(Time since, Time now) const;
   PropertyLoss MakeLoss(RequestProperty property, const Entry& entry,
@@ -289,10 +259,8 @@
   std::map<std::uint32_t, Time> recently_lost_;
   /// Targets that answered after a loss.
   std::map<std::uint32_t, Sighting> alive_;
-  std::unordered_map<RequestProperty, Answer, RequestPropertyHash> answers_;
-  std::deque<std::pair<Time, RequestProperty>> answer_order_;
-  std::map<std::uint32_t, std::vector<OpenEnd>> open_ends_;  ///< by target
-  std::size_t open_end_count_ = 0;
+  AnsweredProperties answered_;
+  OpenRuns open_runs_;
   /// Latest loss of each part, whether or not it was answered since.
   std::map<RequestProperty, Time> lost_parts_;
   std::vector<RequestProperty> newly_refused_;
--- a/src/serving/version_moves.h
+++ b/src/serving/version_moves.h
@@ -33,7 +33,8 @@
   struct Options {
     /// Maximum fraction of a move's traffic that a bad version may get.
     double exposure_share = 0.1;
-    /// Time after its 50th bad answer from which a bad version gets no requests.
+    /// Time after its 50th bad answer from which a bad version gets no
+    /// requests.
     Duration rollback_limit = std::chrono::seconds(5);
   };
 
