--- a/include/hornbeamcleat/serving/request_property.h
+++ b/include/hornbeamcleat/serving/request_property.h
@@ -11,13 +11,13 @@
 
 /// What requests can have in common. Lower values are more specific.
 enum class PropertyKind : std::uint8_t {
-  kContent,   ///< path, key and body
-  kPart,      ///< part of the prompt, at any place
-  kPath,      ///< host and path, without the query string
-  kPartPair,  ///< two parts of one prompt
-  kSize,      ///< order of magnitude of the prompt, answer or body
-  kKey,       ///< API key
-  kModel,     ///< model that the request names
+  kContent,  ///< path, key and body
+  kPart,     ///< part of the prompt, at any place
+  kPath,     ///< host and path, without the query string
+  kPair,     ///< two of the parts, the key and the model
+  kSize,     ///< order of magnitude of the prompt, answer or body
+  kKey,      ///< API key
+  kModel,    ///< model that the request names
 };
 inline constexpr int kPropertyKinds = 7;
 
@@ -31,7 +31,7 @@
   /// Restores a property from its code.
   static RequestProperty FromCode(std::uint64_t code);
 
-  /// Combines two parts of one prompt, in any order.
+  /// Combines two properties of one request, in any order.
   static RequestProperty PairOf(RequestProperty a, RequestProperty b);
 
   /// Whether this build knows the kind; codes come from other builds, too.
--- a/src/serving/loss_table.cc
+++ b/src/serving/loss_table.cc
@@ -25,7 +25,7 @@
 /// Trials after which the next ones come at the intervals of kMemoryFactor.
 constexpr std::uint32_t kQuickTrials = 3;
 constexpr std::uint32_t kMaxDoublings = 6;
-constexpr std::size_t kMaxLostParts = 4'096;
+constexpr std::size_t kMaxLostPairable = 4'096;
 /// Fraction (1/N) of the entries that are evicted together.
 constexpr std::size_t kEvictionDivisor = 16;
 /// An answer is reported again after this time if losses go on.
@@ -49,19 +49,30 @@
   return kind != PropertyKind::kContent && kind != PropertyKind::kPart;
 }
 
-// Calls `use` for each pair of a request's parts.
+bool IsPairable(PropertyKind kind) {
+  return kind == PropertyKind::kPart || kind == PropertyKind::kKey ||
+         kind == PropertyKind::kModel;
+}
+
+// Calls `use` for each pair of a request's properties.
 template <typename Use>
 void ForEachPair(const std::vector<RequestProperty>& properties, Use use) {
-  std::array<RequestProperty, LossTable::kMaxPairedParts> parts;
+  constexpr std::size_t kOthers = 2;  // key and model
+  std::array<RequestProperty, LossTable::kMaxPairedParts + kOthers> pairable;
   std::size_t n = 0;
+  std::size_t parts = 0;
   for (const RequestProperty& property : properties) {
-    if (property.Kind() == PropertyKind::kPart && n < parts.size()) {
-      parts[n++] = property;
+    const bool is_part = property.Kind() == PropertyKind::kPart;
+    if (!IsPairable(property.Kind()) || n == pairable.size() ||
+        (is_part && parts == LossTable::kMaxPairedParts)) {
+      continue;
     }
+    parts += is_part ? 1 : 0;
+    pairable[n++] = property;
   }
   for (std::size_t i = 0; i < n; ++i) {
     for (std::size_t j = i + 1; j < n; ++j) {
-      use(parts[i], parts[j]);
+      use(pairable[i], pairable[j]);
     }
   }
 }
@@ -81,7 +92,9 @@
       run.properties.empty()
           ? std::uint16_t{0}
           : static_cast<std::uint16_t>(run.properties.front().Code() >> 16U);
-  for (const RequestProperty& property : WithPairs(run.properties, now)) {
+  const std::vector<RequestProperty> properties =
+      WithPairs(run.properties, now);
+  for (const RequestProperty& property : properties) {
     loss.place = static_cast<std::uint8_t>(
         loss.place + (property.Kind() == PropertyKind::kPart ? 1 : 0));
     Entry* entry = FindOrAdd(property, now);
@@ -98,7 +111,7 @@
       ReportAnswer(property, now);
     }
   }
-  UpdateRefusals({run.target}, now);
+  DecideOnLosses(properties, run.target, now);
   ++changes_;
 }
 
@@ -106,15 +119,15 @@
     const std::vector<RequestProperty>& properties, Time now) {
   std::vector<RequestProperty> all = properties;
   ForEachPair(properties, [&](RequestProperty a, RequestProperty b) {
-    if (lost_parts_.contains(a) && lost_parts_.contains(b)) {
+    if (lost_pairable_.contains(a) && lost_pairable_.contains(b)) {
       all.push_back(RequestProperty::PairOf(a, b));
     }
   });
   for (const RequestProperty& property : properties) {
-    if (property.Kind() == PropertyKind::kPart &&
-        (lost_parts_.size() < kMaxLostParts ||
-         lost_parts_.contains(property))) {
-      lost_parts_[property] = now;
+    if (IsPairable(property.Kind()) &&
+        (lost_pairable_.size() < kMaxLostPairable ||
+         lost_pairable_.contains(property))) {
+      lost_pairable_[property] = now;
     }
   }
   return all;
@@ -270,8 +283,8 @@
         std::max(it->second.tried_at, FromAge(loss.trial_age_ms, now));
     it->second.trials = std::max(it->second.trials, loss.trials);
   }
-  UpdateRefusals(added, now);
   for (const std::uint32_t target : added) {
+    DecideOnLosses({loss.property}, target, now);
     CountOpenRuns(target, recently_lost_.at(target), now);
   }
 }
@@ -498,7 +511,7 @@
   std::erase_if(reported_answers_, is_old_sighting);
   std::erase_if(alive_, is_old_sighting);
   std::erase_if(recently_lost_, is_old);
-  std::erase_if(lost_parts_, is_old);
+  std::erase_if(lost_pairable_, is_old);
   open_runs_.Expire(now);
   answered_.Expire(options_.refusal_time, now);
 }
@@ -655,7 +668,7 @@
   }
   Entry& entry = entries_[property];
   entry.known_at = now;
-  pair_count_ += property.Kind() == PropertyKind::kPartPair ? 1 : 0;
+  pair_count_ += property.Kind() == PropertyKind::kPair ? 1 : 0;
   return &entry;
 }
 
@@ -670,7 +683,7 @@
     }
   }
   entries_.erase(it);
-  pair_count_ -= property.Kind() == PropertyKind::kPartPair ? 1 : 0;
+  pair_count_ -= property.Kind() == PropertyKind::kPair ? 1 : 0;
 }
 
 bool LossTable::AddTarget(RequestProperty property, std::uint32_t target,
@@ -796,9 +809,33 @@
   return true;
 }
 
+void LossTable::DecideOnLosses(const std::vector<RequestProperty>& properties,
+                               std::uint32_t target, Time now) {
+  // A loss adds evidence against the request's own properties only, but may be
+  // a rival's that clears others.
+  std::vector<Candidate> candidates;
+  for (const RequestProperty& property : properties) {
+    const auto it = entries_.find(property);
+    if (it != entries_.end()) {
+      candidates.emplace_back(property, &it->second);
+    }
+  }
+  std::vector<Candidate> refused;
+  const auto lost = lost_targets_.find(target);
+  if (lost != lost_targets_.end()) {
+    for (const auto& [property, entry] : lost->second.properties) {
+      if (entry->is_refused) {
+        refused.emplace_back(property, entry);
+      }
+    }
+  }
+  if (Decide(std::move(candidates), std::move(refused), now)) {
+    UpdateRefusals({target}, now);
+  }
+}
+
 void LossTable::UpdateRefusals(const std::vector<std::uint32_t>& targets,
                                Time now) {
-  using Candidate = std::pair<RequestProperty, Entry*>;
   std::vector<Candidate> candidates;
   std::vector<Candidate> refused;
   for (const std::uint32_t target : targets) {
@@ -807,14 +844,19 @@
       continue;
     }
     for (const auto& [property, entry] : lost->second.properties) {
-      if (entry->is_refused) {
-        refused.emplace_back(property, entry);
-      } else if (static_cast<int>(entry->targets.size()) >= options_.limit) {
-        // Most properties beside a cause have one loss.
-        candidates.emplace_back(property, entry);
-      }
+      (entry->is_refused ? refused : candidates).emplace_back(property, entry);
     }
   }
+  Decide(std::move(candidates), std::move(refused), now);
+}
+
+bool LossTable::Decide(std::vector<Candidate> candidates,
+                       std::vector<Candidate> refused, Time now) {
+  // Most properties beside a cause have one loss.
+  std::erase_if(candidates, [this](const Candidate& item) {
+    return item.second->is_refused ||
+           static_cast<int>(item.second->targets.size()) < options_.limit;
+  });
   const auto is_likelier = [&](const Candidate& a, const Candidate& b) {
     const auto key = [&](const Candidate& item) {
       // Prompts share their beginning, so a later part is in fewer of them.
@@ -826,11 +868,13 @@
     return key(a) < key(b);
   };
   std::sort(candidates.begin(), candidates.end(), is_likelier);
+  bool changed = false;
   for (const auto& [property, entry] : candidates) {
     if (!entry->is_refused && IsAtLimit(property, *entry, now)) {
       SetRefused(property, true, entry);
       newly_refused_.push_back(property);
       refused.emplace_back(property, entry);
+      changed = true;
     }
   }
   for (const auto& [property, entry] : refused) {
@@ -838,8 +882,10 @@
         !IsAtLimit(property, *entry, now)) {
       SetRefused(property, false, entry);
       std::erase(newly_refused_, property);
+      changed = true;
     }
   }
+  return changed;
 }
 
 }  // namespace hornbeamcleat
--- a/src/serving/loss_table.h
+++ b/src/serving/loss_table.h
@@ -52,7 +52,7 @@
   static constexpr std::size_t kMaxReported = 256;
   /// Targets kept for one property; further ones change nothing.
   static constexpr std::size_t kMaxTargetsPerProperty = 8;
-  /// Parts of a prompt whose pairs are tracked.
+  /// Parts of a prompt that are paired with each other, the key and the model.
   static constexpr std::size_t kMaxPairedParts = 8;
 
   struct Options {
@@ -196,13 +196,12 @@
   };
 
   const Entry* Find(RequestProperty property) const;
-  /// Calls `use` for each property of a request, pairs of parts included if any
-  /// pair has losses.
+  /// Calls `use` for each property of a request, pairs included if any pair has
+  /// losses.
   template <typename Use>
   void ForEachKnown(const std::vector<RequestProperty>& properties,
                     Use use) const;
-  /// The request's properties, and those pairs of its parts which were lost
-  /// before.
+  /// The request's properties, and those pairs of them which were lost before.
   std::vector<RequestProperty> WithPairs(
       const std::vector<RequestProperty>& properties, Time now);
   void AddLoss(const TargetRun& run, Time lost_at, Time now);
@@ -248,6 +247,15 @@
   bool DropLossesUntil(RequestProperty property, Time at);
   /// Decides anew on all properties that were lost at one of the targets.
   void UpdateRefusals(const std::vector<std::uint32_t>& targets, Time now);
+  /// Decides on properties that gained losses at a target and on those that are
+  /// refused, and on all others only if that changes what is refused.
+  void DecideOnLosses(const std::vector<RequestProperty>& properties,
+                      std::uint32_t target, Time now);
+  using Candidate = std::pair<RequestProperty, Entry*>;
+  /// Refuses candidates and clears those that are refused without reason.
+  /// Returns whether that changes anything.
+  bool Decide(std::vector<Candidate> candidates, std::vector<Candidate> refused,
+              Time now);
 
   Options options_;
   Entries entries_;
@@ -261,8 +269,9 @@
   std::map<std::uint32_t, Sighting> alive_;
   AnsweredProperties answered_;
   OpenRuns open_runs_;
-  /// Latest loss of each part, whether or not it was answered since.
-  std::map<RequestProperty, Time> lost_parts_;
+  /// Latest loss of each property that is paired, whether or not it was
+  /// answered since.
+  std::map<RequestProperty, Time> lost_pairable_;
   std::vector<RequestProperty> newly_refused_;
   std::uint64_t changes_ = 0;
 };
--- a/src/serving/request_property.cc
+++ b/src/serving/request_property.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <bit>
 
 #include "hornbeamcleat/base/hash.h"
@@ -24,7 +25,7 @@
       return "part";
     case PropertyKind::kPath:
       return "path";
-    case PropertyKind::kPartPair:
+    case PropertyKind::kPair:
       return "pair";
     case PropertyKind::kSize:
       return "size";
@@ -49,8 +50,11 @@
 
 RequestProperty RequestProperty::PairOf(RequestProperty a, RequestProperty b) {
   const auto [low, high] = std::minmax(a.code_, b.code_);
-  return FromCode(MakeCode(PropertyKind::kPartPair,
-                           Hash64(fmt::format("{:x},{:x}", low, high))));
+  const std::array<std::uint64_t, 2> codes = {low, high};
+  return FromCode(MakeCode(
+      PropertyKind::kPair,
+      Hash64(std::string_view(reinterpret_cast<const char*>(codes.data()),
+                              sizeof(codes)))));
 }
 
 bool RequestProperty::IsKnown() const {
--- a/tests/relay/crashing_property_test.cc
+++ b/tests/relay/crashing_property_test.cc
@@ -331,5 +331,29 @@
   EXPECT_LT(clock_->Now() - heard_at, std::chrono::seconds(1));
 }
 
+// A target may also fall silent: its connections stay open for good.
+TEST_F(CrashingPropertyTest, RequestsThatSilenceTargetsAreRefused) {
+  constexpr int kRequests = 12;
+  int silenced = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    ++generation_;
+    targets_.clear();
+    specs_.clear();
+    for (int target = 0; target < 2; ++target) {
+      AddTarget([](const ReceivedRequest&) {});
+    }
+    std::string request = Request(
+        "unsafe", fmt::format("r{}", i),
+        fmt::format("Prefix-Hash: first:60,bad:300,{}:50\r\n", i + 0x1000),
+        fmt::format("body {:03}", i));
+    const std::string patience = "Deadline-Ms: 2000";
+    request.replace(request.find(patience), patience.size(),
+                    "Deadline-Ms: 100");
+    SendRequest(request);
+    silenced += RequestCount() > 0 ? 1 : 0;
+  }
+  EXPECT_LE(silenced, kMaxCrashes);
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
--- a/tests/serving/loss_table_property_test.cc
+++ b/tests/serving/loss_table_property_test.cc
@@ -131,7 +131,10 @@
       [&] { return Request({"first"}, "k", "bad model"); }, with_size,
       [&] {
         return Request({"a", "b"});
-      }};
+      },
+      // Sound for other callers and with another model.
+      [&] { return Request({"a"}, "b key"); },
+      [&] { return Request({"a"}, "k", "b model"); }};
   for (const bool was_answered : {false, true}) {
     for (std::size_t i = 0; i < deadly.size(); ++i) {
       LossTable table({2, kRefusalTime});
@@ -146,11 +149,14 @@
         for (int n = 0; n < 3; ++n) {
           Answer(&table, Request({"first", "a"}));
           Answer(&table, Request({"b"}));
+          Answer(&table, Request({"b"}, "b key"));
+          Answer(&table, Request({"b"}, "k", "b model"));
         }
       }
       EXPECT_LE(crashes, 5) << "case " << i << " answered " << was_answered;
       EXPECT_TRUE(table.RefusedOf(Request({"first", "a"})).empty()) << i;
       EXPECT_TRUE(table.RefusedOf(Request({"b"})).empty()) << i;
+      EXPECT_TRUE(table.RefusedOf(Request({"b"}, "b key")).empty()) << i;
     }
   }
 }
