Report answers and returned peers' losses by few VMs only

Change: an answer to what is not refused is reported by VMs that saw the loss (contents by any); others learn by ReportAnswers, which stops once one was heard.

AnswerIsReportedOnlyByVmsThatSawTheLoss is new; not run on the code before.

--- a/src/relay/peer_reporter.cc
+++ b/src/relay/peer_reporter.cc
@@ -94,7 +94,8 @@
       SendLowQuotas();
     }
   }
-  SendLossesToStarted();
+  SendLossesTo(&started_peers_);
+  SendLossesTo(&returned_peers_);
 }
 
 // The timer's delays vary, so that a period counts as over a little early.
@@ -218,11 +219,11 @@
 // Only some VMs send all they know to a peer that has started. If all did, the
 // reports would hold up its link, and their own, just when requests of the VMs
 // that were lost are repeated.
-void PeerReporter::SendLossesToStarted() {
+void PeerReporter::SendLossesTo(std::map<std::string, StartedPeer>* peers) {
   const Time now = clock_->Now();
-  std::erase_if(started_peers_,
+  std::erase_if(*peers,
                 [now](const auto& item) { return now >= item.second.until; });
-  for (auto& [link, peer] : started_peers_) {
+  for (auto& [link, peer] : *peers) {
     if (now < peer.next ||
         !sources_.directory->IsReporterTo(link, kStartedPeerTime, now)) {
       continue;
@@ -246,4 +247,10 @@
   }
 }
 
+// Once is enough: the peer is sent changes again.
+void PeerReporter::OnPeerReturned(const std::string& link) {
+  const Time now = clock_->Now();
+  returned_peers_[link] = {now + kStartedPeerInterval, now};
+}
+
 }  // namespace hornbeamcleat
--- a/src/relay/peer_reporter.h
+++ b/src/relay/peer_reporter.h
@@ -52,11 +52,19 @@
   /// Sends what is known of properties that crash targets to all VMs if it has
   /// changed, once this turn of the loop has ended.
   void SendLossesSoon();
-  /// A peer has started, or is heard again after it was cut off, and may lack
-  /// what others know.
+  /// A peer has started and lacks what others know.
   void OnPeerStarted(const std::string& link);
+  /// A peer is heard again after a while, and may lack losses that were
+  /// reported meanwhile.
+  void OnPeerReturned(const std::string& link);
 
  private:
+  /// Until when, and when next, a peer is sent all losses.
+  struct StartedPeer {
+    Time until;
+    Time next;
+  };
+
   void SendHeartbeat();
   /// Returns whether `period` has passed since `*last`, and if so, sets it.
   bool TakeDue(Duration period, Time* last) const;
@@ -64,7 +72,7 @@
   void SendToRemoteDomains(bool with_details);
   void SendLowQuotas();
   void SendLosses();
-  void SendLossesToStarted();
+  void SendLossesTo(std::map<std::string, StartedPeer>* peers);
   PeerState MakeState();
   PeerState MakeLoadState(Time now);
   /// @param failure_domain of the targets that are reported on; empty: all
@@ -92,12 +100,9 @@
   Time losses_sent_until_;
   Time started_at_;
   Time all_quotas_sent_at_;
-  /// Peers that started recently, and when each is sent all losses next.
-  struct StartedPeer {
-    Time until;
-    Time next;
-  };
+  /// Peers that have started or returned recently.
   std::map<std::string, StartedPeer> started_peers_;
+  std::map<std::string, StartedPeer> returned_peers_;
   std::unique_ptr<TimerService::Subscription> heartbeat_timer_;
   std::unique_ptr<TimerService::Subscription> send_timer_;
   std::unique_ptr<TimerService::Subscription> losses_timer_;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -303,12 +303,15 @@
 
   void OnPeerState(const PeerState& state) {
     const Time now = clock_->Now();
-    const bool may_lack_reports = directory_.IsNewlyHeard(state);
+    const bool is_new_incarnation = directory_.IsNewIncarnation(state);
+    const bool is_returning = directory_.IsReturning(state);
     if (!directory_.OnState(state, now)) {
       return;
     }
-    if (may_lack_reports) {
+    if (is_new_incarnation) {
       peer_reporter_.OnPeerStarted(state.link);
+    } else if (is_returning) {
+      peer_reporter_.OnPeerReturned(state.link);
     }
     if (state.has_load) {
       targets_.SetPeerLoad(state.link, state.uses, now);
--- a/src/serving/loss_table.cc
+++ b/src/serving/loss_table.cc
@@ -187,14 +187,18 @@
   for (const RequestProperty& property : run.properties) {
     answered_.Add(property, began_at, true, now);
   }
-  std::vector<RequestProperty> cleared;
+  // What many requests have is answered at all VMs soon after a loss, and would
+  // be reported by each of them.
+  std::vector<std::pair<RequestProperty, bool>> cleared;
   ForEachKnown(run.properties, [&](RequestProperty property) {
-    if (entries_.contains(property)) {
-      cleared.push_back(property);
+    const Entry* entry = Find(property);
+    if (entry != nullptr) {
+      cleared.emplace_back(
+          property, entry->is_refused || entry->changed_at != kNeverSeen);
     }
   });
-  for (const RequestProperty& property : cleared) {
-    if (DropLossesUntil(property, began_at)) {
+  for (const auto& [property, is_reported] : cleared) {
+    if (DropLossesUntil(property, began_at) && is_reported) {
       reported_answers_[property] = {began_at, now};
       ++changes_;
     }
@@ -243,6 +247,9 @@
     if (answer.property.IsKnown()) {
       const Time began_at = FromAge(answer.age_ms, now);
       answered_.Add(answer.property, began_at, false, now);
+      if (entries_.contains(answer.property)) {
+        reported_answers_[answer.property].heard_at = now;
+      }
       if (DropLossesUntil(answer.property, began_at)) {
         reported_answers_[answer.property].at = began_at;
       }
@@ -321,13 +328,18 @@
 
 bool LossTable::IsReportedRecently(RequestProperty property, Time now) const {
   const auto it = reported_answers_.find(property);
-  return it != reported_answers_.end() &&
-         now - it->second.seen_at < kAnswerReportInterval;
+  if (it == reported_answers_.end()) {
+    return false;
+  }
+  const Time latest = std::max(it->second.seen_at, it->second.heard_at);
+  return latest != kNeverSeen && now - latest < kAnswerReportInterval;
 }
 
 void LossTable::ReportAnswer(RequestProperty property, Time now) {
   if (!IsReportedRecently(property, now)) {
-    reported_answers_[property] = {*answered_.LatestBegin(property), now};
+    Sighting& reported = reported_answers_[property];
+    reported.at = *answered_.LatestBegin(property);
+    reported.seen_at = now;
     ++changes_;
   }
 }
@@ -508,7 +520,10 @@
   const auto is_old_sighting = [&](const auto& item) {
     return now >= item.second.at + options_.refusal_time;
   };
-  std::erase_if(reported_answers_, is_old_sighting);
+  std::erase_if(reported_answers_, [&](const auto& item) {
+    return now >= std::max(item.second.at, item.second.heard_at) +
+                      options_.refusal_time;
+  });
   std::erase_if(alive_, is_old_sighting);
   std::erase_if(recently_lost_, is_old);
   std::erase_if(lost_pairable_, is_old);
--- a/src/serving/loss_table.h
+++ b/src/serving/loss_table.h
@@ -183,7 +183,8 @@
   /// When a property was answered or a target was alive.
   struct Sighting {
     Time at;
-    Time seen_at = kNeverSeen;  ///< by this VM itself
+    Time seen_at = kNeverSeen;   ///< by this VM itself
+    Time heard_at = kNeverSeen;  ///< from a peer
   };
 
   /// Properties that were lost with one target.
--- a/src/serving/vm_directory.cc
+++ b/src/serving/vm_directory.cc
@@ -73,11 +73,15 @@
   return true;
 }
 
-bool VmDirectory::IsNewlyHeard(const PeerState& state) const {
+bool VmDirectory::IsNewIncarnation(const PeerState& state) const {
   const auto it = peers_.find(state.link);
   return it == peers_.end() || !it->second.heard.has_value() ||
-         it->second.heard->incarnation != state.incarnation ||
-         it->second.is_timed_out;
+         it->second.heard->incarnation != state.incarnation;
+}
+
+bool VmDirectory::IsReturning(const PeerState& state) const {
+  const auto it = peers_.find(state.link);
+  return it != peers_.end() && it->second.is_timed_out;
 }
 
 bool VmDirectory::IsReporterTo(const std::string& link, Duration min_uptime,
--- a/src/serving/vm_directory.h
+++ b/src/serving/vm_directory.h
@@ -33,9 +33,12 @@
   /// applied.
   bool OnState(const PeerState& state, Time now);
 
-  /// Whether a message comes from a process that may have missed what others
-  /// know: a peer that is new here, has restarted, or was silent for a while.
-  bool IsNewlyHeard(const PeerState& state) const;
+  /// Whether a message comes from a process not heard of before: a peer that is
+  /// new here or has restarted.
+  bool IsNewIncarnation(const PeerState& state) const;
+
+  /// Whether a message comes from a peer that was silent for a while.
+  bool IsReturning(const PeerState& state) const;
 
   /// Whether this VM is one of the few that report to a VM that has started.
   /// VMs that have themselves been up for less than `min_uptime` don't count.
--- a/tests/serving/loss_table_property_test.cc
+++ b/tests/serving/loss_table_property_test.cc
@@ -254,6 +254,20 @@
   EXPECT_TRUE(peer.ChangesSince(now_, now_).answers.empty());
 }
 
+// At 295 VMs each would tell all others that it has answered what most requests
+// have.
+TEST_F(LossTablePropertyTest, AnswerIsReportedOnlyByVmsThatSawTheLoss) {
+  LossTable peer({2, kRefusalTime});
+  Crash(&table_, Request({"first", "doc"}));
+  peer.OnPeerReport(table_.ChangesSince(now_ - seconds(1), now_), now_);
+  now_ += milliseconds(10);
+  Answer(&peer, Request({"first"}));
+  EXPECT_EQ(peer.Losses(Part("first")), 0);
+  EXPECT_EQ(peer.ChangesSince(now_ - seconds(1), now_), LossReport());
+  Answer(&table_, Request({"first"}));
+  EXPECT_FALSE(table_.ChangesSince(now_ - seconds(1), now_).answers.empty());
+}
+
 TEST_F(LossTablePropertyTest, RunGivenUpBeforeItsTargetIsLostCounts) {
   const std::vector<RequestProperty> left = Request({"bad"});
   table_.OnAbandoned(TargetRun::Make(left, "t1", now_),
