--- a/src/serving/loss_table.cc
+++ b/src/serving/loss_table.cc
@@ -193,10 +193,9 @@
   ForEachKnown(run.properties, [&](RequestProperty property) {
     const Entry* entry = Find(property);
     if (entry != nullptr) {
-      cleared.emplace_back(property,
-                           property.Kind() == PropertyKind::kContent ||
-                               entry->is_refused ||
-                               entry->changed_at != kNeverSeen);
+      cleared.emplace_back(
+          property, property.Kind() == PropertyKind::kContent ||
+                        entry->is_refused || entry->changed_at != kNeverSeen);
     }
   });
   for (const auto& [property, is_reported] : cleared) {
