Say in the setting's text when later trials come

poison.expiry said that the time doubles with each trial; since the table of losses by property, the third comes after twice the time and later ones after twenty times and more, so that three sends are the most within ten minutes. Text only: the program's reference and docs/SETTINGS.md agree; build/relay_tests run on this text.

--- a/src/relay/relay_options.cc
+++ b/src/relay/relay_options.cc
@@ -78,10 +78,12 @@
       Rule("poison", "limit", integer, "2", 100,
            "Targets lost to one content or part of prompts before it is "
            "refused; other properties need one more."),
-      Rule(
-          "poison", "expiry", duration, "30s", 10 * kMinuteUs,
-          "Time from the first trial of what is refused to the second; doubles "
-          "with each further one. The first comes after a sixth of it."),
+      Rule("poison", "expiry", duration, "30s", 10 * kMinuteUs,
+           "Time from the first trial of what is refused to the second. The "
+           "first "
+           "comes after a sixth of it, the third after twice, and later ones "
+           "after "
+           "twenty times and more."),
   };
 }
 
