Keep losses of the entry's own front by what requests have in common, too

Change: PoisonTable goes; CrashTracker uses the LossTable of the platform's daemon. Submission reads what requests share (body, messages or paragraphs, path and application, workspace, sizes). Refused requests are told when to come back, also those that wait; those that their target has not begun to answer are withdrawn; three trials within ten minutes. Losses that a refused property explains don't count against a version. Targets tell no starts here: found by the test with four entries (10 targets, 5 allowed), where losses of one target at two entries counted once; an incarnation is now the first one that is not known to be lost.

Checks that changed with it, as strict: facts were a count by content, now the lost targets of a content; 'poison' in the view became a peer's report with one lost target each.

--- a/bench/schedule/decision_bench.cc
+++ b/bench/schedule/decision_bench.cc
@@ -78,7 +78,7 @@
     spec.arrival = now_;
     spec.deadline = Time::max();
     spec.prompt_tokens = 256;
-    spec.fingerprint = next_;
+    spec.properties = {{PropertyKind::kContent, spec.id}};
     for (std::uint64_t i = 0; i < 16; ++i) {
       spec.prefix_blocks.push_back((next_ % 64) * 1'000 + i);
     }
--- a/bench/schedule/overload.h
+++ b/bench/schedule/overload.h
@@ -193,9 +193,9 @@
     spec.arrival = now_;
     spec.deadline = job->deadline;
     spec.prompt_tokens = job->prompt_tokens;
-    spec.fingerprint = Hash64(job->id);
+    spec.properties = {{PropertyKind::kContent, job->id}};
     for (std::uint64_t i = 0; i < 30; ++i) {
-      const std::uint64_t seed = i < 20 ? job->family : spec.fingerprint;
+      const std::uint64_t seed = i < 20 ? job->family : Hash64(job->id);
       spec.prefix_blocks.push_back(Hash64("block", seed * 100 + i));
     }
     ApplyActions(job->entry, entries_[job->entry]->Submit(spec, now_));
--- a/include/hornbeamcleat/schedule/cluster_view.h
+++ b/include/hornbeamcleat/schedule/cluster_view.h
@@ -11,6 +11,7 @@
 #include "hornbeamcleat/config/config_state.h"
 #include "hornbeamcleat/move/version_share.h"
 #include "hornbeamcleat/schedule/request.h"
+#include "hornbeamcleat/serving/peer_state.h"
 
 namespace hornbeamcleat {
 
@@ -18,6 +19,20 @@
 /// ranks take no new work.
 inline constexpr int kNoFloor = 1 << 20;
 
+/// Report of one entry on the targets that it lost.
+struct SequencedLosses {
+  /// Differs from that of other reports of the entry; 0 if there is none.
+  std::uint64_t sequence = 0;
+  LossReport report;
+
+  bool operator==(const SequencedLosses&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(sequence, report);
+  }
+};
+
 /// Snapshot of the cluster state that the scheduler depends on. Immutable; the
 /// control daemon sends a new one on each change.
 struct ClusterView {
@@ -41,9 +56,8 @@
   /// Lowest rank closed by any peer, by model; missing means none. Work of this
   /// rank or a greater one is refused while it is closed.
   std::map<std::string, int> peer_closed_rank;
-  /// Number of distinct targets that crashed while running a content, as
-  /// reported by peers, by fingerprint of the content.
-  std::map<std::uint64_t, int> poison;
+  /// Targets that peers lost while they ran requests, by name of the VM.
+  std::map<std::string, SequencedLosses> peer_losses;
 
   bool operator==(const ClusterView&) const = default;
 };
--- a/include/hornbeamcleat/schedule/outcome.h
+++ b/include/hornbeamcleat/schedule/outcome.h
@@ -22,7 +22,7 @@
   kDisplaced,       ///< evicted from the queue in favor of a higher tier
   kDeadline,        ///< its deadline cannot be met
   kNoTarget,        ///< no live target serves it
-  kPoison,          ///< its content crashed targets before
+  kPoison,          ///< requests like it crashed targets
   kLogUnavailable,  ///< its intent cannot be recorded
   kKeyExpired,      ///< its idempotency key is older than the log's retention
   kDuplicate,       ///< another attempt with its key holds the intent
--- a/include/hornbeamcleat/schedule/request.h
+++ b/include/hornbeamcleat/schedule/request.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "hornbeamcleat/base/time.h"
+#include "hornbeamcleat/serving/request_property.h"
 
 namespace hornbeamcleat {
 
@@ -28,7 +29,8 @@
   std::uint32_t max_tokens = 0;  ///< 0 means unspecified
   /// Chained hashes of the prompt's blocks, first block first.
   std::vector<std::uint64_t> prefix_blocks;
-  std::uint64_t fingerprint = 0;  ///< hash of the whole body
+  /// What other requests can share with this one, the content first.
+  std::vector<RequestProperty> properties;
 
   bool operator==(const RequestSpec&) const = default;
 };
--- a/include/hornbeamcleat/schedule/scheduler.h
+++ b/include/hornbeamcleat/schedule/scheduler.h
@@ -31,7 +31,8 @@
   std::uint64_t seed = 1;  ///< for retry delays and tie breaking
   int max_queued = 10'000;
   int max_attempts = 4;  ///< dispatches that ended in "not run"
-  int poison_limit = 2;  ///< target crashes attributed to one content
+  /// Lost targets from which a content or part of prompts is refused.
+  int poison_limit = 2;
   Duration poison_expiry = std::chrono::minutes(10);
   Duration stall_time = std::chrono::seconds(2);  ///< without progress
   /// Upper bound on the time that a closed rank takes to reach all connected
@@ -54,9 +55,7 @@
   /// Recent average of the work offered to this entry, in target-seconds per
   /// second, by model.
   std::map<std::string, double> demand;
-  /// Number of targets that crashed while running a content at this entry, by
-  /// fingerprint of the content.
-  std::map<std::uint64_t, int> poison;
+  SequencedLosses losses;
   int queued = 0;
   int in_flight = 0;
 
@@ -83,9 +82,8 @@
   std::uint64_t done = 0;     ///< answered completely
   std::uint64_t faults = 0;   ///< failed, truncated, too late or crashed
   std::uint64_t crashes = 0;  ///< faults in which the target was lost
-  /// Failed for a cause other than the version: poison content, a caller that
-  /// disconnected or a connection that went silent. Counted in neither `done`
-  /// nor `faults`.
+  /// Failed for a cause other than the version: requests like this one crash
+  /// targets. Counted in neither `done` nor `faults`.
   std::uint64_t excluded = 0;
   /// Sums of first-part times in seconds and of their squares, over `done`.
   double first_part_sum = 0;
--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -67,6 +67,11 @@
   std::uint32_t age_ms = 0;
 
   bool operator==(const TargetSighting&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(target, age_ms);
+  }
 };
 
 /// Run of a request that a target was lost with.
@@ -108,6 +113,11 @@
   bool operator==(const PropertyAnswer&) const = default;
 };
 
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(property, age_ms);
+  }
+
 /// What a VM knows of properties that may crash targets.
 struct LossReport {
   std::vector<PropertyLoss> losses;
@@ -119,6 +129,11 @@
   bool operator==(const LossReport&) const = default;
 };
 
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(losses, answers, alive);
+  }
+
 /// Slowly changing state; sent only with heartbeats, not with every change.
 struct PeerDetails {
   std::string front;  ///< caller-facing address, IP:PORT
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -442,6 +442,7 @@
     const bool serving = entry_connected_ && !report_.draining && !leaving_ &&
                          Config() != nullptr && !report_.entry.empty();
     local_facts_.PublishEntry(report_, serving, Revision(), options_.api, now);
+    local_facts_.PublishLosses(report_.facts.losses, now);
   }
 
   void PublishEvidence(Time now) {
@@ -482,6 +483,7 @@
     inputs.self = options_.self.name;
     inputs.members = membership_->Members();
     inputs.entries = peer_facts_.Entries();
+    inputs.losses = peer_facts_.Losses();
     inputs.withdrawn = Withdrawn();
     inputs.move_shares = move_shares_;
     inputs.vms = vms_;
--- a/src/control/entry_fact.cc
+++ b/src/control/entry_fact.cc
@@ -7,7 +7,7 @@
 template <typename Archive>
 void serialize(Archive& ar, EntryFact& fact) {
   ar(fact.serving, fact.load_permille, fact.closed_rank, fact.demand_milli,
-     fact.poison, fact.config_revision, fact.api);
+     fact.config_revision, fact.api);
 }
 
 std::string EncodeEntryFact(const EntryFact& fact) { return EncodeBytes(fact); }
--- a/src/control/entry_fact.h
+++ b/src/control/entry_fact.h
@@ -24,7 +24,6 @@
   std::map<std::string, int> closed_rank;  ///< by model
   /// Offered load by model, in thousandths of a target.
   std::map<std::string, int> demand_milli;
-  std::map<std::uint64_t, int> poison;
   std::uint64_t config_revision = 0;  ///< current at this VM
   std::string api;                    ///< address of the operators' API
 
--- a/src/control/local_facts.cc
+++ b/src/control/local_facts.cc
@@ -10,12 +10,12 @@
 #include "hornbeamcleat/member/membership.h"
 #include "src/control/entry_fact.h"
 #include "src/control/evidence_exchange.h"
+#include "src/control/loss_facts.h"
 
 namespace hornbeamcleat {
 namespace {
 
 constexpr std::size_t kMaxReasonBytes = 200;
-constexpr std::size_t kMaxPoisonFacts = 8;
 constexpr int kMilli = 1'000;
 constexpr int kLoadStepPermille = 100;     // quantization of the published load
 constexpr int kFullLoadResponses = 2'000;  // open responses at full load
@@ -49,16 +49,22 @@
   for (const auto& [model, demand] : report.facts.demand) {
     fact.demand_milli[model] = RoundDemand(demand);
   }
-  for (const auto& [fingerprint, n] : report.facts.poison) {
-    if (fact.poison.size() < kMaxPoisonFacts) {
-      fact.poison[fingerprint] = n;
-    }
-  }
   fact.config_revision = revision;
   fact.api = api;
   Publish(kEntryFactKey, EncodeEntryFact(fact), true, now);
 }
 
+void LocalFacts::PublishLosses(const SequencedLosses& losses, Time now) {
+  if (losses.sequence == published_losses_) {
+    return;
+  }
+  published_losses_ = losses.sequence;
+  const std::vector<std::string> chunks = LossChunks(losses);
+  for (std::size_t i = 0; i < chunks.size(); ++i) {
+    Publish(fmt::format("{}{}", kLossesPrefix, i), chunks[i], true, now);
+  }
+}
+
 void LocalFacts::PublishEvidence(const ReportMessage& report,
                                  const std::set<std::string>& models,
                                  Time now) {
--- a/src/control/local_facts.h
+++ b/src/control/local_facts.h
@@ -30,6 +30,9 @@
   void PublishEntry(const ReportMessage& report, bool serving,
                     std::uint64_t revision, const std::string& api, Time now);
 
+  /// Publishes the targets that the entry has lost, if they changed.
+  void PublishLosses(const SequencedLosses& losses, Time now);
+
   /// Publishes the entry's evidence for `models`.
   void PublishEvidence(const ReportMessage& report,
                        const std::set<std::string>& models, Time now);
@@ -42,6 +45,7 @@
   void Publish(const std::string& key, const std::string& value, bool expires,
                Time now);
 
+  std::uint64_t published_losses_ = 0;  ///< sequence number
   Membership* membership_;
   Metrics* metrics_;
   Logger log_{"control"};
--- a/src/control/peer_facts.cc
+++ b/src/control/peer_facts.cc
@@ -34,6 +34,7 @@
 
 void PeerFacts::Read(const std::vector<Fact>& facts) {
   entries_.clear();
+  losses_ = LossAssembler();
   for (const Fact& fact : facts) {
     try {
       ReadOne(fact);
@@ -52,6 +53,8 @@
     entries_[fact.origin] = DecodeEntryFact(fact.value);
   } else if (ParseWithdrawnKey(fact.key, &key)) {
     withdrawn_.emplace(key, fact.value);
+  } else if (fact.key.starts_with(kLossesPrefix)) {
+    losses_.Add(fact.origin, fact.value);
   } else if (fact.key.starts_with(kEvidencePrefix) && fact.origin != self_) {
     const EvidenceReport report = DecodeEvidence(fact.value);
     evidence_->Report(fact.origin, report.incarnation, report.evidence);
--- a/src/control/peer_facts.h
+++ b/src/control/peer_facts.h
@@ -8,6 +8,7 @@
 
 #include "hornbeamcleat/member/membership.h"
 #include "src/control/entry_fact.h"
+#include "src/control/loss_facts.h"
 
 namespace hornbeamcleat {
 
@@ -34,6 +35,11 @@
   /// Last fact of each member's entry, including this one, by member name.
   const std::map<std::string, EntryFact>& Entries() const { return entries_; }
 
+  /// Targets that each member's entry has lost, by member name.
+  const std::map<std::string, SequencedLosses>& Losses() const {
+    return losses_.Losses();
+  }
+
   /// Versions withdrawn by any member, with the reason. Entries are never
   /// removed.
   const std::map<VersionKey, std::string>& Withdrawn() const {
@@ -47,6 +53,7 @@
   EvidenceTable* evidence_;
   Metrics* metrics_;
   std::map<std::string, EntryFact> entries_;
+  LossAssembler losses_;
   std::map<VersionKey, std::string> withdrawn_;
 };
 
--- a/src/control/view_builder.cc
+++ b/src/control/view_builder.cc
@@ -106,9 +106,6 @@
           view->peer_closed_rank.emplace(model, rank).first;
       it->second = std::min(it->second, rank);
     }
-    for (const auto& [fingerprint, n] : fact.poison) {
-      view->poison[fingerprint] += n;
-    }
   }
 }
 
@@ -127,6 +124,8 @@
     }
   }
   AddPeerFacts(inputs, &view);
+  view.peer_losses = inputs.losses;
+  view.peer_losses.erase(inputs.self);
   if (inputs.config == nullptr) {
     return out;
   }
--- a/src/control/view_builder.h
+++ b/src/control/view_builder.h
@@ -22,7 +22,8 @@
   std::shared_ptr<const ConfigState> config;
   std::string self;  ///< name of this member
   std::vector<Member> members;
-  std::map<std::string, EntryFact> entries;  ///< by member name
+  std::map<std::string, EntryFact> entries;       ///< by member name
+  std::map<std::string, SequencedLosses> losses;  ///< by member name
   /// Versions withdrawn by gossip or in the log.
   std::set<std::pair<std::string, std::string>> withdrawn;
   std::map<std::string, VersionShare> move_shares;  ///< by model
--- a/src/entry/control_loop.cc
+++ b/src/entry/control_loop.cc
@@ -275,7 +275,8 @@
     }
     Execute(scheduler_->Tick(now));
     const SchedulerFacts facts = scheduler_->Facts(now);
-    if (facts.closed_rank != reported_closed_rank_) {
+    if (facts.closed_rank != reported_closed_rank_ ||
+        facts.losses.sequence != reported_losses_) {
       Report();
     }
   }
@@ -290,6 +291,7 @@
     report.open = scheduler_->Open();
     report.draining = draining_;
     reported_closed_rank_ = report.facts.closed_rank;
+    reported_losses_ = report.facts.losses.sequence;
     link_->Send(report);
   }
 
@@ -330,6 +332,7 @@
   // Keys of the requests that have a proposed intent.
   std::map<RequestId, std::string> idempotency_keys_;
   std::map<std::string, int> reported_closed_rank_;
+  std::uint64_t reported_losses_ = 0;  ///< sequence number
   Actions unsent_actions_;
   std::atomic<int> open_{0};
   std::atomic<bool> draining_{false};
--- a/src/entry/entry_options.cc
+++ b/src/entry/entry_options.cc
@@ -104,10 +104,13 @@
       Bounded("scheduler", "max_attempts", kInteger, "4", 1, 100,
               "Maximum dispatches of one request that end in \"not run\"."),
       Bounded("scheduler", "poison_limit", kInteger, "2", 1, 100,
-              "Distinct targets that the same content may crash before it is "
-              "refused."),
+              "Targets lost with one content or part of prompts before it is "
+              "refused; other properties need one more."),
       Bounded("scheduler", "poison_expiry", kDuration, "10m", kSecond,
-              24 * kHour, "Time after which such content is accepted again."),
+              24 * kHour,
+              "Time for which lost targets are remembered. What is refused is "
+              "tried again after 1/120, 1/20 and 1/10 of it, then after all "
+              "of it or longer."),
       Bounded("scheduler", "stall_time", kDuration, "2s", 10 * kMs,
               600 * kSecond,
               "Time without progress after which a second connection is "
--- a/src/entry/submission.cc
+++ b/src/entry/submission.cc
@@ -21,6 +21,9 @@
 constexpr std::size_t kMaxPathLength = 512;
 constexpr std::size_t kBlockBytes = 64;
 constexpr std::size_t kBytesPerToken = 4;
+constexpr std::string_view kParagraphEnd = "\n\n";
+/// Parts of a prompt that are compared with those of other requests.
+constexpr std::size_t kMaxParts = 16;
 // Longer bodies are not parsed, because parsing delays the scheduling of other
 // requests.
 constexpr std::size_t kMaxParsedBytes = 128 * 1024;
@@ -66,20 +69,43 @@
   return now + std::chrono::milliseconds(ms);
 }
 
-std::optional<std::string> PromptText(const cxxtools::SerializationInfo& body) {
-  const cxxtools::SerializationInfo* prompt = body.findMember("prompt");
-  if (prompt != nullptr) {
-    return JsonMember<std::string>(body, "prompt", "");
+// The parts of a prompt: its messages, or the paragraphs of a plain text.
+std::optional<std::vector<std::string>> PromptParts(
+    const cxxtools::SerializationInfo& body) {
+  std::vector<std::string> parts;
+  if (body.findMember("prompt") != nullptr) {
+    const std::string text = JsonMember<std::string>(body, "prompt", "");
+    std::size_t start = 0;
+    while (start < text.size()) {
+      const std::size_t end = text.find(kParagraphEnd, start);
+      const std::size_t next =
+          end == std::string::npos ? text.size() : end + kParagraphEnd.size();
+      parts.push_back(text.substr(start, next - start));
+      start = next;
+    }
+    return parts;
   }
   const cxxtools::SerializationInfo* messages = body.findMember("messages");
   if (messages == nullptr) {
     return std::nullopt;
   }
-  std::string text;
   for (const cxxtools::SerializationInfo& message : *messages) {
-    text += JsonMember<std::string>(message, "content", "");
+    parts.push_back(JsonMember<std::string>(message, "content", ""));
+  }
+  return parts;
+}
+
+// Adds the first and the last parts, if there are many.
+void AddParts(const std::vector<std::string>& parts,
+              std::vector<RequestProperty>* properties) {
+  constexpr std::size_t kHalf = kMaxParts / 2;
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    const bool is_near_end =
+        parts.size() <= kMaxParts || i < kHalf || i + kHalf >= parts.size();
+    if (is_near_end && !parts[i].empty()) {
+      properties->emplace_back(PropertyKind::kPart, parts[i]);
+    }
   }
-  return text;
 }
 
 }  // namespace
@@ -130,7 +156,11 @@
   spec.deadline = ReadDeadline(request, now);
   spec.prompt_tokens =
       static_cast<std::uint32_t>(request.body.size() / kBytesPerToken);
-  spec.fingerprint = Hash64(request.body);
+  spec.properties = {
+      {PropertyKind::kContent, request.body},
+      {PropertyKind::kPath, spec.application + ' ' + request.path},
+      SizeProperty("body", request.body.size()),
+      {PropertyKind::kKey, spec.workspace}};
   return spec;
 }
 
@@ -144,10 +174,19 @@
     const cxxtools::SerializationInfo json = ParseJson(body, kMaxParsedBytes);
     spec->max_tokens = static_cast<std::uint32_t>(std::clamp(
         JsonMember<int>(json, "max_tokens", 0), 0, kMaxRequestedTokens));
-    if (const std::optional<std::string> prompt = PromptText(json)) {
-      spec->prefix_blocks = PrefixBlocks(*prompt);
+    if (const std::optional<std::vector<std::string>> parts =
+            PromptParts(json)) {
+      std::string prompt;
+      for (const std::string& part : *parts) {
+        prompt += part;
+      }
+      spec->prefix_blocks = PrefixBlocks(prompt);
       spec->prompt_tokens =
-          static_cast<std::uint32_t>(prompt->size() / kBytesPerToken);
+          static_cast<std::uint32_t>(prompt.size() / kBytesPerToken);
+      AddParts(*parts, &spec->properties);
+    }
+    if (spec->max_tokens > 0) {
+      spec->properties.push_back(SizeProperty("answer", spec->max_tokens));
     }
   } catch (const Error&) {
     return;
--- a/src/entry/submission.h
+++ b/src/entry/submission.h
@@ -38,8 +38,8 @@
 RequestSpec ReadSubmission(const CallerRequest& request, const RequestId& id,
                            Time now);
 
-/// Adds the prompt's size and blocks and the requested maximum length of the
-/// answer, if `body` is JSON that has them. Takes about 70 microseconds per
+/// Adds the prompt's size, blocks and parts and the requested maximum length of
+/// the answer, if `body` is JSON that has them. Takes about 70 microseconds per
 /// KiB.
 void ReadBody(const std::string& body, RequestSpec* spec);
 
--- a/src/link/link_message.cc
+++ b/src/link/link_message.cc
@@ -22,7 +22,7 @@
   }
   ar(view.shares, view.withdrawn, view.leaving, view.entry_count,
      view.entry_index, view.demand_permille_by_model, view.peer_closed_rank,
-     view.poison);
+     view.peer_losses);
 }
 
 template <typename Archive>
@@ -36,7 +36,7 @@
   }
   ar(view.shares, view.withdrawn, view.leaving, view.entry_count,
      view.entry_index, view.demand_permille_by_model, view.peer_closed_rank,
-     view.poison);
+     view.peer_losses);
 }
 
 template <typename Archive>
@@ -46,7 +46,7 @@
 
 template <typename Archive>
 void serialize(Archive& ar, SchedulerFacts& facts) {
-  ar(facts.closed_rank, facts.demand, facts.poison, facts.queued,
+  ar(facts.closed_rank, facts.demand, facts.losses, facts.queued,
      facts.in_flight);
 }
 
--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -113,21 +113,6 @@
   ar(use.workspace, use.admitted, use.level);
 }
 
-template <typename Archive>
-void serialize(Archive& ar, TargetSighting& sighting) {
-  ar(sighting.target, sighting.age_ms);
-}
-
-template <typename Archive>
-void serialize(Archive& ar, PropertyAnswer& answer) {
-  ar(answer.property, answer.age_ms);
-}
-
-template <typename Archive>
-void serialize(Archive& ar, LossReport& report) {
-  ar(report.losses, report.answers, report.alive);
-}
-
 template <typename Archive>
 void serialize(Archive& ar, VersionCounts& counts) {
   ar(counts.service, counts.version, counts.route, counts.is_new, counts.done,
--- a/src/schedule/request_state.h
+++ b/src/schedule/request_state.h
@@ -5,8 +5,10 @@
 #include <memory>
 
 #include "hornbeamcleat/schedule/request.h"
+#include "src/schedule/crash_tracker.h"
 #include "src/schedule/length_predictor.h"
 #include "src/schedule/route.h"
+#include "src/serving/target_run.h"
 
 namespace hornbeamcleat {
 
@@ -40,7 +42,10 @@
   Time last_parts_at;
   ModelState* model = nullptr;
   LengthEstimate length;
-  bool suspect = false;     ///< its content was running when a target crashed
+  bool suspect = false;  ///< targets were lost with requests like it
+  CrashTracker::Verdict verdict = CrashTracker::Verdict::kAccepted;
+  TargetRun run;            ///< at its target, once it is sent
+  Time began_at;            ///< when its answer began
   bool infeasible = false;  ///< no target could finish it in time, even idle
   bool overdue = false;     ///< past its latest start, but not refused yet
   bool on_new_version = false;  ///< counted against the cap of a move
--- a/src/schedule/scheduler_completion.cc
+++ b/src/schedule/scheduler_completion.cc
@@ -9,6 +9,7 @@
 constexpr double kRetryCapacityShare = 0.1;
 /// Retries per second for refusals that no pool's capacity applies to.
 constexpr double kDefaultRetryRate = 100;
+constexpr Duration kTrialRetrySpread = std::chrono::seconds(3);
 
 /// Whether a later retry may succeed.
 bool IsRetryable(Reason reason) {
@@ -22,11 +23,11 @@
     case Reason::kNoTarget:
     case Reason::kLogUnavailable:
     case Reason::kTargetRefused:
+    case Reason::kPoison:
       return true;
     case Reason::kUnknownWorkspace:
     case Reason::kUnknownApplication:
     case Reason::kBadRequest:
-    case Reason::kPoison:
     case Reason::kKeyExpired:
     case Reason::kDuplicate:
     case Reason::kTargetFailed:
@@ -41,13 +42,24 @@
 
 void SchedulerImpl::Refuse(RequestState* request, Outcome outcome,
                            Reason reason, Time now, Actions* actions) {
-  const Duration retry_after = RetryAfter(request->model, outcome, reason, now);
+  const Duration retry_after =
+      reason == Reason::kPoison && outcome == Outcome::kNotRun
+          ? RetryAfterTrial(request->spec, now)
+          : RetryAfter(request->model, outcome, reason, now);
   const RefuseAction refusal{request->spec.id, outcome, reason, retry_after};
   Explain(*request, &refusal, now);
   actions->emplace_back(refusal);
   Erase(request);
 }
 
+// Callers that all came back when the next trial is due would reach all entries
+// at once.
+Duration SchedulerImpl::RetryAfterTrial(const RequestSpec& spec, Time now) {
+  std::uniform_int_distribution<Duration::rep> spread(
+      0, kTrialRetrySpread.count());
+  return crashes_.TimeToTrial(spec, now) + Duration(spread(random_));
+}
+
 Duration SchedulerImpl::RetryAfter(ModelState* model, Outcome outcome,
                                    Reason reason, Time now) {
   if (outcome != Outcome::kNotRun || !IsRetryable(reason)) {
@@ -97,6 +109,9 @@
 
 void SchedulerImpl::AbortInFlight(RequestState* request, Reason reason,
                                   Time now, Actions* actions) {
+  if (request->phase != Phase::kDispatched) {
+    crashes_.OnAbandoned(request->run, now);
+  }
   actions->emplace_back(CancelAction{request->spec.id, request->target->name,
                                      request->target->spec.address});
   Refuse(request, Outcome::kUnknown, reason, now, actions);
--- a/src/schedule/scheduler_events.cc
+++ b/src/schedule/scheduler_events.cc
@@ -82,6 +82,7 @@
   if (event.reported_by_target) {
     target->limit.OnRejected();
   } else {
+    crashes_.OnUnreached(target->name, now);
     OnTargetFault(request, now);
   }
   dispatcher_.ReleaseCredit(request);
@@ -94,6 +95,11 @@
 }
 
 void SchedulerImpl::Requeue(RequestState* request, Time now, Actions* actions) {
+  if (request->verdict != CrashTracker::Verdict::kTrial &&
+      crashes_.IsRefused(request->spec)) {
+    Refuse(request, Outcome::kNotRun, Reason::kPoison, now, actions);
+    return;
+  }
   if (request->model->floor.Closed(request->route->rank)) {
     Refuse(request, Outcome::kNotRun, Reason::kDisplaced, now, actions);
     return;
@@ -112,6 +118,8 @@
   }
   Explain(*request, nullptr, now);
   request->phase = Phase::kSent;
+  request->run = crashes_.OnSent(request->spec, request->target->name,
+                                 request->verdict, now);
   request->stall_timeout = std::max(
       options_.stall_time, FromSeconds(kFirstPartTimeoutFactor *
                                        request->target->speed.FirstPart()));
@@ -139,6 +147,8 @@
     target->hardware_speed->OnFirstPart(seconds, now);
     evidence_.FirstPart(target->spec.version, *request->route,
                         now - request->dispatched_at);
+    request->began_at = now;
+    crashes_.OnBegun(request->run, now);
   } else if (parts > request->parts) {
     const double n = parts - request->parts;
     const double gap = ToSeconds(now - request->last_parts_at) / n;
@@ -157,6 +167,7 @@
     admission_.Lengths().OnDone(*request->route, event.parts);
     ejection_.OnSuccess(request->target);
     evidence_.Done(request->target->spec.version, *request->route);
+    crashes_.OnAnswered(request->run, request->began_at, now);
   }
   Erase(request);
 }
@@ -211,17 +222,22 @@
   if (request->phase != Phase::kResuming) {
     return;
   }
-  evidence_.Fault(request->target->spec.version, *request->route);
   if (request->lost_connection) {
     // A silent target may be paused or partitioned; a closed connection
     // indicates a crash.
-    poison_.OnTargetLost(request->spec.fingerprint, request->target->name, now);
+    crashes_.OnTargetLost(request->run, now);
+  }
+  if (request->lost_connection && crashes_.IsExplained(request->run)) {
+    evidence_.Excluded(request->target->spec.version, *request->route);
+  } else {
+    evidence_.Fault(request->target->spec.version, *request->route);
   }
   if (!event.target_alive) {
     request->target->paused_until = now + kPauseAfterLoss;
   }
   OnTargetFault(request, now);
   Refuse(request, Outcome::kUnknown, Reason::kTargetLost, now, actions);
+  RefuseLikelyCrashes(now, actions);
 }
 
 void SchedulerImpl::On(const CallerGone&, RequestState* request, Time now,
--- a/src/schedule/scheduler_impl.cc
+++ b/src/schedule/scheduler_impl.cc
@@ -22,7 +22,7 @@
     : options_(options),
       dispatcher_(options),
       admission_(options),
-      poison_(options.poison_limit, options.poison_expiry),
+      crashes_(options.poison_limit, options.poison_expiry),
       random_(options.seed) {}
 
 Actions SchedulerImpl::SetView(std::shared_ptr<const ClusterView> view,
@@ -30,8 +30,9 @@
   view_ = std::move(view);
   routes_.SetConfig(view_->config);
   dispatcher_.SetView(view_);
-  poison_.SetPeers(view_->poison);
+  crashes_.SetView(*view_, now);
   Actions actions;
+  RefuseLikelyCrashes(now, &actions);
   for (auto& [name, model] : dispatcher_.Models()) {
     DisplaceClosed(&model, now, &actions);
   }
@@ -89,12 +90,18 @@
   admission_.Predict(request, now);
   request->model->offered.Add(request->route->rank, request->cost, now);
   request->predicted_wait = admission_.PredictWait(*request, now);
-  request->suspect = poison_.Lost(request->spec.fingerprint, now) > 0;
+  request->suspect = crashes_.IsSuspect(request->spec, now);
   if (admission_.IsShortOfCapacity(*request, request->predicted_wait, now)) {
     OnShortage(*request, now, actions);
     request->predicted_wait = admission_.PredictWait(*request, now);
   }
-  const std::optional<Reason> reason = Refusal(request, now);
+  std::optional<Reason> reason = Refusal(request, now);
+  if (!reason.has_value()) {
+    request->verdict = crashes_.Check(request->spec, now);
+    if (request->verdict == CrashTracker::Verdict::kRefused) {
+      reason = Reason::kPoison;
+    }
+  }
   if (reason.has_value()) {
     Refuse(request, Outcome::kNotRun, *reason, now, actions);
     return;
@@ -117,9 +124,6 @@
   if (!dispatcher_.HasTarget(*request)) {
     return Reason::kNoTarget;
   }
-  if (poison_.Refused(request->spec.fingerprint, now)) {
-    return Reason::kPoison;
-  }
   if (options_.policy != SchedulePolicy::kFull) {
     return std::nullopt;
   }
@@ -165,6 +169,7 @@
 Actions SchedulerImpl::Tick(Time now) {
   Actions actions;
   UpdateLimits(now);
+  RefuseLikelyCrashes(now, &actions);
   dispatcher_.Tick(now);
   while (RequestState* due = timers_.PopDue(now)) {
     OnTimer(due, now, &actions);
@@ -174,7 +179,7 @@
 }
 
 void SchedulerImpl::UpdateLimits(Time now) {
-  poison_.Expire(now);
+  crashes_.Tick(now);
   TargetTable& targets = dispatcher_.Targets();
   for (const auto& [model, pool] : targets.Pools()) {
     for (TargetState* restored : ejection_.Tick(pool, now)) {
@@ -189,6 +194,37 @@
   }
 }
 
+void SchedulerImpl::RefuseLikelyCrashes(Time now, Actions* actions) {
+  if (!crashes_.TakeNewlyRefused()) {
+    return;
+  }
+  std::vector<RequestState*> affected;
+  for (const auto& [id, request] : requests_) {
+    const bool is_waiting = request->phase == Phase::kQueued ||
+                            request->phase == Phase::kRecordingIntent;
+    const bool is_begun =
+        request->parts > 0 || request->phase == Phase::kResuming;
+    if (request->verdict != CrashTracker::Verdict::kTrial &&
+        (is_waiting
+             ? crashes_.IsRefused(request->spec)
+             : !is_begun && crashes_.IsLikelyDeadly(request->spec, now))) {
+      affected.push_back(request.get());
+    }
+  }
+  std::sort(affected.begin(), affected.end(),
+            [](const RequestState* a, const RequestState* b) {
+              return a->sequence < b->sequence;
+            });
+  for (RequestState* request : affected) {
+    if (request->phase == Phase::kDispatched ||
+        request->phase == Phase::kSent) {
+      AbortInFlight(request, Reason::kPoison, now, actions);
+    } else {
+      Refuse(request, Outcome::kNotRun, Reason::kPoison, now, actions);
+    }
+  }
+}
+
 void SchedulerImpl::OnTimer(RequestState* request, Time now, Actions* actions) {
   const bool is_waiting = request->phase == Phase::kQueued ||
                           request->phase == Phase::kRecordingIntent;
@@ -270,7 +306,7 @@
     }
     facts.demand[name] = model.offered.Rate(now);
   }
-  facts.poison = poison_.Own(now);
+  facts.losses = crashes_.Report();
   facts.queued = dispatcher_.Queued();
   facts.in_flight = Open() - facts.queued;
   return facts;
--- a/src/schedule/scheduler_impl.h
+++ b/src/schedule/scheduler_impl.h
@@ -13,9 +13,9 @@
 
 #include "hornbeamcleat/schedule/scheduler.h"
 #include "src/schedule/admission.h"
+#include "src/schedule/crash_tracker.h"
 #include "src/schedule/dispatcher.h"
 #include "src/schedule/outlier_ejection.h"
-#include "src/schedule/poison_table.h"
 #include "src/schedule/request_state.h"
 #include "src/schedule/request_timers.h"
 #include "src/schedule/retry_budget.h"
@@ -78,6 +78,9 @@
   void Requeue(RequestState* request, Time now, Actions* actions);
   void RecordParts(RequestState* request, std::uint32_t parts, Time now);
   void OnTargetFault(RequestState* request, Time now);
+  /// Refuses waiting requests that are like those which crash targets, and
+  /// withdraws those that their targets have not begun to answer.
+  void RefuseLikelyCrashes(Time now, Actions* actions);
   void OnTimer(RequestState* request, Time now, Actions* actions);
   void OnWaitingTimer(RequestState* request, Time now, Actions* actions);
   void OnInFlightTimer(RequestState* request, Time now, Actions* actions);
@@ -85,6 +88,7 @@
               Actions* actions);
   Duration RetryAfter(ModelState* model, Outcome outcome, Reason reason,
                       Time now);
+  Duration RetryAfterTrial(const RequestSpec& spec, Time now);
   void Explain(const RequestState& request, const RefuseAction* refusal,
                Time now);
   void UpdateLimits(Time now);
@@ -96,7 +100,7 @@
   Dispatcher dispatcher_;
   Admission admission_;
   OutlierEjection ejection_;
-  PoisonTable poison_;
+  CrashTracker crashes_;
   RetryBudget retries_;
   RetryPacer retry_pacer_;
   std::mt19937_64 random_;
--- a/src/schedule/version_totals.cc
+++ b/src/schedule/version_totals.cc
@@ -12,6 +12,10 @@
   ++Entry(version, route)->faults;
 }
 
+void VersionTotals::Excluded(const std::string& version, const Route& route) {
+  ++Entry(version, route)->excluded;
+}
+
 void VersionTotals::FirstPart(const std::string& version, const Route& route,
                               Duration elapsed) {
   VersionEvidence* entry = Entry(version, route);
--- a/src/schedule/version_totals.h
+++ b/src/schedule/version_totals.h
@@ -20,6 +20,8 @@
 
   void Done(const std::string& version, const Route& route);
   void Fault(const std::string& version, const Route& route);
+  /// Counts an answer that failed for a cause other than the version.
+  void Excluded(const std::string& version, const Route& route);
   void FirstPart(const std::string& version, const Route& route,
                  Duration elapsed);
 
--- a/src/serving/loss_table.cc
+++ b/src/serving/loss_table.cc
@@ -8,8 +8,6 @@
 namespace hornbeamcleat {
 namespace {
 
-/// Losses are remembered for this multiple of the refusal time.
-constexpr int kMemoryFactor = 20;
 /// Further losses allowed to content that was answered recently. Many callers
 /// may ask for the same thing, so that it runs on each target that is lost for
 /// another reason.
@@ -442,6 +440,10 @@
   return MakeReport(since, now);
 }
 
+LossReport LossTable::OwnReport(Time now) const {
+  return MakeReport(kNeverSeen + Duration(1), now);
+}
+
 LossReport LossTable::CompleteReport(Time now) const {
   return MakeReport(kNeverSeen, now);
 }
--- a/src/serving/loss_table.h
+++ b/src/serving/loss_table.h
@@ -49,6 +49,8 @@
  public:
   static constexpr std::size_t kMaxEntries = 4'096;
   /// Properties in one report; the latest go first.
+  /// Losses are remembered for this multiple of the refusal time.
+  static constexpr int kMemoryFactor = 20;
   static constexpr std::size_t kMaxReported = 256;
   /// Targets kept for one property; further ones change nothing.
   static constexpr std::size_t kMaxTargetsPerProperty = 8;
@@ -136,6 +138,11 @@
   /// most losses the last one, else the content; nullptr if none.
   const RequestProperty* FindSuspect(
       const std::vector<RequestProperty>& properties, Time now) const;
+  /// Whether this target is known to be lost.
+  bool KnowsLossOf(std::uint32_t target) const {
+    return recently_lost_.contains(target) || lost_targets_.contains(target);
+  }
+
 
   /// Returns properties that became refused since the last call.
   std::vector<RequestProperty> TakeNewlyRefused();
@@ -151,6 +158,9 @@
 
   /// Number of changes that peers must hear of immediately.
   std::uint64_t Changes() const { return changes_; }
+  /// Returns what this VM has seen itself.
+  LossReport OwnReport(Time now) const;
+
 
   int RefusedCount() const;
 
--- a/tests/entry/crashing_request_test.cc
+++ b/tests/entry/crashing_request_test.cc
@@ -1,9 +1,11 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "src/control/loss_facts.h"
 #include "src/entry/submission.h"
 #include "tests/schedule/scheduler_fixture.h"
 
@@ -15,6 +17,8 @@
 /// Lost targets after which requests with a property must be refused.
 constexpr int kMaxCrashes = 5;
 constexpr int kStepMs = 200;
+/// Longer than the time from the last loss to the first trial.
+constexpr int kFirstTrialMs = 6'000;
 
 /// Requests as callers send them, which end targets that run some of them.
 class CrashingRequestTest : public SchedulerFixture {
@@ -68,6 +72,23 @@
     return end;
   }
 
+  // Deadly requests have the second message in common.
+  End RunDeadly() {
+    return Run({"common", "bad", fmt::format("own {}", requests_)}, true);
+  }
+
+  End RunSound() {
+    return Run({"common", "good", fmt::format("own {}", requests_)}, false);
+  }
+
+  void RefuseDeadly() {
+    for (int i = 0; i < kMaxCrashes; ++i) {
+      RunDeadly();
+      RunSound();
+    }
+    ASSERT_EQ(RunDeadly(), End::kRefused);
+  }
+
   int requests_ = 0;
 };
 
@@ -91,5 +112,94 @@
   }
 }
 
+TEST_F(CrashingRequestTest, RequestsAreRefusedWhicheverEntriesLostTargets) {
+  constexpr int kEntries = 4;
+  std::vector<std::unique_ptr<Scheduler>> entries;
+  for (int i = 0; i < kEntries; ++i) {
+    entries.push_back(Scheduler::Make(SchedulerOptions{}));
+  }
+  view_.entry_count = kEntries;
+  int crashes = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const auto self = static_cast<std::size_t>(i % kEntries);
+    scheduler_.swap(entries[self]);
+    view_.entry_index = static_cast<int>(self);
+    view_.peer_losses.clear();
+    for (std::size_t peer = 0; peer < entries.size(); ++peer) {
+      if (peer != self) {
+        const std::string vm = fmt::format("vm-{}", peer);
+        LossAssembler assembler;
+        for (const std::string& chunk :
+             LossChunks(entries[peer]->Facts(now_).losses)) {
+          assembler.Add(vm, chunk);
+        }
+        view_.peer_losses.insert(assembler.Losses().begin(),
+                                 assembler.Losses().end());
+      }
+    }
+    Apply();
+    crashes += RunDeadly() == End::kCrashed ? 1 : 0;
+    EXPECT_TRUE(RunSound() == End::kAnswered || i < kMaxCrashes) << i;
+    scheduler_.swap(entries[self]);
+  }
+  EXPECT_LE(crashes, kMaxCrashes);
+}
+
+TEST_F(CrashingRequestTest, RefusedPartIsServedAgainAfterAnsweredTrial) {
+  RefuseDeadly();
+  Elapse(kFirstTrialMs);
+  EXPECT_EQ(Run({"common", "bad", "mended"}, false), End::kAnswered);
+  EXPECT_EQ(Run({"common", "bad", "another"}, false), End::kAnswered);
+}
+
+TEST_F(CrashingRequestTest, RefusedPartIsTriedAtMostThreeTimesInTenMinutes) {
+  RefuseDeadly();
+  int trials = 0;
+  for (int second = 0; second < 600; ++second) {
+    trials += RunDeadly() == End::kCrashed ? 1 : 0;
+    Elapse(1'000 - kStepMs);
+  }
+  EXPECT_GE(trials, 1);
+  EXPECT_LE(trials, 3);
+}
+
+TEST_F(CrashingRequestTest, RefusalTellsWhenToComeBack) {
+  RefuseDeadly();
+  const std::vector<RefuseAction> refusals = All<RefuseAction>(
+      scheduler_->Submit(Read("late", {"common", "bad", "x"}), now_));
+  ASSERT_EQ(refusals.size(), 1U);
+  EXPECT_EQ(refusals[0].outcome, Outcome::kNotRun);
+  EXPECT_GT(refusals[0].retry_after, Duration(0));
+}
+
+TEST_F(CrashingRequestTest, DeadlyRequestsAtOtherTargetsAreWithdrawn) {
+  RunSound();
+  scheduler_->Submit(Read("waits", {"common", "bad", "waits"}), now_);
+  Send(RequestSent{"waits"});
+  Actions all;
+  for (int i = 0; i < kMaxCrashes && All<CancelAction>(all).empty(); ++i) {
+    const std::string id = fmt::format("r{}", ++requests_);
+    scheduler_->Submit(Read(id, {"common", "bad", id}), now_);
+    Send(RequestSent{id});
+    Advance(kStepMs);
+    Send(ConnectionLost{id});
+    all = Send(ResumeFailed{id, false});
+  }
+  ASSERT_EQ(All<CancelAction>(all).size(), 1U);
+  EXPECT_EQ(All<CancelAction>(all)[0].id, "waits");
+}
+
+TEST_F(CrashingRequestTest, LossesThatRefusedPartExplainDontCountForVersion) {
+  RefuseDeadly();
+  std::uint64_t faults = 0;
+  std::uint64_t excluded = 0;
+  for (const VersionEvidence& evidence : scheduler_->Evidence()) {
+    faults += evidence.faults;
+    excluded += evidence.excluded;
+  }
+  EXPECT_GE(excluded, 1U);
+  EXPECT_LT(faults, static_cast<std::uint64_t>(kMaxCrashes));
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
--- a/tests/entry/submission_test.cc
+++ b/tests/entry/submission_test.cc
@@ -21,6 +21,18 @@
     return spec;
   }
 
+  static RequestProperty Part(const std::string& text) {
+    return {PropertyKind::kPart, text};
+  }
+
+  static std::vector<RequestProperty> PartsOf(const RequestSpec& spec) {
+    std::vector<RequestProperty> parts = spec.properties;
+    std::erase_if(parts, [](RequestProperty property) {
+      return property.Kind() != PropertyKind::kPart;
+    });
+    return parts;
+  }
+
   CallerRequest request_;
   Time now_{std::chrono::seconds(5)};
 };
@@ -44,7 +56,31 @@
   EXPECT_EQ(spec.prompt_tokens, 25U);
   const std::vector<std::uint64_t> blocks = {Hash64(text.substr(0, 64), 0)};
   EXPECT_EQ(spec.prefix_blocks, blocks);
-  EXPECT_EQ(spec.fingerprint, Hash64(request_.body));
+  ASSERT_FALSE(spec.properties.empty());
+  EXPECT_EQ(spec.properties.front(),
+            RequestProperty(PropertyKind::kContent, request_.body));
+  EXPECT_EQ(PartsOf(spec),
+            (std::vector<RequestProperty>{Part(text.substr(0, 40)),
+                                          Part(text.substr(40))}));
+}
+
+TEST_F(SubmissionTest, ReadPromptGivesParagraphsAsParts) {
+  request_.body = R"({"prompt":"one\n\ntwo\n\n"})";
+  EXPECT_EQ(PartsOf(Read()),
+            (std::vector<RequestProperty>{Part("one\n\n"), Part("two\n\n")}));
+}
+
+TEST_F(SubmissionTest, ReadManyMessagesGivesFirstAndLastParts) {
+  std::string list;
+  for (int i = 0; i < 40; ++i) {
+    list += (i == 0 ? "" : ",") + std::string(R"({"content":"m)") +
+            std::to_string(i) + R"("})";
+  }
+  request_.body = R"({"messages":[)" + list + "]}";
+  const std::vector<RequestProperty> parts = PartsOf(Read());
+  ASSERT_EQ(parts.size(), 16U);
+  EXPECT_EQ(parts[7], Part("m7"));
+  EXPECT_EQ(parts[8], Part("m32"));
 }
 
 TEST_F(SubmissionTest, ReadDeadlineCountsFromArrival) {
--- a/tests/schedule/scheduler_fixture.h
+++ b/tests/schedule/scheduler_fixture.h
@@ -59,6 +59,10 @@
     Apply();
   }
 
+  static RequestProperty Content(const std::string& text) {
+    return {PropertyKind::kContent, text};
+  }
+
   RequestSpec Spec(const std::string& id, const std::string& workspace = "gold",
                    const std::string& application = "chat") const {
     RequestSpec spec;
@@ -68,7 +72,7 @@
     spec.arrival = now_;
     spec.deadline = Time::max();
     spec.prompt_tokens = 100;
-    spec.fingerprint = 7;
+    spec.properties = {Content("7")};
     return spec;
   }
 
--- a/tests/schedule/target_choice_test.cc
+++ b/tests/schedule/target_choice_test.cc
@@ -2,6 +2,7 @@
 #include <map>
 #include <set>
 
+#include "hornbeamcleat/base/hash.h"
 #include "src/schedule/latency_limit.h"
 #include "src/schedule/prefix_index.h"
 #include "src/schedule/retry_pacer.h"
@@ -25,11 +26,35 @@
     return sent.empty() ? "" : sent[0].target;
   }
 
-  Actions SubmitContent(const std::string& id, std::uint64_t fingerprint) {
+  Actions SubmitContent(const std::string& id, int content) {
     RequestSpec spec = Spec(id);
-    spec.fingerprint = fingerprint;
+    spec.properties = {Content(std::to_string(content))};
     return scheduler_->Submit(spec, now_);
   }
+
+  /// Report of a peer that lost one target with each of some contents.
+  static SequencedLosses PeerLosses(const std::vector<int>& contents) {
+    SequencedLosses losses;
+    losses.sequence = 1;
+    for (const int content : contents) {
+      PropertyLoss& loss = losses.report.losses.emplace_back();
+      loss.property = Content(std::to_string(content));
+      loss.runs = {{Hash32("lost by the peer"), 0, 100, 0, 0}};
+    }
+    return losses;
+  }
+
+  /// Targets that this entry reports as lost with a content.
+  std::size_t LossesOf(int content) {
+    Advance(0);
+    for (const PropertyLoss& loss :
+         scheduler_->Facts(now_).losses.report.losses) {
+      if (loss.property == Content(std::to_string(content))) {
+        return loss.runs.size();
+      }
+    }
+    return 0;
+  }
 };
 
 TEST_F(TargetChoiceTest, PoisonIsRefusedAfterLimitOfDistinctTargets) {
@@ -44,13 +69,13 @@
   EXPECT_EQ(lost.size(), 2U);
   EXPECT_EQ(Refusal(SubmitContent("again", 666)), "not_run poison");
   EXPECT_EQ(Refusal(SubmitContent("other", 1)), "none");
-  EXPECT_EQ(scheduler_->Facts(now_).poison.at(666), 2);
+  EXPECT_EQ(LossesOf(666), 2U);
   now_ += SchedulerOptions{}.poison_expiry;
   EXPECT_EQ(Refusal(SubmitContent("later", 666)), "none");
 }
 
 TEST_F(TargetChoiceTest, PoisonReportedByPeersIsCounted) {
-  view_.poison = {{666, 1}};
+  view_.peer_losses = {{"peer", PeerLosses({666})}};
   Apply();
   SubmitContent("p", 666);
   Crash("p");
@@ -58,7 +83,7 @@
 }
 
 TEST_F(TargetChoiceTest, SuspectsNeverShareATarget) {
-  view_.poison = {{1, 1}, {2, 1}, {3, 1}};
+  view_.peer_losses = {{"peer", PeerLosses({1, 2, 3})}};
   Apply();
   const TargetName first = TargetOf(SubmitContent("a", 1));
   const TargetName second = TargetOf(SubmitContent("b", 2));
@@ -72,13 +97,14 @@
   const Actions stalled = Elapse(3'000);
   ASSERT_EQ(All<ResumeAction>(stalled).size(), 1U);
   Send(ResumeFailed{"a", false});
-  EXPECT_TRUE(scheduler_->Facts(now_).poison.empty());
+  EXPECT_EQ(LossesOf(5), 0U);
+  EXPECT_TRUE(scheduler_->Facts(now_).losses.report.losses.empty());
 }
 
 TEST_F(TargetChoiceTest, EjectionNeverEmptiesThePool) {
   for (int i = 0; i < 30; ++i) {
     const std::string id = "f" + std::to_string(i);
-    EXPECT_EQ(Refusal(SubmitContent(id, 1'000U + i)), "none") << i;
+    EXPECT_EQ(Refusal(SubmitContent(id, 1'000 + i)), "none") << i;
     Send(RequestSent{id});
     Send(TargetFailed{id});
   }
@@ -90,7 +116,7 @@
   std::map<TargetName, int> sent;
   const auto run = [&](int i) {
     const std::string id = "f" + std::to_string(i);
-    const TargetName target = TargetOf(SubmitContent(id, 1'000U + i));
+    const TargetName target = TargetOf(SubmitContent(id, 1'000 + i));
     ++sent[target];
     Send(RequestSent{id});
     Advance(200);
