Count silent targets, exact sizes and parts that crash targets together, over all VMs

Three neighbours that the postmortem left open or wrote down as not covered, and one found while testing them. What callers would have seen in each: one kind of request takes target after target away for good.

Now a request whose time is over counts if its target has sent nothing at all since, for three times as long as expected. Any part of an answer of the target takes that back, at any time, at all VMs. Not counted if the timer is late, since then this process was paused. A triple is kept once all its pairs were lost before.

--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -81,12 +81,13 @@
   std::uint32_t lasted_ms = 0;  ///< from the send to the loss
   std::uint16_t request = 0;    ///< tells requests on one target apart
   std::uint8_t place = 0;       ///< of a part among the parts of the prompt
+  bool is_silent = false;       ///< the target fell silent instead of ending
 
   bool operator==(const LostRun&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(target, age_ms, lasted_ms, request, place);
+    archive(target, age_ms, lasted_ms, request, place, is_silent);
   }
 };
 
@@ -111,12 +112,12 @@
   std::uint32_t age_ms = 0;  ///< of the answer's first event
 
   bool operator==(const PropertyAnswer&) const = default;
-};
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(property, age_ms);
   }
+};
 
 /// What a VM knows of properties that may crash targets.
 struct LossReport {
@@ -127,12 +128,12 @@
   std::vector<TargetSighting> alive;
 
   bool operator==(const LossReport&) const = default;
-};
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(losses, answers, alive);
   }
+};
 
 /// Slowly changing state; sent only with heartbeats, not with every change.
 struct PeerDetails {
--- a/include/hornbeamcleat/serving/request_property.h
+++ b/include/hornbeamcleat/serving/request_property.h
@@ -15,11 +15,12 @@
   kPart,     ///< part of the prompt, at any place
   kPath,     ///< host and path, without the query string
   kPair,     ///< two of the parts, the key and the model
-  kSize,     ///< order of magnitude of the prompt, answer or body
+  kSize,     ///< size of the prompt, answer or body, or order of magnitude
   kKey,      ///< API key
   kModel,    ///< model that the request names
+  kTriple,   ///< three of the parts, the key and the model
 };
-inline constexpr int kPropertyKinds = 7;
+inline constexpr int kPropertyKinds = 8;
 
 /// Identifies a property by its kind and a hash of its value. The same on all
 /// VMs.
@@ -34,6 +35,10 @@
   /// Combines two properties of one request, in any order.
   static RequestProperty PairOf(RequestProperty a, RequestProperty b);
 
+  /// Combines three properties of one request, in any order.
+  static RequestProperty TripleOf(RequestProperty a, RequestProperty b,
+                                  RequestProperty c);
+
   /// Whether this build knows the kind; codes come from other builds, too.
   bool IsKnown() const;
   PropertyKind Kind() const;
@@ -67,6 +72,10 @@
 /// @param unit tells amounts of different kinds apart
 RequestProperty SizeProperty(std::string_view unit, std::uint64_t amount);
 
+/// Adds an amount and its order of magnitude.
+void AddSizes(std::string_view unit, std::uint64_t amount,
+              std::vector<RequestProperty>* properties);
+
 /// Returns the text of several properties for logs.
 std::string PropertiesToString(const std::vector<RequestProperty>& properties);
 
--- a/src/entry/submission.cc
+++ b/src/entry/submission.cc
@@ -159,8 +159,8 @@
   spec.properties = {
       {PropertyKind::kContent, request.body},
       {PropertyKind::kPath, spec.application + ' ' + request.path},
-      SizeProperty("body", request.body.size()),
       {PropertyKind::kKey, spec.workspace}};
+  AddSizes("body", request.body.size(), &spec.properties);
   return spec;
 }
 
@@ -186,7 +186,7 @@
       AddParts(*parts, &spec->properties);
     }
     if (spec->max_tokens > 0) {
-      spec->properties.push_back(SizeProperty("answer", spec->max_tokens));
+      AddSizes("answer", spec->max_tokens, &spec->properties);
     }
   } catch (const Error&) {
     return;
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -35,6 +35,11 @@
 constexpr Duration kRestTimeout = std::chrono::milliseconds(500);
 /// Minimum time to the deadline for another attempt.
 constexpr Duration kMinRetryTime = std::chrono::milliseconds(50);
+/// A target is silent if it sends nothing for this multiple of the expected
+/// time.
+constexpr int kMinSilenceFactor = 3;
+/// A timer that is later than this shows that the process was paused.
+constexpr Duration kMaxTimerDelay = std::chrono::milliseconds(50);
 /// Retry-After when targets did not execute a request.
 constexpr Duration kNotExecutedRetryAfter = std::chrono::milliseconds(150);
 constexpr Duration kDrainRetryAfter = std::chrono::milliseconds(50);
@@ -163,7 +168,7 @@
         {PropertyKind::kContent, fmt::format("{:x}", content)},
         {PropertyKind::kPath, (host == nullptr ? "" : *host) + Path()}};
     if (!request_.body.empty()) {
-      all.push_back(SizeProperty("body", request_.body.size()));
+      AddSizes("body", request_.body.size(), &all);
     }
     all.insert(all.end(), request_info_.properties.begin(),
                request_info_.properties.end());
@@ -230,6 +235,7 @@
       return;
     }
     run_ = TargetRun::Make(properties_, attempt_->Incarnation(), BootNow());
+    expected_ = placement.expected;
     DispatchInfo info;
     info.target_id = spec->id;
     info.workspace = Workspace();
@@ -346,6 +352,10 @@
     if (response_.Kind() == ResponseKind::kStream) {
       OnFirstEvent();
     }
+    if (response_.Kind() == ResponseKind::kStream ||
+        response_.Kind() == ResponseKind::kBuffered) {
+      Losses()->OnTargetHeard(run_.target, BootNow());
+    }
     response_.OnBody(body, Now());
     const BodyLimit limit = response_.ExceededLimit();
     if (limit != BodyLimit::kNone) {
@@ -502,6 +512,23 @@
     context_->OnLossesChange();
   }
 
+  // Counts a target that has sent nothing for much longer than expected, unless
+  // this process was paused and may not have read it.
+  void CountIfSilent() {
+    if (!is_sent_ || response_.Kind() != ResponseKind::kNone ||
+        Now() - deadline_ > kMaxTimerDelay ||
+        BootNow() - run_.sent_at < kMinSilenceFactor * expected_) {
+      return;
+    }
+    is_sent_ = false;
+    Losses()->OnSilent(run_, BootNow());
+    context_->GetMetrics()->Count("target_losses_total", "stage", "silent");
+    context_->GetLog()->Warning(
+        Now(), "event=target_silent id={} target={} expected_ms={:.1f} {}",
+        request_info_.id, attempt_->Target(), ToMs(expected_), LossDetails());
+    context_->OnLossesChange();
+  }
+
   // Fields of log lines that tell what the request has in common with others,
   // and how many targets were lost with the property that lost most, as far as
   // this VM knows.
@@ -605,6 +632,7 @@
     if (is_done_) {
       return;
     }
+    CountIfSilent();
     FinishAttempt(attempt_.has_value() && !attempt_->HadFirstEvent()
                       ? TargetOutcome::kBroken
                       : TargetOutcome::kAbandoned);
@@ -723,6 +751,7 @@
   /// clock.
   TargetRun run_;
   Time began_at_;
+  Duration expected_{0};  ///< from the latest send to the first event
   bool is_sent_ = false;  ///< `run_` is sent and has not ended
   std::unique_ptr<TargetCall> call_;
   ResponseForwarder response_;
--- a/src/serving/loss_table.cc
+++ b/src/serving/loss_table.cc
@@ -23,7 +23,7 @@
 /// Trials after which the next ones come at the intervals of kMemoryFactor.
 constexpr std::uint32_t kQuickTrials = 3;
 constexpr std::uint32_t kMaxDoublings = 6;
-constexpr std::size_t kMaxLostPairable = 4'096;
+constexpr std::size_t kMaxLostBefore = 8'192;
 /// Fraction (1/N) of the entries that are evicted together.
 constexpr std::size_t kEvictionDivisor = 16;
 /// An answer is reported again after this time if losses go on.
@@ -52,38 +52,80 @@
          kind == PropertyKind::kModel;
 }
 
-// Calls `use` for each pair of a request's properties.
-template <typename Use>
-void ForEachPair(const std::vector<RequestProperty>& properties, Use use) {
-  constexpr std::size_t kOthers = 2;  // key and model
-  std::array<RequestProperty, LossTable::kMaxPairedParts + kOthers> pairable;
-  std::size_t n = 0;
-  std::size_t parts = 0;
-  for (const RequestProperty& property : properties) {
-    const bool is_part = property.Kind() == PropertyKind::kPart;
-    if (!IsPairable(property.Kind()) || n == pairable.size() ||
-        (is_part && parts == LossTable::kMaxPairedParts)) {
-      continue;
+/// Properties of one request that are combined with each other.
+class Pairable {
+ public:
+  explicit Pairable(const std::vector<RequestProperty>& properties) {
+    std::size_t parts = 0;
+    for (const RequestProperty& property : properties) {
+      const bool is_part = property.Kind() == PropertyKind::kPart;
+      if (!IsPairable(property.Kind()) || size_ == all_.size() ||
+          (is_part && parts == LossTable::kMaxPairedParts)) {
+        continue;
+      }
+      parts += is_part ? 1 : 0;
+      all_[size_++] = property;
     }
-    parts += is_part ? 1 : 0;
-    pairable[n++] = property;
   }
-  for (std::size_t i = 0; i < n; ++i) {
-    for (std::size_t j = i + 1; j < n; ++j) {
-      use(pairable[i], pairable[j]);
+
+  /// Calls `use` for each two of the properties.
+  template <typename Use>
+  void ForEachTwo(Use use) const {
+    for (std::size_t i = 0; i < size_; ++i) {
+      for (std::size_t j = i + 1; j < size_; ++j) {
+        use(all_[i], all_[j]);
+      }
     }
   }
-}
+
+  /// Calls `use` for each three of the properties.
+  template <typename Use>
+  void ForEachThree(Use use) const {
+    for (std::size_t i = 0; i < size_; ++i) {
+      for (std::size_t j = i + 1; j < size_; ++j) {
+        for (std::size_t k = j + 1; k < size_; ++k) {
+          use(all_[i], all_[j], all_[k]);
+        }
+      }
+    }
+  }
+
+ private:
+  static constexpr std::size_t kOthers = 2;  // key and model
+
+  std::array<RequestProperty, LossTable::kMaxPairedParts + kOthers> all_;
+  std::size_t size_ = 0;
+};
 
 }  // namespace
 
 void LossTable::OnTargetLost(const TargetRun& run, Time now) {
-  AddLoss(run, now, now);
+  AddLoss(run, now, false, now);
   CountOpenRuns(run.target, now, now);
 }
 
-void LossTable::AddLoss(const TargetRun& run, Time lost_at, Time now) {
+void LossTable::OnSilent(const TargetRun& run, Time now) {
+  const auto heard = heard_.find(run.target);
+  if (heard != heard_.end() && heard->second >= run.sent_at) {
+    OnAbandoned(run, now);
+  } else {
+    AddLoss(run, now, true, now);
+  }
+}
+
+void LossTable::OnTargetHeard(std::uint32_t target, Time now) {
+  heard_[target] = now;
+  if (silent_.contains(target)) {
+    alive_[target] = {now, now};
+    DropLossesOf(target, now);
+    ++changes_;
+  }
+}
+
+void LossTable::AddLoss(const TargetRun& run, Time lost_at, bool is_silent,
+                        Time now) {
   Loss loss;
+  loss.is_silent = is_silent;
   loss.sent_at = std::min(run.sent_at, lost_at);
   loss.lost_at = lost_at;
   loss.request =
@@ -91,7 +133,7 @@
           ? std::uint16_t{0}
           : static_cast<std::uint16_t>(run.properties.front().Code() >> 16U);
   const std::vector<RequestProperty> properties =
-      WithPairs(run.properties, now);
+      WithCombinations(run.properties, now);
   for (const RequestProperty& property : properties) {
     loss.place = static_cast<std::uint8_t>(
         loss.place + (property.Kind() == PropertyKind::kPart ? 1 : 0));
@@ -113,24 +155,47 @@
   ++changes_;
 }
 
-std::vector<RequestProperty> LossTable::WithPairs(
+std::vector<RequestProperty> LossTable::WithCombinations(
     const std::vector<RequestProperty>& properties, Time now) {
   std::vector<RequestProperty> all = properties;
-  ForEachPair(properties, [&](RequestProperty a, RequestProperty b) {
-    if (lost_pairable_.contains(a) && lost_pairable_.contains(b)) {
+  const Pairable pairable(properties);
+  const auto was_lost = [this](RequestProperty property) {
+    return lost_before_.contains(property);
+  };
+  pairable.ForEachTwo([&](RequestProperty a, RequestProperty b) {
+    if (was_lost(a) && was_lost(b)) {
       all.push_back(RequestProperty::PairOf(a, b));
     }
   });
-  for (const RequestProperty& property : properties) {
-    if (IsPairable(property.Kind()) &&
-        (lost_pairable_.size() < kMaxLostPairable ||
-         lost_pairable_.contains(property))) {
-      lost_pairable_[property] = now;
-    }
+  // Most requests lose no two pairs again.
+  const bool may_have_triple =
+      std::count_if(
+          all.begin() + static_cast<std::ptrdiff_t>(properties.size()),
+          all.end(), was_lost) >= 3;
+  if (may_have_triple) {
+    pairable.ForEachThree(
+        [&](RequestProperty a, RequestProperty b, RequestProperty c) {
+          if (was_lost(RequestProperty::PairOf(a, b)) &&
+              was_lost(RequestProperty::PairOf(a, c)) &&
+              was_lost(RequestProperty::PairOf(b, c))) {
+            all.push_back(RequestProperty::TripleOf(a, b, c));
+          }
+        });
+  }
+  for (const RequestProperty& property : all) {
+    RememberLost(property, now);
   }
   return all;
 }
 
+void LossTable::RememberLost(RequestProperty property, Time now) {
+  if ((IsPairable(property.Kind()) || property.Kind() == PropertyKind::kPair) &&
+      (lost_before_.size() < kMaxLostBefore ||
+       lost_before_.contains(property))) {
+    lost_before_[property] = now;
+  }
+}
+
 void LossTable::OnAbandoned(const TargetRun& run, Time now) {
   AddOpenRun({run, now, std::nullopt}, now);
 }
@@ -139,7 +204,7 @@
   const auto lost = recently_lost_.find(run.run.target);
   if (lost != recently_lost_.end() && run.run.sent_at <= lost->second &&
       now - lost->second < OpenRuns::kMinRestartTime) {
-    AddLoss(run.run, lost->second, now);
+    AddLoss(run.run, lost->second, false, now);
   } else {
     open_runs_.Add(std::move(run));
   }
@@ -147,11 +212,12 @@
 
 void LossTable::CountOpenRuns(std::uint32_t target, Time lost_at, Time now) {
   for (const OpenRuns::OpenRun& run : open_runs_.TakeLost(target, lost_at)) {
-    AddLoss(run.run, lost_at, now);
+    AddLoss(run.run, lost_at, false, now);
   }
 }
 
 void LossTable::OnTargetAnswered(std::uint32_t target, Time sent_at, Time now) {
+  OnTargetHeard(target, now);
   if (recently_lost_.empty() && open_runs_.IsEmpty()) {
     return;
   }
@@ -273,13 +339,16 @@
   std::vector<std::uint32_t> added;
   for (const LostRun& run : loss.runs) {
     const Time lost_at = FromAge(run.age_ms, now);
-    if (lost_at <= answered_at || WasAlive(run.target, lost_at)) {
+    if (now - lost_at < options_.refusal_time) {
+      RememberLost(loss.property, now);
+    }
+    const Loss lost = {FromAge(run.lasted_ms, lost_at), lost_at, run.request,
+                       run.place, run.is_silent};
+    if (lost_at <= answered_at || WasAlive(run.target, lost)) {
       continue;
     }
-    if (AddTarget(
-            loss.property, run.target,
-            {FromAge(run.lasted_ms, lost_at), lost_at, run.request, run.place},
-            FindOrAdd(loss.property, now))) {
+    if (AddTarget(loss.property, run.target, lost,
+                  FindOrAdd(loss.property, now))) {
       added.push_back(run.target);
     }
   }
@@ -354,10 +423,18 @@
   for (const RequestProperty& property : properties) {
     use(property);
   }
-  if (pair_count_ > 0) {
-    ForEachPair(properties, [&use](RequestProperty a, RequestProperty b) {
-      use(RequestProperty::PairOf(a, b));
-    });
+  if (pair_count_ == 0 && triple_count_ == 0) {
+    return;
+  }
+  const Pairable pairable(properties);
+  pairable.ForEachTwo([&use](RequestProperty a, RequestProperty b) {
+    use(RequestProperty::PairOf(a, b));
+  });
+  if (triple_count_ > 0) {
+    pairable.ForEachThree(
+        [&use](RequestProperty a, RequestProperty b, RequestProperty c) {
+          use(RequestProperty::TripleOf(a, b, c));
+        });
   }
 }
 
@@ -467,7 +544,7 @@
   for (const auto& [target, lost] : entry.targets) {
     loss.runs.push_back({target, ToMs(now - lost.lost_at),
                          ToMs(lost.lost_at - lost.sent_at), lost.request,
-                         lost.place});
+                         lost.place, lost.is_silent});
   }
   return loss;
 }
@@ -529,7 +606,11 @@
   });
   std::erase_if(alive_, is_old_sighting);
   std::erase_if(recently_lost_, is_old);
-  std::erase_if(lost_pairable_, is_old);
+  std::erase_if(heard_, is_old);
+  std::erase_if(silent_, [this](std::uint32_t target) {
+    return !lost_targets_.contains(target);
+  });
+  std::erase_if(lost_before_, is_old);
   open_runs_.Expire(now);
   answered_.Expire(options_.refusal_time, now);
 }
@@ -686,10 +767,15 @@
   }
   Entry& entry = entries_[property];
   entry.known_at = now;
-  pair_count_ += property.Kind() == PropertyKind::kPair ? 1 : 0;
+  CountCombination(property, 1);
   return &entry;
 }
 
+void LossTable::CountCombination(RequestProperty property, int sign) {
+  pair_count_ += property.Kind() == PropertyKind::kPair ? sign : 0;
+  triple_count_ += property.Kind() == PropertyKind::kTriple ? sign : 0;
+}
+
 void LossTable::Erase(RequestProperty property) {
   const auto it = entries_.find(property);
   CountRefused(property, it->second, -1);
@@ -701,13 +787,16 @@
     }
   }
   entries_.erase(it);
-  pair_count_ -= property.Kind() == PropertyKind::kPair ? 1 : 0;
+  CountCombination(property, -1);
 }
 
 bool LossTable::AddTarget(RequestProperty property, std::uint32_t target,
                           const Loss& loss, Entry* entry) {
   Time& latest = recently_lost_[target];
   latest = std::max(latest, loss.lost_at);
+  if (loss.is_silent) {
+    silent_.insert(target);
+  }
   const auto known = entry->targets.find(target);
   if (known != entry->targets.end()) {
     if (loss.sent_at > known->second.sent_at) {
@@ -715,6 +804,7 @@
       known->second.request = loss.request;
     }
     known->second.lost_at = std::max(known->second.lost_at, loss.lost_at);
+    known->second.is_silent = known->second.is_silent && loss.is_silent;
     return false;
   }
   if (entry->targets.size() >= kMaxTargetsPerProperty) {
@@ -766,10 +856,14 @@
   CountRefused(property, *entry, 1);
 }
 
-bool LossTable::WasAlive(std::uint32_t target, Time lost_at) const {
+bool LossTable::WasAlive(std::uint32_t target, const Loss& loss) const {
   const auto it = alive_.find(target);
-  return it != alive_.end() && lost_at <= it->second.at &&
-         it->second.at - lost_at < OpenRuns::kMinRestartTime;
+  return it != alive_.end() && IsDisproved(loss, it->second.at);
+}
+
+bool LossTable::IsDisproved(const Loss& loss, Time at) {
+  return loss.lost_at <= at &&
+         (loss.is_silent || at - loss.lost_at < OpenRuns::kMinRestartTime);
 }
 
 bool LossTable::DropLossesOf(std::uint32_t target, Time at) {
@@ -780,8 +874,7 @@
   bool any = false;
   const std::map<RequestProperty, Entry*> properties = lost->second.properties;
   for (const auto& [property, entry] : properties) {
-    const Time lost_at = entry->targets.at(target).lost_at;
-    if (lost_at > at || at - lost_at >= OpenRuns::kMinRestartTime) {
+    if (!IsDisproved(entry->targets.at(target), at)) {
       continue;
     }
     any = true;
--- a/src/serving/loss_table.h
+++ b/src/serving/loss_table.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -48,9 +49,9 @@
 class LossTable {
  public:
   static constexpr std::size_t kMaxEntries = 4'096;
-  /// Properties in one report; the latest go first.
   /// Losses are remembered for this multiple of the refusal time.
   static constexpr int kMemoryFactor = 20;
+  /// Properties in one report; the latest go first.
   static constexpr std::size_t kMaxReported = 256;
   /// Targets kept for one property; further ones change nothing.
   static constexpr std::size_t kMaxTargetsPerProperty = 8;
@@ -71,6 +72,13 @@
   /// Records that a target's connection was lost before it had answered.
   void OnTargetLost(const TargetRun& run, Time now);
 
+  /// Records that a request's time was over without a sign of an answer. Counts
+  /// as a loss unless the target was heard meanwhile, until it is heard.
+  void OnSilent(const TargetRun& run, Time now);
+
+  /// Records that a target sent part of an answer.
+  void OnTargetHeard(std::uint32_t target, Time now);
+
   /// Records that a run was given up, for example because its caller left. It
   /// counts as lost if its target is lost shortly before or after.
   void OnAbandoned(const TargetRun& run, Time now);
@@ -130,6 +138,11 @@
   Duration TimeToTrial(const std::vector<RequestProperty>& properties,
                        Time now) const;
 
+  /// Whether this target is known to be lost.
+  bool KnowsLossOf(std::uint32_t target) const {
+    return recently_lost_.contains(target) || lost_targets_.contains(target);
+  }
+
   /// Whether a refused property explains the loss of a target.
   bool IsExplained(std::uint32_t target) const;
 
@@ -138,11 +151,6 @@
   /// most losses the last one, else the content; nullptr if none.
   const RequestProperty* FindSuspect(
       const std::vector<RequestProperty>& properties, Time now) const;
-  /// Whether this target is known to be lost.
-  bool KnowsLossOf(std::uint32_t target) const {
-    return recently_lost_.contains(target) || lost_targets_.contains(target);
-  }
-
 
   /// Returns properties that became refused since the last call.
   std::vector<RequestProperty> TakeNewlyRefused();
@@ -150,6 +158,9 @@
   /// Returns what this VM has seen itself since a time.
   LossReport ChangesSince(Time since, Time now) const;
 
+  /// Returns what this VM has seen itself.
+  LossReport OwnReport(Time now) const;
+
   /// Returns all that this VM knows, for a peer that has started.
   LossReport CompleteReport(Time now) const;
 
@@ -158,9 +169,6 @@
 
   /// Number of changes that peers must hear of immediately.
   std::uint64_t Changes() const { return changes_; }
-  /// Returns what this VM has seen itself.
-  LossReport OwnReport(Time now) const;
-
 
   int RefusedCount() const;
 
@@ -174,6 +182,7 @@
     Time lost_at;
     std::uint16_t request = 0;
     std::uint8_t place = 0;  ///< of a part among the parts of the prompt
+    bool is_silent = false;  ///< the target may still be alive
   };
 
   struct Entry {
@@ -207,15 +216,18 @@
   };
 
   const Entry* Find(RequestProperty property) const;
-  /// Calls `use` for each property of a request, pairs included if any pair has
-  /// losses.
+  /// Calls `use` for each property of a request, combinations included if any
+  /// has losses.
   template <typename Use>
   void ForEachKnown(const std::vector<RequestProperty>& properties,
                     Use use) const;
-  /// The request's properties, and those pairs of them which were lost before.
-  std::vector<RequestProperty> WithPairs(
+  /// The request's properties, the pairs of those which were lost before, and
+  /// the triples of which all pairs were lost before.
+  std::vector<RequestProperty> WithCombinations(
       const std::vector<RequestProperty>& properties, Time now);
-  void AddLoss(const TargetRun& run, Time lost_at, Time now);
+  /// Keeps that a property which is combined with others was lost.
+  void RememberLost(RequestProperty property, Time now);
+  void AddLoss(const TargetRun& run, Time lost_at, bool is_silent, Time now);
   /// Counts runs with an open end at a target that was lost.
   void CountOpenRuns(std::uint32_t target, Time lost_at, Time now);
   void AddOpenRun(OpenRuns::OpenRun run, Time now);
@@ -251,7 +263,11 @@
   void RemoveTarget(RequestProperty property, std::uint32_t target,
                     Entry* entry);
   void Erase(RequestProperty property);
-  bool WasAlive(std::uint32_t target, Time lost_at) const;
+  /// Counts entries that are combinations.
+  void CountCombination(RequestProperty property, int sign);
+  bool WasAlive(std::uint32_t target, const Loss& loss) const;
+  /// Whether a target that was alive at `at` can't have been lost before.
+  static bool IsDisproved(const Loss& loss, Time at);
   /// Drops losses of a target that was alive at `at`; returns whether any.
   bool DropLossesOf(std::uint32_t target, Time at);
   /// Drops losses of a property up to a time; returns whether any.
@@ -270,19 +286,23 @@
 
   Options options_;
   Entries entries_;
-  std::size_t pair_count_ = 0;  ///< entries that are pairs
+  int pair_count_ = 0;    ///< entries that are pairs
+  int triple_count_ = 0;  ///< entries that are triples
   std::map<std::uint32_t, LostTarget> lost_targets_;
   /// Answers that peers must hear of.
   std::map<RequestProperty, Sighting> reported_answers_;
   /// Latest loss of each target that may still turn out to be alive.
   std::map<std::uint32_t, Time> recently_lost_;
+  /// Latest part of an answer of each target.
+  std::unordered_map<std::uint32_t, Time> heard_;
+  std::set<std::uint32_t> silent_;  ///< targets with losses by silence
   /// Targets that answered after a loss.
   std::map<std::uint32_t, Sighting> alive_;
   AnsweredProperties answered_;
   OpenRuns open_runs_;
-  /// Latest loss of each property that is paired, whether or not it was
-  /// answered since.
-  std::map<RequestProperty, Time> lost_pairable_;
+  /// Latest loss of each property that is combined with others, at any VM,
+  /// whether or not it was answered since.
+  std::unordered_map<RequestProperty, Time, RequestPropertyHash> lost_before_;
   std::vector<RequestProperty> newly_refused_;
   std::uint64_t changes_ = 0;
 };
--- a/src/serving/request_property.cc
+++ b/src/serving/request_property.cc
@@ -33,10 +33,22 @@
       return "key";
     case PropertyKind::kModel:
       return "model";
+    case PropertyKind::kTriple:
+      return "triple";
   }
   return "unknown";
 }
 
+// Code of several properties, in any order.
+template <std::size_t kCount>
+std::uint64_t CombinedCode(PropertyKind kind,
+                           std::array<std::uint64_t, kCount> codes) {
+  std::sort(codes.begin(), codes.end());
+  return MakeCode(
+      kind, Hash64(std::string_view(reinterpret_cast<const char*>(codes.data()),
+                                    sizeof(codes))));
+}
+
 }  // namespace
 
 RequestProperty::RequestProperty(PropertyKind kind, std::string_view value)
@@ -49,12 +61,13 @@
 }
 
 RequestProperty RequestProperty::PairOf(RequestProperty a, RequestProperty b) {
-  const auto [low, high] = std::minmax(a.code_, b.code_);
-  const std::array<std::uint64_t, 2> codes = {low, high};
-  return FromCode(MakeCode(
-      PropertyKind::kPair,
-      Hash64(std::string_view(reinterpret_cast<const char*>(codes.data()),
-                              sizeof(codes)))));
+  return FromCode(CombinedCode<2>(PropertyKind::kPair, {a.code_, b.code_}));
+}
+
+RequestProperty RequestProperty::TripleOf(RequestProperty a, RequestProperty b,
+                                          RequestProperty c) {
+  return FromCode(
+      CombinedCode<3>(PropertyKind::kTriple, {a.code_, b.code_, c.code_}));
 }
 
 bool RequestProperty::IsKnown() const {
@@ -74,6 +87,13 @@
           fmt::format("{}/{}", unit, std::bit_width(amount))};
 }
 
+void AddSizes(std::string_view unit, std::uint64_t amount,
+              std::vector<RequestProperty>* properties) {
+  properties->push_back(SizeProperty(unit, amount));
+  properties->emplace_back(PropertyKind::kSize,
+                           fmt::format("{}={}", unit, amount));
+}
+
 std::string PropertiesToString(const std::vector<RequestProperty>& properties) {
   std::string text;
   for (const RequestProperty& property : properties) {
--- a/tests/platform/wire_codec_test.cc
+++ b/tests/platform/wire_codec_test.cc
@@ -51,7 +51,8 @@
        {"Api-Key", "k"},
        {"Token-Count", "1460,80"}});
   const std::vector<RequestProperty> expected = {
-      SizeProperty("prompt", 1'024),     SizeProperty("output", 64),
+      SizeProperty("prompt", 1'024),     {PropertyKind::kSize, "prompt=1460"},
+      SizeProperty("output", 64),        {PropertyKind::kSize, "output=80"},
       {PropertyKind::kPart, "5c1e07a2"}, {PropertyKind::kPart, "91bd3f06"},
       {PropertyKind::kPart, "e4402b7d"}, {PropertyKind::kModel, "m"},
       {PropertyKind::kKey, "k"}};
--- a/tests/relay/crashing_property_test.cc
+++ b/tests/relay/crashing_property_test.cc
@@ -113,6 +113,15 @@
        [](const ReceivedRequest& request) {
          return request.body.size() > 500;
        }},
+      {"exact prompt size",
+       [](int n, bool deadly) {
+         return fmt::format("Token-Count: {},10\r\n",
+                            deadly ? 1'400 : 1'025 + n % 300);
+       },
+       Body,
+       [](const ReceivedRequest& request) {
+         return request.Header("Token-Count") == "1400,10";
+       }},
       {"two parts together",
        [](int n, bool deadly) {
          const char* parts = deadly ? "a:1,b:1" : n % 2 == 0 ? "a:1" : "b:1";
--- a/tests/serving/loss_table_property_test.cc
+++ b/tests/serving/loss_table_property_test.cc
@@ -49,6 +49,16 @@
         now_);
   }
 
+  /// Loses a target of its own that says nothing; returns the target.
+  std::uint32_t Silence(LossTable* table,
+                        const std::vector<RequestProperty>& properties) {
+    const TargetRun run =
+        TargetRun::Make(properties, "t" + std::to_string(++targets_), now_);
+    now_ += kRunTime;
+    table->OnSilent(run, now_);
+    return run.target;
+  }
+
   void Answer(LossTable* table,
               const std::vector<RequestProperty>& properties) {
     table->OnAnswered(TargetRun::Make(properties, "sound", now_), now_, now_);
@@ -161,6 +171,96 @@
   }
 }
 
+// Any two of the parts are sound.
+TEST_F(LossTablePropertyTest, ThreePartsTogetherAreRefusedWithinFiveLosses) {
+  int crashes = 0;
+  while (!IsRefused(Request({"a", "b", "c"})) && crashes < 20) {
+    Crash(&table_, Request({"a", "b", "c"}));
+    ++crashes;
+    Answer(&table_, Request({"a", "b"}));
+    Answer(&table_, Request({"b", "c"}));
+    Answer(&table_, Request({"a", "c"}));
+  }
+  EXPECT_LE(crashes, 5);
+  EXPECT_FALSE(IsRefused(Request({"a", "b"})));
+}
+
+// Each VM saw one loss at the most, and remembered its own losses only.
+TEST_F(LossTablePropertyTest, PartsTogetherAreRefusedWhicheverVmsLostTargets) {
+  constexpr std::size_t kVms = 40;
+  const auto tell_all = [&](std::vector<LossTable>* vms, std::size_t from) {
+    for (std::size_t i = 0; i < kVms; ++i) {
+      if (i != from) {
+        (*vms)[i].OnPeerReport((*vms)[from].OwnReport(now_), now_);
+      }
+    }
+  };
+  for (const bool is_triple : {false, true}) {
+    std::vector<LossTable> vms(kVms, LossTable({2, kRefusalTime}));
+    const auto deadly = [&] {
+      return is_triple ? Request({"a", "b", "c"}) : Request({"a", "b"});
+    };
+    int crashes = 0;
+    for (std::size_t i = 0; i < kVms && vms[i].RefusedOf(deadly()).empty();
+         ++i) {
+      Crash(&vms[i], deadly());
+      ++crashes;
+      tell_all(&vms, i);
+      for (const std::vector<std::string>& sound :
+           is_triple ? std::vector<std::vector<std::string>>{{"a", "b"},
+                                                             {"b", "c"},
+                                                             {"a", "c"}}
+                     : std::vector<std::vector<std::string>>{{"a"}, {"b"}}) {
+        Answer(&vms[i], Request(sound));
+      }
+      tell_all(&vms, i);
+    }
+    EXPECT_LE(crashes, 5) << "triple " << is_triple;
+  }
+}
+
+TEST_F(LossTablePropertyTest, PartThatSilencesTargetsIsRefused) {
+  Answer(&table_, Request({"first", "doc"}));
+  for (int i = 0; i < 2; ++i) {
+    Silence(&table_, Request({"first", "bad"}));
+    Answer(&table_, Request({"first", "doc"}));
+  }
+  EXPECT_TRUE(IsRefused(Request({"first", "bad"})));
+  EXPECT_FALSE(IsRefused(Request({"first", "doc"})));
+}
+
+TEST_F(LossTablePropertyTest, TargetThatIsHeardAfterAllWasNotSilent) {
+  Silence(&table_, Request({"first", "slow"}));
+  const std::uint32_t target = Silence(&table_, Request({"first", "slow"}));
+  ASSERT_TRUE(IsRefused(Request({"first", "slow"})));
+  now_ += seconds(4);
+  table_.OnTargetHeard(target, now_);
+  EXPECT_FALSE(IsRefused(Request({"first", "slow"})));
+}
+
+TEST_F(LossTablePropertyTest, RequestThatTargetHadNoTimeForIsNoLoss) {
+  const std::vector<RequestProperty> request = Request({"first", "waits"});
+  const TargetRun run = TargetRun::Make(request, "busy", now_);
+  now_ += milliseconds(100);
+  table_.OnTargetHeard(run.target, now_);
+  now_ += seconds(1);
+  table_.OnSilent(run, now_);
+  EXPECT_EQ(table_.Losses(Part("waits")), 0);
+}
+
+TEST_F(LossTablePropertyTest, SilenceThatPeerReportsIsDisprovedByAnyVm) {
+  LossTable peer({2, kRefusalTime});
+  Silence(&peer, Request({"first", "slow"}));
+  const std::uint32_t target = Silence(&peer, Request({"first", "slow"}));
+  table_.OnPeerReport(peer.OwnReport(now_), now_);
+  ASSERT_TRUE(IsRefused(Request({"first", "slow"})));
+  now_ += seconds(4);
+  table_.OnTargetHeard(target, now_);
+  EXPECT_FALSE(IsRefused(Request({"first", "slow"})));
+  peer.OnPeerReport(table_.OwnReport(now_), now_);
+  EXPECT_TRUE(peer.RefusedOf(Request({"first", "slow"})).empty());
+}
+
 // Before any sound request was answered, everything that the crashing ones have
 // in common may be the cause. The most specific is refused first.
 TEST_F(LossTablePropertyTest, OfPropertiesAlwaysLostTogetherOneIsRefused) {
