Count no target as silent within 50 ms, and take silence back once

A request with hardly any time left could count its target as silent where the service's expected time is next to nothing, and each part of an answer of a target counted as a change of losses until the next housekeeping, which sends a report at most every 50 ms.

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -36,8 +36,9 @@
 /// Minimum time to the deadline for another attempt.
 constexpr Duration kMinRetryTime = std::chrono::milliseconds(50);
 /// A target is silent if it sends nothing for this multiple of the expected
-/// time.
+/// time, and not for less than kMinSilence.
 constexpr int kMinSilenceFactor = 3;
+constexpr Duration kMinSilence = std::chrono::milliseconds(50);
 /// A timer that is later than this shows that the process was paused.
 constexpr Duration kMaxTimerDelay = std::chrono::milliseconds(50);
 /// Retry-After when targets did not execute a request.
@@ -517,7 +518,8 @@
   void CountIfSilent() {
     if (!is_sent_ || response_.Kind() != ResponseKind::kNone ||
         Now() - deadline_ > kMaxTimerDelay ||
-        BootNow() - run_.sent_at < kMinSilenceFactor * expected_) {
+        BootNow() - run_.sent_at <
+            std::max(kMinSilence, kMinSilenceFactor * expected_)) {
       return;
     }
     is_sent_ = false;
--- a/src/serving/loss_table.cc
+++ b/src/serving/loss_table.cc
@@ -115,7 +115,7 @@
 
 void LossTable::OnTargetHeard(std::uint32_t target, Time now) {
   heard_[target] = now;
-  if (silent_.contains(target)) {
+  if (silent_.erase(target) > 0) {
     alive_[target] = {now, now};
     DropLossesOf(target, now);
     ++changes_;
