Merge parts of a peer's losses as they arrive

Entries behind the product's own interface exchange losses in several gossip facts. A view that was built when only the first of them had arrived marked the report as merged by its sequence number, and the rest was left out: found on reading the diff. Now a report counts as merged only if it is equal.

PartsOfPeersReportAreMergedAsTheyArrive fails on the code before, passes now.

--- a/src/schedule/crash_tracker.cc
+++ b/src/schedule/crash_tracker.cc
@@ -21,13 +21,14 @@
   entry_count_ = view.entry_count;
   entry_index_ = view.entry_index;
   for (const auto& [vm, losses] : view.peer_losses) {
-    std::uint64_t& merged = merged_sequences_[vm];
-    if (merged != losses.sequence) {
-      merged = losses.sequence;
+    // Parts of one report may arrive one after the other.
+    SequencedLosses& merged = merged_[vm];
+    if (merged != losses) {
+      merged = losses;
       losses_.OnPeerReport(losses.report, now);
     }
   }
-  std::erase_if(merged_sequences_, [&](const auto& item) {
+  std::erase_if(merged_, [&](const auto& item) {
     return !view.peer_losses.contains(item.first);
   });
 }
--- a/src/schedule/crash_tracker.h
+++ b/src/schedule/crash_tracker.h
@@ -93,7 +93,7 @@
   std::uint32_t IncarnationOf(const TargetName& target) const;
 
   LossTable losses_;
-  std::map<std::string, std::uint64_t> merged_sequences_;  ///< by VM
+  std::map<std::string, SequencedLosses> merged_;  ///< latest ones, by VM
   int entry_count_ = 1;
   int entry_index_ = 0;
   SequencedLosses report_;
--- a/tests/control/loss_facts_test.cc
+++ b/tests/control/loss_facts_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+
 #include "hornbeamcleat/base/error.h"
 
 namespace hornbeamcleat {
@@ -73,5 +75,27 @@
   EXPECT_TRUE(assembler.Losses().empty());
 }
 
+TEST_F(LossFactsTest, ChunksWithChangedBytesAreReadOrRefused) {
+  constexpr int kChanges = 20'000;
+  std::mt19937 random(1);
+  const std::vector<std::string> chunks = LossChunks(Losses(40, 3));
+  int refused = 0;
+  for (int i = 0; i < kChanges; ++i) {
+    std::string chunk = chunks[random() % chunks.size()];
+    for (std::size_t n = random() % 4; n > 0; --n) {
+      chunk[random() % chunk.size()] = static_cast<char>(random());
+    }
+    chunk.resize(random() % 4 == 0 ? random() % chunk.size() : chunk.size());
+    LossAssembler assembler;
+    try {
+      assembler.Add("vm", chunk);
+    } catch (const Error&) {
+      ++refused;
+    }
+  }
+  EXPECT_GT(refused, 0);
+  EXPECT_LT(refused, kChanges);
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
--- a/tests/entry/crashing_request_test.cc
+++ b/tests/entry/crashing_request_test.cc
@@ -145,6 +145,20 @@
   EXPECT_LE(crashes, kMaxCrashes);
 }
 
+// A report is split into several datagrams.
+TEST_F(CrashingRequestTest, PartsOfPeersReportAreMergedAsTheyArrive) {
+  SequencedLosses report;
+  report.sequence = 1;
+  view_.peer_losses["peer"] = report;
+  Apply();
+  PropertyLoss& loss = report.report.losses.emplace_back();
+  loss.property = {PropertyKind::kPart, "bad"};
+  loss.runs = {{1, 1'000, 200, 1, 0}, {2, 100, 200, 2, 0}};
+  view_.peer_losses["peer"] = report;
+  Apply();
+  EXPECT_EQ(RunDeadly(), End::kRefused);
+}
+
 TEST_F(CrashingRequestTest, RefusedPartIsServedAgainAfterAnsweredTrial) {
   RefuseDeadly();
   Elapse(kFirstTrialMs);
