Don't count runs that were given up at a silent target

A request whose caller left shortly before or after its target counted as silent became a loss that nothing takes back when the target is heard after all, and a silent target that then ended could be taken for alive by an earlier part of an answer. Found on reading the diff: open runs count only at targets that ended, and the end of a target outweighs its silence.

--- a/src/serving/loss_table.cc
+++ b/src/serving/loss_table.cc
@@ -202,7 +202,8 @@
 
 void LossTable::AddOpenRun(OpenRuns::OpenRun run, Time now) {
   const auto lost = recently_lost_.find(run.run.target);
-  if (lost != recently_lost_.end() && run.run.sent_at <= lost->second &&
+  if (lost != recently_lost_.end() && !silent_.contains(run.run.target) &&
+      run.run.sent_at <= lost->second &&
       now - lost->second < OpenRuns::kMinRestartTime) {
     AddLoss(run.run, lost->second, false, now);
   } else {
@@ -360,7 +361,9 @@
   }
   for (const std::uint32_t target : added) {
     DecideOnLosses({loss.property}, target, now);
-    CountOpenRuns(target, recently_lost_.at(target), now);
+    if (!silent_.contains(target)) {
+      CountOpenRuns(target, recently_lost_.at(target), now);
+    }
   }
 }
 
@@ -792,9 +795,12 @@
 
 bool LossTable::AddTarget(RequestProperty property, std::uint32_t target,
                           const Loss& loss, Entry* entry) {
+  const bool is_first_loss = !lost_targets_.contains(target);
   Time& latest = recently_lost_[target];
   latest = std::max(latest, loss.lost_at);
-  if (loss.is_silent) {
+  if (!loss.is_silent) {
+    silent_.erase(target);
+  } else if (is_first_loss) {
     silent_.insert(target);
   }
   const auto known = entry->targets.find(target);
--- a/tests/serving/loss_table_property_test.cc
+++ b/tests/serving/loss_table_property_test.cc
@@ -248,6 +248,27 @@
   EXPECT_EQ(table_.Losses(Part("waits")), 0);
 }
 
+TEST_F(LossTablePropertyTest, RunsGivenUpAtSilentTargetAreNoLosses) {
+  for (int i = 0; i < 3; ++i) {
+    const TargetRun left = TargetRun::Make(
+        Request({"first", "left"}), "t" + std::to_string(targets_ + 1), now_);
+    const std::uint32_t target = Silence(&table_, Request({"first", "slow"}));
+    ASSERT_EQ(target, left.target);
+    table_.OnAbandoned(left, now_);
+  }
+  EXPECT_EQ(table_.Losses(Part("slow")), 3);
+  EXPECT_EQ(table_.Losses(Part("left")), 0);
+}
+
+TEST_F(LossTablePropertyTest, SilentTargetThatEndsIsLost) {
+  const std::vector<RequestProperty> request = Request({"first", "bad"});
+  const std::uint32_t target = Silence(&table_, request);
+  table_.OnTargetLost({request, target, now_ - kRunTime}, now_);
+  now_ += seconds(4);
+  table_.OnTargetHeard(target, now_);
+  EXPECT_EQ(table_.Losses(Part("bad")), 1);
+}
+
 TEST_F(LossTablePropertyTest, SilenceThatPeerReportsIsDisprovedByAnyVm) {
   LossTable peer({2, kRefusalTime});
   Silence(&peer, Request({"first", "slow"}));
