--- a/tests/entry/crashing_request_test.cc
+++ b/tests/entry/crashing_request_test.cc
@@ -178,6 +178,20 @@
   EXPECT_LE(trials, 3);
 }
 
+// Losses are not kept when all entries stop at once.
+TEST_F(CrashingRequestTest, RestartedEntriesRefuseAgainWithinThreeLosses) {
+  RefuseDeadly();
+  Restart(SchedulerOptions{});
+  int crashes = 0;
+  const Time first_trial =
+      now_ + std::chrono::milliseconds(kFirstTrialMs - 1'000);
+  while (now_ < first_trial) {
+    crashes += RunDeadly() == End::kCrashed ? 1 : 0;
+    RunSound();
+  }
+  EXPECT_LE(crashes, 3);
+}
+
 TEST_F(CrashingRequestTest, RefusalTellsWhenToComeBack) {
   RefuseDeadly();
   const std::vector<RefuseAction> refusals = All<RefuseAction>(
--- a/tests/relay/crashing_property_test.cc
+++ b/tests/relay/crashing_property_test.cc
@@ -210,6 +210,38 @@
             2);
 }
 
+// Before any answer, the first part is as suspect as the deadly one.
+TEST_F(CrashingPropertyTest, SoundRequestsOfSuspectFirstPartUseAllTargets) {
+  constexpr int kSound = 6;
+  std::vector<ReceivedRequest> running;
+  const auto hold = [&running](const ReceivedRequest& request) {
+    running.push_back(request);
+  };
+  std::vector<std::unique_ptr<TestCaller>> callers;
+  const auto send = [&](const std::string& part) {
+    callers.push_back(
+        std::make_unique<TestCaller>(loop_.get(), relay_->CallerAddress()));
+    callers.back()->Send(
+        Request("unsafe", "r1",
+                fmt::format("Prefix-Hash: first:60,{}:300,{}:50\r\n", part,
+                            callers.size()),
+                fmt::format("body {}", callers.size())));
+  };
+  ScriptedTarget* lost = AddTarget(hold);
+  send("bad");
+  ASSERT_TRUE(RunUntil([&running] { return running.size() == 1; }));
+  Crash(lost, running[0], "");
+  ASSERT_TRUE(
+      RunUntil([&callers] { return callers[0]->Response() != nullptr; }));
+  for (int i = 0; i < kSound; ++i) {
+    AddTarget(hold);
+  }
+  for (int i = 0; i < kSound; ++i) {
+    send("doc");
+  }
+  EXPECT_TRUE(RunUntil([&running] { return running.size() == 1 + kSound; }));
+}
+
 // All VMs stop at once; what the store holds outlives them.
 TEST_F(CrashingPropertyTest, RefusalIsRecordedAndRestoredAfterRestart) {
   const auto is_deadly = [](const ReceivedRequest& request) {
