--- a/src/serving/loss_table.cc
+++ b/src/serving/loss_table.cc
@@ -23,7 +23,6 @@
 /// Trials after which the next ones come at the intervals of kMemoryFactor.
 constexpr std::uint32_t kQuickTrials = 3;
 constexpr std::uint32_t kMaxDoublings = 6;
-constexpr std::size_t kMaxLostBefore = 8'192;
 /// Fraction (1/N) of the entries that are evicted together.
 constexpr std::size_t kEvictionDivisor = 16;
 /// An answer is reported again after this time if losses go on.
@@ -47,56 +46,6 @@
   return kind != PropertyKind::kContent && kind != PropertyKind::kPart;
 }
 
-bool IsPairable(PropertyKind kind) {
-  return kind == PropertyKind::kPart || kind == PropertyKind::kKey ||
-         kind == PropertyKind::kModel;
-}
-
-/// Properties of one request that are combined with each other.
-class Pairable {
- public:
-  explicit Pairable(const std::vector<RequestProperty>& properties) {
-    std::size_t parts = 0;
-    for (const RequestProperty& property : properties) {
-      const bool is_part = property.Kind() == PropertyKind::kPart;
-      if (!IsPairable(property.Kind()) || size_ == all_.size() ||
-          (is_part && parts == LossTable::kMaxPairedParts)) {
-        continue;
-      }
-      parts += is_part ? 1 : 0;
-      all_[size_++] = property;
-    }
-  }
-
-  /// Calls `use` for each two of the properties.
-  template <typename Use>
-  void ForEachTwo(Use use) const {
-    for (std::size_t i = 0; i < size_; ++i) {
-      for (std::size_t j = i + 1; j < size_; ++j) {
-        use(all_[i], all_[j]);
-      }
-    }
-  }
-
-  /// Calls `use` for each three of the properties.
-  template <typename Use>
-  void ForEachThree(Use use) const {
-    for (std::size_t i = 0; i < size_; ++i) {
-      for (std::size_t j = i + 1; j < size_; ++j) {
-        for (std::size_t k = j + 1; k < size_; ++k) {
-          use(all_[i], all_[j], all_[k]);
-        }
-      }
-    }
-  }
-
- private:
-  static constexpr std::size_t kOthers = 2;  // key and model
-
-  std::array<RequestProperty, LossTable::kMaxPairedParts + kOthers> all_;
-  std::size_t size_ = 0;
-};
-
 }  // namespace
 
 void LossTable::OnTargetLost(const TargetRun& run, Time now) {
@@ -133,7 +82,7 @@
           ? std::uint16_t{0}
           : static_cast<std::uint16_t>(run.properties.front().Code() >> 16U);
   const std::vector<RequestProperty> properties =
-      WithCombinations(run.properties, now);
+      combinations_.OnLost(run.properties, now);
   for (const RequestProperty& property : properties) {
     loss.place = static_cast<std::uint8_t>(
         loss.place + (property.Kind() == PropertyKind::kPart ? 1 : 0));
@@ -155,47 +104,6 @@
   ++changes_;
 }
 
-std::vector<RequestProperty> LossTable::WithCombinations(
-    const std::vector<RequestProperty>& properties, Time now) {
-  std::vector<RequestProperty> all = properties;
-  const Pairable pairable(properties);
-  const auto was_lost = [this](RequestProperty property) {
-    return lost_before_.contains(property);
-  };
-  pairable.ForEachTwo([&](RequestProperty a, RequestProperty b) {
-    if (was_lost(a) && was_lost(b)) {
-      all.push_back(RequestProperty::PairOf(a, b));
-    }
-  });
-  // Most requests lose no two pairs again.
-  const bool may_have_triple =
-      std::count_if(
-          all.begin() + static_cast<std::ptrdiff_t>(properties.size()),
-          all.end(), was_lost) >= 3;
-  if (may_have_triple) {
-    pairable.ForEachThree(
-        [&](RequestProperty a, RequestProperty b, RequestProperty c) {
-          if (was_lost(RequestProperty::PairOf(a, b)) &&
-              was_lost(RequestProperty::PairOf(a, c)) &&
-              was_lost(RequestProperty::PairOf(b, c))) {
-            all.push_back(RequestProperty::TripleOf(a, b, c));
-          }
-        });
-  }
-  for (const RequestProperty& property : all) {
-    RememberLost(property, now);
-  }
-  return all;
-}
-
-void LossTable::RememberLost(RequestProperty property, Time now) {
-  if ((IsPairable(property.Kind()) || property.Kind() == PropertyKind::kPair) &&
-      (lost_before_.size() < kMaxLostBefore ||
-       lost_before_.contains(property))) {
-    lost_before_[property] = now;
-  }
-}
-
 void LossTable::OnAbandoned(const TargetRun& run, Time now) {
   AddOpenRun({run, now, std::nullopt}, now);
 }
@@ -341,7 +249,7 @@
   for (const LostRun& run : loss.runs) {
     const Time lost_at = FromAge(run.age_ms, now);
     if (now - lost_at < options_.refusal_time) {
-      RememberLost(loss.property, now);
+      combinations_.Remember(loss.property, now);
     }
     const Loss lost = {FromAge(run.lasted_ms, lost_at), lost_at, run.request,
                        run.place, run.is_silent};
@@ -426,18 +334,8 @@
   for (const RequestProperty& property : properties) {
     use(property);
   }
-  if (pair_count_ == 0 && triple_count_ == 0) {
-    return;
-  }
-  const Pairable pairable(properties);
-  pairable.ForEachTwo([&use](RequestProperty a, RequestProperty b) {
-    use(RequestProperty::PairOf(a, b));
-  });
-  if (triple_count_ > 0) {
-    pairable.ForEachThree(
-        [&use](RequestProperty a, RequestProperty b, RequestProperty c) {
-          use(RequestProperty::TripleOf(a, b, c));
-        });
+  if (pair_count_ > 0 || triple_count_ > 0) {
+    PropertyCombinations::ForEach(properties, triple_count_ > 0, use);
   }
 }
 
@@ -613,7 +511,7 @@
   std::erase_if(silent_, [this](std::uint32_t target) {
     return !lost_targets_.contains(target);
   });
-  std::erase_if(lost_before_, is_old);
+  combinations_.Expire(now - options_.refusal_time);
   open_runs_.Expire(now);
   answered_.Expire(options_.refusal_time, now);
 }
--- a/src/serving/loss_table.h
+++ b/src/serving/loss_table.h
@@ -17,6 +17,7 @@
 #include "hornbeamcleat/serving/request_property.h"
 #include "src/serving/answered_properties.h"
 #include "src/serving/open_runs.h"
+#include "src/serving/property_combinations.h"
 #include "src/serving/target_run.h"
 
 namespace hornbeamcleat {
@@ -55,8 +56,6 @@
   static constexpr std::size_t kMaxReported = 256;
   /// Targets kept for one property; further ones change nothing.
   static constexpr std::size_t kMaxTargetsPerProperty = 8;
-  /// Parts of a prompt that are paired with each other, the key and the model.
-  static constexpr std::size_t kMaxPairedParts = 8;
 
   struct Options {
     int limit = 2;             ///< lost targets from which a content is refused
@@ -221,12 +220,6 @@
   template <typename Use>
   void ForEachKnown(const std::vector<RequestProperty>& properties,
                     Use use) const;
-  /// The request's properties, the pairs of those which were lost before, and
-  /// the triples of which all pairs were lost before.
-  std::vector<RequestProperty> WithCombinations(
-      const std::vector<RequestProperty>& properties, Time now);
-  /// Keeps that a property which is combined with others was lost.
-  void RememberLost(RequestProperty property, Time now);
   void AddLoss(const TargetRun& run, Time lost_at, bool is_silent, Time now);
   /// Counts runs with an open end at a target that was lost.
   void CountOpenRuns(std::uint32_t target, Time lost_at, Time now);
@@ -300,9 +293,7 @@
   std::map<std::uint32_t, Sighting> alive_;
   AnsweredProperties answered_;
   OpenRuns open_runs_;
-  /// Latest loss of each property that is combined with others, at any VM,
-  /// whether or not it was answered since.
-  std::unordered_map<RequestProperty, Time, RequestPropertyHash> lost_before_;
+  PropertyCombinations combinations_;
   std::vector<RequestProperty> newly_refused_;
   std::uint64_t changes_ = 0;
 };
--- a/tests/relay/crashing_property_test.cc
+++ b/tests/relay/crashing_property_test.cc
@@ -50,6 +50,18 @@
     return answers;
   }
 
+  /// Sends a request that shares its first part and a second one.
+  std::unique_ptr<TestCaller> SendWithPart(const std::string& part) {
+    ++sent_;
+    std::unique_ptr<TestCaller> caller =
+        std::make_unique<TestCaller>(loop_.get(), relay_->CallerAddress());
+    caller->Send(Request(
+        "unsafe", "r1",
+        fmt::format("Prefix-Hash: first:60,{}:300,{}:50\r\n", part, sent_),
+        fmt::format("body {}", sent_)));
+    return caller;
+  }
+
   int sent_ = 0;
 };
 
@@ -164,13 +176,7 @@
   };
   std::vector<std::unique_ptr<TestCaller>> callers;
   const auto send = [&](const std::string& part) {
-    callers.push_back(
-        std::make_unique<TestCaller>(loop_.get(), relay_->CallerAddress()));
-    callers.back()->Send(
-        Request("unsafe", "r1",
-                fmt::format("Prefix-Hash: first:60,{}:300,{}:50\r\n", part,
-                            callers.size()),
-                fmt::format("body {}", callers.size())));
+    callers.push_back(SendWithPart(part));
   };
   ScriptedTarget* first = AddTarget(hold);
   send("bad");
@@ -219,13 +225,7 @@
   };
   std::vector<std::unique_ptr<TestCaller>> callers;
   const auto send = [&](const std::string& part) {
-    callers.push_back(
-        std::make_unique<TestCaller>(loop_.get(), relay_->CallerAddress()));
-    callers.back()->Send(
-        Request("unsafe", "r1",
-                fmt::format("Prefix-Hash: first:60,{}:300,{}:50\r\n", part,
-                            callers.size()),
-                fmt::format("body {}", callers.size())));
+    callers.push_back(SendWithPart(part));
   };
   ScriptedTarget* lost = AddTarget(hold);
   send("bad");
