Trust pairs and triples that were answered, at all VMs

Cause: since VMs count the losses of pairs that peers report, but answers were kept for single properties only, so that no pair was ever trusted and none was reported as answered.

Change: an answer also counts for the combinations of its request that have losses.

--- a/src/serving/loss_table.cc
+++ b/src/serving/loss_table.cc
@@ -46,6 +46,10 @@
   return kind != PropertyKind::kContent && kind != PropertyKind::kPart;
 }
 
+bool IsCombination(PropertyKind kind) {
+  return kind == PropertyKind::kPair || kind == PropertyKind::kTriple;
+}
+
 }  // namespace
 
 void LossTable::OnTargetLost(const TargetRun& run, Time now) {
@@ -166,6 +170,10 @@
   ForEachKnown(run.properties, [&](RequestProperty property) {
     const Entry* entry = Find(property);
     if (entry != nullptr) {
+      // Other combinations are too many to keep.
+      if (IsCombination(property.Kind())) {
+        answered_.Add(property, began_at, true, now);
+      }
       cleared.emplace_back(
           property, property.Kind() == PropertyKind::kContent ||
                         entry->is_refused || entry->changed_at != kNeverSeen);
--- a/tests/serving/loss_table_property_test.cc
+++ b/tests/serving/loss_table_property_test.cc
@@ -185,6 +185,28 @@
   EXPECT_FALSE(IsRefused(Request({"a", "b"})));
 }
 
+// VMs told each other losses of pairs but not answers to them, so that a pair
+// that most requests have was refused when many targets ended.
+TEST_F(LossTablePropertyTest, PairThatPeerAnsweredIsTrustedAtAllVms) {
+  LossTable peer({2, kRefusalTime});
+  const RequestProperty pair =
+      RequestProperty::PairOf(Part("first"), Part("doc"));
+  const auto crash = [&] {
+    Crash(&table_, Request({"first", "doc"}));
+    peer.OnPeerReport(table_.OwnReport(now_), now_);
+  };
+  crash();
+  crash();
+  ASSERT_EQ(table_.Losses(pair), 1);
+  now_ += milliseconds(1);
+  Answer(&peer, Request({"first", "doc"}));
+  crash();
+  peer.ReportAnswers([](std::uint64_t) { return 0; }, now_);
+  table_.OnPeerReport(peer.OwnReport(now_), now_);
+  EXPECT_TRUE(table_.IsTrusted(pair, now_));
+  EXPECT_EQ(table_.Losses(pair), 1);
+}
+
 // Each VM saw one loss at the most, and remembered its own losses only.
 TEST_F(LossTablePropertyTest, PartsTogetherAreRefusedWhicheverVmsLostTargets) {
   constexpr std::size_t kVms = 40;
