--- a/tests/serving/property_combinations_test.cc
+++ b/tests/serving/property_combinations_test.cc
@@ -61,8 +61,10 @@
 }
 
 TEST_F(PropertyCombinationsTest, OnLostOfManyPartsCombinesFirstOnes) {
+  constexpr int kParts = 100;
   std::vector<RequestProperty> request;
-  for (int i = 0; i < 100; ++i) {
+  request.reserve(kParts);
+  for (int i = 0; i < kParts; ++i) {
     request.push_back(Part(std::to_string(i)));
   }
   combinations_.OnLost(request, now_);
