--- /dev/null
+++ b/include/hornbeamcleat/serving/target_statement.h
@@ -0,0 +1,58 @@
+#ifndef HORNBEAMCLEAT_SERVING_TARGET_STATEMENT_H_
+#define HORNBEAMCLEAT_SERVING_TARGET_STATEMENT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "hornbeamcleat/base/time.h"
+
+namespace hornbeamcleat {
+
+struct ServingTarget;
+
+/// What a target states of itself in an answer, whatever it answers.
+struct TargetStatement {
+  bool is_leaving = false;  ///< it is going away for good
+  /// It wants no further requests of this VM for this time; nullopt: not
+  /// stated.
+  std::optional<Duration> rest;
+  bool has_invalid_rest = false;  ///< states a time that can't be read
+
+  bool IsEmpty() const { return *this == TargetStatement(); }
+
+  bool operator==(const TargetStatement&) const = default;
+};
+
+/// One start of a target, the same on all VMs.
+struct TargetInstance {
+  std::uint64_t id = 0;            ///< hash of the target's ID
+  std::int64_t start_time_ms = 0;  ///< Unix time; 0 if the target states none
+
+  static TargetInstance Of(const ServingTarget& target);
+
+  bool operator==(const TargetInstance&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(id, start_time_ms);
+  }
+};
+
+/// What a VM tells its peers of a target's statements.
+struct TargetNotice {
+  TargetInstance target;
+  bool is_leaving = false;
+  std::uint32_t rest_ms = 0;  ///< time left of the rest that it asked for
+
+  bool operator==(const TargetNotice&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(target, is_leaving, rest_ms);
+  }
+};
+
+}  // namespace hornbeamcleat
+
+#endif  // HORNBEAMCLEAT_SERVING_TARGET_STATEMENT_H_
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -235,6 +235,7 @@
       Retry("target_gone");
       return;
     }
+    target_ = *spec;
     run_ = TargetRun::Make(properties_, attempt_->Incarnation(), BootNow());
     expected_ = placement.expected;
     DispatchInfo info;
@@ -269,6 +270,9 @@
   TargetCall::Callbacks Callbacks() {
     TargetCall::Callbacks callbacks;
     callbacks.may_send = [this] { return ConfirmSend(); };
+    callbacks.on_statement = [this](const TargetStatement& statement) {
+      context_->OnTargetStatement(target_, statement);
+    };
     callbacks.on_head = [this](const MessageHead& head) { OnHead(head); };
     callbacks.on_body = [this](std::string* body) { OnBody(body); };
     callbacks.on_done = [this] { OnResponseEnd(); };
@@ -294,6 +298,7 @@
       Retry("target_leaving");
       return false;
     }
+    LogIfAgainstStatement();
     run_.sent_at = BootNow();
     is_sent_ = true;
     context_->SetInFlight(id_, this);
@@ -311,6 +316,26 @@
     return true;
   }
 
+  void LogIfAgainstStatement() {
+    const TargetInstance target = TargetInstance::Of(target_);
+    const TargetStatements& statements = *context_->GetTargets()->Statements();
+    const TargetAccess access = statements.Access(target, BootNow());
+    if (access != TargetAccess::kLeaving && access != TargetAccess::kResting) {
+      return;
+    }
+    const bool is_leaving = access == TargetAccess::kLeaving;
+    context_->GetMetrics()->Count("sends_against_statement_total", "kind",
+                                  is_leaving ? "leaving" : "rest");
+    context_->GetLog()->Warning(
+        Now(),
+        "event=sent_against_statement id={} target={} leaving={} "
+        "rest_left_ms={:.0f} attempt={} events={}",
+        request_info_.id, target_.id, is_leaving,
+        is_leaving ? 0.0
+                   : ToMs(statements.OpensAt(target, BootNow()) - BootNow()),
+        executions_ + 1, response_.EventCount());
+  }
+
   void OnHead(const MessageHead& head) {
     const ResponseKind kind = response_.OnHead(head);
     // Anything else may come from another process at the target's address.
@@ -753,6 +778,7 @@
   /// clock.
   TargetRun run_;
   Time began_at_;
+  ServingTarget target_;  ///< of the latest attempt
   Duration expected_{0};  ///< from the latest send to the first event
   bool is_sent_ = false;  ///< `run_` is sent and has not ended
   std::unique_ptr<TargetCall> call_;
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -55,6 +55,9 @@
   /// what is refused; nullptr unregisters it.
   virtual void SetInFlight(std::uint64_t id, Exchange* exchange) = 0;
   virtual std::uint64_t NextExchangeId() = 0;
+  /// A target has stated something of itself in an answer.
+  virtual void OnTargetStatement(const ServingTarget& target,
+                                 const TargetStatement& statement) = 0;
   /// Losses may have been recorded or cleared, which peers must hear of.
   virtual void OnLossesChange() = 0;
 };
--- a/src/relay/http_codec.h
+++ b/src/relay/http_codec.h
@@ -9,6 +9,7 @@
 
 #include "hornbeamcleat/base/time.h"
 #include "hornbeamcleat/serving/request_property.h"
+#include "hornbeamcleat/serving/target_statement.h"
 #include "src/relay/header_list.h"
 
 namespace hornbeamcleat {
@@ -45,6 +46,7 @@
   std::string id;             ///< of the request; may be empty
   bool is_signed = false;     ///< has the target's signature header
   bool not_executed = false;  ///< the target guarantees that it did not run it
+  TargetStatement statement;  ///< of itself, whichever request it answers
 
   bool operator==(const ResponseInfo&) const = default;
 };
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -222,6 +222,23 @@
       in_flight_exchanges_[id] = exchange;
     }
   }
+  void OnTargetStatement(const ServingTarget& target,
+                         const TargetStatement& statement) override {
+    const char* kind = statement.is_leaving         ? "leaving"
+                       : statement.has_invalid_rest ? "invalid_rest"
+                                                    : "rest";
+    metrics_->Count("target_statements_total", "kind", kind);
+    const TargetInstance instance = TargetInstance::Of(target);
+    const Time boot_now = clock_->SuspendAwareNow();
+    const bool is_news = targets_.Statements()->OnStatement(
+        instance, statement, Duration(0), boot_now);
+    if (is_news || statement.has_invalid_rest) {
+      Log().Warning(
+          "event=target_statement target={} kind={} rest_ms={}", target.id,
+          kind,
+          statement.rest.value_or(Duration(0)) / std::chrono::milliseconds(1));
+    }
+  }
   void OnLossesChange() override {
     LossTable* losses = admission_.Losses();
     for (const RequestProperty& property : losses->TakeNewlyRefused()) {
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -181,6 +181,10 @@
       const ResponseInfo info = codec_->ParseResponseHeaders(
           parser_->Head().status, parser_->Head().headers);
       is_mismatched_ = !info.id.empty() && info.id != plan_.request_id;
+      if (!info.statement.IsEmpty() && callbacks_.on_statement) {
+        is_target_leaving_ = is_target_leaving_ || info.statement.is_leaving;
+        callbacks_.on_statement(info.statement);
+      }
       if (!is_mismatched_) {
         const std::function<void(const MessageHead&)> on_head =
             callbacks_.on_head;
@@ -222,7 +226,7 @@
   void Finish(bool is_clean) {
     const MessageHead& head = parser_->Head();
     std::unique_ptr<ByteStream> stream = std::move(stream_);
-    if (is_clean && head.keep_alive && plan_.may_reuse &&
+    if (is_clean && head.keep_alive && plan_.may_reuse && !is_target_leaving_ &&
         head.framing != BodyFraming::kUntilClose && stream->Unsent() == 0) {
       pool_->Release(std::move(stream), ReuseTime(head.headers));
     } else {
@@ -260,6 +264,7 @@
   bool may_have_sent_ = false;
   bool head_seen_ = false;
   bool is_mismatched_ = false;
+  bool is_target_leaving_ = false;
   std::size_t discarded_bytes_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/relay/target_call.h
+++ b/src/relay/target_call.h
@@ -8,6 +8,7 @@
 
 #include "hornbeamcleat/base/settings.h"
 #include "hornbeamcleat/base/time.h"
+#include "hornbeamcleat/serving/target_statement.h"
 #include "src/relay/http_parser.h"
 
 namespace hornbeamcleat {
@@ -35,6 +36,9 @@
     /// Called immediately before the first byte is sent. False cancels the
     /// call, so that the request is not executed.
     std::function<bool()> may_send;
+    /// The target states something of itself, possibly in a response to another
+    /// request. May be empty. Comes before on_head, and must not end the call.
+    std::function<void(const TargetStatement& statement)> on_statement;
     std::function<void(const MessageHead& head)> on_head;
     std::function<void(std::string* body)> on_body;  ///< consumes the bytes
     std::function<void()> on_done;  ///< the response is complete
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -13,6 +13,8 @@
 #include "hornbeamcleat/move/version_share.h"
 #include "hornbeamcleat/serving/peer_state.h"
 #include "hornbeamcleat/serving/serving_config.h"
+#include "hornbeamcleat/serving/target_statement.h"
+#include "src/serving/target_statements.h"
 
 namespace hornbeamcleat {
 
@@ -104,6 +106,9 @@
   /// milliseconds.
   void SetRemoteDomainCost(double ms) { remote_domain_cost_ms_ = ms; }
 
+  /// What targets state of themselves in answers, to this VM and its peers.
+  TargetStatements* Statements() { return &statements_; }
+
   /// Returns the target with the lowest cost among those with a free slot, or
   /// nullopt. Has no side effects.
   std::optional<Placement> Pick(const PlacementNeed& need, Time now) const;
@@ -222,6 +227,7 @@
   std::uint64_t changes_ = 0;
   double candidate_share_ = 1;
   double remote_domain_cost_ms_ = 0;
+  TargetStatements statements_;
 };
 
 }  // namespace hornbeamcleat
--- a/tests/platform/wire_codec_test.cc
+++ b/tests/platform/wire_codec_test.cc
@@ -132,5 +132,51 @@
       R"({"addresses":["a:1","b:2"],"ttl_s":2})");
 }
 
+TEST_F(WireCodecTest, LeavingOfTargetIsReadFromAnswersOfEachStatus) {
+  for (const int status : {200, 204, 400, 421, 429, 500, 503, 504}) {
+    EXPECT_TRUE(codec_->ParseResponseHeaders(status, {{"server-leaving", "1"}})
+                    .statement.is_leaving);
+  }
+  for (const char* other : {"0", "", "yes", "11"}) {
+    EXPECT_FALSE(codec_->ParseResponseHeaders(200, {{"Server-Leaving", other}})
+                     .statement.is_leaving);
+  }
+  EXPECT_TRUE(codec_
+                  ->ParseResponseHeaders(
+                      200, {{"Server-Leaving", "1"}, {"Server-Leaving", "0"}})
+                  .statement.is_leaving);
+}
+
+TEST_F(WireCodecTest, RestOfTargetIsReadAsBoundedSeconds) {
+  const auto rest = [this](const std::string& text) {
+    return codec_->ParseResponseHeaders(503, {{"Retry-After", text}})
+        .statement.rest;
+  };
+  EXPECT_EQ(rest("2"), milliseconds(2'000));
+  EXPECT_EQ(rest("2.5"), milliseconds(2'500));
+  EXPECT_EQ(rest("0"), Duration(0));
+  for (const char* absurd : {"1e9", "99999999999", "1e300"}) {
+    EXPECT_EQ(rest(absurd), std::chrono::hours(24)) << absurd;
+  }
+  for (const char* invalid :
+       {"", "-1", "-0.5", "soon", "nan", "inf", "2 s", "2,5",
+        "Wed, 21 Oct 2026 07:28:00 GMT", "1e999"}) {
+    EXPECT_EQ(rest(invalid), std::nullopt) << invalid;
+    EXPECT_TRUE(codec_->ParseResponseHeaders(503, {{"Retry-After", invalid}})
+                    .statement.has_invalid_rest);
+  }
+  const HeaderList twice = {{"Retry-After", "3"}, {"Retry-After", "1"}};
+  EXPECT_EQ(codec_->ParseResponseHeaders(503, twice).statement.rest,
+            milliseconds(3'000));
+}
+
+// Only a refusal asks for rest; in other answers the header is the caller's.
+TEST_F(WireCodecTest, RetryAfterOfOtherStatusIsNoRest) {
+  for (const int status : {200, 301, 429, 500, 502}) {
+    EXPECT_TRUE(codec_->ParseResponseHeaders(status, {{"Retry-After", "2"}})
+                    .statement.IsEmpty());
+  }
+}
+
 }  // namespace
 }  // namespace hornbeamcleat::platform
