Send nothing to targets that state that they leave or rest

What callers saw: requests at targets that had said on an answer that they leave (DRAIN), and 503 as the retry budget ran out at targets that had asked for rest (BUDGET).

Ruled out by the logs added before: sends went on from the first one after the statement, as first attempts, with no line of the store between.

Change: TargetStatements decides, by start of the target, who may be sent requests. Leaving holds for good. A rest closes the target for this VM to its end, which later statements only extend; then VMs return in turn, with one request at a time until it is answered. Checked at placement and right before the first byte, so for what waits, connects, is repeated or resumed. Capacity at rest leaves free slots, the queue's estimate and the growth of moves. If all targets rest, requests that can't wait are refused at once with the time at which the first one ends, spread over two seconds. Peers are told in a message of their own; they use no target that leaves, and one that asked another VM for rest only if no other is free. sent_against_statement goes: such a send is no longer possible.

--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "hornbeamcleat/serving/request_property.h"
+#include "hornbeamcleat/serving/target_statement.h"
 #include "hornbeamcleat/serving/version_move.h"
 
 namespace hornbeamcleat {
@@ -160,6 +161,8 @@
   std::optional<PeerDetails> details;
   /// With each `details`, and in a message of its own after a change.
   std::optional<LossReport> losses;
+  /// Statements of targets; those that the message lacks stay as they are.
+  std::vector<TargetNotice> notices;
 
   bool operator==(const PeerState&) const = default;
 };
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -194,6 +194,23 @@
     return query;
   }
 
+  PlacementNeed Need() const {
+    PlacementNeed need;
+    need.service = service_;
+    need.prompt_tokens = request_info_.prompt_tokens;
+    need.max_pause = admission_.route->max_pause;
+    need.failure_domain = context_->FailureDomain();
+    need.tried = tried_targets_;
+    need.seed = Hash32(request_info_.id);
+    return need;
+  }
+
+  bool IsTargetResting() const {
+    return context_->GetTargets()->Statements()->Access(
+               TargetInstance::Of(target_), BootNow()) ==
+           TargetAccess::kResting;
+  }
+
   void Enqueue(Time arrival, Time objective_deadline) {
     WaitingRequest waiting;
     waiting.id = id_;
@@ -202,12 +219,7 @@
     waiting.arrival = arrival;
     waiting.objective_deadline = objective_deadline;
     waiting.deadline = deadline_;
-    waiting.need.service = service_;
-    waiting.need.prompt_tokens = request_info_.prompt_tokens;
-    waiting.need.max_pause = admission_.route->max_pause;
-    waiting.need.failure_domain = context_->FailureDomain();
-    waiting.need.tried = tried_targets_;
-    waiting.need.seed = Hash32(request_info_.id);
+    waiting.need = Need();
     // Different suspects go to different targets, so that the next loss tells
     // them apart, and the same one to the same target, so that it ends only
     // one.
@@ -292,13 +304,12 @@
       Refuse(refusal, kNotExecutedRetryAfter);
       return false;
     }
-    if (!context_->GetTargets()->AcceptsRequests(attempt_->Target())) {
-      tried_targets_.push_back(attempt_->Target());
+    if (!context_->GetTargets()->AcceptsRequests(attempt_->Target(), Now())) {
+      const bool is_resting = IsTargetResting();
       FinishAttempt(TargetOutcome::kAbandoned);
-      Retry("target_leaving");
+      Retry(is_resting ? "target_resting" : "target_leaving");
       return false;
     }
-    LogIfAgainstStatement();
     run_.sent_at = BootNow();
     is_sent_ = true;
     context_->SetInFlight(id_, this);
@@ -316,26 +327,6 @@
     return true;
   }
 
-  void LogIfAgainstStatement() {
-    const TargetInstance target = TargetInstance::Of(target_);
-    const TargetStatements& statements = *context_->GetTargets()->Statements();
-    const TargetAccess access = statements.Access(target, BootNow());
-    if (access != TargetAccess::kLeaving && access != TargetAccess::kResting) {
-      return;
-    }
-    const bool is_leaving = access == TargetAccess::kLeaving;
-    context_->GetMetrics()->Count("sends_against_statement_total", "kind",
-                                  is_leaving ? "leaving" : "rest");
-    context_->GetLog()->Warning(
-        Now(),
-        "event=sent_against_statement id={} target={} leaving={} "
-        "rest_left_ms={:.0f} attempt={} events={}",
-        request_info_.id, target_.id, is_leaving,
-        is_leaving ? 0.0
-                   : ToMs(statements.OpensAt(target, BootNow()) - BootNow()),
-        executions_ + 1, response_.EventCount());
-  }
-
   void OnHead(const MessageHead& head) {
     const ResponseKind kind = response_.OnHead(head);
     // Anything else may come from another process at the target's address.
@@ -483,7 +474,10 @@
   void OnNotExecuted() {
     --executions_;
     may_have_run_ = may_have_run_before_;
-    tried_targets_.push_back(attempt_->Target());
+    // A target that rests may take the request afterwards.
+    if (!IsTargetResting()) {
+      tried_targets_.push_back(attempt_->Target());
+    }
     FinishAttempt(TargetOutcome::kNotRun);
     if (response_.HasStarted()) {
       AbortResponse("resume_not_run");
@@ -493,7 +487,9 @@
       Retry("not_run");
       return;
     }
-    Refuse(RefusalReason::kNotRun, kNotExecutedRetryAfter);
+    Refuse(RefusalReason::kNotRun, context_->GetQueue()
+                                       ->TimeToRestEnd(Need(), Now())
+                                       .value_or(kNotExecutedRetryAfter));
   }
 
   void OnFailure(CallFailure failure) {
--- a/src/relay/peer_reporter.cc
+++ b/src/relay/peer_reporter.cc
@@ -29,9 +29,10 @@
 constexpr std::int64_t kRemotePhases = 2 * kChecksPerSecond;
 /// Interval between complete lists of quotas to other failure domains.
 constexpr Duration kAllQuotasPeriod = std::chrono::seconds(4);
-/// Changes to losses are repeated with the details for this time: three
-/// reports to other failure domains, in case some are lost.
-constexpr Duration kLossRepeatTime = std::chrono::seconds(6);
+/// Changes to losses and statements of targets are repeated with the details
+/// for this time: three reports to other failure domains, in case some are
+/// lost.
+constexpr Duration kRepeatTime = std::chrono::seconds(6);
 /// Minimum interval between two messages about losses. Bounds their number
 /// when a failure domain with hundreds of targets is lost.
 constexpr Duration kMinLossInterval = std::chrono::milliseconds(50);
@@ -191,7 +192,9 @@
   state->details = std::move(details);
   const Time boot_now = clock_->SuspendAwareNow();
   state->losses = sources_.admission->Losses()->ChangesSince(
-      boot_now - kLossRepeatTime, boot_now);
+      boot_now - kRepeatTime, boot_now);
+  state->notices = sources_.targets->Statements()->NoticesSince(
+      boot_now - kRepeatTime, boot_now);
 }
 
 void PeerReporter::SendLossesSoon() {
@@ -216,6 +219,24 @@
   link_->Send(state, sources_.directory->Links());
 }
 
+void PeerReporter::SendNoticesSoon() {
+  if (notices_timer_ == nullptr) {
+    notices_timer_ =
+        loop_->Timers()->At(clock_->Now(), [this](Time) { SendNotices(); });
+  }
+}
+
+void PeerReporter::SendNotices() {
+  notices_timer_.reset();
+  PeerState state = MakeState();
+  state.has_load = false;
+  const Time boot_now = clock_->SuspendAwareNow();
+  state.notices = sources_.targets->Statements()->NoticesSince(
+      notices_sent_until_, boot_now);
+  notices_sent_until_ = boot_now;
+  link_->Send(state, sources_.directory->Links());
+}
+
 // Only some VMs send all they know to a peer that has started. If all did, the
 // reports would hold up its link, and their own, just when requests of the VMs
 // that were lost are repeated.
@@ -232,7 +253,9 @@
     state.has_load = false;
     state.losses =
         sources_.admission->Losses()->CompleteReport(clock_->SuspendAwareNow());
-    if (*state.losses != LossReport()) {
+    state.notices =
+        sources_.targets->Statements()->AllNotices(clock_->SuspendAwareNow());
+    if (*state.losses != LossReport() || !state.notices.empty()) {
       peer.next = now + kStartedPeerInterval;
       link_->Send(state, {link});
     }
--- a/src/relay/peer_reporter.h
+++ b/src/relay/peer_reporter.h
@@ -52,6 +52,9 @@
   /// Sends what is known of properties that crash targets to all VMs if it has
   /// changed, once this turn of the loop has ended.
   void SendLossesSoon();
+  /// Sends new statements of targets to all VMs, once this turn of the loop has
+  /// ended.
+  void SendNoticesSoon();
   /// A peer has started and lacks what others know.
   void OnPeerStarted(const std::string& link);
   /// A peer is heard again after a while, and may lack losses that were
@@ -72,6 +75,7 @@
   void SendToRemoteDomains(bool with_details);
   void SendLowQuotas();
   void SendLosses();
+  void SendNotices();
   void SendLossesTo(std::map<std::string, StartedPeer>* peers);
   PeerState MakeState();
   PeerState MakeLoadState(Time now);
@@ -98,6 +102,8 @@
   /// Changes to losses before this time have been sent once; on the clock of
   /// the losses.
   Time losses_sent_until_;
+  /// Statements of targets before this time have been sent once.
+  Time notices_sent_until_;
   Time started_at_;
   Time all_quotas_sent_at_;
   /// Peers that have started or returned recently.
@@ -106,6 +112,7 @@
   std::unique_ptr<TimerService::Subscription> heartbeat_timer_;
   std::unique_ptr<TimerService::Subscription> send_timer_;
   std::unique_ptr<TimerService::Subscription> losses_timer_;
+  std::unique_ptr<TimerService::Subscription> notices_timer_;
 };
 
 }  // namespace hornbeamcleat
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -14,6 +14,8 @@
 #include "src/base/poll_loop.h"
 #include "src/relay/admin_endpoints.h"
 #include "src/relay/exchange.h"
+#include "src/relay/http_codec.h"
+#include "src/relay/http_parser.h"
 #include "src/relay/listener.h"
 #include "src/relay/peer_link.h"
 #include "src/relay/peer_reporter.h"
@@ -38,6 +40,11 @@
 /// Interval at which one more VM may try a refused property. Longer than the
 /// report of a trial takes to all VMs.
 constexpr Duration kTrialStep = std::chrono::milliseconds(250);
+/// Interval at which one more VM returns to a target after its rest, and the
+/// time by which all have. Longer than a request takes to be turned away and
+/// the report of that to all VMs.
+constexpr Duration kReturnStep = std::chrono::milliseconds(50);
+constexpr Duration kMaxReturnDelay = std::chrono::seconds(1);
 /// Interval of placement decisions while requests wait.
 constexpr Duration kDecisionPeriod = std::chrono::milliseconds(20);
 constexpr Duration kHousekeepingPeriod = std::chrono::milliseconds(250);
@@ -97,6 +104,10 @@
     const Time now = clock_->Now();
     admission_.Quotas()->SetSlack(options.quota_slack);
     admission_.Quotas()->SetStart(now);
+    target_connections_.SetOnUnsolicited(
+        [this](const Address& target, std::string_view bytes) {
+          OnUnsolicitedBytes(target, bytes);
+        });
     admission_.SetTrialDelay([this](std::uint64_t code) {
       return kTrialStep * directory_.RankFor(code, clock_->Now());
     });
@@ -229,9 +240,18 @@
                                                     : "rest";
     metrics_->Count("target_statements_total", "kind", kind);
     const TargetInstance instance = TargetInstance::Of(target);
-    const Time boot_now = clock_->SuspendAwareNow();
+    const Duration return_delay =
+        std::min(kMaxReturnDelay,
+                 kReturnStep * directory_.RankFor(instance.id, clock_->Now()));
     const bool is_news = targets_.Statements()->OnStatement(
-        instance, statement, Duration(0), boot_now);
+        instance, statement, return_delay, clock_->SuspendAwareNow());
+    if (statement.is_leaving) {
+      target_connections_.Drop(Address::Parse(target.address));
+    }
+    ScheduleDecisions();
+    if (is_news) {
+      peer_reporter_.SendNoticesSoon();
+    }
     if (is_news || statement.has_invalid_rest) {
       Log().Warning(
           "event=target_statement target={} kind={} rest_ms={}", target.id,
@@ -303,6 +323,7 @@
   }
 
   void DecideWaiting() {
+    targets_.SetSuspendedTime(clock_->SuspendAwareNow() - clock_->Now());
     const std::vector<WaitDecision> decisions = queue_.Decide(clock_->Now());
     for (const WaitDecision& decision : decisions) {
       const auto it = waiting_exchanges_.find(decision.id);
@@ -353,11 +374,48 @@
                                         clock_->SuspendAwareNow());
       OnLossesChange();
     }
+    for (const TargetNotice& notice : state.notices) {
+      OnTargetNotice(state.link, notice);
+    }
     if (!waiting_exchanges_.empty()) {
       ScheduleDecisions();
     }
   }
 
+  void OnTargetNotice(const std::string& link, const TargetNotice& notice) {
+    if (!targets_.Statements()->OnNotice(notice, clock_->SuspendAwareNow())) {
+      return;
+    }
+    const std::string address = targets_.AddressOf(notice.target);
+    Log().Info("event=target_notice link={} address={} leaving=true", link,
+               address);
+    if (!address.empty()) {
+      target_connections_.Drop(Address::Parse(address));
+    }
+  }
+
+  // Bytes on an idle connection answer no request, but state where they come
+  // from.
+  void OnUnsolicitedBytes(const Address& address, std::string_view bytes) {
+    const std::unique_ptr<HttpParser> parser =
+        HttpParser::ForResponse({bytes.size(), 0}, false);
+    parser->Feed(bytes);
+    if (!parser->HeadDone()) {
+      return;
+    }
+    const TargetStatement statement =
+        codec_
+            ->ParseResponseHeaders(parser->Head().status,
+                                   parser->Head().headers)
+            .statement;
+    if (statement.IsEmpty()) {
+      return;
+    }
+    for (const ServingTarget& target : targets_.FindAt(address.ToString())) {
+      OnTargetStatement(target, statement);
+    }
+  }
+
   void UpdateScale() {
     const int members = directory_.Members();
     admission_.Quotas()->SetMembers(members, scale_plan_.is_domain_scoped
@@ -387,6 +445,8 @@
     for (const MoveOrder& order : orders) {
       VersionMoves::SideCapacity& side = sides[order.service];
       side.new_slots = targets_.SlotsOf(order.service, order.version, true);
+      side.new_resting_slots =
+          targets_.RestingSlotsOf(order.service, order.version, clock_->Now());
       side.old_slots = targets_.SlotsOf(order.service, order.version, false);
       side.old_running =
           targets_.RunningOf(order.service, order.version, false);
--- a/src/relay/target_connection_pool.cc
+++ b/src/relay/target_connection_pool.cc
@@ -27,8 +27,11 @@
   }
   const std::uint64_t id = next_id_++;
   ByteStream::Callbacks callbacks;
-  callbacks.on_bytes = [this, target, id](std::string_view) {
+  callbacks.on_bytes = [this, target, id](std::string_view bytes) {
     Remove(target, id);
+    if (on_unsolicited_) {
+      on_unsolicited_(target, bytes);
+    }
   };
   callbacks.on_end = [this, target, id](StreamEnd) { Remove(target, id); };
   stream->SetCallbacks(std::move(callbacks));
--- a/src/relay/target_connection_pool.h
+++ b/src/relay/target_connection_pool.h
@@ -2,8 +2,11 @@
 #define HORNBEAMCLEAT_SRC_RELAY_TARGET_CONNECTION_POOL_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "hornbeamcleat/base/settings.h"
@@ -31,6 +34,12 @@
   /// Closes connections that have expired.
   void CloseExpired();
 
+  /// Called with bytes that arrive on an idle connection, which is closed.
+  void SetOnUnsolicited(
+      std::function<void(const Address&, std::string_view)> on_unsolicited) {
+    on_unsolicited_ = std::move(on_unsolicited);
+  }
+
   /// Closes all connections to a target.
   void Drop(const Address& target);
 
@@ -44,6 +53,7 @@
   void Remove(const Address& target, std::uint64_t id);
 
   const Clock* const clock_;
+  std::function<void(const Address&, std::string_view)> on_unsolicited_;
   std::uint64_t next_id_ = 0;
   std::map<Address, std::vector<Idle>> idle_;
   /// Streams whose callback may be running; freed by the next CloseExpired.
--- a/src/serving/target_balancer.cc
+++ b/src/serving/target_balancer.cc
@@ -79,6 +79,8 @@
 void TargetBalancer::SetTargets(const std::vector<ServingTarget>& targets,
                                 Time now) {
   std::map<std::string, Target> next;
+  std::vector<TargetInstance> instances;
+  instances.reserve(targets.size());
   for (const ServingTarget& spec : targets) {
     const auto known = targets_.find(spec.id);
     Target target;
@@ -90,10 +92,13 @@
       target.decayed_at = now;
     }
     target.spec = spec;
+    target.instance = TargetInstance::Of(spec);
+    instances.push_back(target.instance);
     target.hash = Hash32(spec.id);
     next.emplace(spec.id, std::move(target));
   }
   targets_ = std::move(next);
+  statements_.SetListed(instances, now + suspended_time_);
   RebuildPeerTotals();
 }
 
@@ -128,10 +133,12 @@
       std::min(until, target->first_peer_ejection_until);
 }
 
-// This VM's own recent answers override reports from peers.
-bool TargetBalancer::IsEjectedByPeers(const Target& target, Time now) {
-  return now < target.peer_ejected_until &&
-         now - target.last_answer_at > kOwnAnswerPrecedence;
+// This VM's own recent answers override reports from peers, but not what the
+// target itself told them.
+bool TargetBalancer::IsAvoided(const Target& target, Time now) const {
+  return (now < target.peer_ejected_until &&
+          now - target.last_answer_at > kOwnAnswerPrecedence) ||
+         AccessTo(target, now) == TargetAccess::kAvoided;
 }
 
 void TargetBalancer::SetPeerStats(const std::string& peer,
@@ -237,8 +244,20 @@
   return failures / (answers + 2);
 }
 
-int TargetBalancer::FreeSlotsOf(const Target& target) {
-  return std::max(0, target.spec.slots - target.running - target.peer_running);
+int TargetBalancer::FreeSlotsOf(const Target& target, Time now) const {
+  const int free =
+      std::max(0, target.spec.slots - target.running - target.peer_running);
+  switch (AccessTo(target, now)) {
+    case TargetAccess::kOpen:
+    case TargetAccess::kAvoided:
+      return free;
+    case TargetAccess::kTrial:
+      return target.running == 0 ? std::min(1, free) : 0;
+    case TargetAccess::kResting:
+    case TargetAccess::kLeaving:
+      break;
+  }
+  return 0;
 }
 
 bool TargetBalancer::MeetsPauseLimit(const Target& target,
@@ -282,7 +301,7 @@
   if (!placement.has_value() && share < 1) {
     placement = PickCandidate(need, {1, prefers_new, false}, now);
   }
-  // Peers may share a wrong view, so a target ejected by peers is still better
+  // Peers may share a wrong view, so a target that peers avoid is still better
   // than none.
   return placement.has_value()
              ? placement
@@ -305,8 +324,8 @@
     if (target.spec.service != need.service || target.spec.is_draining ||
         !IsAllowed(target, need, filter.is_new) ||
         !IsCandidate(target.hash, need.seed, filter.share) ||
-        FreeSlotsOf(target) == 0 || IsEjected(target, now) ||
-        (!filter.includes_peer_ejected && IsEjectedByPeers(target, now)) ||
+        FreeSlotsOf(target, now) == 0 || IsEjected(target, now) ||
+        (!filter.includes_avoided && IsAvoided(target, now)) ||
         std::find(need.tried.begin(), need.tried.end(), id) !=
             need.tried.end()) {
       continue;
@@ -337,7 +356,7 @@
   Duration sum{0};
   int n = 0;
   for (const auto& [id, target] : targets_) {
-    if (target.spec.service == need.service && !target.spec.is_draining) {
+    if (target.spec.service == need.service && IsStaying(target)) {
       sum += ExpectedLatency(target, need.prompt_tokens);
       ++n;
     }
@@ -345,9 +364,23 @@
   return n == 0 ? sum : sum / n;
 }
 
-bool TargetBalancer::AcceptsRequests(const std::string& target) const {
-  const ServingTarget* spec = Find(target);
-  return spec != nullptr && !spec->is_draining;
+bool TargetBalancer::AcceptsRequests(const std::string& target,
+                                     Time now) const {
+  const auto it = targets_.find(target);
+  return it != targets_.end() && IsStaying(it->second) &&
+         AccessTo(it->second, now) != TargetAccess::kResting;
+}
+
+Time TargetBalancer::OpensAt(const std::string& service, Time now) const {
+  Time first = Time::max();
+  for (const auto& [id, target] : targets_) {
+    if (target.spec.service == service && IsStaying(target) &&
+        HasTrafficShare(target)) {
+      first = std::min(
+          first, statements_.OpensAt(target.instance, now + suspended_time_));
+    }
+  }
+  return first == Time::max() ? now : first - suspended_time_;
 }
 
 const ServingTarget* TargetBalancer::Find(const std::string& target) const {
@@ -355,6 +388,26 @@
   return it == targets_.end() ? nullptr : &it->second.spec;
 }
 
+std::vector<ServingTarget> TargetBalancer::FindAt(
+    const std::string& address) const {
+  std::vector<ServingTarget> found;
+  for (const auto& [id, target] : targets_) {
+    if (target.spec.address == address) {
+      found.push_back(target.spec);
+    }
+  }
+  return found;
+}
+
+std::string TargetBalancer::AddressOf(const TargetInstance& target) const {
+  for (const auto& [id, entry] : targets_) {
+    if (entry.instance == target) {
+      return entry.spec.address;
+    }
+  }
+  return "";
+}
+
 void TargetBalancer::OnSent(const std::string& target,
                             std::uint32_t prompt_tokens, Time now) {
   const auto it = targets_.find(target);
@@ -384,6 +437,7 @@
   entry.unanswered_since = now;
   entry.consecutive_connect_failures = 0;
   entry.last_answer_at = now;
+  statements_.OnAnswered(entry.instance, now + suspended_time_);
   const double typical = std::max(1.0, ToMs(expected) / Slowness(entry));
   const double sample =
       std::clamp(ToMs(after) / typical, kMinSlowness, kMaxSlowness);
@@ -421,6 +475,10 @@
     entry.unanswered = std::max(0, entry.unanswered - 1);
   }
   Decay(&entry, now);
+  if (outcome == TargetOutcome::kAnswered ||
+      outcome == TargetOutcome::kFailed) {
+    statements_.OnAnswered(entry.instance, now + suspended_time_);
+  }
   switch (outcome) {
     case TargetOutcome::kAnswered:
       entry.answers += 1;
@@ -501,21 +559,21 @@
 
 int TargetBalancer::FreeSlots(const std::string& service, Time now) const {
   int free = 0;
-  int free_at_ejected = 0;
+  int free_at_avoided = 0;
   for (const auto& [id, target] : targets_) {
     if (target.spec.service == service && !target.spec.is_draining &&
         HasTrafficShare(target) && !IsEjected(target, now)) {
-      (IsEjectedByPeers(target, now) ? free_at_ejected : free) +=
-          FreeSlotsOf(target);
+      (IsAvoided(target, now) ? free_at_avoided : free) +=
+          FreeSlotsOf(target, now);
     }
   }
-  return free > 0 ? free : free_at_ejected;
+  return free > 0 ? free : free_at_avoided;
 }
 
 int TargetBalancer::TotalSlots(const std::string& service) const {
   int slots = 0;
   for (const auto& [id, target] : targets_) {
-    if (target.spec.service == service && !target.spec.is_draining &&
+    if (target.spec.service == service && IsStaying(target) &&
         HasTrafficShare(target)) {
       slots += target.spec.slots;
     }
@@ -527,7 +585,7 @@
                             const std::string& version, bool is_version) const {
   int slots = 0;
   for (const auto& [id, target] : targets_) {
-    if (target.spec.service == service && !target.spec.is_draining &&
+    if (target.spec.service == service && IsStaying(target) &&
         (target.spec.software_version == version) == is_version) {
       slots += target.spec.slots;
     }
@@ -548,6 +606,19 @@
   return running;
 }
 
+int TargetBalancer::RestingSlotsOf(const std::string& service,
+                                   const std::string& version, Time now) const {
+  int slots = 0;
+  for (const auto& [id, target] : targets_) {
+    if (target.spec.service == service && IsStaying(target) &&
+        target.spec.software_version == version &&
+        AccessTo(target, now) == TargetAccess::kResting) {
+      slots += target.spec.slots;
+    }
+  }
+  return slots;
+}
+
 int TargetBalancer::Running(const std::string& service) const {
   int running = 0;
   for (const auto& [id, target] : targets_) {
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -97,6 +97,10 @@
   /// do not all pick the same target.
   void SetCandidateShare(double share) { candidate_share_ = share; }
 
+  /// Sets for how long in all this VM was suspended. Rests of targets go on
+  /// meanwhile, but not the clock of the other arguments.
+  void SetSuspendedTime(Duration time) { suspended_time_ = time; }
+
   /// Sets the rules for services with a version move.
   void SetVersionRules(std::map<std::string, VersionRule> rules) {
     version_rules_ = std::move(rules);
@@ -117,11 +121,20 @@
   /// targets at their current load, or zero if there are none.
   Duration TypicalLatency(const PlacementNeed& need) const;
 
-  /// Whether this instance of the target is still listed and not draining.
-  bool AcceptsRequests(const std::string& target) const;
+  /// Whether this instance of the target is still listed, and neither draining
+  /// nor resting.
+  bool AcceptsRequests(const std::string& target, Time now) const;
+
+  /// Returns when the first of the service's targets ends its rest if all of
+  /// them rest, otherwise `now`.
+  Time OpensAt(const std::string& service, Time now) const;
 
   /// Returns the specification of a listed target, or nullptr.
   const ServingTarget* Find(const std::string& target) const;
+  /// Returns the listed targets at an address; several while an entry is stale.
+  std::vector<ServingTarget> FindAt(const std::string& address) const;
+  /// Returns the address of a listed target, or "".
+  std::string AddressOf(const TargetInstance& target) const;
 
   void OnSent(const std::string& target, std::uint32_t prompt_tokens, Time now);
   /// Records that the first event or the answer's header arrived `after` the
@@ -145,6 +158,9 @@
               bool is_version) const;
   int RunningOf(const std::string& service, const std::string& version,
                 bool is_version) const;
+  /// Slots at targets of one version that rest.
+  int RestingSlotsOf(const std::string& service, const std::string& version,
+                     Time now) const;
 
   /// Returns this VM's load, to report to peers.
   std::vector<TargetLoad> LocalLoad(Time now) const;
@@ -158,6 +174,7 @@
  private:
   struct Target {
     ServingTarget spec;
+    TargetInstance instance;
     std::uint32_t hash = 0;
     int running = 0;
     std::uint32_t pending_tokens = 0;
@@ -192,9 +209,9 @@
                                   std::uint32_t prompt_tokens);
   /// Restricts the targets considered for one request.
   struct CandidateFilter {
-    double share = 1;                    ///< fraction of targets
-    bool is_new = false;                 ///< side of a version move
-    bool includes_peer_ejected = false;  ///< includes targets ejected by peers
+    double share = 1;               ///< fraction of targets
+    bool is_new = false;            ///< side of a version move
+    bool includes_avoided = false;  ///< includes those that peers avoid
   };
   std::optional<Placement> PickCandidate(const PlacementNeed& need,
                                          const CandidateFilter& filter,
@@ -205,12 +222,20 @@
                  bool prefers_new) const;
   bool HasTrafficShare(const Target& target) const;
   bool IsEjected(const Target& target, Time now) const;
-  static bool IsEjectedByPeers(const Target& target, Time now);
+  /// Whether peers eject the target, or were asked by it for rest.
+  bool IsAvoided(const Target& target, Time now) const;
+  TargetAccess AccessTo(const Target& target, Time now) const {
+    return statements_.Access(target.instance, now + suspended_time_);
+  }
+  /// Whether the target neither drains nor has said that it leaves.
+  bool IsStaying(const Target& target) const {
+    return !target.spec.is_draining && !statements_.IsLeaving(target.instance);
+  }
   static void RecordPeerEjection(const std::string& peer,
                                  const TargetLoad& load, Time now,
                                  Target* target);
   double FailureShare(const Target& target, Time now) const;
-  static int FreeSlotsOf(const Target& target);
+  int FreeSlotsOf(const Target& target, Time now) const;
   static bool MeetsPauseLimit(const Target& target, const PlacementNeed& need);
   static void RecordFailure(Target* target, Time now);
   static void BackOff(Target* target, Time now);
@@ -228,6 +253,7 @@
   double candidate_share_ = 1;
   double remote_domain_cost_ms_ = 0;
   TargetStatements statements_;
+  Duration suspended_time_{0};
 };
 
 }  // namespace hornbeamcleat
--- a/src/serving/target_statements.cc
+++ b/src/serving/target_statements.cc
@@ -127,6 +127,11 @@
                                     : TargetAccess::kOpen;
 }
 
+bool TargetStatements::IsLeaving(const TargetInstance& target) const {
+  const auto it = states_.find(target.id);
+  return it != states_.end() && IsLeaving(it->second, target.start_time_ms);
+}
+
 Time TargetStatements::OpensAt(const TargetInstance& target, Time now) const {
   switch (Access(target, now)) {
     case TargetAccess::kLeaving:
--- a/src/serving/target_statements.h
+++ b/src/serving/target_statements.h
@@ -55,6 +55,9 @@
 
   TargetAccess Access(const TargetInstance& target, Time now) const;
 
+  /// Whether the target has said that it leaves.
+  bool IsLeaving(const TargetInstance& target) const;
+
   /// Returns when the target may be sent a request again, or Time::max() if it
   /// leaves; `now` if it may be already.
   Time OpensAt(const TargetInstance& target, Time now) const;
--- a/src/serving/version_moves.cc
+++ b/src/serving/version_moves.cc
@@ -279,7 +279,8 @@
                                double fraction) const {
   const bool keeps_share = move.verdict.suspect || !move.verdict.as_fast ||
                            move.verdict.ends < kMinAnswers ||
-                           sides.new_slots < kMinSlotRatio * sides.old_slots;
+                           sides.new_slots - sides.new_resting_slots <
+                               kMinSlotRatio * sides.old_slots;
   if (keeps_share) {
     // Staying at this share gathers the answers that confirm or clear the
     // suspicion fastest.
--- a/src/serving/wait_queue.cc
+++ b/src/serving/wait_queue.cc
@@ -28,6 +28,10 @@
 /// Bounds of the Retry-After value.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
+/// Callers that come back after a rest are spread over this time.
+constexpr Duration kReturnSpread = std::chrono::seconds(2);
+/// Other targets may have come after this time, however long a rest is.
+constexpr Duration kMaxRestRetryAfter = std::chrono::seconds(60);
 
 WaitingRank RankOf(const WaitingRequest& request, Time now) {
   WaitingRank rank;
@@ -66,6 +70,12 @@
   return now - request.arrival <= Scale(objective, kPromptRefusalShare);
 }
 
+Duration RetryAfterRest(Duration left, std::uint32_t seed) {
+  constexpr double kSeeds = 4'294'967'296;
+  return std::min(left, kMaxRestRetryAfter) +
+         Scale(kReturnSpread, seed / kSeeds);
+}
+
 }  // namespace
 
 void WaitQueue::Add(const WaitingRequest& request) {
@@ -150,6 +160,7 @@
   const Duration release_interval = ReleaseInterval(service, *local_queue);
   std::vector<WaitingRequest> kept;
   int position = 0;
+  const Time opens_at = balancer_->OpensAt(service, now);
   int free_slots = balancer_->FreeSlots(service, now);
   for (const WaitingRequest& request : local_queue->requests) {
     WaitDecision decision;
@@ -173,14 +184,17 @@
     ++position;
     const int releases_needed =
         std::max(0, decision.ahead - decision.free_slots) + 1;
-    const Duration wait = release_interval * releases_needed;
+    const Duration wait = opens_at - now + release_interval * releases_needed;
     const Time limit = request.latest_start;
-    // Refuses requests that have waited until their latest start, and refuses
-    // new requests early if the estimated wait is too long.
-    if (now >= limit ||
+    // Refuses requests that have waited until their latest start, or whose
+    // targets all rest until then, and refuses new requests early if the
+    // estimated wait is too long.
+    if (now >= limit || opens_at > limit ||
         (now + wait > limit && MayRefusePromptly(request, now))) {
       decision.kind = WaitDecision::Kind::kRefuse;
-      decision.retry_after = std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
+      decision.retry_after =
+          opens_at > now ? RetryAfterRest(opens_at - now, request.need.seed)
+                         : std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
       decisions->push_back(decision);
       --position;
       continue;
@@ -191,6 +205,15 @@
   local_queue->requests = std::move(kept);
 }
 
+std::optional<Duration> WaitQueue::TimeToRestEnd(const PlacementNeed& need,
+                                                 Time now) const {
+  const Time opens_at = balancer_->OpensAt(need.service, now);
+  if (opens_at <= now) {
+    return std::nullopt;
+  }
+  return RetryAfterRest(opens_at - now, need.seed);
+}
+
 int WaitQueue::Waiting(const std::string& service) const {
   const auto it = queues_.find(service);
   return it == queues_.end() ? 0 : static_cast<int>(it->second.requests.size());
--- a/src/serving/wait_queue.h
+++ b/src/serving/wait_queue.h
@@ -52,6 +52,10 @@
 /// assigned by rank, then to requests that can still meet their objective,
 /// earliest latest start first. Requests that cannot be served within the wait
 /// that their objective allows are refused immediately.
+///
+/// If all targets rest, requests wait for the first of them only if they can
+/// still meet their objective then. The others are told to come back after it,
+/// spread over a time in which the targets are tried.
 class WaitQueue {
  public:
   explicit WaitQueue(TargetBalancer* balancer) : balancer_(balancer) {}
@@ -72,6 +76,11 @@
   /// queue; placed ones are recorded as sent in the load balancer.
   std::vector<WaitDecision> Decide(Time now);
 
+  /// Returns the time until a request that targets turned away may come back,
+  /// or nullopt if not all targets of its service rest.
+  std::optional<Duration> TimeToRestEnd(const PlacementNeed& need,
+                                        Time now) const;
+
   /// Number of requests that wait at this VM for the service.
   int Waiting(const std::string& service) const;
 
--- a/tests/serving/target_balancer_test.cc
+++ b/tests/serving/target_balancer_test.cc
@@ -272,7 +272,7 @@
   draining.is_draining = true;
   balancer_.SetTargets({draining}, now_);
   EXPECT_EQ(Pick(Need()), "");
-  EXPECT_FALSE(balancer_.AcceptsRequests("a"));
+  EXPECT_FALSE(balancer_.AcceptsRequests("a", now_));
 }
 
 TEST_F(TargetBalancerTest, SetTargetsWithRestartedTargetResetsItsState) {
