Test the neighbours of targets that leave or rest

Each way in which a statement comes or is contradicted: whole answers, heads of open streams, errors, refusals, 421, answers to other requests, bytes on idle connections; heartbeats, lapsed entries and records of earlier starts; requests that wait; other VMs; all targets at rest, with the times told to callers; short rests; times that are none.

--- a/tests/relay/crashing_targets_fixture.cc
+++ b/tests/relay/crashing_targets_fixture.cc
@@ -91,14 +91,6 @@
   target->StopListening();
 }
 
-Address CrashingTargetsFixture::FreeUdpAddress() {
-  const FileDescriptor fd(socket(AF_INET, SOCK_DGRAM, 0));
-  const sockaddr_in any = ToSocketAddress({"127.0.0.1", 0});
-  EXPECT_EQ(
-      bind(fd.Get(), reinterpret_cast<const sockaddr*>(&any), sizeof(any)), 0);
-  return BoundAddress(fd.Get());
-}
-
 int CrashingTargetsFixture::RequestCount() const {
   int n = 0;
   for (const std::unique_ptr<ScriptedTarget>& target : targets_) {
--- a/tests/relay/crashing_targets_fixture.h
+++ b/tests/relay/crashing_targets_fixture.h
@@ -44,8 +44,6 @@
   static void Crash(ScriptedTarget* target, const ReceivedRequest& request,
                     const std::string& bytes);
 
-  static Address FreeUdpAddress();
-
   /// Requests that the current targets have received.
   int RequestCount() const;
 
--- a/tests/relay/relay_fixture.cc
+++ b/tests/relay/relay_fixture.cc
@@ -124,6 +124,14 @@
                      options, std::move(callbacks));
 }
 
+Address RelayFixture::FreeUdpAddress() {
+  const FileDescriptor fd(socket(AF_INET, SOCK_DGRAM, 0));
+  const sockaddr_in any = ToSocketAddress({"127.0.0.1", 0});
+  EXPECT_EQ(
+      bind(fd.Get(), reinterpret_cast<const sockaddr*>(&any), sizeof(any)), 0);
+  return BoundAddress(fd.Get());
+}
+
 RelayOptions RelayFixture::Options() {
   RelayOptions options;
   options.name = "vm";
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -95,6 +95,8 @@
 
   static RelayOptions Options();
 
+  static Address FreeUdpAddress();
+
   /// Replaces the relay by a new one, as after a restart of its process.
   void RestartRelay();
 
--- a/tests/relay/target_statements_test.cc
+++ b/tests/relay/target_statements_test.cc
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -155,5 +156,202 @@
   }
 }
 
+TEST_F(TargetStatementsTest, HeadOfOpenStreamCountsAndTheStreamEndsWhole) {
+  ScriptedTarget leaving(loop_.get(), [&](const ReceivedRequest& request) {
+    request.stream->Write(
+        fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\n"
+                    "Upstream-Signature: s\r\n{}"
+                    "Transfer-Encoding: chunked\r\n\r\n"
+                    "f\r\nid: 1\ndata: a\n\n\r\n",
+                    request.Header("Request-Id"), kLeaving));
+  });
+  ScriptedTarget sound(loop_.get(), Answering());
+  relay_->SetTargets({Spec("leaving", leaving)});
+  const std::unique_ptr<TestCaller> caller = StartRequest("stream");
+  ASSERT_TRUE(RunUntil([&] { return !caller->Received().empty(); }));
+  relay_->SetTargets({Spec("leaving", leaving), Spec("sound", sound)});
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(Status(*SendRequest(Request("stream", NextId()))), 200);
+  }
+  EXPECT_EQ(leaving.RequestCount(), 1);
+  leaving.ReceivedRequests().front().stream->Write(
+      "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return caller->Response() != nullptr; }));
+  EXPECT_EQ(*caller->Response()->Body(),
+            "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+// On a kept connection, before the answer to the request itself.
+TEST_F(TargetStatementsTest, AnswerToOtherRequestCounts) {
+  ScriptedTarget leaving(loop_.get(), [&](const ReceivedRequest& request) {
+    request.stream->Write(
+        fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+                    "Upstream-Signature: s\r\n{}Content-Length: 4\r\n\r\nlate",
+                    kLeaving) +
+        Answer(request));
+  });
+  ScriptedTarget sound(loop_.get(), Answering());
+  relay_->SetTargets({Spec("leaving", leaving)});
+  EXPECT_EQ(Status(*SendRequest(Request("safe", NextId()))), 200);
+  relay_->SetTargets({Spec("leaving", leaving), Spec("sound", sound)});
+  SendRequest(Request("safe", NextId()));
+  EXPECT_EQ(leaving.RequestCount(), 1);
+}
+
+TEST_F(TargetStatementsTest, BytesOnIdleConnectionCount) {
+  ScriptedTarget leaving(loop_.get(), Answering());
+  relay_->SetTargets({Spec("leaving", leaving)});
+  EXPECT_EQ(Status(*SendRequest(Request("safe", NextId()))), 200);
+  const ReceivedRequest& request = leaving.ReceivedRequests().front();
+  request.stream->Write(
+      Response(request, 503, std::string(kNotExecuted) + kLeaving));
+  RunFor(milliseconds(50));
+  EXPECT_EQ(Status(*SendRequest(Request("safe", NextId()))), 503);
+  EXPECT_EQ(leaving.RequestCount(), 1);
+}
+
+TEST_F(TargetStatementsTest, OnlyNewStartBringsLeavingTargetBack) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest& request) {
+    request.stream->Write(Answer(request, kLeaving));
+  });
+  ServingTarget spec = Spec("t", target);
+  spec.start_time_ms = 2;
+  relay_->SetTargets({spec});
+  EXPECT_EQ(Status(*SendRequest(Request("safe", NextId()))), 200);
+  // A heartbeat, a lapsed entry that returns, and a record of an earlier start.
+  const auto expect_closed = [&] {
+    relay_->SetTargets({spec});
+    EXPECT_EQ(Status(*SendRequest(Request("safe", NextId()))), 503);
+    EXPECT_EQ(target.RequestCount(), 1);
+  };
+  expect_closed();
+  relay_->SetTargets({});
+  expect_closed();
+  spec.start_time_ms = 1;
+  expect_closed();
+  spec.start_time_ms = 3;
+  relay_->SetTargets({spec});
+  EXPECT_EQ(Status(*SendRequest(Request("safe", NextId()))), 200);
+  EXPECT_EQ(target.RequestCount(), 2);
+}
+
+TEST_F(TargetStatementsTest, WaitingRequestsDoNotFollowToLeavingTarget) {
+  ScriptedTarget leaving(loop_.get(), [](const ReceivedRequest&) {});
+  relay_->SetTargets({Spec("leaving", leaving)});
+  std::vector<std::unique_ptr<TestCaller>> running;
+  for (int i = 0; i < kTargetSlots; ++i) {
+    running.push_back(StartRequest("unsafe"));
+  }
+  ASSERT_TRUE(RunUntil([&] { return leaving.RequestCount() == kTargetSlots; }));
+  const std::unique_ptr<TestCaller> waiting = StartRequest("unsafe");
+  RunFor(milliseconds(50));
+  for (const ReceivedRequest& request : leaving.ReceivedRequests()) {
+    request.stream->Write(Answer(request, kLeaving));
+  }
+  ASSERT_TRUE(RunUntil([&] { return waiting->Response() != nullptr; }));
+  EXPECT_EQ(Status(*waiting), 503);
+  EXPECT_GT(RetryAfter(*waiting), 0);
+  EXPECT_EQ(leaving.RequestCount(), kTargetSlots);
+  for (const std::unique_ptr<TestCaller>& caller : running) {
+    EXPECT_EQ(Status(*caller), 200);
+  }
+}
+
+TEST_F(TargetStatementsTest, OtherVmsLearnOfLeavingAndRest) {
+  ScriptedTarget leaving(loop_.get(), [](const ReceivedRequest& request) {
+    request.stream->Write(Answer(request, kLeaving));
+  });
+  ScriptedTarget resting(loop_.get(), Refusing("3"));
+  ScriptedTarget sound(loop_.get(), Answering());
+  RelayOptions options = Options();
+  options.peer_address = FreeUdpAddress();
+  relay_ = MakeRelay(options);
+  Configure(Config());
+  const std::unique_ptr<Relay> first = std::move(relay_);
+  options.peer_address = FreeUdpAddress();
+  relay_ = MakeRelay(options);
+  Configure(Config());
+  for (Relay* relay : {first.get(), relay_.get()}) {
+    relay->SetMembers({first->SelfRecord(), relay_->SelfRecord()});
+  }
+  relay_->SetTargets({Spec("leaving", leaving)});
+  SendRequest(Request("safe", NextId()));
+  relay_->SetTargets({Spec("resting", resting)});
+  SendRequest(Request("safe", NextId()));
+  ASSERT_EQ(leaving.RequestCount(), 1);
+  ASSERT_EQ(resting.RequestCount(), 1);
+  RunFor(milliseconds(100));
+  first->SetTargets({Spec("leaving", leaving), Spec("resting", resting),
+                     Spec("sound", sound)});
+  for (int i = 0; i < 10; ++i) {
+    TestCaller caller(loop_.get(), first->CallerAddress());
+    caller.Send(Request("safe", NextId()));
+    ASSERT_TRUE(RunUntil([&] { return caller.Response() != nullptr; }));
+    EXPECT_EQ(Status(caller), 200);
+  }
+  EXPECT_EQ(leaving.RequestCount(), 1);
+  EXPECT_EQ(resting.RequestCount(), 1);
+}
+
+TEST_F(TargetStatementsTest, CallersAreToldWhenFirstOfRestingTargetsEnds) {
+  for (const char* kind : {"safe", "unsafe", "stream", "resume"}) {
+    ScriptedTarget shorter(loop_.get(), Refusing("20"));
+    ScriptedTarget longer(loop_.get(), Refusing("40"));
+    relay_->SetTargets({Spec(NextId(), shorter), Spec(NextId(), longer)});
+    EXPECT_EQ(Status(*SendRequest(Request(kind, NextId()))), 503);
+    SendRequest(Request(kind, NextId()));
+    ASSERT_EQ(shorter.RequestCount() + longer.RequestCount(), 2) << kind;
+    const Time before = clock_->Now();
+    double least = 100;
+    double most = 0;
+    for (int i = 0; i < 10; ++i) {
+      const std::unique_ptr<TestCaller> caller =
+          SendRequest(Request(kind, NextId()));
+      EXPECT_EQ(Status(*caller), 503);
+      least = std::min(least, RetryAfter(*caller));
+      most = std::max(most, RetryAfter(*caller));
+    }
+    EXPECT_LT(clock_->Now() - before, milliseconds(500)) << kind;
+    EXPECT_GT(least, 19) << kind;
+    EXPECT_LT(most, 24) << kind;
+    EXPECT_GT(most - least, 0.2) << kind;
+    EXPECT_EQ(shorter.RequestCount() + longer.RequestCount(), 2) << kind;
+  }
+}
+
+TEST_F(TargetStatementsTest, RequestWaitsForShortRestAndIsServed) {
+  int n = 0;
+  ScriptedTarget target(loop_.get(), [&n](const ReceivedRequest& request) {
+    request.stream->Write(
+        n++ == 0 ? Response(request, 503,
+                            std::string(kNotExecuted) + "Retry-After: 0.3\r\n")
+                 : Answer(request));
+  });
+  relay_->SetTargets({Spec("t", target)});
+  const Time start = clock_->Now();
+  EXPECT_EQ(Status(*SendRequest(Request("unsafe", NextId()))), 200);
+  EXPECT_GE(clock_->Now() - start, milliseconds(300));
+}
+
+TEST_F(TargetStatementsTest, TimeThatIsNoRestIsAnOrdinaryRefusal) {
+  for (const char* retry_after :
+       {"0", "-5", "Wed, 21 Oct 2026 07:28:00 GMT", "soon", "nan"}) {
+    int n = 0;
+    ScriptedTarget a(loop_.get(), [&](const ReceivedRequest& request) {
+      request.stream->Write(
+          n++ == 0 ? Response(request, 503,
+                              kNotExecuted + fmt::format("Retry-After: {}\r\n",
+                                                         retry_after))
+                   : Answer(request));
+    });
+    relay_->SetTargets({Spec(NextId(), a)});
+    relay_->OnConfigConfirmed(clock_->SuspendAwareNow());
+    SendRequest(Request("safe", NextId()));
+    RunFor(milliseconds(100));
+    EXPECT_EQ(Status(*SendRequest(Request("safe", NextId()))), 200)
+        << retry_after;
+  }
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
