--- a/tests/platform/records_test.cc
+++ b/tests/platform/records_test.cc
@@ -131,5 +131,66 @@
   EXPECT_THROW(DecodeBatch("short", 0), Error);
 }
 
+// Entries of another writer. None may name a target, and none may end the
+// process.
+TEST_F(RecordsTest, DecodeTargetRejectsOddEntries) {
+  const auto entry = [](const std::string& member, const std::string& value) {
+    std::string json = kTarget;
+    const std::size_t at = json.find("\"" + member + "\":") + member.size() + 3;
+    json.replace(at, json.find_first_of(",}", at) - at, value);
+    return json;
+  };
+  EXPECT_NO_THROW(DecodeTarget("t", kTarget));
+  for (const char* slots :
+       {"4294967297", "-4294967295", "99999999999999999999", "1e300", "0",
+        "2147483647", "1.5", "\"8\"", "[]", "{}", "null", "true"}) {
+    EXPECT_THROW(DecodeTarget("t", entry("slots", slots)), Error) << slots;
+  }
+  for (const char* address :
+       {"\"10.0.0.1:65536\"", "\"10.0.0.1:0\"", "\"10.0.0.1:-1\"",
+        "\"10.0.0.1:99999999999\"", "\"10.0.0.1\"", "\"\"", "7", "null"}) {
+    EXPECT_THROW(DecodeTarget("t", entry("address", address)), Error)
+        << address;
+  }
+  for (const char* born : {"99999999999999999999", "1e300", "\"5\"", "[]"}) {
+    EXPECT_THROW(DecodeTarget("t", entry("born", born)), Error) << born;
+  }
+  const std::string nested(100'000, '[');
+  EXPECT_THROW(DecodeTarget("t", nested), Error);
+  EXPECT_THROW(DecodeTarget("t", entry("zone", nested)), Error);
+}
+
+TEST_F(RecordsTest, DecodeConfigRejectsNumbersOutOfRange) {
+  const auto with = [](const std::string& member, const std::string& value) {
+    std::string json = Config(kRoute);
+    const std::size_t at = json.find("\"" + member + "\":") + member.size() + 3;
+    json.replace(at, json.find_first_of(",}", at) - at, value);
+    return json;
+  };
+  EXPECT_NO_THROW(DecodeConfig(Config(kRoute)));
+  for (const char* member :
+       {"timeout_ms", "target_latency_ms", "gap_target_ms", "idle_timeout_ms",
+        "priority", "max_attempts", "max_connections", "max_header_bytes"}) {
+    for (const char* value :
+         {"1e300", "99999999999999999999", "-1", "-9223372036854775808"}) {
+      EXPECT_THROW(DecodeConfig(with(member, value)), Error)
+          << member << " " << value;
+    }
+  }
+  for (const char* member : {"priority", "max_attempts", "max_connections"}) {
+    EXPECT_THROW(DecodeConfig(with(member, "4294967297")), Error) << member;
+  }
+}
+
+TEST_F(RecordsTest, DecodeMoveOrderRejectsTimesOutOfRange) {
+  for (const char* seconds : {"1e300", "99999999999999999999", "-1", "0"}) {
+    EXPECT_THROW(
+        DecodeMoveOrder(std::string(R"({"service":"s","target":"v",)") +
+                        R"("duration_s":)" + seconds + "}"),
+        Error)
+        << seconds;
+  }
+}
+
 }  // namespace
 }  // namespace hornbeamcleat::platform
--- a/tests/platform/store_source_test.cc
+++ b/tests/platform/store_source_test.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "hornbeamcleat/base/clock.h"
+#include "src/base/codec.h"
 #include "src/base/poll_loop.h"
 #include "tests/platform/fake_store.h"
 
@@ -320,5 +321,22 @@
   EXPECT_TRUE(RunUntil([&] { return members_.empty(); }));
 }
 
+// The link to other VMs can't send to such an address.
+TEST_F(StoreSourceTest, OddVmEntryIsIgnored) {
+  Start();
+  const VmRecord sound = {"127.0.0.1:7", "127.0.0.1:8", "d"};
+  for (const VmRecord& odd : {VmRecord{"127.0.0.1:99999", "127.0.0.1:8", "d"},
+                              VmRecord{"nowhere", "127.0.0.1:8", "d"},
+        VmRecord{"127.0.0.1:0", "127.0.0.1:8", "d"},
+                              VmRecord{"127.0.0.1:9", "127.0.0.1:0x", "d"}}) {
+    store_.Put("keyed.vms", odd.link, EncodeBytes(odd));
+  }
+  store_.Put("keyed.vms", "other key", EncodeBytes(sound));
+  store_.Put("keyed.vms", "127.0.0.1:5", std::string(100'000, '['));
+  store_.Put("keyed.vms", sound.link, EncodeBytes(sound));
+  ASSERT_TRUE(RunUntil([&] { return !members_.empty(); }));
+  EXPECT_EQ(members_, (std::vector<VmRecord>{sound}));
+}
+
 }  // namespace
 }  // namespace hornbeamcleat::platform
