Take no answer without an ID on a kept connection

Another operator's report: a faulty replica wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran. Here a refusal or answer without an ID was taken for the next request on the connection; with the ID of an earlier request it was not.

Change: on a connection that has served other requests, an answer without the request's ID ends the call as unidentified, like a malformed one: it is repeated where the route allows, else 502. Connections are kept only if answers bear the IDs of their requests. Requests that must not repeat have connections of their own, which a test now holds.

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -264,7 +264,8 @@
             EndToEndHeaders(request_.head.headers), info),
         request_.body, request_.head.framing != BodyFraming::kNone);
     plan.is_head = request_.head.method == "HEAD";
-    plan.may_reuse = admission_.route->MayRepeat();
+    // Without an ID, an extra response can't be told from the own one.
+    plan.may_reuse = admission_.route->MayRepeat() && !request_info_.id.empty();
     plan.connect_by = Now() + kConnectTimeout;
     plan.user_timeout = kUnackedDataTimeout;
     plan.limits = kResponseLimits;
@@ -508,7 +509,8 @@
       return;
     }
     CountTargetResponse(CallFailureName(failure));
-    if (failure == CallFailure::kMalformed) {
+    if (failure == CallFailure::kMalformed ||
+        failure == CallFailure::kUnidentified) {
       OnBadResponse(CallFailureName(failure));
       return;
     }
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -80,6 +80,7 @@
       stream_ = pool_->Acquire(plan_.target);
     }
     if (stream_ != nullptr) {
+      is_reused_ = true;
       Attach();
       PostIfAlive([this] { Send(); });
       return;
@@ -185,6 +186,11 @@
         is_target_leaving_ = is_target_leaving_ || info.statement.is_leaving;
         callbacks_.on_statement(info.statement);
       }
+      is_identified_ = info.id == plan_.request_id;
+      if (is_reused_ && !is_identified_ && !is_mismatched_) {
+        Fail(CallFailure::kUnidentified);
+        return false;
+      }
       if (!is_mismatched_) {
         const std::function<void(const MessageHead&)> on_head =
             callbacks_.on_head;
@@ -226,8 +232,9 @@
   void Finish(bool is_clean) {
     const MessageHead& head = parser_->Head();
     std::unique_ptr<ByteStream> stream = std::move(stream_);
-    if (is_clean && head.keep_alive && plan_.may_reuse && !is_target_leaving_ &&
-        head.framing != BodyFraming::kUntilClose && stream->Unsent() == 0) {
+    if (is_clean && head.keep_alive && plan_.may_reuse && is_identified_ &&
+        !is_target_leaving_ && head.framing != BodyFraming::kUntilClose &&
+        stream->Unsent() == 0) {
       pool_->Release(std::move(stream), ReuseTime(head.headers));
     } else {
       ReleaseStream(std::move(stream));
@@ -265,6 +272,8 @@
   bool head_seen_ = false;
   bool is_mismatched_ = false;
   bool is_target_leaving_ = false;
+  bool is_reused_ = false;      ///< the connection has served other requests
+  bool is_identified_ = false;  ///< the response bears the request's ID
   std::size_t discarded_bytes_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
@@ -281,6 +290,8 @@
       return "truncated";
     case CallFailure::kMalformed:
       return "malformed";
+    case CallFailure::kUnidentified:
+      return "unidentified";
   }
   return "unknown";
 }
--- a/src/relay/target_call.h
+++ b/src/relay/target_call.h
@@ -23,13 +23,15 @@
   kReset,          ///< the connection was reset or timed out
   kTruncated,      ///< the target closed before the response was complete
   kMalformed,      ///< the response is not HTTP or exceeds the limits
+  kUnidentified,   ///< on a kept connection, it may answer another request
 };
 
 /// Name of a failure in logs and metrics.
 const char* CallFailureName(CallFailure failure);
 
 /// One request to one target. Responses to another request are discarded; bytes
-/// after the response end the connection.
+/// after the response end the connection. It is kept only if the response bears
+/// the request's ID, or the request has none.
 class TargetCall {
  public:
   struct Callbacks {
--- a/tests/relay/target_call_test.cc
+++ b/tests/relay/target_call_test.cc
@@ -15,6 +15,8 @@
 constexpr char kHead[] = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n";
 constexpr std::size_t kBodyBytes = 40'000;
 
+class TargetCallTest : public RelayFixture {};
+
 /// One call whose reading is paused from the head of the response on.
 class PausedTargetCallTest : public RelayFixture {
  protected:
@@ -108,5 +110,91 @@
   EXPECT_EQ(failure_, CallFailure::kTruncated);
 }
 
+// A faulty target repeats an earlier refusal on a kept connection, without an
+// id, while it runs the next request.
+TEST_F(TargetCallTest, RefusalWithoutIdOnKeptConnectionIsNotTaken) {
+  for (const char* kind : {"safe", "resume"}) {
+    int runs = 0;
+    const auto script = [&](const ReceivedRequest& request) {
+      const std::string id = request.Header("Request-Id");
+      if (id == "first") {
+        request.stream->Write(SignedResponse(id, "id: 1\ndata: a\n\n"));
+      } else if (++runs == 1) {
+        request.stream->Write(
+            "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
+            "Content-Length: 0\r\n\r\n");
+      } else {
+        request.stream->Write(SignedResponse(id, "id: 1\ndata: b\n\n"));
+      }
+    };
+    ScriptedTarget a(loop_.get(), script);
+    SetTargets({&a});
+    SendRequest(Request(kind, "first", "", kind));
+    const std::unique_ptr<TestCaller> caller =
+        SendRequest(Request(kind, "second", "", kind));
+    ASSERT_NE(caller->Response(), nullptr);
+    // The target runs it, so that no status may promise the opposite.
+    EXPECT_NE(caller->Response()->Head().status, 503) << kind;
+    EXPECT_GE(runs, 1) << kind;
+  }
+}
+
+TEST_F(TargetCallTest, AnswerWithoutIdOnKeptConnectionIsReplaced) {
+  int runs = 0;
+  const auto script = [&](const ReceivedRequest& request) {
+    const std::string id = request.Header("Request-Id");
+    if (id == "second" && ++runs == 1) {
+      request.stream->Write(
+          "HTTP/1.1 200 OK\r\nUpstream-Signature: s\r\n"
+          "Content-Length: 5\r\n\r\nother");
+    } else {
+      request.stream->Write(SignedResponse(id, "own"));
+    }
+  };
+  ScriptedTarget a(loop_.get(), script);
+  SetTargets({&a});
+  SendRequest(Request("safe", "first"));
+  ScriptedTarget b(loop_.get(), script);
+  SetTargets({&a, &b});
+  for (int i = 0; i < 10 && runs == 0; ++i) {
+    const std::unique_ptr<TestCaller> caller =
+        SendRequest(Request("safe", "second"));
+    ASSERT_NE(caller->Response(), nullptr);
+    EXPECT_EQ(*caller->Response()->Body(), "own");
+  }
+}
+
+// Answers of such a target can't be told apart on a kept connection.
+TEST_F(TargetCallTest, ConnectionIsNotKeptIfAnswersBearNoId) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest& request) {
+    request.stream->Write(
+        "HTTP/1.1 200 OK\r\nUpstream-Signature: s\r\n"
+        "Content-Length: 2\r\n\r\nok");
+  });
+  SetTargets({&target});
+  for (const char* id : {"first", "second"}) {
+    const std::unique_ptr<TestCaller> caller = SendRequest(Request("safe", id));
+    ASSERT_NE(caller->Response(), nullptr);
+    EXPECT_EQ(caller->Response()->Head().status, 200);
+  }
+  EXPECT_NE(target.ReceivedRequests()[0].stream,
+            target.ReceivedRequests()[1].stream);
+}
+
+TEST_F(TargetCallTest, UnsafeRequestsHaveConnectionsOfTheirOwn) {
+  for (const char* kind : {"unsafe", "stream"}) {
+    ScriptedTarget target(loop_.get(), [](const ReceivedRequest& request) {
+      request.stream->Write(
+          SignedResponse(request.Header("Request-Id"), "id: 1\ndata: a\n\n"));
+    });
+    SetTargets({&target});
+    SendRequest(Request(kind, "first"));
+    SendRequest(Request(kind, "second"));
+    ASSERT_EQ(target.RequestCount(), 2);
+    EXPECT_NE(target.ReceivedRequests()[0].stream,
+              target.ReceivedRequests()[1].stream);
+  }
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
