Go on with events only after a stream broke off

Another operator's report: the error of the next replica stood in the middle of a stream. Of 51 forms of answers after a broken stream (errors, refusals, redirects, unsigned ones; with a length, chunks or neither; as text, events or empty) none reached the caller, but a signed 200 of another content type did, and ended the stream as whole. Such an answer is now of no use, and the stream ends visibly incomplete.

ResponseEndTest.ErrorAfterBrokenStreamIsNotPartOfIt failed before for the three signed answers that are no events.

--- a/src/relay/response_forwarder.cc
+++ b/src/relay/response_forwarder.cc
@@ -77,7 +77,9 @@
     kind_ = ResponseKind::kNotExecuted;
   } else if (!IsSuccess(head.status)) {
     kind_ = ResponseKind::kFailure;
-  } else if (!info.is_signed) {
+  } else if (!info.is_signed ||
+             (has_started_ && !IsEventStream(head.headers))) {
+    // A stream that has begun goes on with events only.
     kind_ = ResponseKind::kUnsigned;
   } else if (route_->kind == RouteKind::kStreaming) {
     kind_ = ResponseKind::kStream;
--- a/tests/relay/response_end_test.cc
+++ b/tests/relay/response_end_test.cc
@@ -226,5 +226,47 @@
   }
 }
 
+// A stream had begun and broke off; the next target answers with an error.
+TEST_F(ResponseEndTest, ErrorAfterBrokenStreamIsNotPartOfIt) {
+  const std::string text = "internal ERROR text\n\n";
+  const std::string events = "event: error\ndata: ERROR\n\n";
+  std::vector<std::string> errors;
+  for (const std::string& body : {text, events, std::string()}) {
+    for (const char* status :
+         {"500 ERROR", "503 ERROR", "404 ERROR", "421 ERROR", "301 ERROR"}) {
+      for (const std::string& response :
+           {WithLength(body), Chunked(body), Unframed(body)}) {
+        std::string error = response;
+        error.replace(error.find("200 OK"), 6, status);
+        errors.push_back(error);
+      }
+    }
+    // Unsigned, and signed but no events.
+    for (const char* from : {"Upstream-Signature: s\r\n", "event-stream"}) {
+      std::string error = WithLength(body.empty() ? text : body);
+      const std::string to = std::string(from) == "event-stream" ? "plain" : "";
+      error.replace(error.find(from), std::string(from).size(), to);
+      errors.push_back(error);
+    }
+  }
+  for (const std::string& error : errors) {
+    // Losses of the requests before would count against this one.
+    RestartRelay();
+    int n = 0;
+    const auto script = [&](const ReceivedRequest& request) {
+      request.stream->Write(n++ == 0 ? Unframed(kCutEvents) : error);
+      request.stream->FinishWriting();
+    };
+    ScriptedTarget a(loop_.get(), script);
+    ScriptedTarget b(loop_.get(), script);
+    SetTargets({&a, &b});
+    const std::unique_ptr<TestCaller> caller =
+        SendRequest(Request("resume", "r1", "", error));
+    ExpectBrokenOff(*caller);
+    EXPECT_EQ(caller->Received().find("ERROR"), std::string::npos) << error;
+    EXPECT_EQ(n, 2) << error;
+  }
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
