Never shorten the pause that a target of the own interface asked for

SchedulerTest.LaterRefusalDoesNotShortenPauseOfTarget failed before (two of the next requests went to the target) and passes. schedule_tests: 72 passed; relay_tests: 122 passed.

--- a/src/schedule/scheduler_events.cc
+++ b/src/schedule/scheduler_events.cc
@@ -78,7 +78,9 @@
     return;
   }
   TargetState* target = request->target;
-  target->paused_until = now + std::max(event.retry_after, kPauseAfterNotRun);
+  target->paused_until =
+      std::max(target->paused_until,
+               now + std::max(event.retry_after, kPauseAfterNotRun));
   if (event.reported_by_target) {
     target->limit.OnRejected();
   } else {
@@ -233,7 +235,8 @@
     evidence_.Fault(request->target->spec.version, *request->route);
   }
   if (!event.target_alive) {
-    request->target->paused_until = now + kPauseAfterLoss;
+    request->target->paused_until =
+        std::max(request->target->paused_until, now + kPauseAfterLoss);
   }
   OnTargetFault(request, now);
   Refuse(request, Outcome::kUnknown, Reason::kTargetLost, now, actions);
--- a/tests/schedule/scheduler_test.cc
+++ b/tests/schedule/scheduler_test.cc
@@ -87,6 +87,32 @@
   EXPECT_EQ(Refusal(all), "not_run target_refused");
 }
 
+// Two requests at one target are turned away, the second one without a time.
+TEST_F(SchedulerTest, LaterRefusalDoesNotShortenPauseOfTarget) {
+  std::map<TargetName, std::vector<RequestId>> sent;
+  for (const char* id : {"a", "b", "c"}) {
+    for (const DispatchAction& dispatch : All<DispatchAction>(Submit(id))) {
+      sent[dispatch.target].push_back(id);
+    }
+  }
+  const auto paused =
+      std::find_if(sent.begin(), sent.end(),
+                   [](const auto& item) { return item.second.size() > 1; });
+  ASSERT_NE(paused, sent.end());
+  Send(TargetNotRun{paused->second[0], true, std::chrono::seconds(10)});
+  Send(TargetNotRun{paused->second[1], true, Duration(0)});
+  std::vector<DispatchAction> later = All<DispatchAction>(Elapse(1'000));
+  for (const char* id : {"d", "e", "f"}) {
+    for (const DispatchAction& dispatch : All<DispatchAction>(Submit(id))) {
+      later.push_back(dispatch);
+    }
+  }
+  EXPECT_FALSE(later.empty());
+  for (const DispatchAction& dispatch : later) {
+    EXPECT_NE(dispatch.target, paused->first);
+  }
+}
+
 TEST_F(SchedulerTest, ConnectionLostResumesAndNeverRunsAgain) {
   Run("a");
   const Actions lost = Send(ConnectionLost{"a"});
