Let targets of the soak leave by their answers and ask for rest

Both signals come beside kills, cuts, freezes and replacements, chosen by a generator of their own, so that seeds go on to choose the same faults. Two checks of the soak's own follow the users' rules: no request that was sent two seconds after a VM was told that a target leaves reaches it from that VM, and at most two reach a target between half a second after its refusal and the end of the rest that it asked for.

--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -45,6 +45,17 @@
 constexpr Duration kPartKnownAfter = milliseconds(3'000);
 /// Parts that sound requests share with those.
 constexpr int kSoundParts = 4;
+/// A target that has said that it leaves gets no request that was sent later
+/// than this afterwards, and ends a while later.
+constexpr Duration kLeavingTime = milliseconds(2'000);
+constexpr Duration kLeavingEndsAfter = milliseconds(4'000);
+/// A target that asks for rest may get this many requests of a VM between
+/// kRestBegins and the end of that time.
+constexpr Duration kRestBegins = milliseconds(500);
+constexpr int kMaxSendsInRest = 2;
+constexpr Duration kRestTime = milliseconds(1'800);
+/// For so long a target refuses all requests.
+constexpr Duration kRefusingTime = milliseconds(900);
 /// Time until a crashed target is back.
 constexpr Duration kRestartTime = milliseconds(400);
 /// Share of answers during the calm end that must be successes.
@@ -90,6 +101,8 @@
   Time stopped_at;
   Time term_at;
   bool is_terminating = false;
+  /// Latest start, stop or freeze, which excuse it of what it was told before.
+  Time disturbed_at;
 };
 
 struct SoakWorld::Target {
@@ -97,6 +110,11 @@
   std::unique_ptr<Listener> listener;
   std::unique_ptr<LoopbackProxy> proxy;
   bool breaks_off = false;
+  bool is_leaving = false;  ///< says so in its answers only
+  Time refuses_until;       ///< and asks for rest
+  /// Latest fault of its links, which hold requests up.
+  Time disturbed_at;
+  std::map<int, Statements> statements;  ///< by VM
 };
 
 struct SoakWorld::Caller {
@@ -129,7 +147,8 @@
       clock_(Clock::Make()),
       loop_(PollLoop::Make(clock_.get())),
       store_(std::make_unique<platform::FakeStore>(loop_.get(), clock_.get())),
-      part_random_(options.seed) {
+      part_random_(options.seed),
+      statement_random_(options.seed) {
   char folder[] = "/tmp/hornbeamcleat-soak-XXXXXX";
   if (mkdtemp(folder) == nullptr) {
     throw Error("make folder", folder, "the folder can't be made");
@@ -215,6 +234,7 @@
   vm->pid = pid;
   vm->is_stopped = false;
   vm->is_terminating = false;
+  vm->disturbed_at = clock_->Now();
 }
 
 // Ended daemons start anew, as the platform does it.
@@ -274,6 +294,9 @@
   // Each second one answers without chunks or a length, unless one is given.
   target->proxy->SetHttp10(next_target_id_ % 2 == 0);
   target->id = fmt::format("t{}", next_target_id_++);
+  target->is_leaving = false;
+  target->refuses_until = Time();
+  target->statements.clear();
   PutTarget(*target, false);
 }
 
@@ -289,6 +312,19 @@
     sink->SendResponse(421, "", {{"Request-Id", id}}, "");
     return std::make_unique<TargetWork>(this, Duration(0), [] {});
   }
+  CheckStatements(target, id);
+  const Time now = clock_->Now();
+  Statements& statements = target->statements[vm_of_[id]];
+  if (now < target->refuses_until) {
+    statements.rests.push_back({now, now + kRestTime, 0});
+    sink->SendResponse(
+        503, "",
+        {{"Request-Id", id},
+         {"Not-Executed", "1"},
+         {"Retry-After", fmt::format("{:.1f}", ToSeconds(kRestTime))}},
+        "");
+    return std::make_unique<TargetWork>(this, Duration(0), [] {});
+  }
   const bool is_stream = request.head.target.starts_with("/stream/");
   const bool is_unsafe =
       is_stream || request.head.target.starts_with("/unsafe/");
@@ -305,8 +341,7 @@
   if (!header("Api-Key").empty()) {
     Violate("a key was passed on: " + id);
   }
-  const HeaderList signed_by = {{"Request-Id", id},
-                                {"Upstream-Signature", "sig"}};
+  HeaderList signed_by = {{"Request-Id", id}, {"Upstream-Signature", "sig"}};
   if (request.body == kCrashingBody) {
     return ServeCrashing(target, request.head.target, signed_by, sink);
   }
@@ -315,6 +350,12 @@
   }
   const Duration work = milliseconds(2 + Pick(60));
   const bool is_broken = target->breaks_off && Pick(3) == 0;
+  if (target->is_leaving) {
+    signed_by.push_back({"Server-Leaving", "1"});
+    if (!is_broken && !statements.leaving_told.has_value()) {
+      statements.leaving_told = now + work + kKeySlack;
+    }
+  }
   if (is_stream || request.head.target.starts_with("/resume/")) {
     const std::string after = header("Last-Event-Id");
     const int first = after.empty() ? 1 : std::stoi(after) + 1;
@@ -344,6 +385,56 @@
       this, work, [=] { sink->SendResponse(200, "", signed_by, BodyFor(id)); });
 }
 
+void SoakWorld::CheckStatements(Target* target, const std::string& id) {
+  const int number = vm_of_[id];
+  const Time now = clock_->Now();
+  const Time calm_since =
+      std::max(vms_[static_cast<std::size_t>(number)]->disturbed_at,
+               target->disturbed_at);
+  Statements& statements = target->statements[number];
+  if (statements.leaving_told.has_value() &&
+      *statements.leaving_told > calm_since &&
+      sent_[id] > *statements.leaving_told + kLeavingTime) {
+    Violate(fmt::format("{} reached {}, which had told vm{} that it leaves", id,
+                        target->id, number));
+  }
+  for (Statements::Rest& rest : statements.rests) {
+    if (rest.asked > calm_since && now > rest.asked + kRestBegins &&
+        now < rest.ends && ++rest.sends == kMaxSendsInRest + 1) {
+      Violate(fmt::format("{} reached {}, which had asked vm{} for rest", id,
+                          target->id, number));
+    }
+  }
+}
+
+void SoakWorld::StateSomething() {
+  if (!is_striking_) {
+    return;
+  }
+  const auto pick = [this](int n) {
+    return static_cast<int>(statement_random_() %
+                            static_cast<std::uint64_t>(n));
+  };
+  Target* target =
+      targets_[static_cast<std::size_t>(pick(options_.targets))].get();
+  const std::string id = target->id;
+  if (id.empty() || target->is_leaving) {
+    // Crashed, or leaves already.
+  } else if (pick(2) == 0) {
+    Fault(id + " leaves by its answers");
+    target->is_leaving = true;
+    After(kLeavingEndsAfter, [this, target, id] {
+      if (target->id == id) {
+        Replace(target);
+      }
+    });
+  } else {
+    Fault(id + " asks for rest");
+    target->refuses_until = clock_->Now() + kRefusingTime;
+  }
+  After(milliseconds(400 + pick(400)), [this] { StateSomething(); });
+}
+
 std::unique_ptr<RequestHandler> SoakWorld::ServeCrashing(
     Target* target, const std::string& cause, const HeaderList& headers,
     ResponseSink* sink) {
@@ -396,12 +487,14 @@
     crashing_caller_->Abort();
   }
   static const char* const kinds[] = {"safe", "unsafe", "resume", "stream"};
-  const Vm& vm = *vms_[static_cast<std::size_t>(Pick(options_.vms))];
+  const int number = Pick(options_.vms);
+  const Vm& vm = *vms_[static_cast<std::size_t>(number)];
   try {
     crashing_caller_ =
         ByteStream::Connect(loop_.get(), vm.front, std::chrono::seconds(10));
     const std::string id = fmt::format("c{}", next_request_++);
     sent_[id] = clock_->Now();
+    vm_of_[id] = number;
     crashing_caller_->Write(
         FormatRequest("POST", fmt::format("/{}/x", kinds[Pick(4)]),
                       {{"Host", "h"}, {"Request-Id", id}, {"Api-Key", "ka"}},
@@ -420,12 +513,14 @@
   const auto pick = [this](int n) {
     return static_cast<int>(part_random_() % static_cast<std::uint64_t>(n));
   };
-  const Vm& vm = *vms_[static_cast<std::size_t>(pick(options_.vms))];
+  const int number = pick(options_.vms);
+  const Vm& vm = *vms_[static_cast<std::size_t>(number)];
   try {
     part_caller_ =
         ByteStream::Connect(loop_.get(), vm.front, std::chrono::seconds(10));
     const std::string id = fmt::format("p{}", next_part_request_++);
     sent_[id] = clock_->Now();
+    vm_of_[id] = number;
     part_caller_->Write(FormatRequest(
         "POST", fmt::format("/{}/x", kinds[pick(4)]),
         {{"Host", "h"},
@@ -448,6 +543,7 @@
   }
   is_striking_ = true;
   After(kCrashesKnownAfter, [this] { AskCrashingPart(); });
+  StateSomething();
   const Time end = clock_->Now() + options_.faults_for;
   while (clock_->Now() < end) {
     Strike();
@@ -487,6 +583,7 @@
 
 void SoakWorld::StrikeVm() {
   Vm* vm = vms_[static_cast<std::size_t>(Pick(options_.vms))].get();
+  vm->disturbed_at = clock_->Now();
   switch (Pick(4)) {
     case 0:
       Fault(vm->name + " killed");
@@ -522,11 +619,13 @@
   Target* target =
       targets_[static_cast<std::size_t>(Pick(options_.targets))].get();
   const auto heal = [this, target] {
-    After(milliseconds(200 + Pick(800)), [target] {
+    After(milliseconds(200 + Pick(800)), [this, target] {
       target->proxy->SetMode(LoopbackProxy::Mode::kPass);
       target->breaks_off = false;
+      target->disturbed_at = clock_->Now();
     });
   };
+  target->disturbed_at = clock_->Now();
   switch (Pick(6)) {
     case 0:
       Fault(target->id + " reset");
@@ -596,6 +695,7 @@
   for (const std::unique_ptr<Target>& target : targets_) {
     target->proxy->SetMode(LoopbackProxy::Mode::kPass);
     target->breaks_off = false;
+    target->disturbed_at = clock_->Now();
   }
   for (const std::unique_ptr<Vm>& vm : vms_) {
     Continue(vm.get());
@@ -604,6 +704,7 @@
 
 // The time that a VM stood still is no part of its grace time.
 void SoakWorld::Continue(Vm* vm) {
+  vm->disturbed_at = clock_->Now();
   if (vm->is_stopped) {
     vm->is_stopped = false;
     vm->term_at += clock_->Now() - std::max(vm->stopped_at, vm->term_at);
@@ -646,6 +747,7 @@
   }
   ++asked_;
   sent_[caller->id] = clock_->Now();
+  vm_of_[caller->id] = caller->vm;
   // The second workspace loses its key; its callers come back to the first.
   const bool uses_b = caller->number % 4 == 0 && !is_key_removed_;
   const bool still_b = caller->number % 4 == 0 && is_striking_;
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -52,6 +52,17 @@
     int sends_after = 0;  ///< later than all VMs must know of these crashes
   };
 
+  /// What a target has stated to one VM.
+  struct Statements {
+    struct Rest {
+      Time asked;
+      Time ends;
+      int sends = 0;  ///< later than kRestBegins after it was asked
+    };
+    std::optional<Time> leaving_told;
+    std::vector<Rest> rests;
+  };
+
   struct Vm;
   struct Target;
   struct Caller;
@@ -68,6 +79,10 @@
                                                 const std::string& cause,
                                                 const HeaderList& headers,
                                                 ResponseSink* sink);
+  /// Lets targets say that they leave, or ask for rest, during the faults.
+  void StateSomething();
+  /// Checks a request that has reached a target against its statements.
+  void CheckStatements(Target* target, const std::string& id);
   void Crash(Target* target, const std::string& cause);
   /// Sends the content that crashes targets, again and again, to any VM.
   void AskCrashing();
@@ -115,6 +130,9 @@
   /// Of its own, so that a seed goes on to choose the same faults.
   std::mt19937_64 part_random_;
   int next_part_request_ = 0;
+  /// Of its own, like part_random_.
+  std::mt19937_64 statement_random_;
+  std::map<std::string, int> vm_of_;  ///< by request id
   int next_target_id_ = 0;
   int next_request_ = 0;
   int asked_ = 0;
