--- a/src/serving/target_balancer.cc
+++ b/src/serving/target_balancer.cc
@@ -94,6 +94,10 @@
     target.spec = spec;
     target.instance = TargetInstance::Of(spec);
     instances.push_back(target.instance);
+    // A store that comes back from a copy may show an earlier entry.
+    if (spec.is_draining && spec.start_time_ms > 0) {
+      statements_.OnDraining(target.instance, now + suspended_time_);
+    }
     target.hash = Hash32(spec.id);
     next.emplace(spec.id, std::move(target));
   }
--- a/src/serving/target_registry.cc
+++ b/src/serving/target_registry.cc
@@ -16,13 +16,13 @@
     return;
   }
   if (!it->second.is_draining) {
-    missing_[id] = MissingTarget{it->second, now};
+    missing_[id] = MissingTarget{it->second, now + missing_grace_, false};
   }
   registered_.erase(it);
 }
 
 void TargetRegistry::Replace(const std::vector<ServingTarget>& targets,
-                             Time now) {
+                             Time now, Duration keep_missing) {
   std::set<std::string> listed;
   for (const ServingTarget& target : targets) {
     listed.insert(target.id);
@@ -36,13 +36,17 @@
   }
   for (const std::string& id : missing) {
     Remove(id, now);
+    const auto it = missing_.find(id);
+    if (keep_missing > Duration(0) && it != missing_.end()) {
+      it->second.expires = now + keep_missing;
+      it->second.is_kept = true;
+    }
   }
 }
 
 std::vector<ServingTarget> TargetRegistry::List(Time now) {
-  std::erase_if(missing_, [&](const auto& item) {
-    return now >= item.second.at + missing_grace_;
-  });
+  std::erase_if(missing_,
+                [&](const auto& item) { return now >= item.second.expires; });
   std::vector<ServingTarget> list;
   std::map<std::string, int> registered;
   std::map<std::string, int> missing;
@@ -54,7 +58,8 @@
     ++missing[item.spec.service];
   }
   for (const auto& [id, item] : missing_) {
-    if (missing[item.spec.service] > registered[item.spec.service]) {
+    if (item.is_kept ||
+        missing[item.spec.service] > registered[item.spec.service]) {
       list.push_back(item.spec);
     }
   }
@@ -64,7 +69,7 @@
 Time TargetRegistry::NextChange() const {
   Time next = Time::max();
   for (const auto& [id, item] : missing_) {
-    next = std::min(next, item.at + missing_grace_);
+    next = std::min(next, item.expires);
   }
   return next;
 }
--- a/src/serving/target_registry.h
+++ b/src/serving/target_registry.h
@@ -16,7 +16,8 @@
 ///
 /// Load pattern: after an outage of the store, most entries of a service are
 /// missing at once and return within two seconds. Such targets remain usable
-/// for a part of the drain time. A single missing entry is treated as removed.
+/// for a part of the drain time. A single missing entry is treated as removed,
+/// unless the store has come back from a copy that can't hold it.
 class TargetRegistry {
  public:
   /// @param missing_grace how long missing targets remain usable if most
@@ -31,7 +32,10 @@
   /// Handles the removal of a target's entry.
   void Remove(const std::string& id, Time now);
   /// Replaces the complete list; targets missing from it count as removed.
-  void Replace(const std::vector<ServingTarget>& targets, Time now);
+  /// @param keep_missing how long targets missing from it remain usable, in any
+  ///   case; zero: as after Remove
+  void Replace(const std::vector<ServingTarget>& targets, Time now,
+               Duration keep_missing = Duration(0));
 
   /// Returns the usable targets and drops expired ones.
   std::vector<ServingTarget> List(Time now);
@@ -42,7 +46,8 @@
  private:
   struct MissingTarget {
     ServingTarget spec;
-    Time at;
+    Time expires;
+    bool is_kept = false;  ///< usable even if few targets are missing
   };
 
   Duration missing_grace_;
--- a/src/serving/target_statements.cc
+++ b/src/serving/target_statements.cc
@@ -81,6 +81,10 @@
   return is_news;
 }
 
+void TargetStatements::OnDraining(const TargetInstance& target, Time now) {
+  MarkLeaving(target.start_time_ms, Refresh(target, now));
+}
+
 // A VM that was asked for rest itself waits for peers that tried before it and
 // were asked for more.
 bool TargetStatements::OnNotice(const TargetNotice& notice, Time now) {
--- a/src/serving/target_statements.h
+++ b/src/serving/target_statements.h
@@ -46,6 +46,9 @@
                    const TargetStatement& statement, Duration return_delay,
                    Time now);
 
+  /// The target's entry says that it leaves.
+  void OnDraining(const TargetInstance& target, Time now);
+
   /// Records what a peer was told.
   /// @return whether the target leaves and this VM didn't know
   bool OnNotice(const TargetNotice& notice, Time now);
--- a/tests/platform/fake_store.cc
+++ b/tests/platform/fake_store.cc
@@ -78,7 +78,14 @@
     answered_ = true;
     store_->pending_reads_.erase(place_);
     timer_.reset();
-    sink_->SendResponse(200, "", {}, Batch(store_->topics_[topic_], from_));
+    store_->Respond(sink_, 200, Batch(store_->topics_[topic_], from_));
+  }
+
+  void Abort() {
+    answered_ = true;
+    store_->pending_reads_.erase(place_);
+    timer_.reset();
+    sink_->Abort();
   }
 
  private:
@@ -132,6 +139,21 @@
   }
 }
 
+void FakeStore::Restore() {
+  topics_ = copy_;
+  ++era_;
+  const std::list<PendingRead*> waiting = pending_reads_;
+  for (PendingRead* read : waiting) {
+    read->Abort();
+  }
+}
+
+void FakeStore::Respond(ResponseSink* sink, int status,
+                        const std::string& body) const {
+  sink->SendResponse(status, "", {{"Store-Era", fmt::format("{}", era_)}},
+                     body);
+}
+
 void FakeStore::Compact() {
   for (auto& [name, topic] : topics_) {
     topic.first = topic.End();
@@ -158,14 +180,13 @@
     return std::make_unique<NullHandler>();
   }
   if (fault_ == Fault::kBusy) {
-    sink->SendResponse(503, "", {}, "");
+    Respond(sink, 503, "");
   } else if (target.starts_with("/-/log-newest")) {
     ++page_reads_;
     if (rejects_each_page_once_ && rejected_pages_.insert(target).second) {
-      sink->SendResponse(503, "", {}, "");
+      Respond(sink, 503, "");
     } else {
-      sink->SendResponse(200, "", {},
-                         Page(topics_[topic], QueryValue(target, "after")));
+      Respond(sink, 200, Page(topics_[topic], QueryValue(target, "after")));
     }
   } else if (target.starts_with("/-/log-read")) {
     return Read(topic, QueryNumber(target, "from"),
@@ -174,17 +195,16 @@
   } else if (target.starts_with("/-/log-append") &&
              !QueryValue(target, "at").empty() &&
              QueryNumber(target, "at") != topics_[topic].End()) {
-    sink->SendResponse(412, "", {},
-                       fmt::format(R"({{"end":{}}})", topics_[topic].End()));
+    Respond(sink, 412, fmt::format(R"({{"end":{}}})", topics_[topic].End()));
   } else if (target.starts_with("/-/log-append")) {
     Append(topic, request.body);
     if (fault_ == Fault::kDropsWriteResponses) {
       sink->Abort();
     } else {
-      sink->SendResponse(200, "", {}, R"({"offset":0,"end":1})");
+      Respond(sink, 200, R"({"offset":0,"end":1})");
     }
   } else {
-    sink->SendResponse(404, "", {}, "");
+    Respond(sink, 404, "");
   }
   return std::make_unique<NullHandler>();
 }
@@ -194,11 +214,10 @@
                                                 Duration wait,
                                                 ResponseSink* sink) {
   const Topic& entry = topics_[topic];
-  if (from < entry.first) {
-    sink->SendResponse(410, "", {},
-                       fmt::format(R"({{"first":{}}})", entry.first));
+  if (from < entry.first || from > entry.End()) {
+    Respond(sink, 410, fmt::format(R"({{"first":{}}})", entry.first));
   } else if (from < entry.End()) {
-    sink->SendResponse(200, "", {}, Batch(entry, from));
+    Respond(sink, 200, Batch(entry, from));
   } else {
     return std::make_unique<PendingRead>(this, topic, from, wait, sink);
   }
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -44,6 +44,12 @@
   void RejectEachPageOnce() { rejects_each_page_once_ = true; }
   int PageReads() const { return page_reads_; }
 
+  /// Remembers the current records, for Restore.
+  void Copy() { copy_ = topics_; }
+  /// Comes back with the records of the last copy; offsets are given out again.
+  /// Open reads end without a response.
+  void Restore();
+
   /// Drops all records but the newest of each key.
   void Compact();
 
@@ -73,11 +79,14 @@
                                        ResponseSink* sink);
   void Append(const std::string& topic, const std::string& body);
   std::string Page(const Topic& topic, const std::string& after) const;
+  void Respond(ResponseSink* sink, int status, const std::string& body) const;
   static std::string Batch(const Topic& topic, std::uint64_t from);
 
   PollLoop* const loop_;
   const Clock* const clock_;
   std::map<std::string, Topic> topics_;
+  std::map<std::string, Topic> copy_;
+  int era_ = 1;  ///< rises with each Restore
   std::list<PendingRead*> pending_reads_;
   Fault fault_ = Fault::kNone;
   int calls_ = 0;
--- a/tests/platform/store_source_test.cc
+++ b/tests/platform/store_source_test.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -327,7 +328,7 @@
   const VmRecord sound = {"127.0.0.1:7", "127.0.0.1:8", "d"};
   for (const VmRecord& odd : {VmRecord{"127.0.0.1:99999", "127.0.0.1:8", "d"},
                               VmRecord{"nowhere", "127.0.0.1:8", "d"},
-        VmRecord{"127.0.0.1:0", "127.0.0.1:8", "d"},
+                              VmRecord{"127.0.0.1:0", "127.0.0.1:8", "d"},
                               VmRecord{"127.0.0.1:9", "127.0.0.1:0x", "d"}}) {
     store_.Put("keyed.vms", odd.link, EncodeBytes(odd));
   }
@@ -338,5 +339,160 @@
   EXPECT_EQ(members_, (std::vector<VmRecord>{sound}));
 }
 
+/// A store that comes back from a copy and has lost what was written since.
+class RestoredStoreTest : public StoreSourceTest {
+ protected:
+  void PutStartedTarget(const std::string& id, int start_time_ms) {
+    store_.Put("keyed.servers", id,
+               fmt::format(R"({{"service":"s","address":"127.0.0.1:1",)"
+                           R"("slots":2,"state":"ready","born":{}}})",
+                           start_time_ms));
+  }
+
+  void RunFor(Duration time) {
+    const Time end = clock_->Now() + time;
+    RunUntil([&] { return clock_->Now() >= end; });
+  }
+
+  bool HasTarget(const std::string& id) const {
+    return std::any_of(
+        targets_.begin(), targets_.end(),
+        [&id](const ServingTarget& target) { return target.id == id; });
+  }
+};
+
+// Offsets of the copy are lower, and soon given out again.
+TEST_F(RestoredStoreTest, RecordsAtOffsetsGivenOutAgainAreRead) {
+  PutTarget("a");
+  store_.Copy();
+  Start();
+  ASSERT_TRUE(HasTargets(1));
+  PutTarget("b");
+  PutTarget("c");
+  ASSERT_TRUE(HasTargets(3));
+  store_.Restore();
+  PutTarget("d");
+  PutTarget("e");
+  EXPECT_TRUE(RunUntil([&] { return HasTarget("d") && HasTarget("e"); }));
+}
+
+TEST_F(RestoredStoreTest, TargetsThatTheCopyLacksAreUsedUntilWrittenAgain) {
+  for (const char* id : {"a", "b", "c"}) {
+    PutTarget(id);
+  }
+  store_.Copy();
+  Start();
+  ASSERT_TRUE(HasTargets(3));
+  PutTarget("new");
+  ASSERT_TRUE(HasTargets(4));
+  store_.Restore();
+  bool was_missing = false;
+  const Time written = clock_->Now() + milliseconds(2'000);
+  RunUntil([&] {
+    was_missing = was_missing || !HasTarget("new");
+    return clock_->Now() >= written;
+  });
+  EXPECT_FALSE(was_missing);
+  PutTarget("new");
+  RunFor(milliseconds(1'500));
+  EXPECT_TRUE(HasTarget("new"));
+}
+
+TEST_F(RestoredStoreTest, TargetThatIsNotWrittenAgainIsDropped) {
+  for (const char* id : {"a", "b", "c"}) {
+    PutTarget(id);
+  }
+  store_.Copy();
+  Start();
+  ASSERT_TRUE(HasTargets(3));
+  PutTarget("new");
+  ASSERT_TRUE(HasTargets(4));
+  store_.Restore();
+  EXPECT_TRUE(RunUntil([&] { return !HasTarget("new"); }));
+  EXPECT_TRUE(HasTarget("a"));
+}
+
+// A key that the lost version took away must not count as confirmed.
+TEST_F(RestoredStoreTest, OlderConfigurationIsNeitherTakenNorConfirmed) {
+  store_.Copy();
+  Start();
+  ASSERT_TRUE(HasVersion(1));
+  PutConfig(2);
+  ASSERT_TRUE(HasVersion(2));
+  store_.Restore();
+  RunFor(milliseconds(200));
+  const std::optional<Time> last = confirmed_;
+  RunFor(milliseconds(2'500));
+  EXPECT_EQ(table_->Config().version, 2);
+  EXPECT_EQ(confirmed_, last);
+  PutConfig(2);
+  EXPECT_TRUE(RunUntil([&] { return confirmed_ != last; }));
+  EXPECT_EQ(table_->Config().version, 2);
+}
+
+// A VM that never saw the lost version reads its own one, which proves nothing
+// until the operators have had time to write again.
+TEST_F(RestoredStoreTest, ConfigurationIsConfirmedOnlySomeTimeAfterRestore) {
+  store_.Copy();
+  Start();
+  ASSERT_TRUE(HasVersion(1));
+  ASSERT_TRUE(RunUntil([&] { return confirmed_.has_value(); }));
+  store_.Restore();
+  const Time restored = clock_->SuspendAwareNow();
+  RunFor(milliseconds(100));
+  const Time last = *confirmed_;
+  RunUntil([&] { return *confirmed_ > last; });
+  EXPECT_GE(*confirmed_, restored + milliseconds(2'000));
+}
+
+TEST_F(RestoredStoreTest, OwnAnnouncementAndMoveAreWrittenAgain) {
+  PutOrder("v2");
+  store_.Copy();
+  Start();
+  const VmRecord self = {"127.0.0.1:7", "127.0.0.1:8", "d"};
+  source_->Announce(self);
+  ASSERT_TRUE(RunUntil([&] { return members_.size() == 1; }));
+  ASSERT_TRUE(IsRecorded(Record(MoveOutcome::kInProgress)));
+  ASSERT_TRUE(IsRecorded(Record(MoveOutcome::kCompleted)));
+  store_.Restore();
+  EXPECT_TRUE(RunUntil([&] {
+    return !store_.Newest("keyed.vms", self.link).empty() &&
+           store_.Newest("keyed.status", "rollout/s").find("completed") !=
+               std::string::npos;
+  }));
+  EXPECT_TRUE(RunUntil([&] {
+    return records_ == std::vector<MoveRecord>{Record(MoveOutcome::kCompleted)};
+  }));
+}
+
+TEST_F(RestoredStoreTest, OtherVmsAreKeptUntilTheyAreWrittenAgain) {
+  store_.Copy();
+  Start();
+  const VmRecord peer = {"127.0.0.1:9", "127.0.0.1:8", "d"};
+  store_.Put("keyed.vms", peer.link, EncodeBytes(peer));
+  ASSERT_TRUE(RunUntil([&] { return members_.size() == 1; }));
+  store_.Restore();
+  RunFor(milliseconds(1'500));
+  EXPECT_EQ(members_.size(), 1U);
+  EXPECT_TRUE(RunUntil([&] { return members_.empty(); }));
+}
+
+TEST_F(RestoredStoreTest, TwoRestoresInARowLoseNothing) {
+  PutTarget("a");
+  store_.Copy();
+  Start();
+  ASSERT_TRUE(HasTargets(1));
+  PutTarget("b");
+  ASSERT_TRUE(HasTargets(2));
+  store_.Restore();
+  RunFor(milliseconds(30));
+  store_.Restore();
+  PutTarget("b");
+  PutTarget("c");
+  EXPECT_TRUE(RunUntil([&] { return HasTarget("c"); }));
+  EXPECT_TRUE(HasTarget("a"));
+  EXPECT_TRUE(HasTarget("b"));
+}
+
 }  // namespace
 }  // namespace hornbeamcleat::platform
--- a/tests/serving/target_balancer_test.cc
+++ b/tests/serving/target_balancer_test.cc
@@ -323,5 +323,21 @@
   EXPECT_EQ(stats[0].target, Hash32("a"));
 }
 
+// The store has come back from a copy, or a list shows an earlier start.
+TEST_F(TargetBalancerTest, OlderEntryDoesNotBringDrainingTargetBack) {
+  ServingTarget spec = Spec("a");
+  spec.start_time_ms = 5;
+  spec.is_draining = true;
+  balancer_.SetTargets({spec}, now_);
+  balancer_.SetTargets({}, now_);
+  spec.is_draining = false;
+  balancer_.SetTargets({spec}, now_);
+  EXPECT_FALSE(balancer_.AcceptsRequests("a", now_));
+  EXPECT_EQ(Pick(Need()), "");
+  spec.start_time_ms = 6;
+  balancer_.SetTargets({spec}, now_);
+  EXPECT_EQ(Pick(Need()), "a");
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
--- a/tests/serving/target_registry_test.cc
+++ b/tests/serving/target_registry_test.cc
@@ -49,6 +49,16 @@
   EXPECT_EQ(Listed(), 1U);
 }
 
+TEST_F(TargetRegistryTest, TargetMissingFromCopyOfStoreIsKeptForItsTime) {
+  registry_.Replace({Spec("a"), Spec("b"), Spec("new")}, now_);
+  registry_.Replace({Spec("a"), Spec("b")}, now_, milliseconds(3'000));
+  EXPECT_EQ(Listed(), 3U);
+  now_ += milliseconds(2'999);
+  EXPECT_EQ(Listed(), 3U);
+  now_ += milliseconds(1);
+  EXPECT_EQ(Listed(), 2U);
+}
+
 TEST_F(TargetRegistryTest, RemoveOfDrainingTargetDropsItAtOnce) {
   registry_.Replace({Spec("a", true)}, now_);
   registry_.Remove("a", now_);
