--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -54,6 +54,8 @@
 constexpr Duration kRestBegins = milliseconds(500);
 constexpr int kMaxSendsInRest = 2;
 constexpr Duration kRestTime = milliseconds(1'800);
+/// Time until what a store has lost is written again.
+constexpr Duration kRewriteTime = milliseconds(300);
 /// For so long a target refuses all requests.
 constexpr Duration kRefusingTime = milliseconds(900);
 /// Time until a crashed target is back.
@@ -259,6 +261,11 @@
 }
 
 void SoakWorld::PutConfig() {
+  ++config_version_;
+  RewriteConfig();
+}
+
+void SoakWorld::RewriteConfig() {
   const auto route = [](const char* kind, const char* type, bool resumes) {
     return fmt::format(
         R"({{"name":"{}","hostname":"h","path_prefix":"/{}/",)"
@@ -271,7 +278,7 @@
       fmt::format(R"({{"version":{},"routes":[{},{},{},{}],"services":[)"
                   R"({{"name":"s"}}],"tenants":[{{"name":"a","api_keys":)"
                   R"(["ka"]}},{{"name":"b","api_keys":[{}]}}]}})",
-                  ++config_version_, route("safe", "idempotent", false),
+                  config_version_, route("safe", "idempotent", false),
                   route("unsafe", "non_idempotent", false),
                   route("resume", "streaming", true),
                   route("stream", "streaming", false),
@@ -286,9 +293,25 @@
                           is_leaving ? "draining" : "ready"));
 }
 
+void SoakWorld::RestoreStore() {
+  store_->Restore();
+  After(kRewriteTime, [this] {
+    RewriteConfig();
+    for (const std::string& id : ended_ids_) {
+      store_->Put("keyed.servers", id, "");
+    }
+    for (const std::unique_ptr<Target>& target : targets_) {
+      if (!target->id.empty()) {
+        PutTarget(*target, false);
+      }
+    }
+  });
+}
+
 // A new incarnation at the address of the old one.
 void SoakWorld::Replace(Target* target) {
   if (!target->id.empty()) {
+    ended_ids_.push_back(target->id);
     store_->Put("keyed.servers", target->id, "");
   }
   // Each second one answers without chunks or a length, unless one is given.
@@ -418,9 +441,13 @@
   Target* target =
       targets_[static_cast<std::size_t>(pick(options_.targets))].get();
   const std::string id = target->id;
-  if (id.empty() || target->is_leaving) {
+  const int kind = pick(5);
+  if (kind == 0) {
+    Fault("store comes back from a copy");
+    RestoreStore();
+  } else if (id.empty() || target->is_leaving) {
     // Crashed, or leaves already.
-  } else if (pick(2) == 0) {
+  } else if (kind < 3) {
     Fault(id + " leaves by its answers");
     target->is_leaving = true;
     After(kLeavingEndsAfter, [this, target, id] {
@@ -432,6 +459,10 @@
     Fault(id + " asks for rest");
     target->refuses_until = clock_->Now() + kRefusingTime;
   }
+  if (kind > 2) {
+    ended_ids_.clear();
+    store_->Copy();
+  }
   After(milliseconds(400 + pick(400)), [this] { StateSomething(); });
 }
 
@@ -477,6 +508,7 @@
   const std::string old_id = std::exchange(target->id, "");
   After(kRestartTime, [this, target, old_id] {
     target->proxy->SetMode(LoopbackProxy::Mode::kPass);
+    ended_ids_.push_back(old_id);
     store_->Put("keyed.servers", old_id, "");
     Replace(target);
   });
@@ -543,6 +575,7 @@
   }
   is_striking_ = true;
   After(kCrashesKnownAfter, [this] { AskCrashingPart(); });
+  store_->Copy();
   StateSomething();
   const Time end = clock_->Now() + options_.faults_for;
   while (clock_->Now() < end) {
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -71,6 +71,11 @@
   void StartVm(Vm* vm);
   void ReapVms();
   void PutConfig();
+  /// Writes the operators' newest configuration, without a new version.
+  void RewriteConfig();
+  /// Lets the store come back from its last copy; operators and targets write
+  /// again what it has lost.
+  void RestoreStore();
   void PutTarget(const Target& target, bool is_leaving);
   void Replace(Target* target);
   std::unique_ptr<RequestHandler> Serve(Target* target, CallerRequest request,
@@ -79,7 +84,8 @@
                                                 const std::string& cause,
                                                 const HeaderList& headers,
                                                 ResponseSink* sink);
-  /// Lets targets say that they leave, or ask for rest, during the faults.
+  /// Lets targets say that they leave or ask for rest, and the store come back
+  /// from a copy, during the faults.
   void StateSomething();
   /// Checks a request that has reached a target against its statements.
   void CheckStatements(Target* target, const std::string& id);
@@ -134,6 +140,7 @@
   std::mt19937_64 statement_random_;
   std::map<std::string, int> vm_of_;  ///< by request id
   int next_target_id_ = 0;
+  std::vector<std::string> ended_ids_;  ///< of targets, since the last copy
   int next_request_ = 0;
   int asked_ = 0;
   int served_ = 0;
