Ignore peers and VMs whose addresses can't be sent to

Found by damaging messages of peers: 'IP:PORT' whose first part is no IPv4 address passed the check of a message and of a VM's entry, and threw at the next send, which ends the process. Both are checked as far as a send needs now, and the caller-facing address of a peer, too.

--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -199,6 +199,14 @@
     }
   }
 
+  // Messages are sent to one address, and callers are told the other.
+  static void CheckAddresses(const PeerState& state) {
+    ToSocketAddress(Address::Parse(state.link));
+    if (state.details.has_value()) {
+      ToSocketAddress(Address::Parse(state.details->front));
+    }
+  }
+
   const sockaddr_in& Resolve(const std::string& link) {
     const auto known = resolved_.find(link);
     if (known != resolved_.end()) {
@@ -218,7 +226,7 @@
       try {
         state = DecodeBytes<PeerState>(
             std::string_view(buffer_.data(), static_cast<std::size_t>(n)));
-        Address::Parse(state.link);
+        CheckAddresses(state);
       } catch (const Error&) {
         ++error_count_;
         continue;
--- a/tests/platform/records_test.cc
+++ b/tests/platform/records_test.cc
@@ -147,8 +147,9 @@
     EXPECT_THROW(DecodeTarget("t", entry("slots", slots)), Error) << slots;
   }
   for (const char* address :
-       {"\"10.0.0.1:65536\"", "\"10.0.0.1:0\"", "\"10.0.0.1:-1\"",
-        "\"10.0.0.1:99999999999\"", "\"10.0.0.1\"", "\"\"", "7", "null"}) {
+       {"\"10.0.0.1:65536\"", "\"10.0.0.1:0\"", "\"10.0.0.C:80\"",
+        "\"10.0.0.1:-1\"", "\"10.0.0.1:99999999999\"", "\"10.0.0.1\"", "\"\"",
+        "7", "null"}) {
     EXPECT_THROW(DecodeTarget("t", entry("address", address)), Error)
         << address;
   }
--- a/tests/platform/store_source_test.cc
+++ b/tests/platform/store_source_test.cc
@@ -328,6 +328,7 @@
   const VmRecord sound = {"127.0.0.1:7", "127.0.0.1:8", "d"};
   for (const VmRecord& odd : {VmRecord{"127.0.0.1:99999", "127.0.0.1:8", "d"},
                               VmRecord{"nowhere", "127.0.0.1:8", "d"},
+                              VmRecord{"nowhere:80", "127.0.0.1:8", "d"},
                               VmRecord{"127.0.0.1:0", "127.0.0.1:8", "d"},
                               VmRecord{"127.0.0.1:9", "127.0.0.1:0x", "d"}}) {
     store_.Put("keyed.vms", odd.link, EncodeBytes(odd));
