--- a/src/serving/version_moves.h
+++ b/src/serving/version_moves.h
@@ -41,9 +41,9 @@
   /// Capacity and load of a service's targets on each side of a move.
   struct SideCapacity {
     int new_slots = 0;
-    int new_resting_slots = 0;  ///< part of `new_slots`
     int old_slots = 0;
     int old_running = 0;
+    int new_resting_slots = 0;  ///< part of `new_slots`
   };
 
   struct Decisions {
--- a/tests/relay/target_statements_test.cc
+++ b/tests/relay/target_statements_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "hornbeamcleat/base/timer_service.h"
+#include "src/relay/peer_link.h"
 #include "tests/relay/relay_fixture.h"
 
 namespace hornbeamcleat {
@@ -239,6 +240,7 @@
   ScriptedTarget leaving(loop_.get(), [](const ReceivedRequest&) {});
   relay_->SetTargets({Spec("leaving", leaving)});
   std::vector<std::unique_ptr<TestCaller>> running;
+  running.reserve(kTargetSlots);
   for (int i = 0; i < kTargetSlots; ++i) {
     running.push_back(StartRequest("unsafe"));
   }
@@ -293,6 +295,37 @@
   EXPECT_EQ(resting.RequestCount(), 1);
 }
 
+TEST_F(TargetStatementsTest, StartedVmIsToldWhatOthersKnow) {
+  RelayOptions options = Options();
+  options.peer_address = FreeUdpAddress();
+  relay_ = MakeRelay(options);
+  Configure(Config());
+  ScriptedTarget leaving(loop_.get(), [](const ReceivedRequest& request) {
+    request.stream->Write(Answer(request, kLeaving));
+  });
+  relay_->SetTargets({Spec("leaving", leaving)});
+  EXPECT_EQ(Status(*SendRequest(Request("safe", NextId()))), 200);
+  // VMs report to peers that start after them, and repeat news before.
+  RunFor(milliseconds(6'500));
+  const Address address = FreeUdpAddress();
+  std::vector<TargetNotice> notices;
+  const std::unique_ptr<PeerLink> peer = PeerLink::Open(
+      loop_.get(), clock_.get(), address, [&notices](const PeerState& state) {
+        notices.insert(notices.end(), state.notices.begin(),
+                       state.notices.end());
+      });
+  relay_->SetMembers({{address.ToString(), "127.0.0.1:1", "d"}});
+  PeerState first;
+  first.incarnation = 1;
+  first.sequence = 1;
+  first.link = address.ToString();
+  peer->Send(first, {relay_->SelfRecord().link});
+  ASSERT_TRUE(RunUntil([&notices] { return !notices.empty(); }));
+  EXPECT_EQ(
+      notices[0],
+      (TargetNotice{TargetInstance::Of(Spec("leaving", leaving)), true, 0}));
+}
+
 TEST_F(TargetStatementsTest, CallersAreToldWhenFirstOfRestingTargetsEnds) {
   for (const char* kind : {"safe", "unsafe", "stream", "resume"}) {
     ScriptedTarget shorter(loop_.get(), Refusing("20"));
--- a/tests/serving/version_moves_test.cc
+++ b/tests/serving/version_moves_test.cc
@@ -390,6 +390,16 @@
   EXPECT_EQ(Outcome(), MoveOutcome::kRolledBack);
 }
 
+// Targets that rest can't take a larger share.
+TEST_F(VersionMovesTest, VersionThatRestsKeepsItsFirstShare) {
+  sides_.new_resting_slots = sides_.new_slots;
+  Simulate(good_);
+  ASSERT_TRUE(record_.has_value());
+  EXPECT_EQ(record_->outcome, MoveOutcome::kRolledBack);
+  EXPECT_LE(new_requests_, ExposureLimit());
+  EXPECT_GT(new_requests_, 0);
+}
+
 TEST_F(VersionMovesTest, BusyOldTargetsDelayCompletion) {
   sides_.old_running = 1;
   Simulate(good_);
