--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -253,9 +253,9 @@
       peer_reporter_.SendNoticesSoon();
     }
     if (is_news || statement.has_invalid_rest) {
-      Log().Warning(
-          "event=target_statement target={} kind={} rest_ms={}", target.id,
-          kind,
+      request_log_.Warning(
+          clock_->Now(), "event=target_statement target={} kind={} rest_ms={}",
+          target.id, kind,
           statement.rest.value_or(Duration(0)) / std::chrono::milliseconds(1));
     }
   }
--- a/src/relay/target_call.h
+++ b/src/relay/target_call.h
@@ -39,7 +39,7 @@
     /// call, so that the request is not executed.
     std::function<bool()> may_send;
     /// The target states something of itself, possibly in a response to another
-    /// request. May be empty. Comes before on_head, and must not end the call.
+    /// request. May be unset. Called before on_head; must not end the call.
     std::function<void(const TargetStatement& statement)> on_statement;
     std::function<void(const MessageHead& head)> on_head;
     std::function<void(std::string* body)> on_body;  ///< consumes the bytes
--- a/tests/platform/store_source_test.cc
+++ b/tests/platform/store_source_test.cc
@@ -466,6 +466,22 @@
   }));
 }
 
+// The store shows the first state of the move after the first restore, and
+// nothing of it after the second one.
+TEST_F(RestoredStoreTest, NewestStateOfMoveOutlastsTwoRestores) {
+  PutOrder("v2");
+  store_.Copy();
+  Start();
+  ASSERT_TRUE(IsRecorded(Record(MoveOutcome::kInProgress)));
+  store_.Restore();
+  ASSERT_TRUE(IsRecorded(Record(MoveOutcome::kCompleted)));
+  store_.Restore();
+  EXPECT_TRUE(RunUntil([&] {
+    return store_.Newest("keyed.status", "rollout/s").find("completed") !=
+           std::string::npos;
+  }));
+}
+
 TEST_F(RestoredStoreTest, OtherVmsAreKeptUntilTheyAreWrittenAgain) {
   store_.Copy();
   Start();
