--- a/tests/platform/store_source_test.cc
+++ b/tests/platform/store_source_test.cc
@@ -30,7 +30,7 @@
     pacing.target_poll_timeout = milliseconds(100);
     pacing.member_poll_timeout = milliseconds(100);
     source_ = MakeStoreSource(loop_.get(), clock_.get(), store_.Bound(),
-                              milliseconds(1'200), pacing, this);
+                              milliseconds(1'200), key_limit_, pacing, this);
   }
 
   void PutConfig(int version) {
@@ -98,6 +98,7 @@
   std::vector<MoveOrder> orders_;
   std::vector<MoveRecord> records_;
   std::unique_ptr<ServingSource> source_;
+  Duration key_limit_ = milliseconds(5'000);
 
  private:
   void OnConfig(std::shared_ptr<const RouteTable> table) override {
@@ -446,6 +447,21 @@
   EXPECT_GE(*confirmed_, restored + milliseconds(2'000));
 }
 
+// A VM must not refuse all keys after each return of the store.
+TEST_F(RestoredStoreTest, ConfirmationWaitsForHalfOfLifeOfKeysAtMost) {
+  key_limit_ = milliseconds(2'000);
+  store_.Copy();
+  Start();
+  ASSERT_TRUE(RunUntil([&] { return confirmed_.has_value(); }));
+  store_.Restore();
+  const Time restored = clock_->SuspendAwareNow();
+  RunFor(milliseconds(100));
+  const Time last = *confirmed_;
+  RunUntil([&] { return *confirmed_ > last; });
+  EXPECT_GE(*confirmed_, restored + milliseconds(1'000));
+  EXPECT_LT(*confirmed_, restored + milliseconds(1'500));
+}
+
 TEST_F(RestoredStoreTest, OwnAnnouncementAndMoveAreWrittenAgain) {
   PutOrder("v2");
   store_.Copy();
