Decode limits that targets state, and log requests sent to limited ones

The codec reads the statement (negative numbers, text and nan are logged as invalid; the lower of two counts), each new limit and each send to a target with a known one is logged. No decision changes.

--- a/include/hornbeamcleat/serving/target_statement.h
+++ b/include/hornbeamcleat/serving/target_statement.h
@@ -18,6 +18,10 @@
   /// stated.
   std::optional<Duration> rest;
   bool has_invalid_rest = false;  ///< states a time that can't be read
+  /// Requests per second that it takes of all VMs together, for as long as its
+  /// answers say so; nullopt: not stated.
+  std::optional<double> request_limit;
+  bool has_invalid_limit = false;  ///< states a limit that can't be read
 
   bool IsEmpty() const { return *this == TargetStatement(); }
 
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -311,6 +311,7 @@
       Retry(is_resting ? "target_resting" : "target_leaving");
       return false;
     }
+    LogSendToLimited();
     run_.sent_at = BootNow();
     is_sent_ = true;
     context_->SetInFlight(id_, this);
@@ -328,6 +329,23 @@
     return true;
   }
 
+  // Tells whether this VM knows the limit of a target that it sends to.
+  void LogSendToLimited() const {
+    const std::optional<TargetLimits::Stated> limit =
+        context_->GetTargets()->Limits()->Find(TargetInstance::Of(target_));
+    if (!limit.has_value()) {
+      return;
+    }
+    context_->GetMetrics()->Count("sends_to_limited_total", "service",
+                                  service_);
+    context_->GetLog()->Info(
+        Now(),
+        "event=sent_to_limited id={} target={} per_second={:.3f} "
+        "limit_age_ms={:.1f} attempt={} resumes={}",
+        request_info_.id, attempt_->Target(), limit->per_second,
+        ToMs(BootNow() - limit->at), executions_ + 1, response_.HasStarted());
+  }
+
   void OnHead(const MessageHead& head) {
     const ResponseKind kind = response_.OnHead(head);
     // Anything else may come from another process at the target's address.
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -235,11 +235,16 @@
   }
   void OnTargetStatement(const ServingTarget& target,
                          const TargetStatement& statement) override {
+    const TargetInstance instance = TargetInstance::Of(target);
+    OnTargetLimit(target, statement);
+    if (!statement.is_leaving && !statement.rest.has_value() &&
+        !statement.has_invalid_rest) {
+      return;
+    }
     const char* kind = statement.is_leaving         ? "leaving"
                        : statement.has_invalid_rest ? "invalid_rest"
                                                     : "rest";
     metrics_->Count("target_statements_total", "kind", kind);
-    const TargetInstance instance = TargetInstance::Of(target);
     const Duration return_delay =
         std::min(kMaxReturnDelay,
                  kReturnStep * directory_.RankFor(instance.id, clock_->Now()));
@@ -259,6 +264,27 @@
           statement.rest.value_or(Duration(0)) / std::chrono::milliseconds(1));
     }
   }
+  void OnTargetLimit(const ServingTarget& target,
+                     const TargetStatement& statement) {
+    if (statement.has_invalid_limit) {
+      metrics_->Count("target_statements_total", "kind", "invalid_limit");
+      request_log_.Warning(clock_->Now(),
+                           "event=target_statement target={} "
+                           "kind=invalid_limit",
+                           target.id);
+    }
+    if (!statement.request_limit.has_value()) {
+      return;
+    }
+    metrics_->Count("target_statements_total", "kind", "limit");
+    if (targets_.Limits()->OnStated(TargetInstance::Of(target),
+                                    *statement.request_limit,
+                                    clock_->SuspendAwareNow())) {
+      request_log_.Warning(clock_->Now(),
+                           "event=target_limit target={} per_second={:.3f}",
+                           target.id, *statement.request_limit);
+    }
+  }
   void OnLossesChange() override {
     LossTable* losses = admission_.Losses();
     for (const RequestProperty& property : losses->TakeNewlyRefused()) {
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -14,6 +14,7 @@
 #include "hornbeamcleat/serving/peer_state.h"
 #include "hornbeamcleat/serving/serving_config.h"
 #include "hornbeamcleat/serving/target_statement.h"
+#include "src/serving/target_limits.h"
 #include "src/serving/target_statements.h"
 
 namespace hornbeamcleat {
@@ -112,6 +113,8 @@
 
   /// What targets state of themselves in answers, to this VM and its peers.
   TargetStatements* Statements() { return &statements_; }
+  /// Limits on requests that targets have stated.
+  TargetLimits* Limits() { return &limits_; }
 
   /// Returns the target with the lowest cost among those with a free slot, or
   /// nullopt. Has no side effects.
@@ -253,6 +256,7 @@
   double candidate_share_ = 1;
   double remote_domain_cost_ms_ = 0;
   TargetStatements statements_;
+  TargetLimits limits_;
   Duration suspended_time_{0};
 };
 
--- a/tests/platform/wire_codec_test.cc
+++ b/tests/platform/wire_codec_test.cc
@@ -170,6 +170,32 @@
             milliseconds(3'000));
 }
 
+TEST_F(WireCodecTest, LimitOfTargetIsReadAsRequestsPerSecond) {
+  const auto statement = [this](const HeaderList& headers, int status = 200) {
+    return codec_->ParseResponseHeaders(status, headers).statement;
+  };
+  const auto limit = [&](const std::string& text) {
+    return statement({{"Server-Limit", text}}).request_limit;
+  };
+  EXPECT_EQ(limit("2.4"), 2.4);
+  EXPECT_EQ(limit("15"), 15);
+  EXPECT_EQ(limit("0"), 0);
+  EXPECT_EQ(limit("0.05"), 0.05);
+  EXPECT_EQ(limit("1e9"), 1e9);
+  for (const char* invalid :
+       {"", "-1", "-0.5", "few", "nan", "inf", "2 /s", "2,5", "1e999"}) {
+    EXPECT_EQ(limit(invalid), std::nullopt) << invalid;
+    EXPECT_TRUE(statement({{"Server-Limit", invalid}}).has_invalid_limit);
+  }
+  for (const int status : {200, 404, 421, 500, 503}) {
+    EXPECT_EQ(statement({{"server-limit", "3"}}, status).request_limit, 3);
+  }
+  const TargetStatement twice =
+      statement({{"Server-Limit", "3"}, {"Server-Limit", "1"}});
+  EXPECT_EQ(twice.request_limit, 1);
+  EXPECT_TRUE(statement({{"Server-Leaving", "0"}}).IsEmpty());
+}
+
 // Only a refusal asks for rest; in other answers the header is the caller's.
 TEST_F(WireCodecTest, RetryAfterOfOtherStatusIsNoRest) {
   for (const int status : {200, 301, 429, 500, 502}) {
