Share the limit that a target states among all VMs

Callers saw nothing; a target that had stated 2.4 requests a second got 38 in 4 s from VMs that it had told (19 allowed).

A share for each VM would have been the next fault: at 22 VMs one request each is more than 1.5 a second allow.

Change: TargetLimits keeps the limit by start of a target, SharedRate turns it into this VM's part. As many VMs as the limit has whole requests a second hold a turn, the first in rendezvous order, and space their requests; the part of VMs that aren't heard is set aside, so that groups which don't hear each other stay within the limit together. Placement, waiting, refusal and moves count limited targets as what they take. Peers are told at once, and what binds is checked at placement and before the first byte. A target that nobody hears of is tried by one VM after the other.

--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -163,6 +163,8 @@
   std::optional<LossReport> losses;
   /// Statements of targets; those that the message lacks stay as they are.
   std::vector<TargetNotice> notices;
+  /// Limits of targets, likewise.
+  std::vector<LimitNotice> limits;
 
   bool operator==(const PeerState&) const = default;
 };
--- a/include/hornbeamcleat/serving/target_statement.h
+++ b/include/hornbeamcleat/serving/target_statement.h
@@ -57,6 +57,21 @@
   }
 };
 
+/// What a VM tells its peers of a target's limit on requests.
+struct LimitNotice {
+  TargetInstance target;
+  bool has_ended = false;    ///< answers state no limit any more
+  float per_second = 0;      ///< requests of all VMs together
+  std::uint32_t age_ms = 0;  ///< since the latest statement, or since the end
+
+  bool operator==(const LimitNotice&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(target, has_ended, per_second, age_ms);
+  }
+};
+
 }  // namespace hornbeamcleat
 
 #endif  // HORNBEAMCLEAT_SERVING_TARGET_STATEMENT_H_
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -283,8 +283,12 @@
   TargetCall::Callbacks Callbacks() {
     TargetCall::Callbacks callbacks;
     callbacks.may_send = [this] { return ConfirmSend(); };
-    callbacks.on_statement = [this](const TargetStatement& statement) {
-      context_->OnTargetStatement(target_, statement);
+    callbacks.on_statement = [this](const TargetStatement& statement,
+                                    bool is_signed_response) {
+      context_->OnTargetStatement(target_, statement,
+                                  is_signed_response
+                                      ? std::optional<Time>(run_.sent_at)
+                                      : std::nullopt);
     };
     callbacks.on_head = [this](const MessageHead& head) { OnHead(head); };
     callbacks.on_body = [this](std::string* body) { OnBody(body); };
@@ -311,6 +315,12 @@
       Retry(is_resting ? "target_resting" : "target_leaving");
       return false;
     }
+    if (!context_->GetTargets()->ConfirmLimit(
+            attempt_->Target(), attempt_->IsCountedByLimit(), Now())) {
+      FinishAttempt(TargetOutcome::kAbandoned);
+      Retry("target_limited");
+      return false;
+    }
     LogSendToLimited();
     run_.sent_at = BootNow();
     is_sent_ = true;
@@ -329,10 +339,10 @@
     return true;
   }
 
-  // Tells whether this VM knows the limit of a target that it sends to.
   void LogSendToLimited() const {
-    const std::optional<TargetLimits::Stated> limit =
-        context_->GetTargets()->Limits()->Find(TargetInstance::Of(target_));
+    const std::optional<TargetLimits::Limit> limit =
+        context_->GetTargets()->Limits()->Find(TargetInstance::Of(target_),
+                                               BootNow());
     if (!limit.has_value()) {
       return;
     }
@@ -343,7 +353,7 @@
         "event=sent_to_limited id={} target={} per_second={:.3f} "
         "limit_age_ms={:.1f} attempt={} resumes={}",
         request_info_.id, attempt_->Target(), limit->per_second,
-        ToMs(BootNow() - limit->at), executions_ + 1, response_.HasStarted());
+        ToMs(limit->age), executions_ + 1, response_.HasStarted());
   }
 
   void OnHead(const MessageHead& head) {
@@ -506,9 +516,10 @@
       Retry("not_run");
       return;
     }
-    Refuse(RefusalReason::kNotRun, context_->GetQueue()
-                                       ->TimeToRestEnd(Need(), Now())
-                                       .value_or(kNotExecutedRetryAfter));
+    Refuse(RefusalReason::kNotRun,
+           context_->GetQueue()
+               ->TimeToOpening(Need(), admission_.rank, Now())
+               .value_or(kNotExecutedRetryAfter));
   }
 
   void OnFailure(CallFailure failure) {
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "hornbeamcleat/base/time.h"
@@ -55,9 +56,13 @@
   /// what is refused; nullptr unregisters it.
   virtual void SetInFlight(std::uint64_t id, Exchange* exchange) = 0;
   virtual std::uint64_t NextExchangeId() = 0;
-  /// A target has stated something of itself in an answer.
+  /// A target has stated something of itself in an answer, or answered without
+  /// a statement.
+  /// @param sent when the request was sent, on the suspension-aware clock, if
+  ///   this is its signed answer
   virtual void OnTargetStatement(const ServingTarget& target,
-                                 const TargetStatement& statement) = 0;
+                                 const TargetStatement& statement,
+                                 std::optional<Time> sent) = 0;
   /// Losses may have been recorded or cleared, which peers must hear of.
   virtual void OnLossesChange() = 0;
 };
--- a/src/relay/peer_reporter.cc
+++ b/src/relay/peer_reporter.cc
@@ -36,6 +36,9 @@
 /// Minimum interval between two messages about losses. Bounds their number
 /// when a failure domain with hundreds of targets is lost.
 constexpr Duration kMinLossInterval = std::chrono::milliseconds(50);
+/// Likewise, of messages about statements of targets, which may change with
+/// each answer.
+constexpr Duration kMinNoticeInterval = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -195,6 +198,8 @@
       boot_now - kRepeatTime, boot_now);
   state->notices = sources_.targets->Statements()->NoticesSince(
       boot_now - kRepeatTime, boot_now);
+  state->limits = sources_.targets->Limits()->NoticesSince(
+      boot_now - kRepeatTime, boot_now);
 }
 
 void PeerReporter::SendLossesSoon() {
@@ -221,18 +226,22 @@
 
 void PeerReporter::SendNoticesSoon() {
   if (notices_timer_ == nullptr) {
-    notices_timer_ =
-        loop_->Timers()->At(clock_->Now(), [this](Time) { SendNotices(); });
+    notices_timer_ = loop_->Timers()->At(
+        std::max(clock_->Now(), notices_sent_at_ + kMinNoticeInterval),
+        [this](Time) { SendNotices(); });
   }
 }
 
 void PeerReporter::SendNotices() {
   notices_timer_.reset();
+  notices_sent_at_ = clock_->Now();
   PeerState state = MakeState();
   state.has_load = false;
   const Time boot_now = clock_->SuspendAwareNow();
   state.notices = sources_.targets->Statements()->NoticesSince(
       notices_sent_until_, boot_now);
+  state.limits =
+      sources_.targets->Limits()->NoticesSince(notices_sent_until_, boot_now);
   notices_sent_until_ = boot_now;
   link_->Send(state, sources_.directory->Links());
 }
@@ -255,7 +264,10 @@
         sources_.admission->Losses()->CompleteReport(clock_->SuspendAwareNow());
     state.notices =
         sources_.targets->Statements()->AllNotices(clock_->SuspendAwareNow());
-    if (*state.losses != LossReport() || !state.notices.empty()) {
+    state.limits =
+        sources_.targets->Limits()->AllNotices(clock_->SuspendAwareNow());
+    if (*state.losses != LossReport() || !state.notices.empty() ||
+        !state.limits.empty()) {
       peer.next = now + kStartedPeerInterval;
       link_->Send(state, {link});
     }
--- a/src/relay/peer_reporter.h
+++ b/src/relay/peer_reporter.h
@@ -103,6 +103,7 @@
   /// the losses.
   Time losses_sent_until_;
   /// Statements of targets before this time have been sent once.
+  Time notices_sent_at_;
   Time notices_sent_until_;
   Time started_at_;
   Time all_quotas_sent_at_;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -111,6 +111,8 @@
     admission_.SetTrialDelay([this](std::uint64_t code) {
       return kTrialStep * directory_.RankFor(code, clock_->Now());
     });
+    targets_.Limits()->SetShareSource(
+        [this](const TargetInstance& instance) { return ShareOf(instance); });
     housekeeping_timer_ =
         loop_->Timers()->Every(now + kHousekeepingPeriod, kHousekeepingPeriod,
                                [this](Time) { RunHousekeeping(); });
@@ -234,9 +236,10 @@
     }
   }
   void OnTargetStatement(const ServingTarget& target,
-                         const TargetStatement& statement) override {
+                         const TargetStatement& statement,
+                         std::optional<Time> sent) override {
     const TargetInstance instance = TargetInstance::Of(target);
-    OnTargetLimit(target, statement);
+    OnTargetLimit(target, statement, sent);
     if (!statement.is_leaving && !statement.rest.has_value() &&
         !statement.has_invalid_rest) {
       return;
@@ -265,7 +268,12 @@
     }
   }
   void OnTargetLimit(const ServingTarget& target,
-                     const TargetStatement& statement) {
+                     const TargetStatement& statement,
+                     std::optional<Time> sent) {
+    TargetLimits* limits = targets_.Limits();
+    const TargetInstance instance = TargetInstance::Of(target);
+    const Time boot_now = clock_->SuspendAwareNow();
+    bool is_news = false;
     if (statement.has_invalid_limit) {
       metrics_->Count("target_statements_total", "kind", "invalid_limit");
       request_log_.Warning(clock_->Now(),
@@ -273,18 +281,47 @@
                            "kind=invalid_limit",
                            target.id);
     }
-    if (!statement.request_limit.has_value()) {
-      return;
+    if (statement.request_limit.has_value()) {
+      metrics_->Count("target_statements_total", "kind", "limit");
+      is_news = limits->OnStated(instance, *statement.request_limit, boot_now);
+    } else if (sent.has_value() && !statement.has_invalid_limit) {
+      is_news = limits->OnUnlimitedAnswer(instance, *sent, boot_now);
     }
-    metrics_->Count("target_statements_total", "kind", "limit");
-    if (targets_.Limits()->OnStated(TargetInstance::Of(target),
-                                    *statement.request_limit,
-                                    clock_->SuspendAwareNow())) {
+    if (is_news) {
+      LogLimit(instance, target.id, "answer");
+      ScheduleDecisions();
+      peer_reporter_.SendNoticesSoon();
+    }
+  }
+
+  void LogLimit(const TargetInstance& instance, const std::string& target,
+                const std::string& source) {
+    const std::optional<TargetLimits::Limit> limit =
+        targets_.Limits()->Find(instance, clock_->SuspendAwareNow());
+    if (!limit.has_value()) {
       request_log_.Warning(clock_->Now(),
-                           "event=target_limit target={} per_second={:.3f}",
-                           target.id, *statement.request_limit);
+                           "event=target_limit_ended target={} source={}",
+                           target, source);
+      return;
     }
+    const VmShare share = ShareOf(instance);
+    request_log_.Warning(
+        clock_->Now(),
+        "event=target_limit target={} per_second={:.3f} own_per_second={:.3f} "
+        "rank={} heard={} registered={} source={}",
+        target, limit->per_second, targets_.Limits()->OwnRate(instance),
+        share.rank, share.heard, share.registered, source);
+  }
+
+  // Beyond a full mesh, VMs of other failure domains use a target only for
+  // overflow, so that those of its own share its limit.
+  VmShare ShareOf(const TargetInstance& instance) const {
+    return directory_.ShareOf(
+        instance.id,
+        scale_plan_.is_domain_scoped ? targets_.DomainOf(instance) : "",
+        IsReady(), clock_->Now());
   }
+
   void OnLossesChange() override {
     LossTable* losses = admission_.Losses();
     for (const RequestProperty& property : losses->TakeNewlyRefused()) {
@@ -403,6 +440,11 @@
     for (const TargetNotice& notice : state.notices) {
       OnTargetNotice(state.link, notice);
     }
+    for (const LimitNotice& notice : state.limits) {
+      if (targets_.Limits()->OnNotice(notice, clock_->SuspendAwareNow())) {
+        LogLimit(notice.target, targets_.IdOf(notice.target), state.link);
+      }
+    }
     if (!waiting_exchanges_.empty()) {
       ScheduleDecisions();
     }
@@ -438,7 +480,7 @@
       return;
     }
     for (const ServingTarget& target : targets_.FindAt(address.ToString())) {
-      OnTargetStatement(target, statement);
+      OnTargetStatement(target, statement, std::nullopt);
     }
   }
 
@@ -539,6 +581,9 @@
       callbacks_.remove_refusal(property);
     }
     metrics_->Set("properties", "kind", "refused", losses->RefusedCount());
+    targets_.Limits()->UpdateShares(clock_->SuspendAwareNow());
+    metrics_->Set("targets", "kind", "limited",
+                  targets_.Limits()->LimitedCount());
     DecideMoves();
     for (const std::string& link : directory_.TakeTimedOut(now)) {
       Log().Warning("event=peer_lost link={}", link);
--- a/src/relay/target_attempt.cc
+++ b/src/relay/target_attempt.cc
@@ -27,6 +27,8 @@
   if (spec != nullptr) {
     version_ = spec->software_version;
     incarnation_ = spec->Incarnation();
+    is_counted_by_limit_ =
+        observers_.targets->IsLimited(placement_.target, now);
   }
 }
 
--- a/src/relay/target_attempt.h
+++ b/src/relay/target_attempt.h
@@ -36,6 +36,8 @@
   const std::string& Target() const { return placement_.target; }
   /// Identifies the target and its start.
   const std::string& Incarnation() const { return incarnation_; }
+  /// Whether the target stated a limit when the request was placed.
+  bool IsCountedByLimit() const { return is_counted_by_limit_; }
   bool HadFirstEvent() const { return had_first_event_; }
 
   /// Records the first event or, without events, the head of the response.
@@ -55,6 +57,7 @@
   const Time started_at_;
   std::string version_;      ///< software version of the target
   std::string incarnation_;  ///< of the target
+  bool is_counted_by_limit_ = false;
   bool had_first_event_ = false;
   FirstEventStats finding_;
 };
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -182,11 +182,13 @@
       const ResponseInfo info = codec_->ParseResponseHeaders(
           parser_->Head().status, parser_->Head().headers);
       is_mismatched_ = !info.id.empty() && info.id != plan_.request_id;
-      if (!info.statement.IsEmpty() && callbacks_.on_statement) {
+      is_identified_ = info.id == plan_.request_id;
+      const bool is_signed_response = is_identified_ && info.is_signed;
+      if ((!info.statement.IsEmpty() || is_signed_response) &&
+          callbacks_.on_statement) {
         is_target_leaving_ = is_target_leaving_ || info.statement.is_leaving;
-        callbacks_.on_statement(info.statement);
+        callbacks_.on_statement(info.statement, is_signed_response);
       }
-      is_identified_ = info.id == plan_.request_id;
       if (is_reused_ && !is_identified_ && !is_mismatched_) {
         Fail(CallFailure::kUnidentified);
         return false;
--- a/src/relay/target_call.h
+++ b/src/relay/target_call.h
@@ -39,8 +39,13 @@
     /// call, so that the request is not executed.
     std::function<bool()> may_send;
     /// The target states something of itself, possibly in a response to another
-    /// request. May be unset. Called before on_head; must not end the call.
-    std::function<void(const TargetStatement& statement)> on_statement;
+    /// request, or its response to this one states nothing. May be unset.
+    /// Called before on_head; must not end the call.
+    /// @param is_signed_response whether it is the signed response to this
+    ///   request
+    std::function<void(const TargetStatement& statement,
+                       bool is_signed_response)>
+        on_statement;
     std::function<void(const MessageHead& head)> on_head;
     std::function<void(std::string* body)> on_body;  ///< consumes the bytes
     std::function<void()> on_done;  ///< the response is complete
--- a/src/serving/target_balancer.cc
+++ b/src/serving/target_balancer.cc
@@ -103,6 +103,7 @@
   }
   targets_ = std::move(next);
   statements_.SetListed(instances, now + suspended_time_);
+  limits_.SetListed(instances, now + suspended_time_);
   RebuildPeerTotals();
 }
 
@@ -249,8 +250,14 @@
 }
 
 int TargetBalancer::FreeSlotsOf(const Target& target, Time now) const {
-  const int free =
+  int free =
       std::max(0, target.spec.slots - target.running - target.peer_running);
+  if (IsLimited(target, now)) {
+    const Time boot_now = now + suspended_time_;
+    free = limits_.OpensAt(target.instance, boot_now) <= boot_now
+               ? std::min(1, free)
+               : 0;
+  }
   switch (AccessTo(target, now)) {
     case TargetAccess::kOpen:
     case TargetAccess::kAvoided:
@@ -375,16 +382,76 @@
          AccessTo(it->second, now) != TargetAccess::kResting;
 }
 
-Time TargetBalancer::OpensAt(const std::string& service, Time now) const {
+Time TargetBalancer::OpensAt(const Target& target, Time now) const {
+  const Time boot_now = now + suspended_time_;
+  return std::max(statements_.OpensAt(target.instance, boot_now),
+                  limits_.OpensAt(target.instance, boot_now));
+}
+
+ServiceOpening TargetBalancer::OpeningOf(const std::string& service,
+                                         Time now) const {
+  ServiceOpening opening;
+  const Time boot_now = now + suspended_time_;
   Time first = Time::max();
+  bool has_targets = false;
+  bool has_unlimited = false;
   for (const auto& [id, target] : targets_) {
-    if (target.spec.service == service && IsStaying(target) &&
-        HasTrafficShare(target)) {
-      first = std::min(
-          first, statements_.OpensAt(target.instance, now + suspended_time_));
+    if (target.spec.service != service || !IsStaying(target) ||
+        !HasTrafficShare(target)) {
+      continue;
+    }
+    has_targets = true;
+    const Time opens_at = OpensAt(target, now);
+    first = std::min(first, opens_at);
+    const bool is_resting = AccessTo(target, now) == TargetAccess::kResting;
+    if (!IsLimited(target, now)) {
+      has_unlimited = has_unlimited || !is_resting;
+    } else if (!is_resting) {
+      opening.is_limited = true;
+      opening.open_turns +=
+          opens_at <= boot_now && !IsEjected(target, now) ? 1 : 0;
+      opening.own_rate += limits_.OwnRate(target.instance);
+      opening.mean_rate += limits_.MeanRate(target.instance);
+    }
+  }
+  opening.is_limited = opening.is_limited && !has_unlimited;
+  if (!has_targets) {
+    opening.at = now;
+  } else {
+    opening.at =
+        first == Time::max() ? first : std::max(now, first - suspended_time_);
+  }
+  return opening;
+}
+
+double TargetBalancer::Throughput(const std::string& service,
+                                  Duration hold_time, Time now) const {
+  double per_second = 0;
+  for (const auto& [id, target] : targets_) {
+    if (target.spec.service != service || !IsStaying(target) ||
+        !HasTrafficShare(target)) {
+      continue;
     }
+    const double of_slots = target.spec.slots / ToSeconds(hold_time);
+    const std::optional<TargetLimits::Limit> limit =
+        limits_.Find(target.instance, now + suspended_time_);
+    per_second +=
+        limit.has_value() ? std::min(limit->per_second, of_slots) : of_slots;
   }
-  return first == Time::max() ? now : first - suspended_time_;
+  return per_second;
+}
+
+bool TargetBalancer::IsLimited(const std::string& target, Time now) const {
+  const auto it = targets_.find(target);
+  return it != targets_.end() && IsLimited(it->second, now);
+}
+
+bool TargetBalancer::ConfirmLimit(const std::string& target, bool is_counted,
+                                  Time now) {
+  const auto it = targets_.find(target);
+  return it == targets_.end() ||
+         limits_.ConfirmSend(it->second.instance, is_counted,
+                             now + suspended_time_);
 }
 
 const ServingTarget* TargetBalancer::Find(const std::string& target) const {
@@ -403,13 +470,29 @@
   return found;
 }
 
-std::string TargetBalancer::AddressOf(const TargetInstance& target) const {
+const TargetBalancer::Target* TargetBalancer::FindInstance(
+    const TargetInstance& target) const {
   for (const auto& [id, entry] : targets_) {
     if (entry.instance == target) {
-      return entry.spec.address;
+      return &entry;
     }
   }
-  return "";
+  return nullptr;
+}
+
+std::string TargetBalancer::AddressOf(const TargetInstance& target) const {
+  const Target* entry = FindInstance(target);
+  return entry == nullptr ? "" : entry->spec.address;
+}
+
+std::string TargetBalancer::IdOf(const TargetInstance& target) const {
+  const Target* entry = FindInstance(target);
+  return entry == nullptr ? "" : entry->spec.id;
+}
+
+std::string TargetBalancer::DomainOf(const TargetInstance& target) const {
+  const Target* entry = FindInstance(target);
+  return entry == nullptr ? "" : entry->spec.failure_domain;
 }
 
 void TargetBalancer::OnSent(const std::string& target,
@@ -420,6 +503,7 @@
   }
   ++changes_;
   ++it->second.running;
+  limits_.OnPlaced(it->second.instance, now + suspended_time_);
   it->second.pending_tokens += prompt_tokens;
   if (it->second.unanswered++ == 0) {
     it->second.unanswered_since = now;
@@ -616,7 +700,8 @@
   for (const auto& [id, target] : targets_) {
     if (target.spec.service == service && IsStaying(target) &&
         target.spec.software_version == version &&
-        AccessTo(target, now) == TargetAccess::kResting) {
+        (AccessTo(target, now) == TargetAccess::kResting ||
+         IsLimited(target, now))) {
       slots += target.spec.slots;
     }
   }
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -53,6 +53,20 @@
   bool operator==(const VersionRule&) const = default;
 };
 
+/// What targets that rest or state limits leave of a service.
+struct ServiceOpening {
+  /// When this VM may send to the first target, as far as it knows; `now` if it
+  /// may already, or if there are no targets; Time::max() if it holds no turn.
+  Time at;
+  /// Every target rests or states a limit, and not all of them rest.
+  bool is_limited = false;
+  int open_turns = 0;    ///< limited targets that this VM may send to now
+  double own_rate = 0;   ///< requests per second at limited targets
+  double mean_rate = 0;  ///< ... of one of all VMs on average
+
+  bool operator==(const ServiceOpening&) const = default;
+};
+
 /// Latency result of one first event.
 struct FirstEventStats {
   double slowness = 0;   ///< latency relative to the typical one; 0: unknown
@@ -128,16 +142,29 @@
   /// nor resting.
   bool AcceptsRequests(const std::string& target, Time now) const;
 
-  /// Returns when the first of the service's targets ends its rest if all of
-  /// them rest, otherwise `now`.
-  Time OpensAt(const std::string& service, Time now) const;
+  /// Returns when the service's targets may be sent requests, as far as rests
+  /// and limits decide.
+  ServiceOpening OpeningOf(const std::string& service, Time now) const;
+
+  /// Returns the requests per second that the service's targets take, if each
+  /// occupies a slot for `hold_time` and limits are kept.
+  double Throughput(const std::string& service, Duration hold_time,
+                    Time now) const;
+
+  /// Whether the target states a limit.
+  bool IsLimited(const std::string& target, Time now) const;
+  /// Last check of a target's limit before a request is sent.
+  /// @param is_counted whether the limit was known when it was placed
+  bool ConfirmLimit(const std::string& target, bool is_counted, Time now);
 
   /// Returns the specification of a listed target, or nullptr.
   const ServingTarget* Find(const std::string& target) const;
   /// Returns the listed targets at an address; several while an entry is stale.
   std::vector<ServingTarget> FindAt(const std::string& address) const;
-  /// Returns the address of a listed target, or "".
+  /// Return the address, ID or failure domain of a listed target, or "".
   std::string AddressOf(const TargetInstance& target) const;
+  std::string IdOf(const TargetInstance& target) const;
+  std::string DomainOf(const TargetInstance& target) const;
 
   void OnSent(const std::string& target, std::uint32_t prompt_tokens, Time now);
   /// Records that the first event or the answer's header arrived `after` the
@@ -161,7 +188,7 @@
               bool is_version) const;
   int RunningOf(const std::string& service, const std::string& version,
                 bool is_version) const;
-  /// Slots at targets of one version that rest.
+  /// Slots at targets of one version that rest or state limits.
   int RestingSlotsOf(const std::string& service, const std::string& version,
                      Time now) const;
 
@@ -207,6 +234,7 @@
     double peer_answers = 0;
   };
 
+  const Target* FindInstance(const TargetInstance& target) const;
   static double Slowness(const Target& target);
   static Duration ExpectedLatency(const Target& target,
                                   std::uint32_t prompt_tokens);
@@ -230,6 +258,12 @@
   TargetAccess AccessTo(const Target& target, Time now) const {
     return statements_.Access(target.instance, now + suspended_time_);
   }
+  bool IsLimited(const Target& target, Time now) const {
+    return limits_.Find(target.instance, now + suspended_time_).has_value();
+  }
+  /// When this VM may send to the target, as far as its rest and its limit
+  /// decide, on the suspension-aware clock.
+  Time OpensAt(const Target& target, Time now) const;
   /// Whether the target neither drains nor has said that it leaves.
   bool IsStaying(const Target& target) const {
     return !target.spec.is_draining && !statements_.IsLeaving(target.instance);
--- a/src/serving/vm_directory.cc
+++ b/src/serving/vm_directory.cc
@@ -106,6 +106,39 @@
       }));
 }
 
+VmShare VmDirectory::ShareOf(std::uint64_t key,
+                             const std::string& failure_domain,
+                             bool takes_requests, Time now) const {
+  const bool is_scoped =
+      !failure_domain.empty() &&
+      (self_.failure_domain == failure_domain ||
+       std::any_of(peers_.begin(), peers_.end(), [&](const auto& item) {
+         return item.second.record.failure_domain == failure_domain;
+       }));
+  const auto takes_part = [&](const VmRecord& vm) {
+    return !is_scoped || vm.failure_domain == failure_domain;
+  };
+  const std::uint64_t own = Hash64(self_.link, key);
+  VmShare share;
+  share.takes_part = takes_requests && takes_part(self_);
+  share.heard = share.takes_part ? 1 : 0;
+  share.registered = takes_part(self_) ? 1 : 0;
+  for (const auto& [link, peer] : peers_) {
+    const bool is_before = Hash64(link, key) < own;
+    ++share.overall;
+    share.overall_rank += is_before ? 1 : 0;
+    if (!takes_part(peer.record)) {
+      continue;
+    }
+    ++share.registered;
+    if (IsReachable(peer, options_.peer_timeout, now) && peer.heard->is_ready) {
+      ++share.heard;
+      share.rank += is_before ? 1 : 0;
+    }
+  }
+  return share;
+}
+
 std::vector<std::string> VmDirectory::Links() const {
   std::vector<std::string> links;
   for (const auto& [link, peer] : peers_) {
--- a/src/serving/vm_directory.h
+++ b/src/serving/vm_directory.h
@@ -9,6 +9,7 @@
 #include "hornbeamcleat/base/time.h"
 #include "hornbeamcleat/serving/peer_state.h"
 #include "hornbeamcleat/serving/serving_source.h"
+#include "src/serving/shared_rate.h"
 
 namespace hornbeamcleat {
 
@@ -49,6 +50,14 @@
   /// rendezvous hash gives for a key.
   int RankFor(std::uint64_t key, Time now) const;
 
+  /// How this VM stands to those that may send requests to a target.
+  /// @param key of the rendezvous order
+  /// @param failure_domain only VMs of this domain take part, if it has any;
+  ///   empty: all VMs
+  /// @param takes_requests whether this VM does
+  VmShare ShareOf(std::uint64_t key, const std::string& failure_domain,
+                  bool takes_requests, Time now) const;
+
   /// Links of all other VMs, reachable or not.
   std::vector<std::string> Links() const;
   /// Links of the other VMs in this VM's failure domain.
--- a/src/serving/wait_queue.cc
+++ b/src/serving/wait_queue.cc
@@ -32,6 +32,9 @@
 constexpr Duration kReturnSpread = std::chrono::seconds(2);
 /// Other targets may have come after this time, however long a rest is.
 constexpr Duration kMaxRestRetryAfter = std::chrono::seconds(60);
+/// Callers that limits turn away are told to come back by this time, at which
+/// answers may state no limit any more.
+constexpr Duration kMaxLimitRetryAfter = std::chrono::seconds(20);
 
 WaitingRank RankOf(const WaitingRequest& request, Time now) {
   WaitingRank rank;
@@ -114,13 +117,48 @@
                 kHoldTimeGain * (ms - local_queue.hold_time_ms);
 }
 
+// At limited targets, a place is free once the limit allows one more request.
 Duration WaitQueue::ReleaseInterval(const std::string& service,
-                                    const Queue& local_queue) const {
+                                    const Queue& local_queue,
+                                    const ServiceOpening& opening,
+                                    Time now) const {
   const double hold_time = local_queue.hold_time_ms == 0
                                ? kInitialHoldTimeMs
                                : local_queue.hold_time_ms;
-  const int slots = std::max(1, balancer_->TotalSlots(service));
-  return Duration(static_cast<std::int64_t>(hold_time * 1'000.0 / slots));
+  const double per_second =
+      opening.is_limited ? opening.own_rate
+                         : balancer_->Throughput(
+                               service, FromSeconds(hold_time / 1'000.0), now);
+  return FromSeconds(per_second > 0 ? 1 / per_second : hold_time / 1'000.0);
+}
+
+// Callers come back to any VM, so that each VM spreads those that it turns away
+// over the mean rate of all VMs.
+Duration WaitQueue::RetryAfterOpening(const ServiceOpening& opening, int rank,
+                                      std::uint32_t seed, Time now,
+                                      Queue* local_queue) {
+  if (!opening.is_limited) {
+    return RetryAfterRest(opening.at - now, seed);
+  }
+  Time latest = now;
+  for (const auto& [other, time] : local_queue->latest_returns) {
+    if (other <= rank) {
+      latest = std::max(latest, time);
+    }
+  }
+  const Time due =
+      opening.mean_rate > 0
+          ? latest + FromSeconds(std::min(1 / opening.mean_rate,
+                                          ToSeconds(kMaxLimitRetryAfter)))
+          : latest + kMaxLimitRetryAfter;
+  if (due - now > kMaxLimitRetryAfter) {
+    // More callers than the limits allow until then are told random times in
+    // the second half.
+    constexpr double kSeeds = 4'294'967'296;
+    return Scale(kMaxLimitRetryAfter, 0.5 + 0.5 * (seed / kSeeds));
+  }
+  local_queue->latest_returns[rank] = due;
+  return std::max(kMinRetryAfter, due - now);
 }
 
 int WaitQueue::AheadAtPeers(std::uint32_t service,
@@ -157,19 +195,23 @@
                      return SortKey(RankOf(a, now)) < SortKey(RankOf(b, now));
                    });
   const std::uint32_t hash = Hash32(service);
-  const Duration release_interval = ReleaseInterval(service, *local_queue);
+  ServiceOpening opening = balancer_->OpeningOf(service, now);
+  const Duration release_interval =
+      ReleaseInterval(service, *local_queue, opening, now);
   std::vector<WaitingRequest> kept;
   int position = 0;
-  const Time opens_at = balancer_->OpensAt(service, now);
   int free_slots = balancer_->FreeSlots(service, now);
   for (const WaitingRequest& request : local_queue->requests) {
     WaitDecision decision;
     decision.id = request.id;
     decision.waited = now - request.arrival;
     decision.free_slots = free_slots;
-    decision.ahead = position + AheadAtPeers(hash, RankOf(request, now));
+    decision.ahead =
+        position +
+        (opening.is_limited ? 0 : AheadAtPeers(hash, RankOf(request, now)));
     std::optional<Placement> placement;
-    if (decision.ahead < decision.free_slots) {
+    // No peer can use the turns of this VM at limited targets.
+    if (decision.ahead < decision.free_slots || position < opening.open_turns) {
       PlacementNeed need = request.need;
       need.allows_long_pauses = AllowsLongPauses(request, now);
       placement = balancer_->Pick(need, now);
@@ -178,23 +220,32 @@
       decision.placement = *placement;
       balancer_->OnSent(placement->target, request.need.prompt_tokens, now);
       free_slots = balancer_->FreeSlots(service, now);
+      opening = balancer_->OpeningOf(service, now);
       decisions->push_back(decision);
       continue;
     }
     ++position;
     const int releases_needed =
         std::max(0, decision.ahead - decision.free_slots) + 1;
-    const Duration wait = opens_at - now + release_interval * releases_needed;
     const Time limit = request.latest_start;
+    const bool opens_too_late = opening.at > limit;
+    // The first opening itself serves one request.
+    const Duration wait =
+        opens_too_late ? Duration(0)
+                       : opening.at - now +
+                             release_interval * (releases_needed -
+                                                 (opening.is_limited ? 1 : 0));
     // Refuses requests that have waited until their latest start, or whose
-    // targets all rest until then, and refuses new requests early if the
-    // estimated wait is too long.
-    if (now >= limit || opens_at > limit ||
+    // targets all rest or take no requests of this VM until then, and refuses
+    // new requests early if the estimated wait is too long.
+    if (now >= limit || opens_too_late ||
         (now + wait > limit && MayRefusePromptly(request, now))) {
       decision.kind = WaitDecision::Kind::kRefuse;
       decision.retry_after =
-          opens_at > now ? RetryAfterRest(opens_at - now, request.need.seed)
-                         : std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
+          opening.is_limited || opening.at > now
+              ? RetryAfterOpening(opening, request.rank, request.need.seed, now,
+                                  local_queue)
+              : std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
       decisions->push_back(decision);
       --position;
       continue;
@@ -205,13 +256,14 @@
   local_queue->requests = std::move(kept);
 }
 
-std::optional<Duration> WaitQueue::TimeToRestEnd(const PlacementNeed& need,
-                                                 Time now) const {
-  const Time opens_at = balancer_->OpensAt(need.service, now);
-  if (opens_at <= now) {
+std::optional<Duration> WaitQueue::TimeToOpening(const PlacementNeed& need,
+                                                 int rank, Time now) {
+  const ServiceOpening opening = balancer_->OpeningOf(need.service, now);
+  if (!opening.is_limited && opening.at <= now) {
     return std::nullopt;
   }
-  return RetryAfterRest(opens_at - now, need.seed);
+  return RetryAfterOpening(opening, rank, need.seed, now,
+                           &queues_[need.service]);
 }
 
 int WaitQueue::Waiting(const std::string& service) const {
--- a/src/serving/wait_queue.h
+++ b/src/serving/wait_queue.h
@@ -56,6 +56,10 @@
 /// If all targets rest, requests wait for the first of them only if they can
 /// still meet their objective then. The others are told to come back after it,
 /// spread over a time in which the targets are tried.
+///
+/// If all targets state limits, each VM has its own part of them: it takes no
+/// account of peers' queues, and refuses what it can't serve with the time at
+/// which the limits allow one more request, higher ranks first.
 class WaitQueue {
  public:
   explicit WaitQueue(TargetBalancer* balancer) : balancer_(balancer) {}
@@ -77,9 +81,9 @@
   std::vector<WaitDecision> Decide(Time now);
 
   /// Returns the time until a request that targets turned away may come back,
-  /// or nullopt if not all targets of its service rest.
-  std::optional<Duration> TimeToRestEnd(const PlacementNeed& need,
-                                        Time now) const;
+  /// or nullopt if some target of its service neither rests nor states a limit.
+  std::optional<Duration> TimeToOpening(const PlacementNeed& need, int rank,
+                                        Time now);
 
   /// Number of requests that wait at this VM for the service.
   int Waiting(const std::string& service) const;
@@ -94,6 +98,8 @@
   struct Queue {
     std::vector<WaitingRequest> requests;
     double hold_time_ms = 0;  ///< moving average of the time a slot is occupied
+    /// When the latest caller of each rank returns whom limits turned away.
+    std::map<int, Time> latest_returns;
   };
   struct PeerQueues {
     std::vector<ServiceQueue> queues;
@@ -103,8 +109,13 @@
   void DecideQueue(const std::string& service, Queue* local_queue, Time now,
                    std::vector<WaitDecision>* decisions);
   int AheadAtPeers(std::uint32_t service, const WaitingRank& rank) const;
-  Duration ReleaseInterval(const std::string& service,
-                           const Queue& local_queue) const;
+  Duration ReleaseInterval(const std::string& service, const Queue& local_queue,
+                           const ServiceOpening& opening, Time now) const;
+  /// Returns the time until a caller of this rank may come back to a service
+  /// whose targets rest or state limits.
+  static Duration RetryAfterOpening(const ServiceOpening& opening, int rank,
+                                    std::uint32_t seed, Time now,
+                                    Queue* local_queue);
 
   TargetBalancer* const balancer_;
   std::uint64_t changes_ = 0;
--- a/tests/serving/target_statements_test.cc
+++ b/tests/serving/target_statements_test.cc
@@ -219,13 +219,13 @@
   EXPECT_EQ(balancer_.SlotsOf("s", "a", true), 2);
   EXPECT_EQ(balancer_.RestingSlotsOf("s", "a", now_), 2);
   EXPECT_FALSE(balancer_.AcceptsRequests("a", now_));
-  EXPECT_EQ(balancer_.OpensAt("s", now_), now_);
+  EXPECT_EQ(balancer_.OpeningOf("s", now_).at, now_);
   State("b", Leaving());
   EXPECT_EQ(balancer_.SlotsOf("s", "b", true), 0);
   EXPECT_EQ(balancer_.TotalSlots("s"), 2);
   EXPECT_EQ(balancer_.FreeSlots("s", now_), 0);
   EXPECT_EQ(balancer_.Pick(need, now_), std::nullopt);
-  EXPECT_EQ(balancer_.OpensAt("s", now_), now_ + seconds(2));
+  EXPECT_EQ(balancer_.OpeningOf("s", now_).at, now_ + seconds(2));
 }
 
 TEST_F(RestingTargetsTest, OneRequestTriesTargetAfterItsRest) {
@@ -247,7 +247,7 @@
   balancer_.SetSuspendedTime(milliseconds(1'500));
   now_ += milliseconds(499);
   EXPECT_EQ(balancer_.FreeSlots("s", now_), 0);
-  EXPECT_EQ(balancer_.OpensAt("s", now_), now_ + milliseconds(1));
+  EXPECT_EQ(balancer_.OpeningOf("s", now_).at, now_ + milliseconds(1));
   now_ += milliseconds(1);
   EXPECT_EQ(balancer_.FreeSlots("s", now_), 1);
 }
