Let the times of a planned stop follow the grace and the requests

Cause: the times of a stop were constants (requests taken for 2.5 s, exit after 3.5 s at the earliest), and nothing compared what a request takes with what is left. Ruled out: connections that close while a request crosses (all cut requests had reached the target).

What has no answer shortly before the exit is answered, 502 if it may have run.

A stream that has begun and lasts beyond the grace is still cut.

--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -50,6 +50,12 @@
     return state_ == State::kReading ? parser_->Body()->size() : body_bytes_;
   }
 
+  void EndBeforeExit() override {
+    if (handler_ != nullptr) {
+      handler_->EndBeforeExit();
+    }
+  }
+
   void CloseIfIdle() override {
     if (state_ == State::kReading && !parser_->Started()) {
       Linger();
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -61,6 +61,9 @@
   /// The sink must not be used from now on.
   virtual void Cancel() {}
 
+  /// The process exits shortly: answers the request if no response has begun.
+  virtual void EndBeforeExit() {}
+
   /// The output buffer of the caller's connection is empty.
   virtual void OnFlushed() = 0;
 };
@@ -104,6 +107,9 @@
 
   /// Closes the connection if no request is being received or processed.
   virtual void CloseIfIdle() = 0;
+
+  /// Lets the request in progress be answered before the process exits.
+  virtual void EndBeforeExit() = 0;
 };
 
 }  // namespace hornbeamcleat
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -88,6 +88,10 @@
       return;
     }
     const ServingRoute& route = *admission_.route;
+    if (!context_->EndsBeforeExit(route.name)) {
+      Refuse(RefusalReason::kDraining, kDrainRetryAfter);
+      return;
+    }
     response_.SetRoute(&route);
     service_ = PickService(route, Hash64(request_info_.id));
     deadline_ = request_.arrival +
@@ -132,6 +136,12 @@
     }
   }
 
+  void EndBeforeExit() override {
+    if (!is_done_ && !response_.HasStarted()) {
+      Refuse(RefusalReason::kDraining, kDrainRetryAfter);
+    }
+  }
+
   void OnFlushed() override {
     if (call_ != nullptr && is_paused_) {
       is_paused_ = false;
@@ -309,6 +319,11 @@
       Refuse(refusal, kNotExecutedRetryAfter);
       return false;
     }
+    if (!may_have_run_ && !context_->EndsBeforeExit(admission_.route->name)) {
+      FinishAttempt(TargetOutcome::kAbandoned);
+      Refuse(RefusalReason::kDraining, kDrainRetryAfter);
+      return false;
+    }
     if (!context_->GetTargets()->AcceptsRequests(attempt_->Target(), Now())) {
       const bool is_resting = IsTargetResting();
       FinishAttempt(TargetOutcome::kAbandoned);
@@ -459,6 +474,7 @@
 
   void FinishStream() {
     ClearLosses();
+    context_->OnAnswered(admission_.route->name, Now() - request_.arrival);
     response_.FinishStream();
     Finish("answered", TargetOutcome::kAnswered);
     sink_->EndBody();
@@ -466,6 +482,7 @@
 
   void SendBufferedResponse() {
     ClearLosses();
+    context_->OnAnswered(admission_.route->name, Now() - request_.arrival);
     Finish("answered", TargetOutcome::kAnswered);
     response_.SendBuffered();
   }
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -42,6 +42,11 @@
 
   /// Whether this VM rejects new requests because it is shutting down.
   virtual bool RejectsNewRequests() = 0;
+  /// Whether a request of this route, if sent now, is likely to end before this
+  /// VM exits; true unless it is shutting down.
+  virtual bool EndsBeforeExit(const std::string& route) = 0;
+  /// A request was answered, from its arrival to its last byte.
+  virtual void OnAnswered(const std::string& route, Duration duration) = 0;
   /// Takes one retry from the service's budget; false if there is none.
   virtual bool TryTakeRetry(const std::string& service) = 0;
   /// A request is sent to the service for the first time, which adds to the
--- a/src/relay/listener.cc
+++ b/src/relay/listener.cc
@@ -71,6 +71,12 @@
   }
 }
 
+void Listener::EndRequestsBeforeExit() {
+  for (const auto& [id, connection] : connections_) {
+    connection->EndBeforeExit();
+  }
+}
+
 void Listener::StopAccepting() {
   if (is_accepting_) {
     is_accepting_ = false;
--- a/src/relay/listener.h
+++ b/src/relay/listener.h
@@ -33,6 +33,8 @@
   /// Buffered request body bytes of all connections.
   std::size_t BufferedBytes() const;
   void CloseIdleConnections();
+  /// Lets all requests in progress be answered before the process exits.
+  void EndRequestsBeforeExit();
   void StopAccepting();
 
  private:
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -24,6 +24,7 @@
 #include "src/schedule/retry_budget.h"
 #include "src/serving/refusal_records.h"
 #include "src/serving/scale_plan.h"
+#include "src/serving/shutdown_plan.h"
 #include "src/serving/version_moves.h"
 #include "src/serving/vm_directory.h"
 
@@ -48,13 +49,6 @@
 /// Interval of placement decisions while requests wait.
 constexpr Duration kDecisionPeriod = std::chrono::milliseconds(20);
 constexpr Duration kHousekeepingPeriod = std::chrono::milliseconds(250);
-/// Time after SIGTERM during which new requests are still served, since callers
-/// have cached this VM's address; later ones are rejected.
-constexpr Duration kDrainServeTime = std::chrono::milliseconds(2'500);
-/// Minimum time from SIGTERM to the exit; callers cache addresses for as long.
-constexpr Duration kMinDrainTime = std::chrono::milliseconds(3'500);
-/// Time reserved for the exit before the process is killed.
-constexpr Duration kExitMargin = std::chrono::milliseconds(300);
 /// Request bodies may use this fraction (1/N) of the process's memory.
 constexpr std::size_t kBodyMemoryDivisor = 4;
 /// Connections are broken when the caller acknowledges nothing for this time.
@@ -175,6 +169,13 @@
       return;
     }
     drain_started_at_ = clock_->Now();
+    shutdown_times_ = ShutdownTimes::ForGrace(options_.shutdown_grace);
+    shutdown_timer_ = loop_->Timers()->At(
+        *drain_started_at_ + shutdown_times_.answer, [this](Time) {
+          Log().Info("event=drain_ends in_flight={}",
+                     caller_listener_.BusyConnections());
+          caller_listener_.EndRequestsBeforeExit();
+        });
     Log().Info("event=drain in_flight={}", caller_listener_.BusyConnections());
     UpdateReadiness();
     peer_reporter_.SendAll();
@@ -185,8 +186,9 @@
       return false;
     }
     const Duration since = clock_->Now() - *drain_started_at_;
-    return since > options_.shutdown_grace - kExitMargin ||
-           (since > kMinDrainTime && caller_listener_.BusyConnections() == 0);
+    return since > shutdown_times_.exit ||
+           (since > shutdown_times_.min_exit &&
+            caller_listener_.BusyConnections() == 0);
   }
 
   Address CallerAddress() const override { return caller_listener_.Bound(); }
@@ -212,7 +214,16 @@
   }
   bool RejectsNewRequests() override {
     return drain_started_at_.has_value() &&
-           clock_->Now() - *drain_started_at_ > kDrainServeTime;
+           clock_->Now() - *drain_started_at_ > shutdown_times_.serve;
+  }
+  bool EndsBeforeExit(const std::string& route) override {
+    return !drain_started_at_.has_value() ||
+           request_durations_.FitsInto(
+               route,
+               *drain_started_at_ + shutdown_times_.answer - clock_->Now());
+  }
+  void OnAnswered(const std::string& route, Duration duration) override {
+    request_durations_.OnAnswered(route, duration);
   }
   bool TryTakeRetry(const std::string& service) override {
     return RetryBudgetFor(service).Take();
@@ -602,7 +613,7 @@
     metrics_->Set("connections", "side", "callers",
                   caller_listener_.ConnectionCount());
     if (drain_started_at_.has_value() &&
-        now - *drain_started_at_ > kMinDrainTime) {
+        now - *drain_started_at_ > shutdown_times_.min_exit) {
       caller_listener_.CloseIdleConnections();
     }
   }
@@ -671,6 +682,9 @@
   bool has_version_rules_ = false;
   bool was_ready_ = false;
   std::optional<Time> drain_started_at_;
+  ShutdownTimes shutdown_times_;  ///< once the shutdown has started
+  RequestDurations request_durations_;
+  std::unique_ptr<TimerService::Subscription> shutdown_timer_;
   std::unique_ptr<TimerService::Subscription> housekeeping_timer_;
   std::unique_ptr<TimerService::Subscription> decision_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
