--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -15,6 +15,7 @@
 #include "hornbeamcleat/base/timer_service.h"
 #include "src/base/socket_address.h"
 #include "src/relay/http_writer.h"
+#include "tests/soak/limit_judge.h"
 
 namespace hornbeamcleat {
 namespace {
@@ -117,6 +118,7 @@
   /// Latest fault of its links, which hold requests up.
   Time disturbed_at;
   std::map<int, Statements> statements;  ///< by VM
+  LimitJudge limit;
 };
 
 struct SoakWorld::Caller {
@@ -150,7 +152,8 @@
       loop_(PollLoop::Make(clock_.get())),
       store_(std::make_unique<platform::FakeStore>(loop_.get(), clock_.get())),
       part_random_(options.seed),
-      statement_random_(options.seed) {
+      statement_random_(options.seed),
+      limit_random_(options.seed) {
   char folder[] = "/tmp/hornbeamcleat-soak-XXXXXX";
   if (mkdtemp(folder) == nullptr) {
     throw Error("make folder", folder, "the folder can't be made");
@@ -320,6 +323,7 @@
   target->is_leaving = false;
   target->refuses_until = Time();
   target->statements.clear();
+  target->limit = LimitJudge();
   PutTarget(*target, false);
 }
 
@@ -340,12 +344,16 @@
   Statements& statements = target->statements[vm_of_[id]];
   if (now < target->refuses_until) {
     statements.rests.push_back({now, now + kRestTime, 0});
-    sink->SendResponse(
-        503, "",
-        {{"Request-Id", id},
-         {"Not-Executed", "1"},
-         {"Retry-After", fmt::format("{:.1f}", ToSeconds(kRestTime))}},
-        "");
+    HeaderList headers = {
+        {"Request-Id", id},
+        {"Not-Executed", "1"},
+        {"Retry-After", fmt::format("{:.1f}", ToSeconds(kRestTime))}};
+    if (target->limit.Limit().has_value()) {
+      headers.push_back(
+          {"Server-Limit", fmt::format("{:.2f}", *target->limit.Limit())});
+      target->limit.OnTold(vm_of_[id], now + kKeySlack);
+    }
+    sink->SendResponse(503, "", headers, "");
     return std::make_unique<TargetWork>(this, Duration(0), [] {});
   }
   const bool is_stream = request.head.target.starts_with("/stream/");
@@ -379,6 +387,13 @@
       statements.leaving_told = now + work + kKeySlack;
     }
   }
+  if (target->limit.Limit().has_value()) {
+    signed_by.push_back(
+        {"Server-Limit", fmt::format("{:.2f}", *target->limit.Limit())});
+    if (!is_broken) {
+      target->limit.OnTold(vm_of_[id], now + work + kKeySlack);
+    }
+  }
   if (is_stream || request.head.target.starts_with("/resume/")) {
     const std::string after = header("Last-Event-Id");
     const int first = after.empty() ? 1 : std::stoi(after) + 1;
@@ -414,6 +429,12 @@
   const Time calm_since =
       std::max(vms_[static_cast<std::size_t>(number)]->disturbed_at,
                target->disturbed_at);
+  if (target->limit.OnRequest(
+          number, vms_[static_cast<std::size_t>(number)]->disturbed_at,
+          target->disturbed_at, now)) {
+    Violate(fmt::format("{} got more requests than its limit of {:.2f}",
+                        target->id, *target->limit.Limit()));
+  }
   Statements& statements = target->statements[number];
   if (statements.leaving_told.has_value() &&
       *statements.leaving_told > calm_since &&
@@ -430,6 +451,41 @@
   }
 }
 
+void SoakWorld::StateLimits() {
+  const auto pick = [this](int n) {
+    return static_cast<int>(limit_random_() % static_cast<std::uint64_t>(n));
+  };
+  Target* target =
+      targets_[static_cast<std::size_t>(pick(options_.targets))].get();
+  if (!target->id.empty() && !target->limit.Limit().has_value()) {
+    StateLimit(target);
+  }
+  After(milliseconds(1'000 + pick(2'000)), [this] { StateLimits(); });
+}
+
+void SoakWorld::StateLimit(Target* target) {
+  ChangeLimit(target, target->id, 1 + static_cast<int>(limit_random_() % 3));
+}
+
+// Stays long enough for the rule to bind; falls or rises now and then.
+void SoakWorld::ChangeLimit(Target* target, const std::string& id,
+                            int changes) {
+  constexpr double kLimits[] = {0, 0.4, 1.5, 2.4, 8, 30};
+  if (target->id != id) {
+    return;
+  }
+  if (changes < 0) {
+    Fault(id + " states no limit any more");
+    target->limit.SetLimit(std::nullopt, clock_->Now());
+    return;
+  }
+  const double per_second = kLimits[limit_random_() % std::size(kLimits)];
+  Fault(fmt::format("{} states a limit of {:.1f}", id, per_second));
+  target->limit.SetLimit(per_second, clock_->Now());
+  After(milliseconds(2'000 + static_cast<int>(limit_random_() % 3'000)),
+        [this, target, id, changes] { ChangeLimit(target, id, changes - 1); });
+}
+
 void SoakWorld::StateSomething() {
   if (!is_striking_) {
     return;
@@ -577,6 +633,7 @@
   After(kCrashesKnownAfter, [this] { AskCrashingPart(); });
   store_->Copy();
   StateSomething();
+  StateLimits();
   const Time end = clock_->Now() + options_.faults_for;
   while (clock_->Now() < end) {
     Strike();
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -87,6 +87,11 @@
   /// Lets targets say that they leave or ask for rest, and the store come back
   /// from a copy, during the faults.
   void StateSomething();
+  /// Lets a target state a limit on requests that changes, from now on.
+  void StateLimit(Target* target);
+  void ChangeLimit(Target* target, const std::string& id, int changes);
+  /// Limits are stated during the calm end, too.
+  void StateLimits();
   /// Checks a request that has reached a target against its statements.
   void CheckStatements(Target* target, const std::string& id);
   void Crash(Target* target, const std::string& cause);
@@ -138,6 +143,7 @@
   int next_part_request_ = 0;
   /// Of its own, like part_random_.
   std::mt19937_64 statement_random_;
+  std::mt19937_64 limit_random_;
   std::map<std::string, int> vm_of_;  ///< by request id
   int next_target_id_ = 0;
   std::vector<std::string> ended_ids_;  ///< of targets, since the last copy
