Refuse what all requests share only if others are answered

Cause: a property's losses are cleared by answers only, and nothing asked whether anything else was answered meanwhile: if no request is, what all requests share looks like the cause. Class: a guard against a few requests that refuses all of them. Neighbours: key, model, path, sizes, pairs and triples of them; contents and parts are told apart by the other requests.

Change: such a property needs three more losses unless three requests were answered since its first loss, here or at a peer; those were without it, as an answer with it would have cleared it.

--- a/src/serving/loss_table.cc
+++ b/src/serving/loss_table.cc
@@ -15,6 +15,10 @@
 /// Further losses allowed to other properties. They are counted in sequence.
 constexpr int kExtraLossesIfTrusted = 1;
 constexpr int kExtraLossesIfBroad = 1;
+/// Further losses allowed to what all requests may share: since the first of
+/// them, fewer than kMinAnswersWithout requests without it were answered, so
+/// that the targets may be lost for any other reason.
+constexpr int kExtraLossesWithoutContrast = 3;
 /// Losses in sequence from which a trusted property is suspected.
 constexpr int kLossesToSuspectTrusted = 2;
 
@@ -161,6 +165,7 @@
 }
 
 void LossTable::CountAnswer(const TargetRun& run, Time began_at, Time now) {
+  AddLatestAnswer(began_at);
   for (const RequestProperty& property : run.properties) {
     answered_.Add(property, began_at, true, now);
   }
@@ -225,9 +230,14 @@
 }
 
 void LossTable::OnPeerReport(const LossReport& report, Time now) {
+  // One answer is reported for several properties.
+  std::set<Time> answers;
   for (const PropertyAnswer& answer : report.answers) {
     if (answer.property.IsKnown()) {
       const Time began_at = FromAge(answer.age_ms, now);
+      if (answers.insert(began_at).second) {
+        AddLatestAnswer(began_at);
+      }
       answered_.Add(answer.property, began_at, false, now);
       if (entries_.contains(answer.property)) {
         reported_answers_[answer.property].heard_at = now;
@@ -604,6 +614,23 @@
   return in_sequence;
 }
 
+void LossTable::AddLatestAnswer(Time began_at) {
+  const auto it =
+      std::min_element(latest_answers_.begin(), latest_answers_.end());
+  *it = std::max(*it, began_at);
+}
+
+// A property that has a loss was not answered since, so that later answers are
+// those of requests without it.
+bool LossTable::HasContrast(const Entry& entry) const {
+  const Time first_answer =
+      *std::min_element(latest_answers_.begin(), latest_answers_.end());
+  return std::any_of(entry.targets.begin(), entry.targets.end(),
+                     [first_answer](const auto& item) {
+                       return item.second.lost_at < first_answer;
+                     });
+}
+
 bool LossTable::IsAtLimit(RequestProperty property, const Entry& entry,
                           Time now) const {
   const int evidence = Evidence(property, entry);
@@ -617,6 +644,9 @@
                  ? kExtraLossesOfTrustedContent
                  : kExtraLossesIfTrusted;
   }
+  if (IsBroad(property.Kind()) && !HasContrast(entry)) {
+    limit += kExtraLossesWithoutContrast;
+  }
   return evidence > limit ||
          (evidence == limit && !HasRival(property, entry, now));
 }
--- a/src/serving/loss_table.h
+++ b/src/serving/loss_table.h
@@ -175,6 +175,9 @@
 
  private:
   static constexpr Time kNeverSeen = Time::min();
+  /// Answers to requests without a property that tell it from what all
+  /// requests share.
+  static constexpr std::size_t kMinAnswersWithout = 3;
 
   struct Loss {
     Time sent_at;
@@ -237,6 +240,10 @@
   /// Whether the loss at a target has a likelier cause that is refused.
   bool IsExplainedFor(RequestProperty property, const Entry& entry,
                       std::uint32_t target) const;
+  void AddLatestAnswer(Time began_at);
+  /// Whether enough requests were answered since the first loss of a property,
+  /// so that it isn't what all requests share.
+  bool HasContrast(const Entry& entry) const;
   /// Losses that count against a property.
   int Evidence(RequestProperty property, const Entry& entry) const;
   bool IsAtLimit(RequestProperty property, const Entry& entry, Time now) const;
@@ -292,6 +299,9 @@
   /// Targets that answered after a loss.
   std::map<std::uint32_t, Sighting> alive_;
   AnsweredProperties answered_;
+  /// When the latest complete answers began, to this VM or reported by peers.
+  std::array<Time, kMinAnswersWithout> latest_answers_ = {
+      kNeverSeen, kNeverSeen, kNeverSeen};
   OpenRuns open_runs_;
   PropertyCombinations combinations_;
   std::vector<RequestProperty> newly_refused_;
--- a/tests/serving/loss_table_property_test.cc
+++ b/tests/serving/loss_table_property_test.cc
@@ -241,6 +241,29 @@
   }
 }
 
+// Targets are lost for any reason, while nothing is answered in between.
+TEST_F(LossTablePropertyTest, WhatAllRequestsShareIsNotRefusedAfterFewLosses) {
+  for (int i = 0; i < 4; ++i) {
+    Crash(&table_, Request({}));
+  }
+  const std::vector<RequestProperty> shared =
+      table_.RefusedOf({RequestProperty(PropertyKind::kKey, "k"),
+                        RequestProperty(PropertyKind::kModel, "m"),
+                        RequestProperty(PropertyKind::kPath, "p")});
+  EXPECT_TRUE(shared.empty()) << PropertiesToString(shared);
+}
+
+TEST_F(LossTablePropertyTest, KeyIsRefusedOnceOthersAreAnsweredMeanwhile) {
+  int crashes = 0;
+  while (!IsRefused(Request({"x"}, "bad key")) && crashes < 20) {
+    Crash(&table_, Request({"doc" + std::to_string(crashes++)}, "bad key"));
+    Answer(&table_, Request({"sound"}, "k"));
+    Answer(&table_, Request({"sound"}, "other"));
+  }
+  EXPECT_LE(crashes, 5);
+  EXPECT_FALSE(IsRefused(Request({"sound"}, "k")));
+}
+
 TEST_F(LossTablePropertyTest, PartThatSilencesTargetsIsRefused) {
   Answer(&table_, Request({"first", "doc"}));
   for (int i = 0; i < 2; ++i) {
