Bound the retries that all VMs save up together

Ruled out for the users' sites: 8 VMs and a slack of 56, 295 and 630 give the same parts as before (3.5 and 2). At 60 VMs and a slack of 50 the sum was 120, at a common start of 8 VMs up to 224 of 56.

Change: a VM's part is whole and the sum at most the slack (WholePartOf, by rank); before the list of VMs is known it is one, also for limits of targets.

SharedRateTest.PartsOfAllVmsSumUp... at 1, 3, 22, 60, 295, 410 and 4,100 VMs; ExchangeTest.VmThatDoesNotKnowTheOthersSavesFewRetries: pass (new types; the second one allowed 25 retries by construction before).

--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "hornbeamcleat/base/clock.h"
+#include "hornbeamcleat/base/hash.h"
 #include "hornbeamcleat/base/log.h"
 #include "hornbeamcleat/base/metrics.h"
 #include "hornbeamcleat/base/timer_service.h"
@@ -135,7 +136,10 @@
 
   void SetMembers(const std::vector<VmRecord>& members) override {
     directory_.SetMembers(members, clock_->Now());
+    has_members_ = true;
     UpdateScale();
+    UpdateSavedRetries();
+    targets_.Limits()->UpdateShares(clock_->SuspendAwareNow());
     Log().Info("event=members count={}", directory_.Members());
     peer_reporter_.SendAll();
   }
@@ -330,7 +334,7 @@
     return directory_.ShareOf(
         instance.id,
         scale_plan_.is_domain_scoped ? targets_.DomainOf(instance) : "",
-        IsReady(), clock_->Now());
+        IsReady() && has_members_, clock_->Now());
   }
 
   void OnLossesChange() override {
@@ -358,13 +362,26 @@
   }
 
   RetryBudget& RetryBudgetFor(const std::string& service) {
-    const double members = directory_.Members();
-    return retry_budgets_
-        .try_emplace(
-            service, options_.retry_ratio * kRetryBudgetShare,
-            std::max(kMinSavedRetries,
-                     options_.retry_slack * kRetryBudgetShare / members))
-        .first->second;
+    RetryBudget& budget =
+        retry_budgets_
+            .try_emplace(service, options_.retry_ratio * kRetryBudgetShare,
+                         saved_retries_)
+            .first->second;
+    budget.SetCapacity(saved_retries_);
+    return budget;
+  }
+
+  // Until the other VMs are known, this VM takes itself for one of many.
+  void UpdateSavedRetries() {
+    if (!has_members_) {
+      return;
+    }
+    const VmShare share =
+        directory_.ShareOf(Hash64("retries"), "", true, clock_->Now());
+    saved_retries_ = std::max(
+        options_.retry_slack * kRetryBudgetShare / share.overall,
+        std::min(kMinSavedRetries,
+                 WholePartOf(options_.retry_slack, kMinSavedRetries, share)));
   }
 
   // Runs from the loop, since an exchange may be on the call stack.
@@ -593,6 +610,7 @@
     }
     metrics_->Set("properties", "kind", "refused", losses->RefusedCount());
     targets_.Limits()->UpdateShares(clock_->SuspendAwareNow());
+    UpdateSavedRetries();
     metrics_->Set("targets", "kind", "limited",
                   targets_.Limits()->LimitedCount());
     DecideMoves();
@@ -672,6 +690,8 @@
   TargetConnectionPool target_connections_;
   RequestLog request_log_;
   std::map<std::string, RetryBudget> retry_budgets_;
+  double saved_retries_ = 1;  ///< that this VM may accumulate
+  bool has_members_ = false;  ///< the other VMs are known
   std::map<std::uint64_t, Exchange*> waiting_exchanges_;
   std::map<std::uint64_t, Exchange*> in_flight_exchanges_;
   std::uint64_t next_exchange_id_ = 0;
--- a/src/schedule/retry_budget.h
+++ b/src/schedule/retry_budget.h
@@ -19,6 +19,12 @@
                        double capacity = kDefaultCapacity)
       : ratio_(ratio), capacity_(capacity), tokens_(capacity) {}
 
+  /// Sets the maximum number of tokens; those beyond it are lost.
+  void SetCapacity(double capacity) {
+    capacity_ = capacity;
+    tokens_ = std::min(tokens_, capacity);
+  }
+
   /// Records the first dispatch of a request.
   void OnFirstAttempt() { tokens_ = std::min(capacity_, tokens_ + ratio_); }
 
--- a/src/serving/shared_rate.cc
+++ b/src/serving/shared_rate.cc
@@ -19,6 +19,17 @@
 
 }  // namespace
 
+double WholePartOf(double total, double min_part, const VmShare& share) {
+  const double overall = std::max(1, share.overall);
+  const double mean = total / overall;
+  if (mean >= min_part) {
+    return std::max(mean, min_part);
+  }
+  const double whole = std::floor(total);
+  const double least = std::floor(whole / overall);
+  return least + (share.overall_rank < whole - least * overall ? 1 : 0);
+}
+
 void SharedRate::SetTotal(double per_second, Time now) {
   total_ = std::max(per_second, kMinPerSecond);
   Update(now);
--- a/src/serving/shared_rate.h
+++ b/src/serving/shared_rate.h
@@ -17,6 +17,12 @@
   bool operator==(const VmShare&) const = default;
 };
 
+/// Part of one VM in a number of requests that all VMs together may send
+/// beyond what they earn, such as saved retries. Whole parts for as many VMs as
+/// there are requests, the first ones in rendezvous order.
+/// @param min_part a VM's part unless the sum of all exceeds the total
+double WholePartOf(double total, double min_part, const VmShare& share);
+
 /// Part of one VM in a rate of requests that is shared by many VMs without a
 /// coordinator.
 ///
--- a/tests/relay/exchange_test.cc
+++ b/tests/relay/exchange_test.cc
@@ -418,6 +418,27 @@
   EXPECT_EQ(*caller.Response()->Body(), "late");
 }
 
+// All VMs may have started in the same instant.
+TEST_F(ExchangeTest, VmThatDoesNotKnowTheOthersSavesFewRetries) {
+  const auto refuse = [](const ReceivedRequest& request) {
+    request.stream->Write(
+        "HTTP/1.1 503 X\r\nRequest-Id: " + request.Header("Request-Id") +
+        "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+  };
+  ScriptedTarget target(loop_.get(), refuse);
+  ScriptedTarget other(loop_.get(), refuse);
+  relay_.reset();
+  relay_ = MakeRelay(Options(), false);
+  Configure(Config());
+  SetTargets({&target, &other});
+  constexpr int kRequests = 20;
+  for (int i = 0; i < kRequests; ++i) {
+    SendRequest(Request("unsafe", "r" + std::to_string(i)));
+  }
+  // One, and what the requests themselves add.
+  EXPECT_LE(target.RequestCount() + other.RequestCount(), kRequests + 3);
+}
+
 TEST_F(ExchangeTest, KeyTakenAwayWhileWaitingIsNotSent) {
   ScriptedTarget target(loop_.get(), [](const ReceivedRequest&) {});
   TestCaller caller(loop_.get(), relay_->CallerAddress());
--- a/tests/relay/relay_fixture.cc
+++ b/tests/relay/relay_fixture.cc
@@ -107,7 +107,8 @@
   Configure(Config());
 }
 
-std::unique_ptr<Relay> RelayFixture::MakeRelay(const RelayOptions& options) {
+std::unique_ptr<Relay> RelayFixture::MakeRelay(const RelayOptions& options,
+                                               bool knows_members) {
   Relay::Callbacks callbacks;
   callbacks.remove_member = [](const VmRecord&) {};
   callbacks.on_scale = [](const ScalePlan&) {};
@@ -120,8 +121,13 @@
   callbacks.remove_refusal = [this](RequestProperty property) {
     removed_refusals_.push_back(property);
   };
-  return Relay::Make(loop_.get(), clock_.get(), codec_.get(), metrics_.get(),
-                     options, std::move(callbacks));
+  std::unique_ptr<Relay> relay =
+      Relay::Make(loop_.get(), clock_.get(), codec_.get(), metrics_.get(),
+                  options, std::move(callbacks));
+  if (knows_members) {
+    relay->SetMembers({relay->SelfRecord()});
+  }
+  return relay;
 }
 
 Address RelayFixture::FreeUdpAddress() {
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -103,7 +103,9 @@
   /// Route "/KIND/" to service "s"; kinds: safe, unsafe, stream, resume.
   static ServingConfig Config(std::int64_t version = 1);
 
-  std::unique_ptr<Relay> MakeRelay(const RelayOptions& options);
+  /// @param knows_members whether the list of VMs is known
+  std::unique_ptr<Relay> MakeRelay(const RelayOptions& options,
+                                   bool knows_members = true);
 
   /// Registers the targets as "t0", "t1", ...
   void SetTargets(const std::vector<const ScriptedTarget*>& targets);
--- a/tests/serving/shared_rate_test.cc
+++ b/tests/serving/shared_rate_test.cc
@@ -174,6 +174,25 @@
   EXPECT_LE(rate.OpensAt() - now, milliseconds(20));
 }
 
+TEST_F(SharedRateTest, PartsOfAllVmsSumUpToNoMoreThanTheTotal) {
+  for (const int vms : {1, 3, 22, 60, 295, 410, 4'100}) {
+    for (const double total : {0.0, 1.0, 50.0, 56.0, 630.0}) {
+      double sum = 0;
+      VmShare share;
+      share.overall = vms;
+      for (int i = 0; i < vms; ++i) {
+        share.overall_rank = i;
+        const double part = WholePartOf(total, 2, share);
+        sum += part;
+        // A part below one would never allow a request.
+        EXPECT_TRUE(part == 0 || part >= 1);
+      }
+      EXPECT_LE(sum, total + 1e-6) << vms << " " << total;
+      EXPECT_GE(sum, total - 1) << vms << " " << total;
+    }
+  }
+}
+
 TEST_F(SharedRateTest, HugeRateIsNoLimit) {
   SharedRate rate;
   VmShare share;
