--- a/bench/serving/serving_bench.cc
+++ b/bench/serving/serving_bench.cc
@@ -5,6 +5,7 @@
 
 #include "src/serving/loss_table.h"
 #include "src/serving/target_balancer.h"
+#include "src/serving/vm_directory.h"
 #include "src/serving/wait_queue.h"
 
 namespace hornbeamcleat {
@@ -44,6 +45,44 @@
 }
 BENCHMARK(PickTarget)->Arg(10)->Arg(90)->Arg(400);
 
+// A twentieth of the targets states a limit.
+void PickAmongLimitedTargets(benchmark::State& state) {
+  TargetBalancer balancer;
+  balancer.Limits()->SetShareSource([](const TargetInstance&) {
+    VmShare share;
+    share.takes_part = true;
+    return share;
+  });
+  const std::vector<ServingTarget> targets =
+      Targets(static_cast<int>(state.range(0)));
+  balancer.SetTargets(targets, kNow);
+  for (std::size_t i = 0; i < targets.size(); i += 20) {
+    balancer.Limits()->OnStated(TargetInstance::Of(targets[i]), 2, kNow);
+  }
+  const PlacementNeed need = Need();
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(balancer.Pick(need, kNow));
+  }
+}
+BENCHMARK(PickAmongLimitedTargets)->Arg(10)->Arg(90)->Arg(400);
+
+// Cost of one limited target each 250 ms, by the number of VMs.
+void ShareOfLimitedTarget(benchmark::State& state) {
+  VmDirectory directory(
+      {"self", "", "d"},
+      {milliseconds(900), milliseconds(900), milliseconds(20'000)});
+  std::vector<VmRecord> members;
+  for (int i = 1; i < state.range(0); ++i) {
+    members.push_back({"10.0.0.1:" + std::to_string(i), "", "d"});
+  }
+  directory.SetMembers(members, kNow);
+  std::uint64_t key = 0;
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(directory.ShareOf(++key, "d", true, kNow));
+  }
+}
+BENCHMARK(ShareOfLimitedTarget)->Arg(8)->Arg(295)->Arg(410);
+
 // Cost per waiting request of one pass over the queue while no slot is free.
 void DecideFullQueue(benchmark::State& state) {
   TargetBalancer balancer;
--- a/src/serving/wait_queue.cc
+++ b/src/serving/wait_queue.cc
@@ -220,7 +220,9 @@
       decision.placement = *placement;
       balancer_->OnSent(placement->target, request.need.prompt_tokens, now);
       free_slots = balancer_->FreeSlots(service, now);
-      opening = balancer_->OpeningOf(service, now);
+      if (opening.open_turns > 0) {
+        opening = balancer_->OpeningOf(service, now);
+      }
       decisions->push_back(decision);
       continue;
     }
