--- a/src/serving/shared_rate.cc
+++ b/src/serving/shared_rate.cc
@@ -62,7 +62,10 @@
   } else {
     per_second_ = per_second;
     if (per_second > 0) {
-      const double phase = (share_.rank + 1.0) / turns;
+      // VMs that don't hear each other have the same rank.
+      const double phase = share_.heard < share_.registered
+                               ? (share_.overall_rank + 1.0) / share_.overall
+                               : (share_.rank + 1.0) / turns;
       next_ = std::max(
           next_, now + Scale(Interval(), phase) + Interval() / kEarlyDivisor);
     }
--- a/tests/serving/shared_rate_test.cc
+++ b/tests/serving/shared_rate_test.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <functional>
 #include <numeric>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -38,6 +39,7 @@
       share.takes_part = true;
       share.heard = 0;
       share.registered = share.overall = vms;
+      share.overall_rank = ranks[i];
       for (std::size_t j = 0; j < rates.size(); ++j) {
         if (group_of(static_cast<int>(j)) == group_of(static_cast<int>(i))) {
           ++share.heard;
@@ -49,7 +51,11 @@
     }
     for (Time now = start_; now < start_ + kPlayed; now += kStep) {
       for (SharedRate& rate : rates) {
-        if (now >= rate.OpensAt()) {
+        const bool has_request =
+            !requests_per_second_.has_value() ||
+            std::bernoulli_distribution(*requests_per_second_ *
+                                        ToSeconds(kStep))(random_);
+        if (has_request && now >= rate.OpensAt()) {
           rate.OnSent(now);
           sent_.push_back(now);
         }
@@ -57,6 +63,17 @@
     }
   }
 
+  /// Requests that were sent while the links were stalled arrive together.
+  void StallLinks(Duration time) {
+    const Time from = start_ + std::chrono::seconds(20);
+    for (Time& sent : sent_) {
+      if (sent >= from && sent < from + time) {
+        sent = from + time;
+      }
+    }
+    std::sort(sent_.begin(), sent_.end());
+  }
+
   int MostInWindow() const {
     std::size_t most = 0;
     std::size_t first = 0;
@@ -81,6 +98,8 @@
 
   const Time start_ = Time() + std::chrono::seconds(100);
   std::mt19937 random_{1};
+  /// Of each VM; nullopt: there is always one.
+  std::optional<double> requests_per_second_;
   std::vector<Time> sent_;
 };
 
@@ -115,6 +134,37 @@
   }
 }
 
+// VMs with a turn have no request for it at times.
+TEST_F(SharedRateTest, VmsWithTwoRequestsASecondUseMostOfRate) {
+  requests_per_second_ = 2;
+  for (const double per_second : {0.4, 1.5, 2.4, 15.0}) {
+    Play(22, per_second);
+    EXPECT_LE(MostInWindow(), Allowed(per_second)) << per_second;
+    EXPECT_GT(PerSecond(), 0.6 * per_second) << per_second;
+  }
+}
+
+TEST_F(SharedRateTest, VmsThatAreAllAloneStayWithinRateTogether) {
+  for (const int vms : {3, 22, 295, 410}) {
+    for (const double per_second : {0.4, 1.5, 2.4, 15.0, 20.0}) {
+      Play(vms, per_second, [](int vm) { return vm; });
+      EXPECT_LE(MostInWindow(), Allowed(per_second))
+          << vms << " " << per_second;
+    }
+  }
+}
+
+TEST_F(SharedRateTest, StallOfLinksForASecondStaysWithinLimit) {
+  for (const int vms : {1, 3, 22, 295}) {
+    for (const double per_second : {0.4, 1.5, 2.4, 15.0, 20.0}) {
+      Play(vms, per_second);
+      StallLinks(milliseconds(1'000));
+      EXPECT_LE(MostInWindow(), Allowed(per_second))
+          << vms << " " << per_second;
+    }
+  }
+}
+
 // A VM that takes another one for ended holds a turn beside it.
 TEST_F(SharedRateTest, VmMoreThanTurnsIsWithinLimit) {
   for (const double per_second : {0.0, 0.4, 1.0, 1.5, 2.4, 15.0}) {
--- a/tests/serving/target_limits_test.cc
+++ b/tests/serving/target_limits_test.cc
@@ -343,6 +343,16 @@
   EXPECT_EQ(balancer_.Pick(need, now_)->target, "a");
 }
 
+// A new version that states limits keeps its share of a move.
+TEST_F(LimitedServiceTest, SlotsOfLimitedVersionCountAsResting) {
+  specs_[0].software_version = "v2";
+  balancer_.SetTargets(specs_, now_);
+  EXPECT_EQ(balancer_.RestingSlotsOf("s", "v2", now_), 0);
+  Limit(0, 2);
+  EXPECT_EQ(balancer_.RestingSlotsOf("s", "v2", now_), 4);
+  EXPECT_EQ(balancer_.SlotsOf("s", "v2", true), 4);
+}
+
 TEST_F(LimitedServiceTest, LimitGoesOnWhileVmIsSuspended) {
   Limit(0, 0.5);
   PlacementNeed need;
