--- a/src/serving/target_balancer.cc
+++ b/src/serving/target_balancer.cc
@@ -658,17 +658,6 @@
   return free > 0 ? free : free_at_avoided;
 }
 
-int TargetBalancer::TotalSlots(const std::string& service) const {
-  int slots = 0;
-  for (const auto& [id, target] : targets_) {
-    if (target.spec.service == service && IsStaying(target) &&
-        HasTrafficShare(target)) {
-      slots += target.spec.slots;
-    }
-  }
-  return slots;
-}
-
 int TargetBalancer::SlotsOf(const std::string& service,
                             const std::string& version, bool is_version) const {
   int slots = 0;
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -177,8 +177,6 @@
 
   /// Returns the free slots at the service's available targets.
   int FreeSlots(const std::string& service, Time now) const;
-  /// Returns all slots at the service's targets that are not draining.
-  int TotalSlots(const std::string& service) const;
   /// Returns the requests in flight at the service's targets, from all VMs.
   int Running(const std::string& service) const;
 
--- a/tests/serving/target_statements_test.cc
+++ b/tests/serving/target_statements_test.cc
@@ -222,7 +222,7 @@
   EXPECT_EQ(balancer_.OpeningOf("s", now_).at, now_);
   State("b", Leaving());
   EXPECT_EQ(balancer_.SlotsOf("s", "b", true), 0);
-  EXPECT_EQ(balancer_.TotalSlots("s"), 2);
+  EXPECT_EQ(balancer_.Throughput("s", seconds(1), now_), 2);
   EXPECT_EQ(balancer_.FreeSlots("s", now_), 0);
   EXPECT_EQ(balancer_.Pick(need, now_), std::nullopt);
   EXPECT_EQ(balancer_.OpeningOf("s", now_).at, now_ + seconds(2));
