--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -5,7 +5,7 @@
 #include <thread>
 #include <vector>
 
-#include "review/harness/testbed.h"
+#include "review/testbed.h"
 
 namespace review {
 namespace {
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,11 +1,10 @@
 #!/bin/sh
-# Builds the programs of the cases into review/out/. They hold every stand-in
-# that the scripts start.
+# Builds the program of each case into its folder. It holds every stand-in that
+# the script starts.
 set -eu
 cd "$(dirname "$0")"
-mkdir -p out
 for case in [1-5]/case.cc; do
   [ -e "$case" ] || continue
-  c++ -std=c++20 -O1 -pthread -Wall -Wextra -I .. \
-    harness/testbed.cc "$case" -o "out/case-${case%%/*}"
+  c++ -std=c++20 -O1 -pthread -Wall -Wextra -I .. testbed.cc "$case" \
+    -o "${case%.cc}"
 done
--- a/review/harness/testbed.cc
+++ b/review/testbed.cc
@@ -1,4 +1,4 @@
-#include "review/harness/testbed.h"
+#include "review/testbed.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -206,7 +206,7 @@
 int FreePort() {
   constexpr int kFirst = 20'000;
   constexpr int kPorts = 12'000;
-  static int next = getpid() * 37 % kPorts;
+  static int next = getpid() * 397 % kPorts;
   for (int i = 0; i < kPorts; ++i) {
     const int port = kFirst + next++ % kPorts;
     if (CanBind(SOCK_STREAM, port) && CanBind(SOCK_DGRAM, port)) {
--- a/review/harness/testbed.h
+++ b/review/testbed.h
@@ -1,5 +1,5 @@
-#ifndef HORNBEAMCLEAT_REVIEW_HARNESS_TESTBED_H_
-#define HORNBEAMCLEAT_REVIEW_HARNESS_TESTBED_H_
+#ifndef HORNBEAMCLEAT_REVIEW_TESTBED_H_
+#define HORNBEAMCLEAT_REVIEW_TESTBED_H_
 
 #include <sys/types.h>
 
@@ -194,4 +194,4 @@
 
 }  // namespace review
 
-#endif  // HORNBEAMCLEAT_REVIEW_HARNESS_TESTBED_H_
+#endif  // HORNBEAMCLEAT_REVIEW_TESTBED_H_
