--- a/src/relay/relay_daemon.cc
+++ b/src/relay/relay_daemon.cc
@@ -16,6 +16,7 @@
 #include "hornbeamcleat/base/timer_service.h"
 #include "hornbeamcleat/serving/serving_source.h"
 #include "src/base/log_buffer.h"
+#include "src/base/loop_probe.h"
 #include "src/base/poll_loop.h"
 #include "src/net/file_descriptor.h"
 #include "src/relay/http_codec.h"
@@ -104,6 +105,9 @@
     loop_->Post([this, plan] { source_->SetPacing(ReadPacingFor(plan)); });
   }
 
+  /// For how long the thread has not taken up posted work; called regularly.
+  Duration CheckStall(Time now) { return probe_.Check(now); }
+
  private:
   void OnConfig(std::shared_ptr<const RouteTable> table) override {
     traffic_loop_->Post([this, table] { relay_->SetConfig(table); });
@@ -129,6 +133,7 @@
   PollLoop* const traffic_loop_;
   Relay* const relay_;
   const std::unique_ptr<PollLoop> loop_;
+  LoopProbe probe_{loop_.get()};
   const std::unique_ptr<ServingSource> source_;
   std::thread thread_;
 };
@@ -162,9 +167,11 @@
     const Time now = clock_->Now();
     log_flush_timer_ = loop_->Timers()->Every(
         now, kLogFlushPeriod, [this](Time) { log_buffer_.Flush(); });
-    settings_timer_ =
-        loop_->Timers()->Every(now + kSettingsCheckPeriod, kSettingsCheckPeriod,
-                               [this](Time) { Reload(); });
+    settings_timer_ = loop_->Timers()->Every(
+        now + kSettingsCheckPeriod, kSettingsCheckPeriod, [this](Time) {
+          Reload();
+          CheckControlThread();
+        });
   }
 
   ~RelayDaemonImpl() override {
@@ -230,6 +237,16 @@
     }
   }
 
+  // A control thread that is held up reads nothing from the store, while the
+  // traffic thread goes on with what it knows.
+  void CheckControlThread() {
+    const Duration stall = control_->CheckStall(clock_->Now());
+    metrics_->Set("stall_seconds", "thread", "control", ToSeconds(stall));
+    if (stall > Duration(0)) {
+      Log().Error("event=control_stalled seconds={:.1f}", ToSeconds(stall));
+    }
+  }
+
   void Drain() {
     if (drain_timer_ != nullptr) {
       return;
