Drop what a stream has sent before all of it is

A peer that is always a little behind, as the caller of an endless body can be, made it keep all that had ever been sent; pausing the target looks at unsent bytes only and doesn't see this. A drained stream kept the capacity of its largest output for as long as the connection lived.

Sent bytes are dropped once they outweigh the unsent ones, and a drained buffer above 16 KiB is freed.

--- a/src/relay/byte_stream.cc
+++ b/src/relay/byte_stream.cc
@@ -20,6 +20,9 @@
 /// Size of one read, which bounds the data taken from a connection before
 /// reading can pause.
 constexpr std::size_t kReadBufferBytes = 16'384;
+/// Capacity that a drained output buffer keeps, and sent bytes from which it is
+/// compacted.
+constexpr std::size_t kKeptOutputBytes = 16'384;
 /// Unanswered keep-alive probes after which a connection is broken.
 constexpr int kKeepAliveProbes = 3;
 
@@ -258,15 +261,31 @@
       any_sent_ = true;
       output_offset_ += static_cast<std::size_t>(n);
     }
+    DropSent();
     if (Unsent() == 0) {
-      output_.clear();
-      output_offset_ = 0;
       if (finish_requested_) {
         ShutDownWriting();
       }
     }
   }
 
+  // A peer that is always a little behind leaves bytes unsent at each flush, so
+  // sent ones are dropped before all are. The moves cost no more than the
+  // bytes.
+  void DropSent() {
+    if (Unsent() == 0) {
+      output_offset_ = 0;
+      if (output_.capacity() > kKeptOutputBytes) {
+        std::string().swap(output_);
+      } else {
+        output_.clear();
+      }
+    } else if (output_offset_ >= std::max(kKeptOutputBytes, Unsent())) {
+      output_.erase(0, output_offset_);
+      output_offset_ = 0;
+    }
+  }
+
   PollLoop* const loop_;
   FileDescriptor fd_;
   const Address peer_;
