Bound what all responses of targets hold in memory together

The other operators' report: a faulty target sends bytes that are no answer, without end, in a head or a body; the VM that called it keeps them all, runs out of memory and ends with the requests of its other callers. Many at once could: the sum over requests had no bound, and the smallest VMs have 88 MB.

Responses share a 32nd of the process's memory now (BufferBudget). Above it each may hold an equal part, so that those that hold most are broken off (cause=memory_exceeded) or, where they wait for their caller, paused; above twice the limit only 8 KiB each. A buffered answer is forwarded early instead of being cut. A failed call frees its parser at once, not when the loop has handled the other events of its round. New metric held_bytes{of="responses"}.

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -62,7 +62,8 @@
             context->GetCodec()->ParseRequestHeaders(request_.head.headers)),
         properties_(AllProperties()),
         id_(context->NextExchangeId()),
-        response_(context->GetCodec(), sink, request_.arrival) {}
+        response_(context->GetCodec(), sink, request_.arrival,
+                  context->GetResponseBudget()) {}
 
   ~ExchangeImpl() override { CancelIfInProgress(); }
 
@@ -143,6 +144,7 @@
   }
 
   void OnFlushed() override {
+    response_.OnFlushed();
     if (call_ != nullptr && is_paused_) {
       is_paused_ = false;
       call_->SetReading(true);
@@ -279,6 +281,7 @@
     plan.connect_by = Now() + kConnectTimeout;
     plan.user_timeout = kUnackedDataTimeout;
     plan.limits = kResponseLimits;
+    plan.budget = context_->GetResponseBudget();
     response_.StartAttempt();
     is_paused_ = false;
     call_ =
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -14,6 +14,7 @@
 
 namespace hornbeamcleat {
 
+class BufferBudget;
 class Clock;
 class HttpCodec;
 class Exchange;
@@ -35,6 +36,8 @@
   virtual TargetBalancer* GetTargets() = 0;
   virtual WaitQueue* GetQueue() = 0;
   virtual TargetConnectionPool* GetConnectionPool() = 0;
+  /// What responses of targets may hold in memory together.
+  virtual std::shared_ptr<BufferBudget> GetResponseBudget() = 0;
   virtual VersionMoves* GetMoves() = 0;
   virtual RequestLog* GetLog() = 0;
   virtual Metrics* GetMetrics() = 0;
--- a/src/relay/http_parser.h
+++ b/src/relay/http_parser.h
@@ -67,7 +67,7 @@
   virtual bool Done() const = 0;
   virtual ParseError Error() const = 0;
 
-  /// Valid once HeadDone.
+  /// Complete once HeadDone; before, it holds the fields read so far.
   virtual const MessageHead& Head() const = 0;
 
   /// Decoded body bytes that the user has not removed yet.
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -14,6 +14,7 @@
 #include "hornbeamcleat/base/timer_service.h"
 #include "src/base/poll_loop.h"
 #include "src/relay/admin_endpoints.h"
+#include "src/relay/buffer_budget.h"
 #include "src/relay/exchange.h"
 #include "src/relay/http_codec.h"
 #include "src/relay/http_parser.h"
@@ -52,6 +53,9 @@
 constexpr Duration kHousekeepingPeriod = std::chrono::milliseconds(250);
 /// Request bodies may use this fraction (1/N) of the process's memory.
 constexpr std::size_t kBodyMemoryDivisor = 4;
+/// Responses of targets may hold this fraction (1/N) of it: at most twice as
+/// much, in strings of up to twice the size, which makes an eighth.
+constexpr std::size_t kResponseMemoryDivisor = 32;
 /// Connections are broken when the caller acknowledges nothing for this time.
 constexpr Duration kCallerStallTimeout = std::chrono::seconds(5);
 /// Minimum number of retries that each VM may accumulate.
@@ -210,6 +214,9 @@
   TargetConnectionPool* GetConnectionPool() override {
     return &target_connections_;
   }
+  std::shared_ptr<BufferBudget> GetResponseBudget() override {
+    return response_budget_;
+  }
   VersionMoves* GetMoves() override { return &moves_; }
   RequestLog* GetLog() override { return &request_log_; }
   Metrics* GetMetrics() override { return metrics_; }
@@ -628,6 +635,8 @@
       }
     }
     metrics_->Set("peers_heard", "kind", "vm", directory_.ReachablePeers(now));
+    metrics_->Set("held_bytes", "of", "responses",
+                  static_cast<double>(response_budget_->Held()));
     metrics_->Set("connections", "side", "callers",
                   caller_listener_.ConnectionCount());
     if (drain_started_at_.has_value() &&
@@ -688,6 +697,9 @@
   VersionMoves moves_;
   RefusalRecords refusal_records_;
   TargetConnectionPool target_connections_;
+  const std::shared_ptr<BufferBudget> response_budget_ =
+      std::make_shared<BufferBudget>(options_.memory_bytes /
+                                     kResponseMemoryDivisor);
   RequestLog request_log_;
   std::map<std::string, RetryBudget> retry_budgets_;
   double saved_retries_ = 1;  ///< that this VM may accumulate
--- a/src/relay/response_forwarder.cc
+++ b/src/relay/response_forwarder.cc
@@ -53,6 +53,8 @@
       return "event_too_long";
     case BodyLimit::kFailure:
       return "failure_too_long";
+    case BodyLimit::kMemory:
+      return "memory_exceeded";
     case BodyLimit::kRest:
       return "rest_too_long";
   }
@@ -67,6 +69,7 @@
   body_.clear();
   rest_bytes_ = 0;
   splitter_.DropPartial();
+  held_.Set(0);
 }
 
 ResponseKind ResponseForwarder::OnHead(const MessageHead& head) {
@@ -97,16 +100,23 @@
   } else if (kind_ == ResponseKind::kBuffered ||
              kind_ == ResponseKind::kFailure) {
     body_.append(*body);
-    if (body_.size() > kMaxBufferedBytes && kind_ == ResponseKind::kBuffered) {
-      kind_ = ResponseKind::kStream;
-      SendHead();
-      sink_->SendBody(body_);
-      body_.clear();
-    }
   } else {
     rest_bytes_ += body->size();
   }
   body->clear();
+  held_.Set(body_.size() + splitter_.PartialEvent().size());
+  if (kind_ == ResponseKind::kBuffered && held_.Exceeds(kMaxBufferedBytes)) {
+    StartForwarding();
+  }
+  unsent_.Set(sink_->Unsent());
+}
+
+void ResponseForwarder::StartForwarding() {
+  kind_ = ResponseKind::kStream;
+  SendHead();
+  sink_->SendBody(body_);
+  body_ = std::string();
+  held_.Set(0);
 }
 
 BodyLimit ResponseForwarder::ExceededLimit() const {
@@ -116,11 +126,14 @@
   if (kind_ == ResponseKind::kFailure && body_.size() > kMaxBufferedBytes) {
     return BodyLimit::kFailure;
   }
+  if (held_.Exceeds(kMaxEventBytes)) {
+    return BodyLimit::kMemory;
+  }
   return rest_bytes_ > kMaxRestBytes ? BodyLimit::kRest : BodyLimit::kNone;
 }
 
 bool ResponseForwarder::IsCallerBehind() const {
-  return sink_->Unsent() > kMaxUnsentBytes;
+  return unsent_.Exceeds(kMaxUnsentBytes);
 }
 
 StreamFault ResponseForwarder::CheckStreamEnd() const {
--- a/src/relay/response_forwarder.h
+++ b/src/relay/response_forwarder.h
@@ -3,10 +3,13 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
+#include <utility>
 
 #include "hornbeamcleat/base/time.h"
 #include "hornbeamcleat/serving/serving_config.h"
+#include "src/relay/buffer_budget.h"
 #include "src/relay/caller_connection.h"
 #include "src/relay/http_codec.h"
 #include "src/relay/http_parser.h"
@@ -40,6 +43,7 @@
   kNone,
   kEvent,    ///< bytes of one event
   kFailure,  ///< buffered body of an error status
+  kMemory,   ///< its part of what all responses may hold
   kRest,     ///< body of a response that is known to be of no use
 };
 
@@ -52,8 +56,13 @@
 /// can still be replaced by another attempt.
 class ResponseForwarder {
  public:
-  ResponseForwarder(const HttpCodec* codec, ResponseSink* sink, Time arrival)
-      : codec_(codec), sink_(sink), arrival_(arrival) {}
+  ResponseForwarder(const HttpCodec* codec, ResponseSink* sink, Time arrival,
+                    std::shared_ptr<BufferBudget> budget)
+      : codec_(codec),
+        sink_(sink),
+        arrival_(arrival),
+        held_(budget),
+        unsent_(std::move(budget)) {}
 
   void SetRoute(const ServingRoute* route) { route_ = route; }
 
@@ -72,6 +81,9 @@
   /// pause.
   bool IsCallerBehind() const;
 
+  /// Handles that the caller has been sent all output.
+  void OnFlushed() { unsent_.Set(0); }
+
   /// Checks a stream whose response ended regularly. The end of a connection
   /// doesn't prove that a response is complete, since a crashed target may
   /// close in an orderly way; then only the events tell.
@@ -105,6 +117,8 @@
   Duration LongestPause() const { return longest_pause_; }
 
  private:
+  /// Sends what is buffered, and the rest of the response as it arrives.
+  void StartForwarding();
   void SendHead();
   void ForwardStream(std::string* body, Time now);
   void RecordPause(Time now);
@@ -118,6 +132,8 @@
   int events_before_attempt_ = 0;
   MessageHead head_;
   std::string body_;
+  BufferBudget::Share held_;    ///< body and incomplete event
+  BufferBudget::Share unsent_;  ///< output that the caller has not read
   std::size_t rest_bytes_ = 0;  ///< discarded body bytes of this attempt
   SseSplitter splitter_;
   bool has_started_ = false;
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -6,6 +6,7 @@
 #include "hornbeamcleat/base/error.h"
 #include "hornbeamcleat/base/timer_service.h"
 #include "src/base/poll_loop.h"
+#include "src/relay/buffer_budget.h"
 #include "src/relay/byte_stream.h"
 #include "src/relay/http_codec.h"
 #include "src/relay/target_connection_pool.h"
@@ -50,7 +51,8 @@
         pool_(pool),
         codec_(codec),
         plan_(std::move(plan)),
-        callbacks_(std::move(callbacks)) {
+        callbacks_(std::move(callbacks)),
+        held_(plan_.budget) {
     Connect();
   }
 
@@ -120,6 +122,8 @@
     parser_ = HttpParser::ForResponse(plan_.limits, plan_.is_head);
     is_mismatched_ = false;
     head_seen_ = false;
+    head_bytes_ = 0;
+    held_.Set(0);
   }
 
   void Send() {
@@ -150,8 +154,14 @@
       if (!Deliver() || !*alive) {
         return;
       }
+      // A head is limited by the parser; all of them together are here.
+      head_bytes_ += n;
+      held_.Set(parser_->HeadDone()
+                    ? 0
+                    : head_bytes_ +
+                          parser_->Head().headers.size() * sizeof(HeaderField));
       if (parser_->Error() != ParseError::kNone ||
-          discarded_bytes_ > kMaxDiscardedBytes) {
+          discarded_bytes_ > kMaxDiscardedBytes || held_.ExceedsPart()) {
         Fail(CallFailure::kMalformed);
         return;
       }
@@ -251,6 +261,9 @@
       stream_->Abort();
       ReleaseStream(std::move(stream_));
     }
+    // The call itself may live until the loop has handled all its events.
+    parser_.reset();
+    held_.Set(0);
     const std::function<void(CallFailure)> on_failure = callbacks_.on_failure;
     on_failure(failure);
   }
@@ -267,6 +280,8 @@
   const HttpCodec* const codec_;
   const Plan plan_;
   Callbacks callbacks_;
+  BufferBudget::Share held_;  ///< of an incomplete head
+  std::size_t head_bytes_ = 0;
   std::unique_ptr<ByteStream> stream_;
   std::unique_ptr<HttpParser> parser_;
   std::unique_ptr<TimerService::Subscription> connect_timer_;
--- a/src/relay/target_call.h
+++ b/src/relay/target_call.h
@@ -13,6 +13,7 @@
 
 namespace hornbeamcleat {
 
+class BufferBudget;
 class HttpCodec;
 class PollLoop;
 class TargetConnectionPool;
@@ -61,6 +62,8 @@
     Time connect_by;         ///< deadline for the connect
     Duration user_timeout{0};
     MessageLimits limits;
+    /// Counts the bytes of an incomplete head; may be null.
+    std::shared_ptr<BufferBudget> budget;
   };
 
   /// Starts the call. Callbacks run on the loop, never before this returns.
--- a/tests/relay/endless_response_test.cc
+++ b/tests/relay/endless_response_test.cc
@@ -1,9 +1,11 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "tests/relay/heap_bytes.h"
 #include "tests/relay/relay_fixture.h"
 
 namespace hornbeamcleat {
@@ -180,6 +182,94 @@
   EXPECT_LT(taken, kMaxTakenBytes);
 }
 
+// Guards against a process that runs out of memory, and ends with the requests
+// of all its callers, because each of many responses is held up to a limit of
+// its own.
+TEST_F(EndlessResponseTest, ManyResponsesAreHeldInPartOfMemory) {
+  constexpr std::size_t kBytes = 1'000'000;
+  constexpr std::size_t kHeadBytes = 60'000;
+  constexpr Duration kReadTime = std::chrono::milliseconds(300);
+  RelayOptions options = Options();
+  // Half is left for the rest: a quarter for the bodies of requests, another
+  // one for the process itself.
+  options.memory_bytes = std::size_t{32} << 20;
+  const std::string event_head = Head(
+      "200", "Upstream-Signature: s\r\nContent-Type: text/event-stream\r\n");
+  struct Case {
+    const char* name;
+    const char* kind;
+    std::string head;
+    std::string unit;
+    std::size_t bytes;
+  };
+  const std::string chunk = "8\r\ngarbage\n\r\n";
+  const std::vector<Case> cases = {
+      {"event", "resume", event_head, "9\r\ndata: a\nb\r\n", kBytes},
+      {"failure", "unsafe", Head("500", "Upstream-Signature: s\r\n"), chunk,
+       kBytes},
+      {"body", "unsafe", Head("200", "Upstream-Signature: s\r\n"), chunk,
+       kBytes},
+      {"head", "unsafe", "HTTP/1.1 200 X\r\n", "A: b\r\n", kHeadBytes}};
+  for (const Case& endless : cases) {
+    for (const int n : {1, 3, 90}) {
+      relay_.reset();
+      relay_ = MakeRelay(options);
+      Configure(Config());
+      relay_->OnConfigConfirmed(clock_->SuspendAwareNow());
+      std::vector<ByteStream*> streams;
+      std::string bytes = endless.head;
+      while (bytes.size() < endless.bytes) {
+        bytes += endless.unit;
+      }
+      std::vector<std::unique_ptr<ScriptedTarget>> targets;
+      std::vector<const ScriptedTarget*> list;
+      for (int i = 0; i < n; ++i) {
+        targets.push_back(std::make_unique<ScriptedTarget>(
+            loop_.get(), [&](const ReceivedRequest& request) {
+              streams.push_back(request.stream);
+            }));
+        list.push_back(targets.back().get());
+      }
+      SetTargets(list);
+      const auto closed_count = [&targets] {
+        int closed = 0;
+        for (const std::unique_ptr<ScriptedTarget>& target : targets) {
+          closed += target->ClosedCount();
+        }
+        return closed;
+      };
+      std::vector<std::unique_ptr<TestCaller>> callers;
+      for (int i = 0; i < n; ++i) {
+        callers.push_back(
+            std::make_unique<TestCaller>(loop_.get(), relay_->CallerAddress()));
+        callers.back()->SetReading(false);
+        callers.back()->Send(
+            Request(endless.kind, "r1", "", std::to_string(i)));
+      }
+      ASSERT_TRUE(RunUntil(
+          [&] { return streams.size() == static_cast<std::size_t>(n); }));
+      const std::size_t before = HeapBytes();
+      std::size_t most = before;
+      for (ByteStream* stream : streams) {
+        const int closed = closed_count();
+        stream->Write(bytes);
+        ASSERT_TRUE(RunUntil([&] {
+          most = std::max(most, HeapBytes());
+          return closed_count() > closed || stream->Unsent() == 0;
+        }));
+      }
+      // What the targets have sent may still be in the sockets.
+      const Time read_by = clock_->Now() + kReadTime;
+      ASSERT_TRUE(RunUntil([&] {
+        most = std::max(most, HeapBytes());
+        return clock_->Now() >= read_by;
+      }));
+      EXPECT_LT(most - before, options.memory_bytes / 2)
+          << endless.name << ", " << n << " responses";
+    }
+  }
+}
+
 // Bytes behind a complete response end the connection.
 TEST_F(EndlessResponseTest, BytesBehindResponseAreNotRead) {
   ScriptedTarget target(loop_.get(), [](const ReceivedRequest& request) {
