Read and format text in JSON as UTF-8

Strings were handed on in one byte a character: U+0080 to U+00FF as Latin-1, all letters beyond as '?'. So two workspaces whose keys or names differ in such letters only were the same here, a key of question marks opened them, and targets were told a workspace that isn't the caller's.

Strings are kept in the bytes of the text, which the parser has checked to be UTF-8, and FormatJson() decodes them before the formatter would take each byte for a character. Strings that aren't UTF-8 are formatted as before. Names of members beyond ASCII still are, too; none is in use.

All test programs but relay, serving and soak: 0 failed.

--- a/src/base/json.cc
+++ b/src/base/json.cc
@@ -1,12 +1,15 @@
 #include "src/base/json.h"
 
+#include <cxxtools/conversionerror.h>
 #include <cxxtools/json.h>
 #include <cxxtools/utf8codec.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <exception>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <sstream>
 #include <utility>
 #include <vector>
@@ -61,9 +64,7 @@
   }
 
   bool string(std::string& text) override {
-    SerializationInfo& value = Add();
-    value.setValue(cxxtools::Utf8Codec::decode(text));
-    value.setTypeName("string");
+    AddText(text, "string");
     return true;
   }
 
@@ -140,6 +141,40 @@
   std::string failure_;
 };
 
+// Decodes UTF-8; nullopt if the text isn't valid.
+std::optional<cxxtools::String> DecodeUtf8(const std::string& text) {
+  try {
+    cxxtools::String decoded = cxxtools::Utf8Codec::decode(text);
+    // The codec leaves out what it can't decode at the end.
+    if (cxxtools::Utf8Codec::encode(decoded) == text) {
+      return decoded;
+    }
+  } catch (const cxxtools::ConversionError&) {
+    // Not UTF-8, which the caller handles.
+  }
+  return std::nullopt;
+}
+
+// The formatter takes each byte of a std::string for a character. Strings that
+// aren't UTF-8 are left to it.
+// NOLINTNEXTLINE(misc-no-recursion): as deep as the value that is formatted
+void DecodeStrings(SerializationInfo* value) {
+  for (std::size_t i = 0; i < value->memberCount(); ++i) {
+    DecodeStrings(&value->getMember(static_cast<unsigned>(i)));
+  }
+  if (value->category() != SerializationInfo::Value || value->isNull()) {
+    return;
+  }
+  std::string text;
+  value->getValue(text);
+  if (std::any_of(text.begin(), text.end(),
+                  [](char c) { return static_cast<signed char>(c) < 0; })) {
+    if (const std::optional<cxxtools::String> decoded = DecodeUtf8(text)) {
+      value->setValue(*decoded);
+    }
+  }
+}
+
 template <typename T>
 T Convert(const cxxtools::SerializationInfo& member, const std::string& name) {
   try {
@@ -171,8 +206,10 @@
 
 std::string FormatJson(const cxxtools::SerializationInfo& value,
                        bool beautify) {
+  SerializationInfo decoded = value;
+  DecodeStrings(&decoded);
   std::ostringstream out;
-  out << cxxtools::Json(value, beautify);
+  out << cxxtools::Json(decoded, beautify);
   return out.str();
 }
 
--- a/tests/base/json_test.cc
+++ b/tests/base/json_test.cc
@@ -57,16 +57,21 @@
 }
 
 TEST_F(JsonTest, DeepNestingIsRejectedFromOneLevelTooMany) {
-  for (const char* level : {"[", "{\"a\":", "[{\"a\":"}) {
-    const std::size_t depth = level[0] == '[' && level[1] == '{' ? 2 : 1;
+  struct Level {
     std::string open;
     std::string close;
-    for (std::size_t i = 0; i < kMaxJsonDepth / depth; ++i) {
-      open += level;
-      close.insert(0, depth == 2 ? "}]" : level[0] == '[' ? "]" : "}");
-    }
-    EXPECT_TRUE(IsAccepted(open + "1" + close)) << level;
-    EXPECT_FALSE(IsAccepted("[" + open + "1" + close + "]")) << level;
+    std::size_t depth;
+  };
+  for (const Level& level :
+       {Level{"[", "]", 1}, {"{\"a\":", "}", 1}, {"[{\"a\":", "}]", 2}}) {
+    const std::size_t n = kMaxJsonDepth / level.depth;
+    std::string text = Repeat(level.open, n * level.open.size());
+    text += "1";
+    text += Repeat(level.close, n * level.close.size());
+    EXPECT_TRUE(IsAccepted(text)) << level.open;
+    text.insert(0, "[");
+    text += "]";
+    EXPECT_FALSE(IsAccepted(text)) << level.open;
   }
 }
 
@@ -184,6 +189,34 @@
   EXPECT_EQ(JsonMember<int>(ParseJson("{\"a\":1,\"a\":2}", 100), "a", 0), 1);
 }
 
+// Guards against names and keys that become equal, as each letter beyond
+// Latin-1 was read as a question mark.
+TEST_F(JsonTest, TextInUtf8IsReadAndFormattedUnchanged) {
+  for (const std::string& text :
+       {std::string("\xc3\xa9"), std::string("\xe6\x97\xa5\xe6\x9c\xac"),
+        std::string("\xf0\x9f\x98\x80\x7f")}) {
+    const cxxtools::SerializationInfo raw = ParseJson("\"" + text + "\"", 100);
+    std::string read;
+    raw.getValue(read);
+    EXPECT_EQ(read, text);
+    std::string back;
+    ParseJson(FormatJson(raw), 100).getValue(back);
+    EXPECT_EQ(back, text);
+  }
+  std::string escaped;
+  ParseJson(R"("\u00e9\u65e5\ud83d\ude00")", 100).getValue(escaped);
+  EXPECT_EQ(escaped, "\xc3\xa9\xe6\x97\xa5\xf0\x9f\x98\x80");
+}
+
+TEST_F(JsonTest, BytesThatAreNotUtf8AreFormattedAsValidJson) {
+  for (const std::string& bytes : {std::string("\xff"), std::string("a\xc3"),
+                                   std::string("\x80\xed\xa0\x80")}) {
+    cxxtools::SerializationInfo object;
+    object.addMember("k") <<= bytes;
+    EXPECT_TRUE(IsStrictJson(FormatJson(object), kMaxJsonDepth));
+  }
+}
+
 TEST_F(JsonTest, LongTextIsRejectedWithShortMessage) {
   for (const std::string& text :
        {Repeat("x", kRecordBytes), "\"" + Repeat("a", kRecordBytes - 1)}) {
--- a/tests/platform/records_test.cc
+++ b/tests/platform/records_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 #include "hornbeamcleat/base/error.h"
 
@@ -54,6 +55,20 @@
   EXPECT_EQ(workspace.burst, 6);
 }
 
+// Guards against a key of one workspace that another text opens.
+TEST_F(RecordsTest, DecodeConfigKeepsNamesAndKeysInUtf8Apart) {
+  const ServingConfig config = DecodeConfig(
+      R"({"version":1,"tenants":[{"name":"\u65e5","api_keys":["\u65e5"]},)"
+      "{\"name\":\"\xe6\x9c\xac\",\"api_keys\":[\"\xe6\x9c\xac\"]}]}");
+  ASSERT_EQ(config.workspaces.size(), 2U);
+  EXPECT_EQ(config.workspaces[0].name, "\xe6\x97\xa5");
+  EXPECT_EQ(config.workspaces[0].keys,
+            std::vector<std::string>{"\xe6\x97\xa5"});
+  EXPECT_EQ(config.workspaces[1].name, "\xe6\x9c\xac");
+  EXPECT_EQ(config.workspaces[1].keys,
+            std::vector<std::string>{"\xe6\x9c\xac"});
+}
+
 TEST_F(RecordsTest, DecodeConfigWithSplitRouteReadsWeights) {
   const ServingConfig config = DecodeConfig(Config(
       R"({"hostname":"h","path_prefix":"/p/","route_type":"idempotent",)"
--- a/tests/relay/buffer_budget_test.cc
+++ b/tests/relay/buffer_budget_test.cc
@@ -64,6 +64,7 @@
     for (const bool in_turns : {false, true}) {
       std::vector<std::unique_ptr<Share>> shares;
       std::vector<std::size_t> held(static_cast<std::size_t>(n), 0);
+      shares.reserve(held.size());
       for (int i = 0; i < n; ++i) {
         shares.push_back(std::make_unique<Share>(budget_));
       }
