Say in comments what the limits of buffers are fractions of

Wording only, found on reading the diff: which memory the divisor refers to, why sent bytes are dropped when they outweigh the unsent ones, and why a failed decoding is no error.

--- a/src/base/json.cc
+++ b/src/base/json.cc
@@ -150,7 +150,7 @@
       return decoded;
     }
   } catch (const cxxtools::ConversionError&) {
-    // Not UTF-8, which the caller handles.
+    // Not UTF-8: no error, as the caller formats such text by its bytes.
   }
   return std::nullopt;
 }
--- a/src/relay/byte_stream.cc
+++ b/src/relay/byte_stream.cc
@@ -270,8 +270,8 @@
   }
 
   // A peer that is always a little behind leaves bytes unsent at each flush, so
-  // sent ones are dropped before all are. The moves cost no more than the
-  // bytes.
+  // sent ones are dropped before all are. Waiting until they outweigh the
+  // unsent ones bounds the cost of moving these.
   void DropSent() {
     if (Unsent() == 0) {
       output_offset_ = 0;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -53,8 +53,9 @@
 constexpr Duration kHousekeepingPeriod = std::chrono::milliseconds(250);
 /// Request bodies may use this fraction (1/N) of the process's memory.
 constexpr std::size_t kBodyMemoryDivisor = 4;
-/// Responses of targets may hold this fraction (1/N) of it: at most twice as
-/// much, in strings of up to twice the size, which makes an eighth.
+/// Limit of all responses of targets, as a fraction (1/N) of the process's
+/// memory. The sum reaches at most twice the limit, in strings of up to twice
+/// the size, which makes an eighth.
 constexpr std::size_t kResponseMemoryDivisor = 32;
 /// Connections are broken when the caller acknowledges nothing for this time.
 constexpr Duration kCallerStallTimeout = std::chrono::seconds(5);
--- a/src/relay/response_forwarder.h
+++ b/src/relay/response_forwarder.h
@@ -43,7 +43,7 @@
   kNone,
   kEvent,    ///< bytes of one event
   kFailure,  ///< buffered body of an error status
-  kMemory,   ///< its part of what all responses may hold
+  kMemory,   ///< its part of the memory that all responses share
   kRest,     ///< body of a response that is known to be of no use
 };
 
