Send refused callers away for longer under overload, and know them when they return

A refusal now tells a time by the share of recent refusals of its priority, up to the third of the time left that callers follow. A retry is recognized by the time that its caller still waits, keeps the objective of its first attempt, and goes after requests of its workspace rank that can still be in time. The time reserved for the first event is a measured high quantile instead of 1.3 times the mean.

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -19,6 +19,7 @@
 #include "src/relay/response_forwarder.h"
 #include "src/relay/target_attempt.h"
 #include "src/relay/target_connection_pool.h"
+#include "src/serving/caller_patience.h"
 
 namespace hornbeamcleat {
 namespace {
@@ -110,7 +111,13 @@
     }
     deadline_timer_ = context_->GetLoop()->Timers()->At(
         deadline_, [this](Time) { OnDeadline(); });
-    Enqueue(request_.arrival, request_.arrival + route.objective);
+    const Duration waited_before =
+        request_info_.wait_limit.has_value()
+            ? context_->GetPatience()->WaitedBefore(route.name,
+                                                    *request_info_.wait_limit)
+            : Duration(0);
+    Enqueue(request_.arrival,
+            request_.arrival + route.objective - waited_before);
   }
 
   void OnDecision(const WaitDecision& decision) override {
@@ -231,6 +238,7 @@
     waiting.arrival = arrival;
     waiting.objective_deadline = objective_deadline;
     waiting.deadline = deadline_;
+    waiting.max_retry_delay = request_info_.max_retry_delay;
     waiting.need = Need();
     // Different suspects go to different targets, so that the next loss tells
     // them apart, and the same one to the same target, so that it ends only
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -15,6 +15,7 @@
 namespace hornbeamcleat {
 
 class BufferBudget;
+class CallerPatience;
 class Clock;
 class HttpCodec;
 class Exchange;
@@ -35,6 +36,7 @@
   virtual AdmissionController* GetAdmission() = 0;
   virtual TargetBalancer* GetTargets() = 0;
   virtual WaitQueue* GetQueue() = 0;
+  virtual CallerPatience* GetPatience() = 0;
   virtual TargetConnectionPool* GetConnectionPool() = 0;
   /// What responses of targets may hold in memory together.
   virtual std::shared_ptr<BufferBudget> GetResponseBudget() = 0;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -24,6 +24,7 @@
 #include "src/relay/request_log.h"
 #include "src/relay/target_connection_pool.h"
 #include "src/schedule/retry_budget.h"
+#include "src/serving/caller_patience.h"
 #include "src/serving/refusal_records.h"
 #include "src/serving/scale_plan.h"
 #include "src/serving/shutdown_plan.h"
@@ -212,6 +213,7 @@
   AdmissionController* GetAdmission() override { return &admission_; }
   TargetBalancer* GetTargets() override { return &targets_; }
   WaitQueue* GetQueue() override { return &queue_; }
+  CallerPatience* GetPatience() override { return &patience_; }
   TargetConnectionPool* GetConnectionPool() override {
     return &target_connections_;
   }
@@ -695,6 +697,7 @@
   AdmissionController admission_;
   TargetBalancer targets_;
   WaitQueue queue_;
+  CallerPatience patience_;
   VersionMoves moves_;
   RefusalRecords refusal_records_;
   TargetConnectionPool target_connections_;
--- a/src/relay/target_attempt.cc
+++ b/src/relay/target_attempt.cc
@@ -41,6 +41,7 @@
   finding_ = observers_.targets->OnFirstEvent(placement_.target,
                                               request_.prompt_tokens, after,
                                               placement_.expected, now);
+  observers_.queue->OnFirstEvent(request_.service, after, placement_.expected);
   return after;
 }
 
--- a/src/serving/wait_queue.cc
+++ b/src/serving/wait_queue.cc
@@ -11,8 +11,13 @@
 /// Requests of one queue reported to peers. Slots are freed one at a time, so
 /// more would make no difference.
 constexpr std::size_t kMaxReportedRequests = 12;
-/// Time reserved for the first event, as a multiple of the typical time.
-constexpr double kFirstEventReserve = 1.3;
+/// Most time reserved for the first event, as a multiple of the estimate. More
+/// would leave short objectives no time to wait.
+constexpr double kMaxFirstEventReserve = 3;
+/// Quantile of the time to the first event that is reserved, and the relative
+/// step of its estimate for one answer.
+constexpr double kReserveQuantile = 0.9;
+constexpr double kReserveGain = 0.02;
 /// Fraction of its maximum wait after which a request accepts a target that
 /// exceeds the maximum pause of streams.
 constexpr double kPauseWaitShare = 0.8;
@@ -45,9 +50,16 @@
   return rank;
 }
 
-// Requests that can still meet their objective precede those that cannot.
-std::tuple<int, int, bool, int> SortKey(const WaitingRank& rank) {
-  return {rank.rank, rank.route_rank, rank.slack_ms < 0, rank.slack_ms};
+// Requests that can still meet their objective precede those of the same
+// workspace rank that cannot: a late answer is worth less to its caller than
+// the answer in time that it would displace.
+std::tuple<int, bool, int, int> SortKey(const WaitingRank& rank) {
+  return {rank.rank, rank.slack_ms < 0, rank.route_rank, rank.slack_ms};
+}
+
+// Whether the caller retries after its objective has passed.
+bool IsLateRetry(const WaitingRequest& request) {
+  return request.objective_deadline <= request.arrival;
 }
 
 Duration Scale(Duration d, double factor) {
@@ -55,14 +67,20 @@
       static_cast<std::int64_t>(static_cast<double>(d.count()) * factor));
 }
 
-Time LatestStart(const WaitingRequest& request, Duration expected) {
+Time LatestStart(const WaitingRequest& request, Duration reserve) {
+  if (IsLateRetry(request)) {
+    return request.objective_deadline;
+  }
   const Duration objective = request.objective_deadline - request.arrival;
-  const Time latest =
-      request.objective_deadline - Scale(expected, kFirstEventReserve);
+  const Time latest = request.objective_deadline - reserve;
   const Time earliest = request.arrival + Scale(objective, kMinWaitShare);
   return std::min(std::max(latest, earliest), request.deadline);
 }
 
+RetrySchedule::Priority PriorityOf(const WaitingRequest& request) {
+  return {request.rank, request.route_rank};
+}
+
 bool AllowsLongPauses(const WaitingRequest& request, Time now) {
   return now - request.arrival >
          Scale(request.latest_start - request.arrival, kPauseWaitShare);
@@ -83,9 +101,12 @@
 
 void WaitQueue::Add(const WaitingRequest& request) {
   WaitingRequest waiting = request;
+  Queue& local_queue = queues_[request.need.service];
   waiting.latest_start =
-      LatestStart(request, balancer_->TypicalLatency(request.need));
-  queues_[request.need.service].requests.push_back(waiting);
+      LatestStart(request, Scale(balancer_->TypicalLatency(request.need),
+                                 local_queue.first_event_reserve));
+  local_queue.retries.OnArrival(PriorityOf(request), request.arrival);
+  local_queue.requests.push_back(waiting);
   ++changes_;
 }
 
@@ -117,6 +138,19 @@
                 kHoldTimeGain * (ms - local_queue.hold_time_ms);
 }
 
+// Stochastic approximation of the quantile.
+void WaitQueue::OnFirstEvent(const std::string& service, Duration after,
+                             Duration expected) {
+  if (expected <= Duration(0)) {
+    return;
+  }
+  double& reserve = queues_[service].first_event_reserve;
+  const double ratio = ToSeconds(after) / ToSeconds(expected);
+  const double step = ratio > reserve ? kReserveQuantile : kReserveQuantile - 1;
+  reserve = std::clamp(reserve * (1 + kReserveGain * step),
+                       kMinFirstEventReserve, kMaxFirstEventReserve);
+}
+
 // At limited targets, a place is free once the limit allows one more request.
 Duration WaitQueue::ReleaseInterval(const std::string& service,
                                     const Queue& local_queue,
@@ -247,7 +281,10 @@
           opening.is_limited || opening.at > now
               ? RetryAfterOpening(opening, request.rank, request.need.seed, now,
                                   local_queue)
-              : std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
+              : local_queue->retries.OnRefused(
+                    PriorityOf(request),
+                    std::clamp(wait, kMinRetryAfter, kMaxRetryAfter),
+                    request.max_retry_delay, request.need.seed, now);
       decisions->push_back(decision);
       --position;
       continue;
--- a/src/serving/wait_queue.h
+++ b/src/serving/wait_queue.h
@@ -9,6 +9,7 @@
 
 #include "hornbeamcleat/base/time.h"
 #include "hornbeamcleat/serving/peer_state.h"
+#include "src/serving/retry_schedule.h"
 #include "src/serving/target_balancer.h"
 
 namespace hornbeamcleat {
@@ -22,6 +23,8 @@
   Time objective_deadline;  ///< latest time for the first event or answer
   Time deadline;            ///< the caller's deadline or the route's timeout
   Time latest_start;  ///< set by Add; a later start would miss the objective
+  /// Longest time for which the caller follows Retry-After; 0: unknown.
+  Duration max_retry_delay{0};
   PlacementNeed need;
 
   bool operator==(const WaitingRequest&) const = default;
@@ -49,9 +52,11 @@
 ///
 /// Load pattern: demand exceeds the capacity of the engines for seconds at a
 /// time, from callers with different ranks, at all VMs at once. Slots are
-/// assigned by rank, then to requests that can still meet their objective,
-/// earliest latest start first. Requests that cannot be served within the wait
-/// that their objective allows are refused immediately.
+/// assigned by workspace rank, then to requests that can still meet their
+/// objective, by route rank and earliest latest start first. Requests that
+/// cannot be served within the wait that their objective allows are refused
+/// immediately. A caller that retries after its objective has passed gets a
+/// slot that is free, but doesn't wait for one.
 ///
 /// If all targets rest, requests wait for the first of them only if they can
 /// still meet their objective then. The others are told to come back after it,
@@ -76,6 +81,11 @@
   /// `hold_time`.
   void OnSlotReleased(const std::string& service, Duration hold_time);
 
+  /// Records the time from a request's placement to its first event or answer.
+  /// @param expected as estimated when it was placed
+  void OnFirstEvent(const std::string& service, Duration after,
+                    Duration expected);
+
   /// Decides on all waiting requests. Placed and refused requests leave their
   /// queue; placed ones are recorded as sent in the load balancer.
   std::vector<WaitDecision> Decide(Time now);
@@ -95,11 +105,18 @@
   std::vector<ServiceQueue> Queues(Time now) const;
 
  private:
+  /// Least time reserved for the first event, as a multiple of the estimate.
+  static constexpr double kMinFirstEventReserve = 1.3;
+
   struct Queue {
     std::vector<WaitingRequest> requests;
     double hold_time_ms = 0;  ///< moving average of the time a slot is occupied
+    /// High quantile of the time to the first event, as a multiple of the
+    /// estimate.
+    double first_event_reserve = kMinFirstEventReserve;
     /// When the latest caller of each rank returns whom limits turned away.
     std::map<int, Time> latest_returns;
+    RetrySchedule retries;
   };
   struct PeerQueues {
     std::vector<ServiceQueue> queues;
--- a/tests/serving/wait_queue_test.cc
+++ b/tests/serving/wait_queue_test.cc
@@ -112,6 +112,85 @@
   EXPECT_EQ(Placed(), std::vector<std::uint64_t>{2});
 }
 
+// A caller that retries after its objective has passed would take the slot of
+// one that can still be served in time, also of a lower route rank.
+TEST_F(WaitQueueTest, DecideServesLateRetryAfterRequestsInTime) {
+  OccupySlots(1);
+  queue_.OnSlotReleased("s", milliseconds(20));
+  WaitingRequest late = Request(1, 1, 1'000, 0);
+  late.objective_deadline = now_ - milliseconds(2'000);
+  queue_.Add(Request(2, 1, 400, 2));
+  EXPECT_TRUE(Placed().empty());
+  queue_.Add(late);
+  ReleaseSlot();
+  EXPECT_EQ(Placed(), std::vector<std::uint64_t>{2});
+  EXPECT_TRUE(IsRefused(1));
+}
+
+TEST_F(WaitQueueTest, DecideWithFreeSlotPlacesLateRetry) {
+  WaitingRequest late = Request(1, 1, 1'000);
+  late.objective_deadline = now_ - milliseconds(2'000);
+  queue_.Add(late);
+  EXPECT_EQ(Placed(), std::vector<std::uint64_t>{1});
+}
+
+// Workspace ranks bind: a late caller of a higher one goes first.
+TEST_F(WaitQueueTest, DecideServesLateRetryOfHigherWorkspaceRankFirst) {
+  WaitingRequest late = Request(1, 0, 1'000);
+  late.objective_deadline = now_ - milliseconds(2'000);
+  queue_.Add(Request(2, 1, 400));
+  queue_.Add(late);
+  EXPECT_EQ(Placed(), std::vector<std::uint64_t>{1});
+}
+
+// Three times as many callers as slots, each of which retries once when it is
+// told to. Callers that are told to retry at once are refused twice; those that
+// retry late enough find a free slot after the overload.
+TEST_F(WaitQueueTest, DecideUnderOverloadSendsCallersAwayUntilItIsOver) {
+  OccupySlots(1);
+  queue_.OnSlotReleased("s", milliseconds(100));
+  for (std::uint64_t id = 1; id <= 30; ++id) {
+    now_ += milliseconds(33);
+    WaitingRequest request = Request(id, 1, 200);
+    request.max_retry_delay = milliseconds(4'000);
+    queue_.Add(request);
+    if (id % 3 == 0) {
+      ReleaseSlot();
+    }
+    Placed();
+  }
+  ASSERT_GE(refused_.size(), 10U);
+  EXPECT_GE(refused_.back().retry_after, milliseconds(2'000));
+  EXPECT_LE(refused_.back().retry_after, milliseconds(4'000));
+}
+
+// Requests that wait until the mean time before their objective end late if
+// one answer in ten takes twice as long.
+TEST_F(WaitQueueTest, DecideReservesMeasuredTimeForFirstEvent) {
+  OccupySlots(1);
+  queue_.OnSlotReleased("s", milliseconds(20));
+  for (int i = 0; i < 1'000; ++i) {
+    queue_.OnFirstEvent("s", milliseconds(i % 8 == 0 ? 60 : 25),
+                        milliseconds(25));
+  }
+  queue_.Add(Request(1, 1, 200));
+  now_ += milliseconds(150);
+  EXPECT_TRUE(Placed().empty());
+  EXPECT_TRUE(IsRefused(1));
+}
+
+TEST_F(WaitQueueTest, OnFirstEventWithoutEstimateChangesNothing) {
+  OccupySlots(1);
+  queue_.OnSlotReleased("s", milliseconds(20));
+  for (int i = 0; i < 1'000; ++i) {
+    queue_.OnFirstEvent("s", milliseconds(60'000), Duration(0));
+  }
+  queue_.Add(Request(1, 1, 200));
+  now_ += milliseconds(150);
+  EXPECT_TRUE(Placed().empty());
+  EXPECT_FALSE(IsRefused(1));
+}
+
 // Demand exceeds the slots for longer than an objective. Requests that cannot
 // be served in time are refused immediately with a Retry-After.
 TEST_F(WaitQueueTest, DecideUnderOverloadRefusesHopelessRequestsAtOnce) {
