Limit the requests of all VMs to targets that have just started

Targets that come back under the same ID were sent requests at full rate for as long as their old record lived. A cold target is now sent requests by the first VMs in the rendezvous order only, and losses are told to all VMs.

--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -165,6 +165,8 @@
   std::vector<TargetNotice> notices;
   /// Limits of targets, likewise.
   std::vector<LimitNotice> limits;
+  /// Targets that are or may be cold, likewise.
+  std::vector<ColdNotice> cold;
 
   bool operator==(const PeerState&) const = default;
 };
--- a/include/hornbeamcleat/serving/serving_config.h
+++ b/include/hornbeamcleat/serving/serving_config.h
@@ -56,6 +56,11 @@
   std::string name;
   int max_connections = 0;  ///< per target, over all VMs; 0: unspecified
   bool is_engine = false;   ///< inference engine that batches requests
+  /// How long a target stays cold after a start.
+  Duration cold_start{0};
+  /// Requests per second that a cold target takes of all VMs; 0: targets of
+  /// this service are never cold.
+  double cold_per_second = 0;
 
   bool operator==(const ServiceSpec&) const = default;
 };
@@ -104,6 +109,10 @@
   int slots = 1;  ///< maximum number of concurrent requests
   bool is_draining = false;
   std::int64_t start_time_ms = 0;  ///< Unix time; tells restarts apart
+  /// How long it stays cold, from the time at which the entry was read;
+  /// nullopt: not stated.
+  std::optional<Duration> cold_remaining;
+  Time read_at;  ///< when the entry was read, on the suspension-aware clock
 
   /// Identifies this start of the target.
   std::string Incarnation() const {
--- a/include/hornbeamcleat/serving/target_statement.h
+++ b/include/hornbeamcleat/serving/target_statement.h
@@ -22,6 +22,8 @@
   /// answers say so; nullopt: not stated.
   std::optional<double> request_limit;
   bool has_invalid_limit = false;  ///< states a limit that can't be read
+  /// How long it stays cold, in health responses; nullopt: not stated.
+  std::optional<Duration> cold_remaining;
 
   bool IsEmpty() const { return *this == TargetStatement(); }
 
@@ -72,6 +74,34 @@
   }
 };
 
+/// What a VM tells its peers of a target that is or may be cold.
+struct ColdNotice {
+  enum Loss : std::uint8_t {
+    kNoLoss,
+    kSuspected,  ///< one connection was lost, while others may go on
+    kLost,       ///< the target has stopped
+  };
+
+  TargetInstance target;
+  std::uint32_t cold_ms = 0;        ///< time left, by records
+  std::uint32_t record_age_ms = 0;  ///< since the VM read the latest one
+  std::uint8_t loss = kNoLoss;
+  std::uint32_t loss_age_ms = 0;
+  bool has_answer = false;  ///< it has answered completely since the loss
+  std::uint32_t answer_age_ms = 0;  ///< of the first such answer
+  /// Time for which one process was alive without a break; 0: not known.
+  std::uint32_t alive_span_ms = 0;
+  std::uint32_t alive_age_ms = 0;  ///< of its end
+
+  bool operator==(const ColdNotice&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(target, cold_ms, record_age_ms, loss, loss_age_ms, has_answer,
+            answer_age_ms, alive_span_ms, alive_age_ms);
+  }
+};
+
 }  // namespace hornbeamcleat
 
 #endif  // HORNBEAMCLEAT_SERVING_TARGET_STATEMENT_H_
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -339,7 +339,16 @@
       Retry("target_limited");
       return false;
     }
+    if (!context_->GetTargets()->ConfirmCold(
+            attempt_->Target(), attempt_->IsCountedAsCold(), Now())) {
+      FinishAttempt(TargetOutcome::kAbandoned);
+      Retry("target_cold");
+      return false;
+    }
     LogSendToLimited();
+    if (context_->GetTargets()->IsCold(attempt_->Target(), Now())) {
+      context_->GetMetrics()->Count("sends_to_cold_total", "service", service_);
+    }
     run_.sent_at = BootNow();
     is_sent_ = true;
     context_->SetInFlight(id_, this);
@@ -419,6 +428,7 @@
     if (response_.Kind() == ResponseKind::kStream ||
         response_.Kind() == ResponseKind::kBuffered) {
       Losses()->OnTargetHeard(run_.target, BootNow());
+      OnAnswerBytes();
     }
     response_.OnBody(body, Now());
     const BodyLimit limit = response_.ExceededLimit();
@@ -433,6 +443,14 @@
     }
   }
 
+  void OnAnswerBytes() {
+    if (attempt_.has_value()) {
+      context_->GetTargets()->OnAnswerBytes(attempt_->Target(), run_.sent_at,
+                                            Now());
+      context_->OnColdChange();
+    }
+  }
+
   void OnResponseEnd() {
     const StreamFault fault = response_.CheckStreamEnd();
     CountTargetResponse(fault == StreamFault::kNone
@@ -467,6 +485,9 @@
   // that ends with its connection may have been cut by a crash.
   void ClearLosses() {
     is_sent_ = false;
+    context_->GetTargets()->OnAnswerComplete(attempt_->Target(), run_.sent_at,
+                                             Now());
+    context_->OnColdChange();
     if (response_.Framing() == BodyFraming::kUntilClose) {
       Losses()->OnUnprovenAnswer(run_, began_at_, BootNow());
     } else {
@@ -796,6 +817,7 @@
     }
     attempt_->Finish(outcome, may_have_run_, Now());
     attempt_.reset();
+    context_->OnColdChange();
     context_->ScheduleDecisions();
   }
 
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -73,6 +73,8 @@
                                  std::optional<Time> sent) = 0;
   /// Losses may have been recorded or cleared, which peers must hear of.
   virtual void OnLossesChange() = 0;
+  /// Targets may have become cold or warm, which peers must hear of.
+  virtual void OnColdChange() = 0;
 };
 
 /// Processes one request of a caller: admission, queueing, dispatch to a
--- a/src/relay/peer_reporter.cc
+++ b/src/relay/peer_reporter.cc
@@ -39,6 +39,11 @@
 /// Likewise, of messages about statements of targets, which may change with
 /// each answer.
 constexpr Duration kMinNoticeInterval = std::chrono::milliseconds(50);
+/// News of targets that may be cold are repeated to all VMs at this interval
+/// for this time, in case a message is lost: a target that stops is back within
+/// two seconds, sooner than the next details reach other failure domains.
+constexpr Duration kColdRepeatInterval = std::chrono::milliseconds(250);
+constexpr Duration kColdRepeatTime = std::chrono::milliseconds(600);
 
 }  // namespace
 
@@ -200,6 +205,8 @@
       boot_now - kRepeatTime, boot_now);
   state->limits = sources_.targets->Limits()->NoticesSince(
       boot_now - kRepeatTime, boot_now);
+  state->cold =
+      sources_.targets->Cold()->NoticesSince(boot_now - kRepeatTime, boot_now);
 }
 
 void PeerReporter::SendLossesSoon() {
@@ -225,10 +232,11 @@
 }
 
 void PeerReporter::SendNoticesSoon() {
-  if (notices_timer_ == nullptr) {
-    notices_timer_ = loop_->Timers()->At(
-        std::max(clock_->Now(), notices_sent_at_ + kMinNoticeInterval),
-        [this](Time) { SendNotices(); });
+  const Time due =
+      std::max(clock_->Now(), notices_sent_at_ + kMinNoticeInterval);
+  if (notices_timer_ == nullptr || due < notices_due_) {
+    notices_due_ = due;
+    notices_timer_ = loop_->Timers()->At(due, [this](Time) { SendNotices(); });
   }
 }
 
@@ -242,8 +250,15 @@
       notices_sent_until_, boot_now);
   state.limits =
       sources_.targets->Limits()->NoticesSince(notices_sent_until_, boot_now);
+  state.cold = sources_.targets->Cold()->NoticesSince(
+      std::min(notices_sent_until_, boot_now - kColdRepeatTime), boot_now);
   notices_sent_until_ = boot_now;
   link_->Send(state, sources_.directory->Links());
+  if (!state.cold.empty()) {
+    notices_due_ = notices_sent_at_ + kColdRepeatInterval;
+    notices_timer_ =
+        loop_->Timers()->At(notices_due_, [this](Time) { SendNotices(); });
+  }
 }
 
 // Only some VMs send all they know to a peer that has started. If all did, the
@@ -266,8 +281,10 @@
         sources_.targets->Statements()->AllNotices(clock_->SuspendAwareNow());
     state.limits =
         sources_.targets->Limits()->AllNotices(clock_->SuspendAwareNow());
+    state.cold =
+        sources_.targets->Cold()->AllNotices(clock_->SuspendAwareNow());
     if (*state.losses != LossReport() || !state.notices.empty() ||
-        !state.limits.empty()) {
+        !state.limits.empty() || !state.cold.empty()) {
       peer.next = now + kStartedPeerInterval;
       link_->Send(state, {link});
     }
--- a/src/relay/peer_reporter.h
+++ b/src/relay/peer_reporter.h
@@ -105,6 +105,7 @@
   /// Statements of targets before this time have been sent once.
   Time notices_sent_at_;
   Time notices_sent_until_;
+  Time notices_due_;  ///< if `notices_timer_` is set
   Time started_at_;
   Time all_quotas_sent_at_;
   /// Peers that have started or returned recently.
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -48,6 +48,12 @@
 /// the report of that to all VMs.
 constexpr Duration kReturnStep = std::chrono::milliseconds(50);
 constexpr Duration kMaxReturnDelay = std::chrono::seconds(1);
+/// A VM that starts holds no turns at cold targets for this time, in which the
+/// others read that it is registered: they read changes once a second.
+constexpr Duration kTurnDelay = std::chrono::seconds(2);
+/// Time in which its peers tell a VM that starts what they know. They do so
+/// with the next heartbeat after its first message.
+constexpr Duration kColdNewsTime = std::chrono::milliseconds(600);
 /// Interval of placement decisions while requests wait.
 constexpr Duration kDecisionPeriod = std::chrono::milliseconds(20);
 constexpr Duration kHousekeepingPeriod = std::chrono::milliseconds(250);
@@ -113,6 +119,9 @@
     });
     targets_.Limits()->SetShareSource(
         [this](const TargetInstance& instance) { return ShareOf(instance); });
+    targets_.Cold()->SetBounds(options.cold_bounds);
+    targets_.Cold()->SetOrderSource(
+        [this](const TargetInstance& instance) { return OrderOf(instance); });
     housekeeping_timer_ =
         loop_->Timers()->Every(now + kHousekeepingPeriod, kHousekeepingPeriod,
                                [this](Time) { RunHousekeeping(); });
@@ -126,6 +135,7 @@
       Log().Info("event=config_in_force version={}", version);
       metrics_->Set("config_version", "kind", "in_force",
                     static_cast<double>(version));
+      SetColdServices();
     }
   }
 
@@ -136,15 +146,24 @@
 
   void SetTargets(const std::vector<ServingTarget>& targets) override {
     targets_.SetTargets(targets, clock_->Now());
+    targets_.UpdateColdRecords(WallMs(), clock_->Now());
+    OnColdChange();
     DecideWaiting();
   }
 
   void SetMembers(const std::vector<VmRecord>& members) override {
     directory_.SetMembers(members, clock_->Now());
+    if (!has_members_) {
+      turns_from_ = clock_->SuspendAwareNow() + kTurnDelay;
+      if (directory_.Members() > 1) {
+        targets_.Cold()->HoldUntil(clock_->SuspendAwareNow() + kColdNewsTime);
+      }
+    }
     has_members_ = true;
     UpdateScale();
     UpdateSavedRetries();
     targets_.Limits()->UpdateShares(clock_->SuspendAwareNow());
+    targets_.Cold()->Update(clock_->SuspendAwareNow());
     Log().Info("event=members count={}", directory_.Members());
     peer_reporter_.SendAll();
   }
@@ -169,6 +188,7 @@
     options_.retry_ratio = options.retry_ratio;
     options_.retry_slack = options.retry_slack;
     options_.admission = options.admission;
+    targets_.Cold()->SetBounds(options.cold_bounds);
     admission_.SetOptions(options.admission);
     admission_.Quotas()->SetSlack(options.quota_slack);
   }
@@ -263,6 +283,11 @@
                          std::optional<Time> sent) override {
     const TargetInstance instance = TargetInstance::Of(target);
     OnTargetLimit(target, statement, sent);
+    if (statement.cold_remaining.has_value() && sent.has_value()) {
+      targets_.Cold()->OnHealth(target, *statement.cold_remaining, *sent,
+                                clock_->SuspendAwareNow());
+      OnColdChange();
+    }
     if (!statement.is_leaving && !statement.rest.has_value() &&
         !statement.has_invalid_rest) {
       return;
@@ -345,6 +370,69 @@
         IsReady() && has_members_, clock_->Now());
   }
 
+  void OnColdChange() override {
+    const Time boot_now = clock_->SuspendAwareNow();
+    ColdTargets* cold = targets_.Cold();
+    if (!cold->IsEnabled() || !(cold->TakeNews() || cold->TakeChanged())) {
+      return;
+    }
+    peer_reporter_.SendNoticesSoon();
+    LogColdEvents(boot_now);
+  }
+
+  void LogColdEvents(Time boot_now) {
+    for (const ColdTargets::Event& event :
+         targets_.Cold()->TakeEvents(boot_now)) {
+      if (event.is_cold) {
+        request_log_.Warning(
+            clock_->Now(),
+            "event=target_cold target={} until_ms={} cause={} share={:.3f}",
+            event.target, event.left / std::chrono::milliseconds(1),
+            ColdCauseName(event.cause), event.own_rate);
+      } else {
+        request_log_.Warning(clock_->Now(), "event=target_warm target={}",
+                             event.target);
+      }
+    }
+  }
+
+  // VMs hold turns from a while after their start on, when the others have read
+  // that they are registered.
+  VmOrder OrderOf(const TargetInstance& instance) const {
+    return directory_.OrderFor(
+        instance.id,
+        IsReady() && has_members_ && clock_->SuspendAwareNow() >= turns_from_,
+        clock_->Now());
+  }
+
+  void SetColdServices() {
+    std::map<std::string, ServiceSpec> services;
+    for (const ServiceSpec& service : admission_.Table()->Config().services) {
+      services.emplace(service.name, service);
+    }
+    targets_.SetColdServices(services, WallMs(), clock_->Now());
+  }
+
+  std::int64_t WallMs() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               clock_->WallNow().time_since_epoch())
+        .count();
+  }
+
+  void UpdateColdTargets() {
+    const Time boot_now = clock_->SuspendAwareNow();
+    ColdTargets* cold = targets_.Cold();
+    cold->Update(boot_now);
+    if (!cold->IsEnabled()) {
+      return;
+    }
+    if (cold->TakeNews()) {
+      peer_reporter_.SendNoticesSoon();
+    }
+    LogColdEvents(boot_now);
+    metrics_->Set("targets", "kind", "cold", cold->ColdCount(boot_now));
+  }
+
   void OnLossesChange() override {
     LossTable* losses = admission_.Losses();
     for (const RequestProperty& property : losses->TakeNewlyRefused()) {
@@ -481,6 +569,12 @@
         LogLimit(notice.target, targets_.IdOf(notice.target), state.link);
       }
     }
+    for (const ColdNotice& notice : state.cold) {
+      targets_.OnColdNotice(state.link, notice, now);
+    }
+    if (!state.cold.empty()) {
+      OnColdChange();
+    }
     if (!waiting_exchanges_.empty()) {
       ScheduleDecisions();
     }
@@ -618,6 +712,7 @@
     }
     metrics_->Set("properties", "kind", "refused", losses->RefusedCount());
     targets_.Limits()->UpdateShares(clock_->SuspendAwareNow());
+    UpdateColdTargets();
     UpdateSavedRetries();
     metrics_->Set("targets", "kind", "limited",
                   targets_.Limits()->LimitedCount());
@@ -705,6 +800,7 @@
   std::map<std::string, RetryBudget> retry_budgets_;
   double saved_retries_ = 1;  ///< that this VM may accumulate
   bool has_members_ = false;  ///< the other VMs are known
+  Time turns_from_;           ///< when this VM may hold turns at cold targets
   std::map<std::uint64_t, Exchange*> waiting_exchanges_;
   std::map<std::uint64_t, Exchange*> in_flight_exchanges_;
   std::uint64_t next_exchange_id_ = 0;
--- a/src/relay/relay_options.cc
+++ b/src/relay/relay_options.cc
@@ -63,6 +63,11 @@
            "Retries for each request of a service, over all VMs."),
       Rule("targets", "retry_slack", number, "50", 0,
            "Further retries of a service, over all VMs."),
+      Rule("targets", "cold_overage", number, "1", 0,
+           "Requests that a cold target may be sent in a second, relative to "
+           "the rate that its service states."),
+      Rule("targets", "cold_slack", number, "0", 0,
+           "Further requests that it may be sent in a second."),
       Rule("quotas", "token_slack", number, "0", 0,
            "Tokens that a workspace may be given beyond its quota at the "
            "most, over all VMs."),
@@ -114,6 +119,8 @@
   options.vanished_use = options.target_drain_time * kVanishedUsePercent / 100;
   options.retry_ratio = settings.Number("targets", "retry_ratio");
   options.retry_slack = settings.Number("targets", "retry_slack");
+  options.cold_bounds.overage = settings.Number("targets", "cold_overage");
+  options.cold_bounds.slack = settings.Number("targets", "cold_slack");
   options.quota_slack =
       settings.Number("quotas", "token_slack") * kQuotaSlackShare;
   options.moves.exposure_share = settings.Number("moves", "exposure_share");
--- a/src/relay/relay_options.h
+++ b/src/relay/relay_options.h
@@ -8,6 +8,7 @@
 #include "hornbeamcleat/base/settings.h"
 #include "hornbeamcleat/base/time.h"
 #include "src/serving/admission.h"
+#include "src/serving/cold_targets.h"
 #include "src/serving/version_moves.h"
 
 namespace hornbeamcleat {
@@ -32,6 +33,7 @@
   Duration vanished_use{0};
   double retry_ratio = 0;  ///< retries per request, over all VMs
   double retry_slack = 0;  ///< additional retries in a window, over all VMs
+  ColdBounds cold_bounds;
   double quota_slack = 0;  ///< tokens that a workspace may use beyond its quota
   VersionMoves::Options moves;
   AdmissionController::Options admission;
--- a/src/relay/target_attempt.cc
+++ b/src/relay/target_attempt.cc
@@ -29,6 +29,7 @@
     incarnation_ = spec->Incarnation();
     is_counted_by_limit_ =
         observers_.targets->IsLimited(placement_.target, now);
+    is_counted_as_cold_ = observers_.targets->IsCold(placement_.target, now);
   }
 }
 
--- a/src/relay/target_attempt.h
+++ b/src/relay/target_attempt.h
@@ -38,6 +38,8 @@
   const std::string& Incarnation() const { return incarnation_; }
   /// Whether the target stated a limit when the request was placed.
   bool IsCountedByLimit() const { return is_counted_by_limit_; }
+  /// Whether the target was cold when the request was placed.
+  bool IsCountedAsCold() const { return is_counted_as_cold_; }
   bool HadFirstEvent() const { return had_first_event_; }
 
   /// Records the first event or, without events, the head of the response.
@@ -58,6 +60,7 @@
   std::string version_;      ///< software version of the target
   std::string incarnation_;  ///< of the target
   bool is_counted_by_limit_ = false;
+  bool is_counted_as_cold_ = false;
   bool had_first_event_ = false;
   FirstEventStats finding_;
 };
--- a/src/serving/target_balancer.cc
+++ b/src/serving/target_balancer.cc
@@ -190,6 +190,7 @@
 // accumulating.
 void TargetBalancer::RebuildPeerTotals() {
   by_hash_.clear();
+  by_id_.clear();
   for (auto& [id, target] : targets_) {
     target.peer_running = 0;
     target.peer_pending_tokens = 0;
@@ -198,6 +199,7 @@
     target.peer_failures = 0;
     target.peer_answers = 0;
     by_hash_[target.hash] = &target;
+    by_id_[target.instance.id] = &target;
   }
   for (const auto& [peer, loads] : peer_loads_) {
     for (const TargetLoad& load : loads) {
@@ -258,6 +260,7 @@
                ? std::min(1, free)
                : 0;
   }
+  free = ColdFreeSlots(target, free, now);
   switch (AccessTo(target, now)) {
     case TargetAccess::kOpen:
     case TargetAccess::kAvoided:
@@ -334,6 +337,7 @@
   for (const auto& [id, target] : targets_) {
     if (target.spec.service != need.service || target.spec.is_draining ||
         !IsAllowed(target, need, filter.is_new) ||
+        IsCold(target, now) != need.is_for_cold ||
         !IsCandidate(target.hash, need.seed, filter.share) ||
         FreeSlotsOf(target, now) == 0 || IsEjected(target, now) ||
         (!filter.includes_avoided && IsAvoided(target, now)) ||
@@ -384,8 +388,9 @@
 
 Time TargetBalancer::OpensAt(const Target& target, Time now) const {
   const Time boot_now = now + suspended_time_;
-  return std::max(statements_.OpensAt(target.instance, boot_now),
-                  limits_.OpensAt(target.instance, boot_now));
+  return std::max({statements_.OpensAt(target.instance, boot_now),
+                   limits_.OpensAt(target.instance, boot_now),
+                   cold_.OpensAt(target.instance, boot_now)});
 }
 
 ServiceOpening TargetBalancer::OpeningOf(const std::string& service,
@@ -404,7 +409,11 @@
     const Time opens_at = OpensAt(target, now);
     first = std::min(first, opens_at);
     const bool is_resting = AccessTo(target, now) == TargetAccess::kResting;
-    if (!IsLimited(target, now)) {
+    if (IsCold(target, now)) {
+      opening.is_limited = opening.is_limited || !is_resting;
+      opening.own_rate += cold_.OwnRate(target.instance);
+      opening.mean_rate += cold_.MeanRate(target.instance);
+    } else if (!IsLimited(target, now)) {
       has_unlimited = has_unlimited || !is_resting;
     } else if (!is_resting) {
       opening.is_limited = true;
@@ -435,12 +444,116 @@
     const double of_slots = target.spec.slots / ToSeconds(hold_time);
     const std::optional<TargetLimits::Limit> limit =
         limits_.Find(target.instance, now + suspended_time_);
-    per_second +=
+    const double of_limit =
         limit.has_value() ? std::min(limit->per_second, of_slots) : of_slots;
+    per_second +=
+        std::min(of_limit, cold_.RateOf(target.instance, now + suspended_time_)
+                               .value_or(of_limit));
   }
   return per_second;
 }
 
+void TargetBalancer::SetColdServices(
+    const std::map<std::string, ServiceSpec>& services, std::int64_t wall_ms,
+    Time now) {
+  cold_.SetServices(services);
+  if (!targets_.empty()) {
+    UpdateColdRecords(wall_ms, now);
+  }
+}
+
+void TargetBalancer::UpdateColdRecords(std::int64_t wall_ms, Time now) {
+  if (!cold_.IsEnabled()) {
+    return;
+  }
+  std::vector<ServingTarget> targets;
+  for (const auto& [id, target] : targets_) {
+    if (cold_.HasService(target.spec.service)) {
+      targets.push_back(target.spec);
+    }
+  }
+  cold_.SetRecords(targets, wall_ms, now + suspended_time_);
+}
+
+void TargetBalancer::MarkDomainCold(const std::string& failure_domain,
+                                    Time now) {
+  for (const auto& [id, target] : targets_) {
+    if (target.spec.failure_domain == failure_domain) {
+      cold_.OnEvacuationEnded(target.spec, now + suspended_time_);
+    }
+  }
+}
+
+void TargetBalancer::OnColdNotice(const std::string& peer,
+                                  const ColdNotice& notice, Time now) {
+  const auto it = by_id_.find(notice.target.id);
+  const bool has_others =
+      it != by_id_.end() && it->second->running + it->second->peer_running > 0;
+  cold_.OnNotice(std::max<std::uint64_t>(1, Hash64(peer)), notice, has_others,
+                 now + suspended_time_);
+}
+
+void TargetBalancer::OnAnswerBytes(const std::string& target, Time sent,
+                                   Time now) {
+  if (!cold_.IsEnabled()) {
+    return;
+  }
+  const auto it = targets_.find(target);
+  if (it != targets_.end()) {
+    cold_.OnHeard(it->second.spec, sent, now + suspended_time_);
+  }
+}
+
+void TargetBalancer::OnAnswerComplete(const std::string& target, Time sent,
+                                      Time now) {
+  const auto it = targets_.find(target);
+  if (it != targets_.end()) {
+    cold_.OnAnswered(it->second.spec, sent, now + suspended_time_);
+  }
+}
+
+bool TargetBalancer::IsCold(const std::string& target, Time now) const {
+  const auto it = targets_.find(target);
+  return it != targets_.end() && IsCold(it->second, now);
+}
+
+bool TargetBalancer::ConfirmCold(const std::string& target, bool is_counted,
+                                 Time now) {
+  const auto it = targets_.find(target);
+  return it == targets_.end() ||
+         cold_.ConfirmSend(it->second.instance, is_counted,
+                           now + suspended_time_);
+}
+
+bool TargetBalancer::HasOpenColdTarget(const std::string& service,
+                                       Time now) const {
+  if (!cold_.HasService(service)) {
+    return false;
+  }
+  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& item) {
+    const Target& target = item.second;
+    return target.spec.service == service && IsStaying(target) &&
+           IsCold(target, now) && FreeSlotsOf(target, now) > 0;
+  });
+}
+
+int TargetBalancer::ColdFreeSlots(const Target& target, int free,
+                                  Time now) const {
+  if (!cold_.IsEnabled()) {
+    return free;
+  }
+  const Time boot_now = now + suspended_time_;
+  if (cold_.OpensAt(target.instance, boot_now) > boot_now) {
+    return 0;
+  }
+  if (cold_.IsCold(target.instance, boot_now)) {
+    return std::min(1, free);
+  }
+  const int open_slots = static_cast<int>(std::ceil(
+      target.spec.slots * cold_.SlotShare(target.instance, boot_now)));
+  return std::clamp(open_slots - target.running - target.peer_running, 0, free);
+}
+
 bool TargetBalancer::IsLimited(const std::string& target, Time now) const {
   const auto it = targets_.find(target);
   return it != targets_.end() && IsLimited(it->second, now);
@@ -504,6 +617,7 @@
   ++changes_;
   ++it->second.running;
   limits_.OnPlaced(it->second.instance, now + suspended_time_);
+  cold_.OnPlaced(it->second.instance, now + suspended_time_);
   it->second.pending_tokens += prompt_tokens;
   if (it->second.unanswered++ == 0) {
     it->second.unanswered_since = now;
@@ -567,6 +681,10 @@
       outcome == TargetOutcome::kFailed) {
     statements_.OnAnswered(entry.instance, now + suspended_time_);
   }
+  if (outcome == TargetOutcome::kLost || outcome == TargetOutcome::kUnreached) {
+    cold_.OnLost(entry.spec, entry.running + entry.peer_running > 0,
+                 now + suspended_time_);
+  }
   switch (outcome) {
     case TargetOutcome::kAnswered:
       entry.answers += 1;
@@ -650,7 +768,8 @@
   int free_at_avoided = 0;
   for (const auto& [id, target] : targets_) {
     if (target.spec.service == service && !target.spec.is_draining &&
-        HasTrafficShare(target) && !IsEjected(target, now)) {
+        HasTrafficShare(target) && !IsEjected(target, now) &&
+        !IsCold(target, now)) {
       (IsAvoided(target, now) ? free_at_avoided : free) +=
           FreeSlotsOf(target, now);
     }
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -14,6 +14,7 @@
 #include "hornbeamcleat/serving/peer_state.h"
 #include "hornbeamcleat/serving/serving_config.h"
 #include "hornbeamcleat/serving/target_statement.h"
+#include "src/serving/cold_targets.h"
 #include "src/serving/target_limits.h"
 #include "src/serving/target_statements.h"
 
@@ -31,6 +32,8 @@
   /// If set, targets are ranked by their rendezvous hash with this key instead
   /// of by cost, so that all VMs choose the same one for equal keys.
   std::optional<std::uint64_t> rendezvous_key;
+  /// Considers cold targets only; else they are left out.
+  bool is_for_cold = false;
 
   bool operator==(const PlacementNeed&) const = default;
 };
@@ -129,6 +132,31 @@
   TargetStatements* Statements() { return &statements_; }
   /// Limits on requests that targets have stated.
   TargetLimits* Limits() { return &limits_; }
+  /// Targets that have just started or come back.
+  ColdTargets* Cold() { return &cold_; }
+
+  /// Sets the services with cold targets, by name.
+  void SetColdServices(const std::map<std::string, ServiceSpec>& services,
+                       std::int64_t wall_ms, Time now);
+  /// Applies what the listed records state about cold targets.
+  /// @param wall_ms Unix time
+  void UpdateColdRecords(std::int64_t wall_ms, Time now);
+  /// The evacuation of a failure domain has ended, so that its targets are
+  /// cold.
+  void MarkDomainCold(const std::string& failure_domain, Time now);
+  void OnColdNotice(const std::string& peer, const ColdNotice& notice,
+                    Time now);
+  /// Records bytes of an answer to a request that was sent at `sent`, on the
+  /// suspension-aware clock.
+  void OnAnswerBytes(const std::string& target, Time sent, Time now);
+  /// Records a complete answer to it.
+  void OnAnswerComplete(const std::string& target, Time sent, Time now);
+  bool IsCold(const std::string& target, Time now) const;
+  /// Last check of a cold target before a request is sent.
+  /// @param is_counted whether it was cold when the request was placed
+  bool ConfirmCold(const std::string& target, bool is_counted, Time now);
+  /// Whether this VM may send a request to a cold target of the service.
+  bool HasOpenColdTarget(const std::string& service, Time now) const;
 
   /// Returns the target with the lowest cost among those with a free slot, or
   /// nullopt. Has no side effects.
@@ -259,6 +287,11 @@
   bool IsLimited(const Target& target, Time now) const {
     return limits_.Find(target.instance, now + suspended_time_).has_value();
   }
+  bool IsCold(const Target& target, Time now) const {
+    return cold_.IsCold(target.instance, now + suspended_time_);
+  }
+  /// Restricts free slots of a target that is cold or has become warm.
+  int ColdFreeSlots(const Target& target, int free, Time now) const;
   /// When this VM may send to the target, as far as its rest and its limit
   /// decide, on the suspension-aware clock.
   Time OpensAt(const Target& target, Time now) const;
@@ -281,6 +314,7 @@
 
   std::map<std::string, Target> targets_;  ///< keyed by ID
   std::unordered_map<std::uint32_t, Target*> by_hash_;
+  std::unordered_map<std::uint64_t, const Target*> by_id_;  ///< by instance
   std::map<std::string, std::vector<TargetLoad>> peer_loads_;
   std::map<std::string, std::vector<TargetStats>> peer_stats_;
   std::map<std::string, VersionRule> version_rules_;  ///< keyed by service
@@ -289,6 +323,7 @@
   double remote_domain_cost_ms_ = 0;
   TargetStatements statements_;
   TargetLimits limits_;
+  ColdTargets cold_;
   Duration suspended_time_{0};
 };
 
--- a/src/serving/target_registry.cc
+++ b/src/serving/target_registry.cc
@@ -26,7 +26,16 @@
   std::set<std::string> listed;
   for (const ServingTarget& target : targets) {
     listed.insert(target.id);
-    Put(target);
+    // A list repeats entries that were read before.
+    ServingTarget entry = target;
+    const auto known = registered_.find(target.id);
+    if (known != registered_.end()) {
+      entry.read_at = known->second.read_at;
+      if (entry != known->second) {
+        entry.read_at = target.read_at;
+      }
+    }
+    Put(entry);
   }
   std::vector<std::string> missing;
   for (const auto& [id, target] : registered_) {
--- a/src/serving/vm_directory.cc
+++ b/src/serving/vm_directory.cc
@@ -139,6 +139,24 @@
   return share;
 }
 
+VmOrder VmDirectory::OrderFor(std::uint64_t key, bool takes_part,
+                              Time now) const {
+  const std::uint64_t own = Hash64(self_.link, key);
+  VmOrder order;
+  order.takes_part = takes_part;
+  for (const auto& [link, peer] : peers_) {
+    ++order.vms;
+    if (Hash64(link, key) < own) {
+      ++order.position;
+      order.has_silent_before =
+          order.has_silent_before ||
+          !IsReachable(peer, options_.peer_timeout, now) ||
+          !peer.heard->is_ready;
+    }
+  }
+  return order;
+}
+
 std::vector<std::string> VmDirectory::Links() const {
   std::vector<std::string> links;
   for (const auto& [link, peer] : peers_) {
--- a/src/serving/vm_directory.h
+++ b/src/serving/vm_directory.h
@@ -9,6 +9,7 @@
 #include "hornbeamcleat/base/time.h"
 #include "hornbeamcleat/serving/peer_state.h"
 #include "hornbeamcleat/serving/serving_source.h"
+#include "src/serving/cold_targets.h"
 #include "src/serving/shared_rate.h"
 
 namespace hornbeamcleat {
@@ -58,6 +59,11 @@
   VmShare ShareOf(std::uint64_t key, const std::string& failure_domain,
                   bool takes_requests, Time now) const;
 
+  /// Position of this VM among all registered VMs, which doesn't depend on what
+  /// it hears.
+  /// @param takes_part whether this VM may hold turns
+  VmOrder OrderFor(std::uint64_t key, bool takes_part, Time now) const;
+
   /// Links of all other VMs, reachable or not.
   std::vector<std::string> Links() const;
   /// Links of the other VMs in this VM's failure domain.
--- a/src/serving/wait_queue.cc
+++ b/src/serving/wait_queue.cc
@@ -188,6 +188,26 @@
   return decisions;
 }
 
+std::optional<WaitDecision> WaitQueue::PlaceAtCold(
+    const WaitingRequest& request, Time now) {
+  if (!balancer_->HasOpenColdTarget(request.need.service, now)) {
+    return std::nullopt;
+  }
+  PlacementNeed need = request.need;
+  need.is_for_cold = true;
+  need.allows_long_pauses = AllowsLongPauses(request, now);
+  const std::optional<Placement> placement = balancer_->Pick(need, now);
+  if (!placement.has_value()) {
+    return std::nullopt;
+  }
+  balancer_->OnSent(placement->target, need.prompt_tokens, now);
+  WaitDecision decision;
+  decision.id = request.id;
+  decision.waited = now - request.arrival;
+  decision.placement = *placement;
+  return decision;
+}
+
 void WaitQueue::DecideQueue(const std::string& service, Queue* local_queue,
                             Time now, std::vector<WaitDecision>* decisions) {
   std::stable_sort(local_queue->requests.begin(), local_queue->requests.end(),
@@ -242,6 +262,12 @@
     // new requests early if the estimated wait is too long.
     if (now >= limit || opens_too_late ||
         (now + wait > limit && MayRefusePromptly(request, now))) {
+      --position;
+      if (const std::optional<WaitDecision> at_cold =
+              PlaceAtCold(request, now)) {
+        decisions->push_back(*at_cold);
+        continue;
+      }
       decision.kind = WaitDecision::Kind::kRefuse;
       decision.retry_after =
           opening.is_limited || opening.at > now
@@ -249,11 +275,20 @@
                                   local_queue)
               : std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
       decisions->push_back(decision);
-      --position;
       continue;
     }
     kept.push_back(request);
   }
+  // Of those that wait, the last one goes to a cold target first, since it
+  // would wait longest for another.
+  for (std::size_t i = kept.size(); i > 0; --i) {
+    const std::optional<WaitDecision> at_cold = PlaceAtCold(kept[i - 1], now);
+    if (!at_cold.has_value()) {
+      break;
+    }
+    decisions->push_back(*at_cold);
+    kept.erase(kept.begin() + static_cast<std::ptrdiff_t>(i - 1));
+  }
   changes_ += local_queue->requests.size() - kept.size();
   local_queue->requests = std::move(kept);
 }
--- a/src/serving/wait_queue.h
+++ b/src/serving/wait_queue.h
@@ -106,6 +106,9 @@
     Time received_at;
   };
 
+  /// Places a request for which no other target has room at a cold one.
+  std::optional<WaitDecision> PlaceAtCold(const WaitingRequest& request,
+                                          Time now);
   void DecideQueue(const std::string& service, Queue* local_queue, Time now,
                    std::vector<WaitDecision>* decisions);
   int AheadAtPeers(std::uint32_t service, const WaitingRank& rank) const;
