--- a/src/relay/peer_reporter.cc
+++ b/src/relay/peer_reporter.cc
@@ -253,6 +253,9 @@
   state.cold = sources_.targets->Cold()->NoticesSince(
       std::min(notices_sent_until_, boot_now - kColdRepeatTime), boot_now);
   notices_sent_until_ = boot_now;
+  if (state.notices.empty() && state.limits.empty() && state.cold.empty()) {
+    return;
+  }
   link_->Send(state, sources_.directory->Links());
   if (!state.cold.empty()) {
     notices_due_ = notices_sent_at_ + kColdRepeatInterval;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -373,11 +373,13 @@
   void OnColdChange() override {
     const Time boot_now = clock_->SuspendAwareNow();
     ColdTargets* cold = targets_.Cold();
-    if (!cold->IsEnabled() || !(cold->TakeNews() || cold->TakeChanged())) {
-      return;
+    if (cold->TakeNews()) {
+      peer_reporter_.SendNoticesSoon();
+    }
+    if (cold->TakeChanged()) {
+      LogColdEvents(boot_now);
+      ScheduleDecisions();
     }
-    peer_reporter_.SendNoticesSoon();
-    LogColdEvents(boot_now);
   }
 
   void LogColdEvents(Time boot_now) {
--- a/src/serving/cold_targets.cc
+++ b/src/serving/cold_targets.cc
@@ -25,8 +25,8 @@
 /// Bytes that arrive within this time after a loss may have been sent before
 /// it.
 constexpr Duration kInFlightTime = std::chrono::milliseconds(50);
-/// A record of the same start that is read within this time after a loss may
-/// have been written before it.
+/// A record that is read within this time after a loss or the end of an
+/// evacuation may have been written before it.
 constexpr Duration kRecordDelay = std::chrono::seconds(2);
 /// VMs read the same record within this time, unless the store is slow.
 constexpr Duration kSameRecordTime = std::chrono::milliseconds(500);
@@ -75,7 +75,10 @@
       std::isfinite(limit) ? std::clamp(limit + kRounding, 1.0, kMaxBound) : 1);
   ColdTurns best;
   best.per_second = std::min(per_second, 0.5);
-  for (int holders = std::clamp(vms, 1, kMaxHolders); holders > 0; --holders) {
+  const int most =
+      std::clamp(static_cast<int>(std::ceil(std::min(per_second, 1e6))), 1,
+                 std::clamp(vms, 1, kMaxHolders));
+  for (int holders = most; holders > 0; --holders) {
     const int per_vm = bound / (holders + 1);
     const double rate = std::min(per_second, holders * (per_vm - 0.5));
     if (per_vm > 0 && (!best.has_spare || rate > best.per_second)) {
@@ -184,9 +187,7 @@
     return;
   }
   const bool is_new_start = target.start_time_ms > state->start_time_ms;
-  const bool is_after_loss =
-      target.read_at >= state->lost_at + kRecordDelay ||
-      (is_new_start && target.cold_remaining != Duration(0));
+  const bool may_be_outdated = MayBeOutdated(target, is_new_start, *state);
   if (is_new_start) {
     OnNewStart(target.start_time_ms, state);
   }
@@ -195,12 +196,9 @@
   if (target.cold_remaining.has_value()) {
     const Time until =
         target.read_at + std::min(*target.cold_remaining, kMaxColdTime);
-    if (!state->is_lost || is_after_loss) {
-      state->cold_until = until;
-    } else {
-      state->cold_until = std::max(state->cold_until, until);
-    }
-    if (state->is_lost && is_after_loss) {
+    state->cold_until =
+        may_be_outdated ? std::max(state->cold_until, until) : until;
+    if (state->is_lost && !may_be_outdated) {
       state->is_lost = false;
       state->loss_ended_at = now;
     }
@@ -227,6 +225,15 @@
   }
 }
 
+bool ColdTargets::MayBeOutdated(const ServingTarget& target, bool is_new_start,
+                                const State& state) {
+  const bool states_cold = target.cold_remaining != Duration(0);
+  return (state.is_lost && !(is_new_start && states_cold) &&
+          target.read_at < state.lost_at + kRecordDelay) ||
+         (state.evacuation_ended_at != Time() && !states_cold &&
+          target.read_at < state.evacuation_ended_at + kRecordDelay);
+}
+
 void ColdTargets::OnLost(const ServingTarget& target, bool has_others,
                          Time now) {
   State* state = FindListed(target, now);
@@ -333,6 +340,7 @@
   if (state == nullptr) {
     return;
   }
+  state->evacuation_ended_at = now;
   state->cold_until = std::max(state->cold_until, now + ColdTime(*state));
   state->cause = ColdCause::kEvacuation;
   UpdateTurn(now, state);
--- a/src/serving/cold_targets.h
+++ b/src/serving/cold_targets.h
@@ -175,7 +175,8 @@
     ColdCause cause = ColdCause::kRecord;
     bool is_lost = false;
     Time lost_at;
-    Time answered_at;    ///< first complete answer after the loss
+    Time answered_at;  ///< first complete answer after the loss
+    Time evacuation_ended_at;
     Time loss_ended_at;  ///< when the latest loss stopped to count
     /// A loss that others may disprove.
     bool is_suspected = false;
@@ -212,6 +213,10 @@
                State* state);
   static void Confirm(Time at, State* state);
   void AddProof(Time from, Time to, State* state);
+  /// Whether the record may have been written before a loss or the end of an
+  /// evacuation.
+  static bool MayBeOutdated(const ServingTarget& target, bool is_new_start,
+                            const State& state);
   void UpdateTurn(Time now, State* state);
   void Tell(Time now, State* state);
   static ColdNotice NoticeOf(std::uint64_t id, const State& state, Time now);
--- a/src/serving/target_balancer.cc
+++ b/src/serving/target_balancer.cc
@@ -809,7 +809,7 @@
     if (target.spec.service == service && IsStaying(target) &&
         target.spec.software_version == version &&
         (AccessTo(target, now) == TargetAccess::kResting ||
-         IsLimited(target, now))) {
+         IsLimited(target, now) || IsCold(target, now))) {
       slots += target.spec.slots;
     }
   }
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -214,7 +214,7 @@
               bool is_version) const;
   int RunningOf(const std::string& service, const std::string& version,
                 bool is_version) const;
-  /// Slots at targets of one version that rest or state limits.
+  /// Slots at targets of one version that rest, state limits or are cold.
   int RestingSlotsOf(const std::string& service, const std::string& version,
                      Time now) const;
 
--- a/tests/relay/relay_fixture.cc
+++ b/tests/relay/relay_fixture.cc
@@ -53,6 +53,25 @@
   }
 }
 
+void ScriptedTarget::Crash() {
+  StopListening();
+  for (const std::shared_ptr<Connection>& connection : connections_) {
+    connection->stream->Abort();
+  }
+}
+
+void ScriptedTarget::ListenAgain() {
+  fd_ = FileDescriptor(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+  constexpr int kOn = 1;
+  setsockopt(fd_.Get(), SOL_SOCKET, SO_REUSEADDR, &kOn, sizeof(kOn));
+  const sockaddr_in address = ToSocketAddress(bound_);
+  EXPECT_EQ(bind(fd_.Get(), reinterpret_cast<const sockaddr*>(&address),
+                 sizeof(address)),
+            0);
+  EXPECT_EQ(listen(fd_.Get(), 64), 0);
+  loop_->Watch(fd_.Get(), EPOLLIN, [this](std::uint32_t) { Accept(); });
+}
+
 void ScriptedTarget::Accept() {
   const std::shared_ptr<Connection> connection = std::make_shared<Connection>();
   FileDescriptor fd(accept4(fd_.Get(), nullptr, nullptr, SOCK_NONBLOCK));
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -47,6 +47,10 @@
   void SetScript(Script script) { script_ = std::move(script); }
   /// Refuses further connections, as an ended process does.
   void StopListening();
+  /// Ends all connections as well, as a process that crashes does.
+  void Crash();
+  /// Accepts connections at the same address again.
+  void ListenAgain();
 
  private:
   struct Connection;
