--- a/src/serving/wait_queue.cc
+++ b/src/serving/wait_queue.cc
@@ -208,6 +208,33 @@
   return decision;
 }
 
+// The last one goes first, since it would wait longest for another target. If
+// there is no other, the order of the queue holds.
+void WaitQueue::PlaceKeptAtCold(bool in_order, Time now,
+                                std::vector<WaitingRequest>* kept,
+                                std::vector<WaitDecision>* decisions) {
+  if (kept->empty() ||
+      !balancer_->HasOpenColdTarget(kept->front().need.service, now)) {
+    return;
+  }
+  std::vector<WaitingRequest> left;
+  if (!in_order) {
+    std::reverse(kept->begin(), kept->end());
+  }
+  for (const WaitingRequest& request : *kept) {
+    const std::optional<WaitDecision> at_cold = PlaceAtCold(request, now);
+    if (at_cold.has_value()) {
+      decisions->push_back(*at_cold);
+    } else {
+      left.push_back(request);
+    }
+  }
+  if (!in_order) {
+    std::reverse(left.begin(), left.end());
+  }
+  *kept = std::move(left);
+}
+
 void WaitQueue::DecideQueue(const std::string& service, Queue* local_queue,
                             Time now, std::vector<WaitDecision>* decisions) {
   std::stable_sort(local_queue->requests.begin(), local_queue->requests.end(),
@@ -279,16 +306,7 @@
     }
     kept.push_back(request);
   }
-  // Of those that wait, the last one goes to a cold target first, since it
-  // would wait longest for another.
-  for (std::size_t i = kept.size(); i > 0; --i) {
-    const std::optional<WaitDecision> at_cold = PlaceAtCold(kept[i - 1], now);
-    if (!at_cold.has_value()) {
-      break;
-    }
-    decisions->push_back(*at_cold);
-    kept.erase(kept.begin() + static_cast<std::ptrdiff_t>(i - 1));
-  }
+  PlaceKeptAtCold(opening.is_limited, now, &kept, decisions);
   changes_ += local_queue->requests.size() - kept.size();
   local_queue->requests = std::move(kept);
 }
--- a/src/serving/wait_queue.h
+++ b/src/serving/wait_queue.h
@@ -109,6 +109,10 @@
   /// Places a request for which no other target has room at a cold one.
   std::optional<WaitDecision> PlaceAtCold(const WaitingRequest& request,
                                           Time now);
+  /// Places those that wait at cold targets.
+  void PlaceKeptAtCold(bool in_order, Time now,
+                       std::vector<WaitingRequest>* kept,
+                       std::vector<WaitDecision>* decisions);
   void DecideQueue(const std::string& service, Queue* local_queue, Time now,
                    std::vector<WaitDecision>* decisions);
   int AheadAtPeers(std::uint32_t service, const WaitingRank& rank) const;
--- a/tests/platform/records_test.cc
+++ b/tests/platform/records_test.cc
@@ -100,6 +100,50 @@
   EXPECT_FALSE(target.is_draining);
 }
 
+TEST_F(RecordsTest, DecodeTargetReadsColdTime) {
+  const auto cold = [](const std::string& value) {
+    std::string json = kTarget;
+    json.insert(json.rfind('}'), ",\"cold_remaining_ms\":" + value);
+    return DecodeTarget("t", json).cold_remaining;
+  };
+  EXPECT_EQ(DecodeTarget("t", kTarget).cold_remaining, std::nullopt);
+  EXPECT_EQ(cold("2500"), std::chrono::milliseconds(2'500));
+  EXPECT_EQ(cold("0"), Duration(0));
+  // A value that can't be read must not take the target away.
+  for (const char* invalid : {"-1", "null", "\"9\"", "true", "[]", "{}"}) {
+    EXPECT_EQ(cold(invalid), std::nullopt) << invalid;
+  }
+  for (const char* huge : {"1e300", "99999999999999999999"}) {
+    EXPECT_LE(cold(huge).value_or(Duration(0)), std::chrono::minutes(10));
+  }
+}
+
+TEST_F(RecordsTest, DecodeConfigReadsColdStartOfServices) {
+  const auto service = [](const std::string& members) {
+    return DecodeConfig(R"({"version":1,"services":[{"name":"s")" + members +
+                        "}]}")
+        .services[0];
+  };
+  EXPECT_EQ(service("").cold_per_second, 0);
+  EXPECT_EQ(service(R"(,"coldstart_per_s":0,"cold_start_s":6)").cold_per_second,
+            0);
+  EXPECT_EQ(service(R"(,"cold_start_s":6)").cold_per_second, 0);
+  const ServiceSpec cold =
+      service(R"(,"coldstart_per_s":9.1,"cold_start_s":6)");
+  EXPECT_EQ(cold.cold_per_second, 9.1);
+  EXPECT_EQ(cold.cold_start, std::chrono::seconds(6));
+  // Neither the configuration is lost nor the caution.
+  for (const char* invalid : {"-1", "\"9\"", "true", "[]"}) {
+    const ServiceSpec odd =
+        service(std::string(R"(,"coldstart_per_s":)") + invalid);
+    EXPECT_EQ(odd.cold_per_second, 1) << invalid;
+    EXPECT_GT(odd.cold_start, Duration(0)) << invalid;
+  }
+  EXPECT_LE(
+      service(R"(,"coldstart_per_s":1e300,"cold_start_s":1e300)").cold_start,
+      std::chrono::minutes(10));
+}
+
 TEST_F(RecordsTest, DecodeTargetWithInvalidEntryThrows) {
   for (const char* json :
        {R"({"service":"s","address":"10.0.0.1:80","slots":"11",)"
--- a/tests/platform/wire_codec_test.cc
+++ b/tests/platform/wire_codec_test.cc
@@ -196,6 +196,20 @@
   EXPECT_TRUE(statement({{"Server-Leaving", "0"}}).IsEmpty());
 }
 
+TEST_F(WireCodecTest, ColdTimeOfHealthResponseIsReadInMilliseconds) {
+  const auto cold = [this](const std::string& text) {
+    return codec_->ParseResponseHeaders(200, {{"Cold-Remaining-Ms", text}})
+        .statement.cold_remaining;
+  };
+  EXPECT_EQ(cold("2500"), std::chrono::milliseconds(2'500));
+  EXPECT_EQ(cold("0"), Duration(0));
+  for (const char* invalid :
+       {"", "-1", "warm", "nan", "inf", "1e999", "5 ms"}) {
+    EXPECT_EQ(cold(invalid), std::nullopt) << invalid;
+  }
+  EXPECT_LE(*cold("1e300"), std::chrono::hours(24));
+}
+
 // Only a refusal asks for rest; in other answers the header is the caller's.
 TEST_F(WireCodecTest, RetryAfterOfOtherStatusIsNoRest) {
   for (const int status : {200, 301, 429, 500, 502}) {
--- a/tests/serving/target_balancer_test.cc
+++ b/tests/serving/target_balancer_test.cc
@@ -339,5 +339,73 @@
   EXPECT_EQ(Pick(Need()), "a");
 }
 
+/// Service "s" has cold targets.
+class TargetBalancerColdTest : public TargetBalancerTest {
+ protected:
+  TargetBalancerColdTest() {
+    ServiceSpec service;
+    service.name = "s";
+    service.cold_start = milliseconds(5'000);
+    service.cold_per_second = 9.1;
+    balancer_.Cold()->SetBounds({1.5, 5});
+    balancer_.Cold()->SetOrderSource([](const TargetInstance&) {
+      return VmOrder{true, 0, 1, false};
+    });
+    balancer_.SetColdServices({{"s", service}}, 0, now_);
+    balancer_.SetTargets({Spec("a"), Spec("b")}, now_);
+    balancer_.UpdateColdRecords(0, now_);
+  }
+};
+
+TEST_F(TargetBalancerColdTest, LostConnectionMakesIdleTargetCold) {
+  for (const TargetOutcome outcome :
+       {TargetOutcome::kAnswered, TargetOutcome::kFailed,
+        TargetOutcome::kBroken, TargetOutcome::kNotRun,
+        TargetOutcome::kAbandoned}) {
+    balancer_.OnSent("a", 0, now_);
+    balancer_.OnEnded("a", 0, false, outcome, now_);
+    EXPECT_FALSE(balancer_.IsCold("a", now_));
+  }
+  balancer_.OnSent("a", 0, now_);
+  balancer_.OnEnded("a", 0, false, TargetOutcome::kLost, now_);
+  EXPECT_TRUE(balancer_.IsCold("a", now_));
+  balancer_.OnSent("b", 0, now_);
+  balancer_.OnEnded("b", 0, false, TargetOutcome::kUnreached, now_);
+  EXPECT_TRUE(balancer_.IsCold("b", now_));
+}
+
+TEST_F(TargetBalancerColdTest, LostConnectionBesideRequestOfPeerWaitsForProof) {
+  balancer_.SetPeerLoad("peer", {{Hash32("a"), 1, 0, 0}}, now_);
+  balancer_.OnSent("a", 0, now_);
+  balancer_.OnEnded("a", 0, false, TargetOutcome::kLost, now_);
+  EXPECT_FALSE(balancer_.IsCold("a", now_));
+  now_ += milliseconds(300);
+  balancer_.Cold()->Update(now_);
+  EXPECT_TRUE(balancer_.IsCold("a", now_));
+}
+
+TEST_F(TargetBalancerColdTest, DomainThatIsMarkedIsColdAndOthersAreNot) {
+  ServingTarget other = Spec("c");
+  other.failure_domain = "e";
+  balancer_.SetTargets({Spec("a"), other}, now_);
+  balancer_.UpdateColdRecords(0, now_);
+  now_ += milliseconds(6'000);
+  balancer_.MarkDomainCold("d", now_);
+  EXPECT_TRUE(balancer_.IsCold("a", now_));
+  EXPECT_FALSE(balancer_.IsCold("c", now_));
+}
+
+// A request that was placed while the target was warm would not count.
+TEST_F(TargetBalancerColdTest, RequestPlacedBeforeTargetWasColdIsChecked) {
+  balancer_.Cold()->SetOrderSource([](const TargetInstance&) {
+    return VmOrder{true, 9, 22, false};
+  });
+  balancer_.OnSent("a", 0, now_);
+  EXPECT_TRUE(balancer_.ConfirmCold("a", false, now_));
+  balancer_.MarkDomainCold("d", now_);
+  EXPECT_FALSE(balancer_.ConfirmCold("a", false, now_));
+  EXPECT_FALSE(balancer_.ConfirmCold("a", true, now_));
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
--- a/tests/serving/target_registry_test.cc
+++ b/tests/serving/target_registry_test.cc
@@ -31,6 +31,22 @@
   EXPECT_EQ(Listed(), 2U);
 }
 
+// A list that repeats an entry would start the target's cold time again.
+TEST_F(TargetRegistryTest, ListThatRepeatsEntryKeepsTimeOfFirstReading) {
+  ServingTarget spec = Spec("a");
+  spec.read_at = now_;
+  registry_.Replace({spec}, now_);
+  spec.read_at = now_ + milliseconds(500);
+  registry_.Replace({spec}, now_);
+  EXPECT_EQ(registry_.List(now_)[0].read_at, now_);
+  spec.cold_remaining = milliseconds(3'000);
+  registry_.Replace({spec}, now_);
+  EXPECT_EQ(registry_.List(now_)[0].read_at, now_ + milliseconds(500));
+  spec.read_at = now_ + milliseconds(900);
+  registry_.Put(spec);
+  EXPECT_EQ(registry_.List(now_)[0].read_at, now_ + milliseconds(900));
+}
+
 // After an outage of the store most entries have expired although their targets
 // are still running.
 TEST_F(TargetRegistryTest, ListWithMostTargetsMissingKeepsThemForGracePeriod) {
--- a/tests/serving/wait_queue_test.cc
+++ b/tests/serving/wait_queue_test.cc
@@ -187,5 +187,89 @@
   EXPECT_GT(queue_.Changes(), before);
 }
 
+/// A warm target "t" with one slot, which is taken, and a cold one.
+class WaitQueueColdTest : public WaitQueueTest {
+ protected:
+  WaitQueueColdTest() {
+    ServiceSpec service;
+    service.name = "s";
+    service.cold_start = milliseconds(5'000);
+    service.cold_per_second = 9.1;
+    balancer_.Cold()->SetBounds({1.5, 5});
+    balancer_.Cold()->SetOrderSource([](const TargetInstance&) {
+      return VmOrder{true, 0, 1, false};
+    });
+    balancer_.SetColdServices({{"s", service}}, 0, now_);
+  }
+
+  void SetTargets(bool has_warm) {
+    std::vector<ServingTarget> specs;
+    for (const char* id : {"t", "cold"}) {
+      ServingTarget spec;
+      spec.id = id;
+      spec.service = "s";
+      spec.slots = 1;
+      spec.start_time_ms = 1;
+      spec.read_at = now_;
+      spec.cold_remaining = milliseconds(spec.id == "t" ? 0 : 5'000);
+      if (has_warm || spec.id != "t") {
+        specs.push_back(spec);
+      }
+    }
+    balancer_.SetTargets(specs, now_);
+    balancer_.UpdateColdRecords(0, now_);
+    now_ += milliseconds(500);
+  }
+};
+
+// A request at a slow target while a fast one is free would be late for
+// nothing.
+TEST_F(WaitQueueColdTest, WarmTargetWithRoomIsTakenFirst) {
+  SetTargets(true);
+  queue_.Add(Request(1, 0, 400));
+  EXPECT_EQ(Placed(), std::vector<std::uint64_t>{1});
+  EXPECT_FALSE(balancer_.Pick(Request(2, 0, 400).need, now_).has_value());
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 0);
+}
+
+TEST_F(WaitQueueColdTest, LastOfQueueGoesToColdTargetWhileWarmOnesAreFull) {
+  SetTargets(true);
+  OccupySlots(1);
+  queue_.Add(Request(1, 0, 4'000));
+  queue_.Add(Request(2, 2, 4'000));
+  queue_.Add(Request(3, 1, 4'000));
+  EXPECT_EQ(Placed(), std::vector<std::uint64_t>{2});
+  EXPECT_TRUE(refused_.empty());
+}
+
+// The lowest rank would take all turns, and the highest be refused.
+TEST_F(WaitQueueColdTest, HighestRankGoesFirstIfAllTargetsAreCold) {
+  SetTargets(false);
+  queue_.Add(Request(1, 2, 4'000));
+  queue_.Add(Request(2, 0, 4'000));
+  EXPECT_EQ(Placed(), std::vector<std::uint64_t>{2});
+}
+
+TEST_F(WaitQueueColdTest, ColdTargetCountsByItsRate) {
+  SetTargets(true);
+  // 1 slot of 10 ms each, and at most 8.5 requests per second at the cold one.
+  const double per_second = balancer_.Throughput("s", milliseconds(10), now_);
+  EXPECT_GT(per_second, 106);
+  EXPECT_LE(per_second, 109.2);
+  EXPECT_EQ(balancer_.RestingSlotsOf("s", "", now_), 1);
+}
+
+// A VM without a turn would keep callers waiting for nothing.
+TEST_F(WaitQueueColdTest, VmWithoutTurnRefusesWithTimeToRetry) {
+  balancer_.Cold()->SetOrderSource([](const TargetInstance&) {
+    return VmOrder{true, 9, 22, false};
+  });
+  SetTargets(false);
+  queue_.Add(Request(1, 0, 400));
+  EXPECT_TRUE(Placed().empty());
+  ASSERT_EQ(refused_.size(), 1U);
+  EXPECT_GT(refused_[0].retry_after, Duration(0));
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
