--- a/tests/serving/vm_directory_test.cc
+++ b/tests/serving/vm_directory_test.cc
@@ -71,6 +71,36 @@
   EXPECT_EQ(CallerAddresses("x"), List{"self:2"});
 }
 
+// VMs that don't hear each other would all hold a turn at a cold target.
+TEST_F(VmDirectoryTest, OrderForCountsVmsThatAreNotHeard) {
+  std::vector<VmRecord> members;
+  for (const char* name : {"a", "b", "c", "d", "e", "f"}) {
+    members.push_back(Record(name, "x"));
+  }
+  directory_.SetMembers(members, now_);
+  // A key for which some VM precedes this one.
+  std::uint64_t key = 1;
+  while (directory_.OrderFor(key, true, now_).position == 0) {
+    ++key;
+  }
+  const VmOrder unheard = directory_.OrderFor(key, true, now_);
+  EXPECT_EQ(unheard.vms, 7);
+  EXPECT_TRUE(unheard.takes_part);
+  EXPECT_TRUE(unheard.has_silent_before);
+  for (const char* name : {"a", "b", "c", "d", "e", "f"}) {
+    ReceiveState(name, "x");
+  }
+  const VmOrder heard = directory_.OrderFor(key, false, now_);
+  EXPECT_EQ(heard.position, unheard.position);
+  EXPECT_EQ(heard.vms, 7);
+  EXPECT_FALSE(heard.takes_part);
+  EXPECT_FALSE(heard.has_silent_before);
+  for (const char* name : {"a", "b", "c", "d", "e", "f"}) {
+    ReceiveState(name, "x", false);
+  }
+  EXPECT_TRUE(directory_.OrderFor(key, true, now_).has_silent_before);
+}
+
 TEST_F(VmDirectoryTest, OnStateWithOldMessageIsIgnored) {
   ReceiveState("a", "x");
   PeerState late;
