Try lost targets while others have room, and prove that a target is alive with care

A lost target that nobody had work for stayed cold until the next peak. Bytes that are read right before the end of their connection proved that its process goes on.

--- a/src/serving/cold_targets.cc
+++ b/src/serving/cold_targets.cc
@@ -25,6 +25,11 @@
 /// Bytes that arrive within this time after a loss may have been sent before
 /// it.
 constexpr Duration kInFlightTime = std::chrono::milliseconds(50);
+/// The end of a connection is read at most this much later than its last bytes.
+constexpr Duration kEndDelay = std::chrono::milliseconds(20);
+/// Interval of one VM's trials of a target that was lost and hasn't answered.
+/// At most four VMs try.
+constexpr Duration kTrialInterval = std::chrono::seconds(2);
 /// A record that is read within this time after a loss or the end of an
 /// evacuation may have been written before it.
 constexpr Duration kRecordDelay = std::chrono::seconds(2);
@@ -240,6 +245,7 @@
   if (state == nullptr) {
     return;
   }
+  state->heard_at = Time();
   AddLoss(0, now, !has_others, now, state);
   Tell(now, state);
 }
@@ -288,12 +294,25 @@
   }
   const Time lost_at =
       state->is_suspected ? state->suspected_at : state->lost_at;
-  if (sent < lost_at && now >= lost_at + kInFlightTime) {
-    AddProof(sent, now - kInFlightTime, state);
-    Tell(now, state);
+  ApplyHeard(now, state);
+  if (sent < lost_at && now >= lost_at + kInFlightTime &&
+      state->heard_at == Time()) {
+    state->heard_at = now;
+    state->heard_sent = sent;
   }
 }
 
+// A slow VM may read the last bytes of a connection long after its end, and the
+// end right after them.
+void ColdTargets::ApplyHeard(Time now, State* state) {
+  if (state->heard_at == Time() || now - state->heard_at < kEndDelay) {
+    return;
+  }
+  AddProof(state->heard_sent, state->heard_at - kInFlightTime, state);
+  state->heard_at = Time();
+  Tell(now, state);
+}
+
 void ColdTargets::AddProof(Time from, Time to, State* state) {
   if (to <= from) {
     return;
@@ -406,6 +425,7 @@
 void ColdTargets::Update(Time now) {
   OnTick(now);
   for (auto& [id, state] : states_) {
+    ApplyHeard(now, &state);
     if (state.is_suspected && now >= state.proof_due) {
       Confirm(state.suspected_at, &state);
       Tell(now, &state);
@@ -509,9 +529,17 @@
   State* state = Find(target);
   if (state != nullptr && IsCold(*state, now)) {
     state->rate.OnSent(now);
+    state->tried_at = now;
   }
 }
 
+bool ColdTargets::NeedsTrial(const TargetInstance& target, Time now) const {
+  const State* state = Find(target);
+  return state != nullptr && state->is_lost && state->answered_at == Time() &&
+         now - std::max(state->lost_at, state->tried_at) >= kTrialInterval &&
+         now >= OpensAt(target, now);
+}
+
 bool ColdTargets::ConfirmSend(const TargetInstance& target, bool is_counted,
                               Time now) {
   OnTick(now);
--- a/src/serving/cold_targets.h
+++ b/src/serving/cold_targets.h
@@ -142,6 +142,9 @@
   double SlotShare(const TargetInstance& target, Time now) const;
   /// Requests per second of all VMs, or nullopt if it isn't cold.
   std::optional<double> RateOf(const TargetInstance& target, Time now) const;
+  /// Whether a target that was lost should be sent a request, even if others
+  /// have room, so that its cold time begins to end.
+  bool NeedsTrial(const TargetInstance& target, Time now) const;
   /// Requests per second of this VM; 0 without a turn.
   double OwnRate(const TargetInstance& target) const;
   /// Part of the rate that one of all VMs has on average.
@@ -186,6 +189,11 @@
     /// The process was alive all this time.
     Time alive_from;
     Time alive_to;
+    /// Bytes that prove this, unless this VM's connection ends right after
+    /// them.
+    Time heard_at;
+    Time heard_sent;  ///< when their request was sent
+    Time tried_at;    ///< latest request placed while it was lost
     Time news_at;
     Time known_at;
     bool is_listed = false;
@@ -213,6 +221,7 @@
                State* state);
   static void Confirm(Time at, State* state);
   void AddProof(Time from, Time to, State* state);
+  void ApplyHeard(Time now, State* state);
   /// Whether the record may have been written before a loss or the end of an
   /// evacuation.
   static bool MayBeOutdated(const ServingTarget& target, bool is_new_start,
--- a/src/serving/target_balancer.cc
+++ b/src/serving/target_balancer.cc
@@ -537,6 +537,19 @@
   });
 }
 
+bool TargetBalancer::NeedsColdTrial(const std::string& service,
+                                    Time now) const {
+  if (!cold_.HasService(service)) {
+    return false;
+  }
+  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& item) {
+    const Target& target = item.second;
+    return target.spec.service == service && IsStaying(target) &&
+           !IsEjected(target, now) &&
+           cold_.NeedsTrial(target.instance, now + suspended_time_);
+  });
+}
+
 int TargetBalancer::ColdFreeSlots(const Target& target, int free,
                                   Time now) const {
   if (!cold_.IsEnabled()) {
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -155,6 +155,9 @@
   /// Last check of a cold target before a request is sent.
   /// @param is_counted whether it was cold when the request was placed
   bool ConfirmCold(const std::string& target, bool is_counted, Time now);
+  /// Whether a cold target of the service should be tried, even if others have
+  /// room.
+  bool NeedsColdTrial(const std::string& service, Time now) const;
   /// Whether this VM may send a request to a cold target of the service.
   bool HasOpenColdTarget(const std::string& service, Time now) const;
 
--- a/src/serving/wait_queue.cc
+++ b/src/serving/wait_queue.cc
@@ -248,7 +248,16 @@
   std::vector<WaitingRequest> kept;
   int position = 0;
   int free_slots = balancer_->FreeSlots(service, now);
+  // Targets that nobody has work for would never be known to be warm.
+  const bool needs_trial = balancer_->NeedsColdTrial(service, now);
   for (const WaitingRequest& request : local_queue->requests) {
+    if (needs_trial && &request == &local_queue->requests.back()) {
+      if (const std::optional<WaitDecision> at_cold =
+              PlaceAtCold(request, now)) {
+        decisions->push_back(*at_cold);
+        break;
+      }
+    }
     WaitDecision decision;
     decision.id = request.id;
     decision.waited = now - request.arrival;
--- a/tests/serving/cold_targets_test.cc
+++ b/tests/serving/cold_targets_test.cc
@@ -486,12 +486,51 @@
   Play(milliseconds(100), {});
   EXPECT_TRUE(IsCold(*vms_[2], target));
   vms_[1]->cold.OnHeard(target, sent, now_);
-  Play(milliseconds(50), {});
+  Play(milliseconds(100), {});
   for (const std::unique_ptr<Vm>& vm : vms_) {
     EXPECT_FALSE(IsCold(*vm, target));
   }
 }
 
+// A slow VM reads bytes that were sent before the crash, and then the end.
+TEST_F(ColdTargetsTest, BytesRightBeforeEndOfConnectionProveNothing) {
+  AddVms(2);
+  const ServingTarget target = Target("t");
+  ReadAll(target);
+  now_ += seconds(1);
+  const Time sent = now_ - milliseconds(300);
+  vms_[0]->cold.OnLost(target, false, now_);
+  Play(milliseconds(200), {});
+  vms_[1]->cold.OnHeard(target, sent, now_);
+  vms_[1]->cold.OnLost(target, true, now_);
+  for (int i = 0; i < 20; ++i) {
+    Play(milliseconds(50), {});
+    EXPECT_TRUE(IsCold(*vms_[0], target));
+    EXPECT_TRUE(IsCold(*vms_[1], target));
+  }
+}
+
+TEST_F(ColdTargetsTest, LostTargetIsTriedUntilItHasAnswered) {
+  AddVms(1);
+  Vm* vm = vms_[0].get();
+  const ServingTarget target = Target("t");
+  const TargetInstance instance = TargetInstance::Of(target);
+  Read(vm, target);
+  now_ += seconds(1);
+  vm->cold.OnLost(target, false, now_);
+  EXPECT_FALSE(vm->cold.NeedsTrial(instance, now_));
+  now_ += seconds(3);
+  vm->cold.Update(now_);
+  now_ += milliseconds(400);
+  EXPECT_TRUE(vm->cold.NeedsTrial(instance, now_));
+  vm->cold.OnPlaced(instance, now_);
+  now_ += seconds(1);
+  EXPECT_FALSE(vm->cold.NeedsTrial(instance, now_));
+  vm->cold.OnAnswered(target, now_ - milliseconds(100), now_);
+  now_ += seconds(3);
+  EXPECT_FALSE(vm->cold.NeedsTrial(instance, now_));
+}
+
 TEST_F(ColdTargetsTest, BrokenAnswersOfTwoVmsOrWithoutProofAreRestart) {
   AddVms(2);
   const ServingTarget target = Target("t");
--- a/tests/serving/wait_queue_test.cc
+++ b/tests/serving/wait_queue_test.cc
@@ -259,6 +259,21 @@
   EXPECT_EQ(balancer_.RestingSlotsOf("s", "", now_), 1);
 }
 
+// Else nobody would learn that it is warm again until warm ones are full.
+TEST_F(WaitQueueColdTest, LostTargetIsTriedWhileWarmOnesHaveRoom) {
+  SetTargets(true);
+  now_ += milliseconds(6'000);
+  balancer_.OnSent("cold", 0, now_);
+  balancer_.OnEnded("cold", 0, false, TargetOutcome::kLost, now_);
+  EXPECT_TRUE(balancer_.IsCold("cold", now_));
+  now_ += milliseconds(5'000);
+  balancer_.Cold()->Update(now_);
+  now_ += milliseconds(1'000);
+  queue_.Add(Request(1, 0, 400));
+  EXPECT_EQ(Placed(), std::vector<std::uint64_t>{1});
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 1);
+}
+
 // A VM without a turn would keep callers waiting for nothing.
 TEST_F(WaitQueueColdTest, VmWithoutTurnRefusesWithTimeToRetry) {
   balancer_.Cold()->SetOrderSource([](const TargetInstance&) {
