--- a/src/serving/wait_queue.cc
+++ b/src/serving/wait_queue.cc
@@ -222,6 +222,53 @@
   return decisions;
 }
 
+std::optional<WaitDecision> WaitQueue::PlaceAtCold(
+    const WaitingRequest& request, Time now) {
+  if (!balancer_->HasOpenColdTarget(request.need.service, now)) {
+    return std::nullopt;
+  }
+  PlacementNeed need = request.need;
+  need.is_for_cold = true;
+  need.allows_long_pauses = AllowsLongPauses(request, now);
+  const std::optional<Placement> placement = balancer_->Pick(need, now);
+  if (!placement.has_value()) {
+    return std::nullopt;
+  }
+  balancer_->OnSent(placement->target, need.prompt_tokens, now);
+  WaitDecision decision;
+  decision.id = request.id;
+  decision.waited = now - request.arrival;
+  decision.placement = *placement;
+  return decision;
+}
+
+// The last one goes first, since it would wait longest for another target. If
+// there is no other, the order of the queue holds.
+void WaitQueue::PlaceKeptAtCold(bool in_order, Time now,
+                                std::vector<WaitingRequest>* kept,
+                                std::vector<WaitDecision>* decisions) {
+  if (kept->empty() ||
+      !balancer_->HasOpenColdTarget(kept->front().need.service, now)) {
+    return;
+  }
+  std::vector<WaitingRequest> left;
+  if (!in_order) {
+    std::reverse(kept->begin(), kept->end());
+  }
+  for (const WaitingRequest& request : *kept) {
+    const std::optional<WaitDecision> at_cold = PlaceAtCold(request, now);
+    if (at_cold.has_value()) {
+      decisions->push_back(*at_cold);
+    } else {
+      left.push_back(request);
+    }
+  }
+  if (!in_order) {
+    std::reverse(left.begin(), left.end());
+  }
+  *kept = std::move(left);
+}
+
 void WaitQueue::DecideQueue(const std::string& service, Queue* local_queue,
                             Time now, std::vector<WaitDecision>* decisions) {
   std::stable_sort(local_queue->requests.begin(), local_queue->requests.end(),
@@ -235,7 +282,16 @@
   std::vector<WaitingRequest> kept;
   int position = 0;
   int free_slots = balancer_->FreeSlots(service, now);
+  // Targets that nobody has work for would never be known to be warm.
+  const bool needs_trial = balancer_->NeedsColdTrial(service, now);
   for (const WaitingRequest& request : local_queue->requests) {
+    if (needs_trial && &request == &local_queue->requests.back()) {
+      if (const std::optional<WaitDecision> at_cold =
+              PlaceAtCold(request, now)) {
+        decisions->push_back(*at_cold);
+        break;
+      }
+    }
     WaitDecision decision;
     decision.id = request.id;
     decision.waited = now - request.arrival;
@@ -276,6 +332,12 @@
     // new requests early if the estimated wait is too long.
     if (now >= limit || opens_too_late ||
         (now + wait > limit && MayRefusePromptly(request, now))) {
+      --position;
+      if (const std::optional<WaitDecision> at_cold =
+              PlaceAtCold(request, now)) {
+        decisions->push_back(*at_cold);
+        continue;
+      }
       decision.kind = WaitDecision::Kind::kRefuse;
       decision.retry_after =
           opening.is_limited || opening.at > now
@@ -286,11 +348,11 @@
                     std::clamp(wait, kMinRetryAfter, kMaxRetryAfter),
                     request.max_retry_delay, request.need.seed, now);
       decisions->push_back(decision);
-      --position;
       continue;
     }
     kept.push_back(request);
   }
+  PlaceKeptAtCold(opening.is_limited, now, &kept, decisions);
   changes_ += local_queue->requests.size() - kept.size();
   local_queue->requests = std::move(kept);
 }
