Stop sending to failure domains that operators evacuate

Records evacuate/ZONE of the operators' topic reach the balancer through ServingListener::OnEvacuations. All counts of capacity leave out targets of evacuated domains, and the last check before the first byte does, too. An evacuation outlasts a store that comes back from a copy without the record by three seconds. The tests have not been run yet.

--- a/include/hornbeamcleat/serving/serving_source.h
+++ b/include/hornbeamcleat/serving/serving_source.h
@@ -2,6 +2,7 @@
 #define HORNBEAMCLEAT_SERVING_SERVING_SOURCE_H_
 
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,6 +41,9 @@
   virtual void OnConfirmed(Time sent) = 0;
   /// Delivers the complete list of usable targets.
   virtual void OnTargets(const std::vector<ServingTarget>& targets) = 0;
+  /// Delivers the failure domains that operators have evacuated, after each
+  /// change. Called before the confirmation of the read that showed the change.
+  virtual void OnEvacuations(const std::set<std::string>& failure_domains) = 0;
   /// Delivers the complete list of registered VMs.
   virtual void OnMembers(const std::vector<VmRecord>& members) = 0;
   /// Delivers all recorded refusals of properties, once the store was read and
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -328,9 +328,13 @@
       return false;
     }
     if (!context_->GetTargets()->AcceptsRequests(attempt_->Target(), Now())) {
-      const bool is_resting = IsTargetResting();
+      const char* cause =
+          context_->GetTargets()->IsEvacuated(attempt_->Target())
+              ? "target_evacuated"
+          : IsTargetResting() ? "target_resting"
+                              : "target_leaving";
       FinishAttempt(TargetOutcome::kAbandoned);
-      Retry(is_resting ? "target_resting" : "target_leaving");
+      Retry(cause);
       return false;
     }
     if (!context_->GetTargets()->ConfirmLimit(
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -139,6 +140,15 @@
     DecideWaiting();
   }
 
+  void SetEvacuations(const std::set<std::string>& failure_domains) override {
+    targets_.SetSuspendedTime(clock_->SuspendAwareNow() - clock_->Now());
+    targets_.SetEvacuatedDomains(failure_domains, clock_->Now());
+    metrics_->Set("failure_domains", "kind", "evacuated",
+                  static_cast<double>(failure_domains.size()));
+    Log().Info("event=evacuations_in_force count={}", failure_domains.size());
+    DecideWaiting();
+  }
+
   void SetMembers(const std::vector<VmRecord>& members) override {
     directory_.SetMembers(members, clock_->Now());
     has_members_ = true;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -3,6 +3,8 @@
 
 #include <functional>
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "hornbeamcleat/base/time.h"
@@ -48,6 +50,8 @@
   virtual void SetConfig(std::shared_ptr<const RouteTable> table) = 0;
   virtual void OnConfigConfirmed(Time sent) = 0;
   virtual void SetTargets(const std::vector<ServingTarget>& targets) = 0;
+  /// Sets the failure domains whose targets are sent nothing more.
+  virtual void SetEvacuations(const std::set<std::string>& failure_domains) = 0;
   virtual void SetMembers(const std::vector<VmRecord>& members) = 0;
   virtual void SetMoves(const std::vector<MoveOrder>& orders,
                         const std::vector<MoveRecord>& records) = 0;
--- a/src/relay/relay_daemon.cc
+++ b/src/relay/relay_daemon.cc
@@ -5,7 +5,9 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <set>
 #include <sstream>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -118,6 +120,11 @@
   void OnTargets(const std::vector<ServingTarget>& targets) override {
     traffic_loop_->Post([this, targets] { relay_->SetTargets(targets); });
   }
+  void OnEvacuations(const std::set<std::string>& failure_domains) override {
+    traffic_loop_->Post([this, failure_domains] {
+      relay_->SetEvacuations(failure_domains);
+    });
+  }
   void OnMembers(const std::vector<VmRecord>& members) override {
     traffic_loop_->Post([this, members] { relay_->SetMembers(members); });
   }
--- a/src/serving/target_balancer.cc
+++ b/src/serving/target_balancer.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 #include "hornbeamcleat/base/hash.h"
 
@@ -99,6 +100,7 @@
       statements_.OnDraining(target.instance, now + suspended_time_);
     }
     target.hash = Hash32(spec.id);
+    target.is_evacuated = evacuated_domains_.contains(spec.failure_domain);
     next.emplace(spec.id, std::move(target));
   }
   targets_ = std::move(next);
@@ -107,6 +109,30 @@
   RebuildPeerTotals();
 }
 
+void TargetBalancer::SetEvacuatedDomains(
+    const std::set<std::string>& failure_domains, Time now) {
+  const std::set<std::string> previous =
+      std::exchange(evacuated_domains_, failure_domains);
+  for (auto& [id, target] : targets_) {
+    target.is_evacuated =
+        evacuated_domains_.contains(target.spec.failure_domain);
+  }
+  for (const std::string& failure_domain : previous) {
+    if (!evacuated_domains_.contains(failure_domain)) {
+      MarkDomainCold(failure_domain, now);
+    }
+  }
+}
+
+bool TargetBalancer::IsEvacuated(const std::string& target) const {
+  const auto it = targets_.find(target);
+  return it != targets_.end() && it->second.is_evacuated;
+}
+
+// Replaced when the balancer limits cold targets.
+void TargetBalancer::MarkDomainCold(const std::string& /*failure_domain*/,
+                                    Time /*now*/) {}
+
 void TargetBalancer::SetPeerLoad(const std::string& peer,
                                  const std::vector<TargetLoad>& loads,
                                  Time now) {
@@ -250,6 +276,9 @@
 }
 
 int TargetBalancer::FreeSlotsOf(const Target& target, Time now) const {
+  if (target.is_evacuated) {
+    return 0;
+  }
   int free =
       std::max(0, target.spec.slots - target.running - target.peer_running);
   if (IsLimited(target, now)) {
@@ -395,9 +424,13 @@
   Time first = Time::max();
   bool has_targets = false;
   bool has_unlimited = false;
+  bool has_evacuated = false;
   for (const auto& [id, target] : targets_) {
-    if (target.spec.service != service || !IsStaying(target) ||
-        !HasTrafficShare(target)) {
+    if (target.spec.service != service || !HasTrafficShare(target)) {
+      continue;
+    }
+    has_evacuated = has_evacuated || target.is_evacuated;
+    if (!IsStaying(target)) {
       continue;
     }
     has_targets = true;
@@ -416,7 +449,8 @@
   }
   opening.is_limited = opening.is_limited && !has_unlimited;
   if (!has_targets) {
-    opening.at = now;
+    opening.is_evacuated = has_evacuated;
+    opening.at = has_evacuated ? Time::max() : now;
   } else {
     opening.at =
         first == Time::max() ? first : std::max(now, first - suspended_time_);
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -63,6 +64,9 @@
   int open_turns = 0;    ///< limited targets that this VM may send to now
   double own_rate = 0;   ///< requests per second at limited targets
   double mean_rate = 0;  ///< ... of one of all VMs on average
+  /// There are targets, and all of them are in evacuated failure domains; `at`
+  /// is Time::max().
+  bool is_evacuated = false;
 
   bool operator==(const ServiceOpening&) const = default;
 };
@@ -112,6 +116,15 @@
   /// do not all pick the same target.
   void SetCandidateShare(double share) { candidate_share_ = share; }
 
+  /// Sets the failure domains whose targets are sent nothing. Targets of
+  /// domains that are no longer among them count as cold.
+  void SetEvacuatedDomains(const std::set<std::string>& failure_domains,
+                           Time now);
+  /// Whether the target is listed in an evacuated failure domain.
+  bool IsEvacuated(const std::string& target) const;
+  /// Makes the targets of a failure domain cold.
+  void MarkDomainCold(const std::string& failure_domain, Time now);
+
   /// Sets for how long in all this VM was suspended. Rests of targets go on
   /// meanwhile, but not the clock of the other arguments.
   void SetSuspendedTime(Duration time) { suspended_time_ = time; }
@@ -139,7 +152,7 @@
   Duration TypicalLatency(const PlacementNeed& need) const;
 
   /// Whether this instance of the target is still listed, and neither draining
-  /// nor resting.
+  /// nor resting nor evacuated.
   bool AcceptsRequests(const std::string& target, Time now) const;
 
   /// Returns when the service's targets may be sent requests, as far as rests
@@ -204,6 +217,7 @@
     ServingTarget spec;
     TargetInstance instance;
     std::uint32_t hash = 0;
+    bool is_evacuated = false;  ///< by its failure domain
     int running = 0;
     std::uint32_t pending_tokens = 0;
     int unanswered = 0;
@@ -262,9 +276,11 @@
   /// When this VM may send to the target, as far as its rest and its limit
   /// decide, on the suspension-aware clock.
   Time OpensAt(const Target& target, Time now) const;
-  /// Whether the target neither drains nor has said that it leaves.
+  /// Whether the target neither drains nor has said that it leaves, and is not
+  /// evacuated.
   bool IsStaying(const Target& target) const {
-    return !target.spec.is_draining && !statements_.IsLeaving(target.instance);
+    return !target.spec.is_draining && !target.is_evacuated &&
+           !statements_.IsLeaving(target.instance);
   }
   static void RecordPeerEjection(const std::string& peer,
                                  const TargetLoad& load, Time now,
@@ -284,6 +300,7 @@
   std::map<std::string, std::vector<TargetLoad>> peer_loads_;
   std::map<std::string, std::vector<TargetStats>> peer_stats_;
   std::map<std::string, VersionRule> version_rules_;  ///< keyed by service
+  std::set<std::string> evacuated_domains_;
   std::uint64_t changes_ = 0;
   double candidate_share_ = 1;
   double remote_domain_cost_ms_ = 0;
--- a/src/serving/wait_queue.cc
+++ b/src/serving/wait_queue.cc
@@ -30,6 +30,10 @@
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
 /// Callers that come back after a rest are spread over this time.
 constexpr Duration kReturnSpread = std::chrono::seconds(2);
+/// Callers whose targets are all in evacuated failure domains are told to come
+/// back after this time, spread over kReturnSpread. Operators end an evacuation
+/// at no known time.
+constexpr Duration kEvacuatedRetryAfter = std::chrono::seconds(3);
 /// Other targets may have come after this time, however long a rest is.
 constexpr Duration kMaxRestRetryAfter = std::chrono::seconds(60);
 /// Callers that limits turn away are told to come back by this time, at which
@@ -137,6 +141,9 @@
 Duration WaitQueue::RetryAfterOpening(const ServiceOpening& opening, int rank,
                                       std::uint32_t seed, Time now,
                                       Queue* local_queue) {
+  if (opening.is_evacuated) {
+    return RetryAfterRest(kEvacuatedRetryAfter, seed);
+  }
   if (!opening.is_limited) {
     return RetryAfterRest(opening.at - now, seed);
   }
--- a/tests/platform/store_source_test.cc
+++ b/tests/platform/store_source_test.cc
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -96,6 +97,8 @@
   std::optional<Time> confirmed_;
   int confirmations_ = 0;
   std::vector<ServingTarget> targets_;
+  std::set<std::string> evacuated_;
+  int evacuation_reports_ = 0;
   std::vector<VmRecord> members_;
   std::optional<std::vector<PropertyLoss>> refusals_;
   std::vector<MoveOrder> orders_;
@@ -114,6 +117,10 @@
   void OnTargets(const std::vector<ServingTarget>& targets) override {
     targets_ = targets;
   }
+  void OnEvacuations(const std::set<std::string>& failure_domains) override {
+    evacuated_ = failure_domains;
+    ++evacuation_reports_;
+  }
   void OnMembers(const std::vector<VmRecord>& members) override {
     members_ = members;
   }
@@ -382,6 +389,152 @@
   EXPECT_EQ(members_, (std::vector<VmRecord>{sound}));
 }
 
+/// Operators' records that evacuate failure domains.
+class EvacuationRecordsTest : public StoreSourceTest {
+ protected:
+  void Evacuate(const std::string& failure_domain) {
+    store_.Put("keyed.op", "evacuate/" + failure_domain, "{}");
+  }
+  void EndEvacuation(const std::string& failure_domain) {
+    store_.Put("keyed.op", "evacuate/" + failure_domain, "");
+  }
+  bool AreEvacuated(const std::set<std::string>& failure_domains) {
+    return RunUntil([&] { return evacuated_ == failure_domains; });
+  }
+  void RunFor(Duration time) {
+    const Time end = clock_->Now() + time;
+    RunUntil([&] { return clock_->Now() >= end; });
+  }
+};
+
+TEST_F(EvacuationRecordsTest, RecordsOfTwoDomainsAreReadAndRemoved) {
+  Evacuate("z1");
+  Start();
+  ASSERT_TRUE(AreEvacuated({"z1"}));
+  const Time written = clock_->Now();
+  Evacuate("z2");
+  EXPECT_TRUE(AreEvacuated({"z1", "z2"}));
+  EXPECT_LT(clock_->Now() - written, kMaxDelay);
+  EndEvacuation("z1");
+  EXPECT_TRUE(AreEvacuated({"z2"}));
+  EndEvacuation("z2");
+  EXPECT_TRUE(AreEvacuated({}));
+}
+
+// A VM must not serve between the proof of its configuration and the report.
+TEST_F(EvacuationRecordsTest, EvacuationIsReportedBeforeFirstConfirmation) {
+  Evacuate("z1");
+  Start();
+  ASSERT_TRUE(RunUntil([this] { return confirmations_ > 0; }));
+  EXPECT_EQ(evacuated_, std::set<std::string>{"z1"});
+}
+
+// The key alone decides, so that a typing error does not prevent an evacuation.
+TEST_F(EvacuationRecordsTest, UnreadableValueIsAnEvacuation) {
+  store_.Put("keyed.op", "evacuate/a", "{");
+  store_.Put("keyed.op", "evacuate/b", "null");
+  store_.Put("keyed.op", "evacuate/c", std::string("\0\xff", 2));
+  Start();
+  ASSERT_TRUE(AreEvacuated({"a", "b", "c"}));
+  store_.Put("keyed.op", "evacuate/d", "false");
+  store_.Put("keyed.op", "evacuate/e/f", std::string(100'000, '['));
+  EXPECT_TRUE(AreEvacuated({"a", "b", "c", "d", "e/f"}));
+}
+
+TEST_F(EvacuationRecordsTest, SameDomainTwiceIsReportedOnce) {
+  Evacuate("z1");
+  Start();
+  ASSERT_TRUE(AreEvacuated({"z1"}));
+  const int seen = evacuation_reports_;
+  Evacuate("z1");
+  PutConfig(7);
+  ASSERT_TRUE(HasVersion(7));
+  EXPECT_EQ(evacuation_reports_, seen);
+}
+
+TEST_F(EvacuationRecordsTest, KeyWithoutDomainIsIgnored) {
+  Evacuate("");
+  PutConfig(3);
+  Start();
+  ASSERT_TRUE(HasVersion(3));
+  EXPECT_EQ(evacuation_reports_, 0);
+}
+
+TEST_F(EvacuationRecordsTest, EvacuationHoldsWhileStoreIsUnavailable) {
+  Evacuate("z1");
+  Start();
+  ASSERT_TRUE(AreEvacuated({"z1"}));
+  store_.SetFault(FakeStore::Fault::kBusy);
+  EndEvacuation("z1");
+  RunFor(milliseconds(3'500));
+  EXPECT_EQ(evacuated_, std::set<std::string>{"z1"});
+  store_.SetFault(FakeStore::Fault::kNone);
+  EXPECT_TRUE(AreEvacuated({}));
+}
+
+// The record's removal was compacted away, so only the list shows it.
+TEST_F(EvacuationRecordsTest, ListWithoutRecordEndsEvacuation) {
+  Evacuate("z1");
+  Start();
+  ASSERT_TRUE(AreEvacuated({"z1"}));
+  store_.SetFault(FakeStore::Fault::kBusy);
+  RunFor(milliseconds(300));
+  EndEvacuation("z1");
+  store_.Compact();
+  store_.SetFault(FakeStore::Fault::kNone);
+  EXPECT_TRUE(AreEvacuated({}));
+}
+
+TEST_F(EvacuationRecordsTest, RestartedVmReadsEvacuationAgain) {
+  Evacuate("z1");
+  Start();
+  ASSERT_TRUE(AreEvacuated({"z1"}));
+  source_.reset();
+  evacuated_.clear();
+  confirmations_ = 0;
+  Start();
+  ASSERT_TRUE(RunUntil([this] { return confirmations_ > 0; }));
+  EXPECT_EQ(evacuated_, std::set<std::string>{"z1"});
+}
+
+TEST_F(EvacuationRecordsTest, CopyWithoutRecordEndsNothingForThreeSeconds) {
+  store_.Copy();
+  Start();
+  Evacuate("z1");
+  ASSERT_TRUE(AreEvacuated({"z1"}));
+  store_.Restore();
+  RunFor(milliseconds(2'800));
+  EXPECT_EQ(evacuated_, std::set<std::string>{"z1"});
+  EXPECT_TRUE(AreEvacuated({}));
+}
+
+TEST_F(EvacuationRecordsTest, RecordWrittenAgainAfterRestoreStaysInForce) {
+  store_.Copy();
+  Start();
+  Evacuate("z1");
+  ASSERT_TRUE(AreEvacuated({"z1"}));
+  const int seen = evacuation_reports_;
+  store_.Restore();
+  RunFor(milliseconds(2'500));
+  Evacuate("z1");
+  RunFor(milliseconds(2'000));
+  EXPECT_EQ(evacuated_, std::set<std::string>{"z1"});
+  EXPECT_EQ(evacuation_reports_, seen);
+}
+
+// The copy may hold the empty record of an earlier evacuation.
+TEST_F(EvacuationRecordsTest, EarlierRemovalInCopyEndsNothing) {
+  Evacuate("z1");
+  EndEvacuation("z1");
+  store_.Copy();
+  Start();
+  Evacuate("z1");
+  ASSERT_TRUE(AreEvacuated({"z1"}));
+  store_.Restore();
+  RunFor(milliseconds(2'500));
+  EXPECT_EQ(evacuated_, std::set<std::string>{"z1"});
+}
+
 /// A store that comes back from a copy and has lost what was written since.
 class RestoredStoreTest : public StoreSourceTest {
  protected:
--- a/tests/serving/target_balancer_test.cc
+++ b/tests/serving/target_balancer_test.cc
@@ -339,5 +339,94 @@
   EXPECT_EQ(Pick(Need()), "a");
 }
 
+/// Targets of two failure domains, one of which operators evacuate.
+class EvacuatedTargetsTest : public TargetBalancerTest {
+ protected:
+  EvacuatedTargetsTest() {
+    ServingTarget far = Spec("far", 5);
+    far.failure_domain = "e";
+    balancer_.SetTargets({Spec("near", 10), far}, now_);
+  }
+};
+
+// Each of these counts is used to admit, wait or refuse; one that still counts
+// evacuated targets keeps requests waiting for slots that they cannot get.
+TEST_F(EvacuatedTargetsTest, EvacuatedDomainIsExcludedFromAllCounts) {
+  balancer_.SetEvacuatedDomains({"d"}, now_);
+  EXPECT_EQ(Pick(Need()), "far");
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 5);
+  EXPECT_EQ(balancer_.SlotsOf("s", "", true), 5);
+  EXPECT_DOUBLE_EQ(balancer_.Throughput("s", milliseconds(1'000), now_), 5);
+  EXPECT_FALSE(balancer_.AcceptsRequests("near", now_));
+  EXPECT_TRUE(balancer_.AcceptsRequests("far", now_));
+  EXPECT_TRUE(balancer_.IsEvacuated("near"));
+  EXPECT_FALSE(balancer_.IsEvacuated("far"));
+  EXPECT_FALSE(balancer_.OpeningOf("s", now_).is_evacuated);
+}
+
+TEST_F(EvacuatedTargetsTest, LimitsOfEvacuatedTargetsDoNotCount) {
+  const ServingTarget* near = balancer_.Find("near");
+  ASSERT_NE(near, nullptr);
+  balancer_.Limits()->SetShareSource(
+      [](const TargetInstance&) { return VmShare{}; });
+  balancer_.Limits()->OnStated(TargetInstance::Of(*near), 2, now_);
+  EXPECT_EQ(balancer_.RestingSlotsOf("s", "", now_), 10);
+  balancer_.SetEvacuatedDomains({"d"}, now_);
+  EXPECT_EQ(balancer_.RestingSlotsOf("s", "", now_), 0);
+  EXPECT_FALSE(balancer_.OpeningOf("s", now_).is_limited);
+  EXPECT_EQ(balancer_.OpeningOf("s", now_).at, now_);
+}
+
+TEST_F(EvacuatedTargetsTest, AllDomainsEvacuatedOpensAtNoKnownTime) {
+  balancer_.SetEvacuatedDomains({"d", "e"}, now_);
+  EXPECT_EQ(Pick(Need()), "");
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 0);
+  EXPECT_EQ(balancer_.Throughput("s", milliseconds(1'000), now_), 0);
+  EXPECT_TRUE(balancer_.OpeningOf("s", now_).is_evacuated);
+  EXPECT_EQ(balancer_.OpeningOf("s", now_).at, Time::max());
+}
+
+// A target that peers or a subset of candidates leave as the last one must not
+// be picked as a better choice than none.
+TEST_F(EvacuatedTargetsTest, NoPickFallsBackToEvacuatedDomain) {
+  balancer_.SetEvacuatedDomains({"d", "e"}, now_);
+  balancer_.SetCandidateShare(0.1);
+  for (std::uint32_t seed = 0; seed < 100; ++seed) {
+    PlacementNeed need = Need();
+    need.seed = seed;
+    EXPECT_EQ(Pick(need), "");
+    need.rendezvous_key = seed;
+    EXPECT_EQ(Pick(need), "");
+  }
+}
+
+TEST_F(EvacuatedTargetsTest, TargetListedDuringEvacuationIsEvacuated) {
+  balancer_.SetEvacuatedDomains({"d"}, now_);
+  balancer_.SetTargets({Spec("fresh")}, now_);
+  EXPECT_FALSE(balancer_.AcceptsRequests("fresh", now_));
+  EXPECT_EQ(Pick(Need()), "");
+  ServingTarget moved = Spec("fresh");
+  moved.failure_domain = "e";
+  balancer_.SetTargets({moved}, now_);
+  EXPECT_EQ(Pick(Need()), "fresh");
+}
+
+TEST_F(EvacuatedTargetsTest, EndOfEvacuationBringsTargetsBack) {
+  balancer_.SetEvacuatedDomains({"d", "e"}, now_);
+  balancer_.SetEvacuatedDomains({"e"}, now_);
+  EXPECT_EQ(Pick(Need()), "near");
+  EXPECT_FALSE(balancer_.AcceptsRequests("far", now_));
+  balancer_.SetEvacuatedDomains({}, now_);
+  EXPECT_TRUE(balancer_.AcceptsRequests("far", now_));
+}
+
+TEST_F(EvacuatedTargetsTest, RequestsThatRunThereStayCounted) {
+  balancer_.OnSent("near", 10, now_);
+  balancer_.SetEvacuatedDomains({"d"}, now_);
+  EXPECT_EQ(balancer_.Running("s"), 1);
+  balancer_.OnEnded("near", 10, false, TargetOutcome::kAnswered, now_);
+  EXPECT_EQ(balancer_.Running("s"), 0);
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
--- a/tests/serving/wait_queue_test.cc
+++ b/tests/serving/wait_queue_test.cc
@@ -187,5 +187,47 @@
   EXPECT_GT(queue_.Changes(), before);
 }
 
+// Requests must not wait for slots of targets that will not take them.
+TEST_F(WaitQueueTest, AllTargetsEvacuatedRefusesAtOnceWithTimeToRetry) {
+  OccupySlots(1);
+  queue_.Add(Request(1, 0, 1'000));
+  EXPECT_TRUE(Placed().empty());
+  ASSERT_TRUE(refused_.empty());
+  now_ += milliseconds(400);
+  balancer_.SetEvacuatedDomains({""}, now_);
+  EXPECT_TRUE(Placed().empty());
+  ASSERT_EQ(refused_.size(), 1U);
+  EXPECT_GE(refused_[0].retry_after, milliseconds(3'000));
+  EXPECT_LE(refused_[0].retry_after, milliseconds(5'000));
+  EXPECT_EQ(queue_.TimeToOpening(Request(2, 0, 1'000).need, 0, now_),
+            refused_[0].retry_after);
+}
+
+// Half of the slots is gone, so the estimated wait doubles and exceeds the
+// objective.
+TEST_F(WaitQueueTest, EstimateCountsLossOfEvacuatedDomainAtOnce) {
+  ServingTarget near;
+  near.id = "t";
+  near.service = "s";
+  near.failure_domain = "d";
+  near.slots = 2;
+  ServingTarget far = near;
+  far.id = "u";
+  far.failure_domain = "e";
+  balancer_.SetTargets({near, far}, now_);
+  OccupySlots(2);
+  for (int i = 0; i < 2; ++i) {
+    balancer_.OnSent("u", 0, now_);
+    balancer_.OnFirstEvent("u", 0, milliseconds(25), milliseconds(25), now_);
+  }
+  queue_.OnSlotReleased("s", milliseconds(1'000));
+  queue_.Add(Request(1, 0, 400));
+  EXPECT_TRUE(Placed().empty());
+  EXPECT_TRUE(refused_.empty());
+  balancer_.SetEvacuatedDomains({"e"}, now_);
+  EXPECT_TRUE(Placed().empty());
+  EXPECT_EQ(refused_.size(), 1U);
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
