--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -165,6 +165,9 @@
   std::vector<TargetNotice> notices;
   /// Limits of targets, likewise.
   std::vector<LimitNotice> limits;
+  /// Failure domains that the store shows to the VM as evacuated. With each
+  /// `details`, and to a VM that has started.
+  std::optional<std::vector<std::string>> evacuations;
 
   bool operator==(const PeerState&) const = default;
 };
--- a/include/hornbeamcleat/serving/serving_config.h
+++ b/include/hornbeamcleat/serving/serving_config.h
@@ -11,6 +11,9 @@
 
 namespace hornbeamcleat {
 
+/// Regions whose targets requests may be sent to; nullopt: no restriction.
+using AllowedRegions = std::optional<std::vector<std::string>>;
+
 /// Determines whether requests on a route may be retried and how they are
 /// answered.
 enum class RouteKind {
@@ -41,6 +44,7 @@
   bool is_public = false;     ///< no workspace key required
   bool is_resumable = false;  ///< a broken stream may resume on another target
   std::vector<ServiceShare> shares;
+  AllowedRegions allowed_regions;
 
   /// Whether a request may be retried when its first attempt may have executed.
   bool MayRepeat() const {
@@ -69,6 +73,7 @@
   double default_tokens = 1;   ///< charged if the request has no token count
   double rate_per_second = 0;  ///< quota; 0: unlimited
   double burst = 0;            ///< token bucket capacity beyond the rate
+  AllowedRegions allowed_regions;
 
   bool operator==(const ServingWorkspace&) const = default;
 };
@@ -94,6 +99,9 @@
   bool operator==(const ServingConfig&) const = default;
 };
 
+/// Returns the regions that both restrictions allow.
+AllowedRegions BothAllow(const AllowedRegions& a, const AllowedRegions& b);
+
 /// One instance of a target, as registered by the target itself.
 struct ServingTarget {
   std::string id;  ///< instance ID; sent with requests to detect address reuse
--- a/src/relay/admin_endpoints.cc
+++ b/src/relay/admin_endpoints.cc
@@ -68,7 +68,7 @@
     return;
   }
   const std::vector<std::string> addresses =
-      sources_.caller_addresses(query->failure_domain);
+      sources_.caller_addresses({query->failure_domain, query->region});
   if (addresses.empty()) {
     metrics_->Count("directory_total", "outcome", "none_ready");
     sink->SendResponse(503, "", {{"Retry-After", "1"}}, "");
--- a/src/relay/admin_endpoints.h
+++ b/src/relay/admin_endpoints.h
@@ -8,6 +8,7 @@
 #include "src/relay/caller_connection.h"
 #include "src/relay/listener.h"
 #include "src/relay/relay_options.h"
+#include "src/serving/vm_directory.h"
 
 namespace hornbeamcleat {
 
@@ -23,8 +24,8 @@
   /// Current state of the VM.
   struct Sources {
     std::function<bool()> is_ready;
-    /// Addresses of VMs for callers in a failure domain.
-    std::function<std::vector<std::string>(const std::string& domain)>
+    /// Addresses of VMs for a caller.
+    std::function<std::vector<std::string>(const CallerPlace& place)>
         caller_addresses;
   };
 
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -214,6 +214,11 @@
     need.failure_domain = context_->FailureDomain();
     need.tried = tried_targets_;
     need.seed = Hash32(request_info_.id);
+    need.allowed_regions = admission_.route->allowed_regions;
+    if (admission_.workspace != nullptr) {
+      need.allowed_regions = BothAllow(need.allowed_regions,
+                                       admission_.workspace->allowed_regions);
+    }
     return need;
   }
 
--- a/src/relay/http_codec.h
+++ b/src/relay/http_codec.h
@@ -55,6 +55,7 @@
 struct DirectoryQuery {
   std::string name;
   std::string failure_domain;
+  std::string region;  ///< of the caller; may be empty
 
   bool operator==(const DirectoryQuery&) const = default;
 };
--- a/src/relay/peer_reporter.cc
+++ b/src/relay/peer_reporter.cc
@@ -8,6 +8,7 @@
 #include "hornbeamcleat/base/hash.h"
 #include "src/base/poll_loop.h"
 #include "src/relay/peer_link.h"
+#include "src/serving/evacuated_domains.h"
 #include "src/serving/admission.h"
 #include "src/serving/target_balancer.h"
 #include "src/serving/version_moves.h"
@@ -178,6 +179,11 @@
   return state;
 }
 
+std::vector<std::string> PeerReporter::Evacuations() const {
+  return sources_.evacuations == nullptr ? std::vector<std::string>()
+                                         : sources_.evacuations->Stored();
+}
+
 PeerState PeerReporter::MakeLoadState(Time now) {
   PeerState state = MakeState();
   state.uses = sources_.targets->LocalLoad(now);
@@ -193,6 +199,7 @@
   details.findings = sources_.targets->LocalStats(failure_domain, now);
   details.versions = sources_.moves->Counts();
   state->details = std::move(details);
+  state->evacuations = Evacuations();
   const Time boot_now = clock_->SuspendAwareNow();
   state->losses = sources_.admission->Losses()->ChangesSince(
       boot_now - kRepeatTime, boot_now);
@@ -266,8 +273,9 @@
         sources_.targets->Statements()->AllNotices(clock_->SuspendAwareNow());
     state.limits =
         sources_.targets->Limits()->AllNotices(clock_->SuspendAwareNow());
+    state.evacuations = Evacuations();
     if (*state.losses != LossReport() || !state.notices.empty() ||
-        !state.limits.empty()) {
+        !state.limits.empty() || !state.evacuations->empty()) {
       peer.next = now + kStartedPeerInterval;
       link_->Send(state, {link});
     }
--- a/src/relay/peer_reporter.h
+++ b/src/relay/peer_reporter.h
@@ -18,6 +18,7 @@
 
 class AdmissionController;
 class Clock;
+class EvacuatedDomains;
 class PeerLink;
 class PollLoop;
 class TargetBalancer;
@@ -37,6 +38,7 @@
     const VersionMoves* moves = nullptr;
     const VmDirectory* directory = nullptr;
     std::function<bool()> is_ready;
+    const EvacuatedDomains* evacuations = nullptr;  ///< none if nullptr
   };
 
   PeerReporter(PollLoop* loop, const Clock* clock, PeerLink* link,
@@ -77,6 +79,7 @@
   void SendLosses();
   void SendNotices();
   void SendLossesTo(std::map<std::string, StartedPeer>* peers);
+  std::vector<std::string> Evacuations() const;
   PeerState MakeState();
   PeerState MakeLoadState(Time now);
   /// @param failure_domain of the targets that are reported on; empty: all
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -25,6 +25,7 @@
 #include "src/relay/request_log.h"
 #include "src/relay/target_connection_pool.h"
 #include "src/schedule/retry_budget.h"
+#include "src/serving/evacuated_domains.h"
 #include "src/serving/refusal_records.h"
 #include "src/serving/scale_plan.h"
 #include "src/serving/shutdown_plan.h"
@@ -92,17 +93,18 @@
                          options.max_connections, CallerDelegate()),
         admin_endpoints_(loop, clock, codec, metrics, options, BaseDelegate(),
                          {[this] { return IsReady(); },
-                          [this](const std::string& domain) {
-                            return directory_.CallerAddresses(domain, IsReady(),
-                                                              clock_->Now());
+                          [this](const CallerPlace& place) {
+                            return CallerAddresses(place);
                           }}),
         peer_link_(PeerLink::Open(
             loop, clock, options.peer_address,
             [this](const PeerState& state) { OnPeerState(state); })),
         peer_reporter_(loop, clock, peer_link_.get(), self_,
                        {&admission_, &targets_, &queue_, &moves_, &directory_,
-                        [this] { return IsReady(); }}) {
+                        [this] { return IsReady(); },
+                        &evacuations_}) {
     const Time now = clock_->Now();
+    ApplyRegions();
     admission_.Quotas()->SetSlack(options.quota_slack);
     admission_.Quotas()->SetStart(now);
     target_connections_.SetOnUnsolicited(
@@ -141,12 +143,8 @@
   }
 
   void SetEvacuations(const std::set<std::string>& failure_domains) override {
-    targets_.SetSuspendedTime(clock_->SuspendAwareNow() - clock_->Now());
-    targets_.SetEvacuatedDomains(failure_domains, clock_->Now());
-    metrics_->Set("failure_domains", "kind", "evacuated",
-                  static_cast<double>(failure_domains.size()));
-    Log().Info("event=evacuations_in_force count={}", failure_domains.size());
-    DecideWaiting();
+    evacuations_.SetStored(failure_domains);
+    ApplyEvacuations();
   }
 
   void SetMembers(const std::vector<VmRecord>& members) override {
@@ -178,6 +176,10 @@
     admin_endpoints_.SetDirectoryTtl(options.directory_ttl);
     options_.retry_ratio = options.retry_ratio;
     options_.retry_slack = options.retry_slack;
+    options_.operator_limit = options.operator_limit;
+    options_.regions = options.regions;
+    options_.max_listed_silence = options.max_listed_silence;
+    ApplyRegions();
     options_.admission = options.admission;
     admission_.SetOptions(options.admission);
     admission_.Quotas()->SetSlack(options.quota_slack);
@@ -379,6 +381,35 @@
     });
   }
 
+  void ApplyEvacuations() {
+    const std::set<std::string> active =
+        evacuations_.Active(clock_->SuspendAwareNow());
+    if (active == active_evacuations_) {
+      return;
+    }
+    active_evacuations_ = active;
+    targets_.SetSuspendedTime(clock_->SuspendAwareNow() - clock_->Now());
+    targets_.SetEvacuatedDomains(active, clock_->Now());
+    metrics_->Set("failure_domains", "kind", "evacuated",
+                  static_cast<double>(active.size()));
+    const std::vector<std::string> stored = evacuations_.Stored();
+    Log().Warning("event=evacuations_in_force count={} of_store={}",
+                  active.size(), stored.size());
+    // Callers may be on the call stack, such as a decision on a request.
+    ScheduleDecisions();
+  }
+
+  void ApplyRegions() {
+    targets_.SetRegions(options_.regions);
+    directory_.SetRegions(options_.regions);
+    directory_.SetMaxListedSilence(options_.max_listed_silence);
+  }
+
+  std::vector<std::string> CallerAddresses(const CallerPlace& place) {
+    directory_.SetSuspendedTime(clock_->SuspendAwareNow() - clock_->Now());
+    return directory_.CallerAddresses(place, IsReady(), clock_->Now());
+  }
+
   RetryBudget& RetryBudgetFor(const std::string& service) {
     RetryBudget& budget =
         retry_budgets_
@@ -452,6 +483,7 @@
     const Time now = clock_->Now();
     const bool is_new_incarnation = directory_.IsNewIncarnation(state);
     const bool is_returning = directory_.IsReturning(state);
+    directory_.SetSuspendedTime(clock_->SuspendAwareNow() - now);
     if (!directory_.OnState(state, now)) {
       return;
     }
@@ -483,6 +515,11 @@
                                         clock_->SuspendAwareNow());
       OnLossesChange();
     }
+    if (state.evacuations.has_value()) {
+      evacuations_.SetPeer(state.link, *state.evacuations,
+                           clock_->SuspendAwareNow());
+      ApplyEvacuations();
+    }
     for (const TargetNotice& notice : state.notices) {
       OnTargetNotice(state.link, notice);
     }
@@ -537,7 +574,7 @@
                                                  : members);
     const ScalePlan plan =
         PlanForScale(members, directory_.LocalDomainSize(),
-                     options_.admission.key_limit, options_.target_drain_time);
+                     options_.operator_limit, options_.target_drain_time);
     if (plan == scale_plan_) {
       return;
     }
@@ -605,6 +642,7 @@
   void RunHousekeeping() {
     const Time now = clock_->Now();
     UpdateReadiness();
+    ApplyEvacuations();
     target_connections_.CloseExpired();
     LossTable* losses = admission_.Losses();
     losses->Expire(clock_->SuspendAwareNow());
@@ -636,6 +674,7 @@
       Log().Warning("event=peer_lost link={}", link);
       targets_.ForgetPeer(link);
       queue_.SetPeerQueues(link, {}, now);
+      evacuations_.ForgetPeer(link);
       admission_.Quotas()->ForgetPeer(link);
     }
     for (const VmRecord& gone : directory_.ExpiredMembers(now)) {
@@ -707,6 +746,8 @@
   WaitQueue queue_;
   VersionMoves moves_;
   RefusalRecords refusal_records_;
+  EvacuatedDomains evacuations_{clock_->SuspendAwareNow()};
+  std::set<std::string> active_evacuations_;  ///< set in `targets_`
   TargetConnectionPool target_connections_;
   const std::shared_ptr<BufferBudget> response_budget_ =
       std::make_shared<BufferBudget>(options_.memory_bytes /
--- a/src/relay/relay_daemon.cc
+++ b/src/relay/relay_daemon.cc
@@ -71,7 +71,7 @@
         loop_(PollLoop::Make(clock)),
         source_(deployment->MakeSource(
             loop_.get(), clock, options,
-            ReadPacingFor(PlanForScale(1, 1, options.admission.key_limit,
+            ReadPacingFor(PlanForScale(1, 1, options.operator_limit,
                                        options.target_drain_time)),
             this)) {
     source_->Announce(relay->SelfRecord());
--- a/src/relay/relay_options.cc
+++ b/src/relay/relay_options.cc
@@ -1,12 +1,22 @@
 #include "src/relay/relay_options.h"
 
 #include <algorithm>
+#include <set>
+#include <sstream>
 
 namespace hornbeamcleat {
 namespace {
 
 constexpr std::int64_t kMillisecondUs = 1'000;
 constexpr std::int64_t kMinuteUs = 60'000 * kMillisecondUs;
+/// A VM that has been gone for the stable window and this time must not be
+/// listed for callers.
+constexpr Duration kMaxListedAfterWindow = std::chrono::seconds(3);
+/// A VM that is heard is listed even with a short stable window. Several
+/// heartbeats of VMs in other failure domains.
+constexpr Duration kMinListedSilence = std::chrono::milliseconds(2'500);
+/// Shorter limits would read the store without pause.
+constexpr Duration kMinOperatorLimit = std::chrono::seconds(1);
 constexpr std::int64_t kMiB = 1'024 * 1'024;
 /// Percentage of target_drain_time for which a target whose entry disappeared
 /// is still used; the rest covers the delay of reads from the store.
@@ -29,6 +39,40 @@
   return rule;
 }
 
+SettingRule OptionalText(const char* section, const char* key,
+                         const char* help) {
+  SettingRule rule = Rule(section, key, SettingType::kText, "", 0, help);
+  rule.required = false;
+  return rule;
+}
+
+// Reads "DOMAIN=REGION,...". A failure domain that is stated twice has no
+// region, since requests restricted to either must not be sent there.
+std::map<std::string, std::string> ParseRegions(const std::string& text) {
+  std::map<std::string, std::string> regions;
+  std::set<std::string> ambiguous;
+  std::istringstream in(text);
+  std::string item;
+  while (std::getline(in, item, ',')) {
+    const std::size_t mark = item.find('=');
+    const std::size_t begin = item.find_first_not_of(' ');
+    if (mark == std::string::npos || begin == mark ||
+        mark + 1 == item.size()) {
+      continue;
+    }
+    const std::string failure_domain = item.substr(begin, mark - begin);
+    const std::string region = item.substr(mark + 1);
+    const auto [it, is_new] = regions.try_emplace(failure_domain, region);
+    if (!is_new && it->second != region) {
+      ambiguous.insert(failure_domain);
+    }
+  }
+  for (const std::string& failure_domain : ambiguous) {
+    regions.erase(failure_domain);
+  }
+  return regions;
+}
+
 }  // namespace
 
 std::vector<SettingRule> RelaySettingRules() {
@@ -40,6 +84,12 @@
       Rule("vm", "name", SettingType::kText, "", 0, "Name of this VM in logs."),
       Rule("vm", "failure_domain", SettingType::kText, "", 0,
            "Failure domain of this VM."),
+      OptionalText("vm", "region",
+                   "Region of this VM's failure domain, unless `regions` says "
+                   "otherwise."),
+      OptionalText("vm", "regions",
+                   "Regions of failure domains: DOMAIN=REGION, separated by "
+                   "commas."),
       Rule("vm", "listen_front", address, "", 0, "Address for callers."),
       Rule("vm", "listen_ready", address, "", 0,
            "Address that answers whether this VM is ready."),
@@ -55,10 +105,15 @@
       Rule("store", "address", address, "", 0, "The platform's store."),
       Rule("callers", "directory_keep", duration, "1s", kMinuteUs,
            "How long callers keep a directory answer; whole seconds."),
+      Rule("callers", "stable_window", duration, "4s", kMinuteUs,
+           "A VM that has been gone for 3 s longer is not listed for callers."),
       Rule("callers", "grace", duration, "8s", kMinuteUs,
            "Time from SIGTERM until the process is killed."),
       Rule("targets", "drain_use", duration, "2s", kMinuteUs,
            "How long a target that leaves may still be given work."),
+      Rule("targets", "evacuate_limit", duration, "10s", kMinuteUs,
+           "Time within which an evacuation must be in force. From 8.5s on, "
+           "reads of the store don't depend on it."),
       Rule("targets", "retry_ratio", number, "0.2", 1,
            "Retries for each request of a service, over all VMs."),
       Rule("targets", "retry_slack", number, "50", 0,
@@ -95,6 +150,11 @@
   RelayOptions options;
   options.name = settings.Text("vm", "name");
   options.failure_domain = settings.Text("vm", "failure_domain");
+  options.regions = ParseRegions(settings.Text("vm", "regions"));
+  const std::string region = settings.Text("vm", "region");
+  if (!region.empty()) {
+    options.regions.try_emplace(options.failure_domain, region);
+  }
   options.caller_address = settings.GetAddress("vm", "listen_front");
   options.ready_address = settings.GetAddress("vm", "listen_ready");
   options.directory_address = settings.GetAddress("vm", "listen_directory");
@@ -108,6 +168,11 @@
                    kReservedDescriptors) /
                       kDescriptorsPerCaller);
   options.directory_ttl = settings.GetDuration("callers", "directory_keep");
+  // Callers keep an answer for some time.
+  options.max_listed_silence =
+      std::max(kMinListedSilence,
+               settings.GetDuration("callers", "stable_window") +
+                   kMaxListedAfterWindow - options.directory_ttl);
   options.shutdown_grace = settings.GetDuration("callers", "grace");
   // A request sent at the end of this time must still arrive within it.
   options.target_drain_time = settings.GetDuration("targets", "drain_use");
@@ -121,6 +186,10 @@
       settings.GetDuration("moves", "rollback_limit");
   options.admission.fails_closed = settings.Boolean("keys", "fail_closed");
   options.admission.key_limit = settings.GetDuration("keys", "limit");
+  options.operator_limit = std::min(
+      options.admission.key_limit,
+      std::max(kMinOperatorLimit,
+               settings.GetDuration("targets", "evacuate_limit")));
   options.admission.losses.limit =
       static_cast<int>(settings.Integer("poison", "limit"));
   options.admission.losses.refusal_time =
--- a/src/relay/relay_options.h
+++ b/src/relay/relay_options.h
@@ -1,6 +1,7 @@
 #ifndef HORNBEAMCLEAT_SRC_RELAY_RELAY_OPTIONS_H_
 #define HORNBEAMCLEAT_SRC_RELAY_RELAY_OPTIONS_H_
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -16,6 +17,8 @@
 struct RelayOptions {
   std::string name;
   std::string failure_domain;
+  /// Regions of failure domains, as far as they are known.
+  std::map<std::string, std::string> regions;
   Address caller_address;
   Address ready_address;
   Address directory_address;
@@ -25,7 +28,12 @@
   std::size_t memory_bytes = 0;  ///< memory limit of the process
   int max_connections = 0;
   Duration directory_ttl{0};   ///< how long callers may cache an answer
+  /// Silence after which a VM is no longer listed for callers at the latest.
+  Duration max_listed_silence = Duration::max();
   Duration shutdown_grace{0};  ///< from SIGTERM to SIGKILL
+  /// Time within which a change of the operators' topic must be in force, for
+  /// keys and for evacuations.
+  Duration operator_limit{0};
   /// How long a draining target may be sent requests.
   Duration target_drain_time{0};
   /// How long a target whose entry disappeared may be sent requests.
--- a/src/serving/route_table.cc
+++ b/src/serving/route_table.cc
@@ -1,6 +1,8 @@
 #include "hornbeamcleat/serving/route_table.h"
 
+#include <algorithm>
 #include <cctype>
+#include <iterator>
 #include <utility>
 
 namespace hornbeamcleat {
@@ -63,6 +65,18 @@
   return it == services_.end() ? nullptr : it->second;
 }
 
+AllowedRegions BothAllow(const AllowedRegions& a, const AllowedRegions& b) {
+  if (!a.has_value() || !b.has_value()) {
+    return a.has_value() ? a : b;
+  }
+  std::vector<std::string> both;
+  std::copy_if(a->begin(), a->end(), std::back_inserter(both),
+               [&b](const std::string& region) {
+                 return std::find(b->begin(), b->end(), region) != b->end();
+               });
+  return both;
+}
+
 std::string PickService(const ServingRoute& route, std::uint64_t seed) {
   double total = 0;
   for (const ServiceShare& share : route.shares) {
--- a/src/serving/target_balancer.cc
+++ b/src/serving/target_balancer.cc
@@ -100,7 +100,7 @@
       statements_.OnDraining(target.instance, now + suspended_time_);
     }
     target.hash = Hash32(spec.id);
-    target.is_evacuated = evacuated_domains_.contains(spec.failure_domain);
+    SetDomainState(&target);
     next.emplace(spec.id, std::move(target));
   }
   targets_ = std::move(next);
@@ -114,8 +114,7 @@
   const std::set<std::string> previous =
       std::exchange(evacuated_domains_, failure_domains);
   for (auto& [id, target] : targets_) {
-    target.is_evacuated =
-        evacuated_domains_.contains(target.spec.failure_domain);
+    SetDomainState(&target);
   }
   for (const std::string& failure_domain : previous) {
     if (!evacuated_domains_.contains(failure_domain)) {
@@ -124,6 +123,28 @@
   }
 }
 
+void TargetBalancer::SetRegions(std::map<std::string, std::string> regions) {
+  regions_ = std::move(regions);
+  for (auto& [id, target] : targets_) {
+    SetDomainState(&target);
+  }
+}
+
+void TargetBalancer::SetDomainState(Target* target) const {
+  const std::string& failure_domain = target->spec.failure_domain;
+  target->is_evacuated = evacuated_domains_.contains(failure_domain);
+  const auto region = regions_.find(failure_domain);
+  target->region = region == regions_.end() ? "" : region->second;
+}
+
+bool TargetBalancer::IsInRegions(const Target& target,
+                                 const AllowedRegions& allowed_regions) {
+  return !allowed_regions.has_value() ||
+         (!target.region.empty() &&
+          std::find(allowed_regions->begin(), allowed_regions->end(),
+                    target.region) != allowed_regions->end());
+}
+
 bool TargetBalancer::IsEvacuated(const std::string& target) const {
   const auto it = targets_.find(target);
   return it != targets_.end() && it->second.is_evacuated;
@@ -350,6 +371,9 @@
 
 bool TargetBalancer::IsAllowed(const Target& target, const PlacementNeed& need,
                                bool prefers_new) const {
+  if (!IsInRegions(target, need.allowed_regions)) {
+    return false;
+  }
   const auto it = version_rules_.find(need.service);
   return it == version_rules_.end() ||
          (target.spec.software_version == it->second.share.to_version) ==
@@ -396,7 +420,8 @@
   Duration sum{0};
   int n = 0;
   for (const auto& [id, target] : targets_) {
-    if (target.spec.service == need.service && IsStaying(target)) {
+    if (target.spec.service == need.service && IsStaying(target) &&
+        IsInRegions(target, need.allowed_regions)) {
       sum += ExpectedLatency(target, need.prompt_tokens);
       ++n;
     }
@@ -417,20 +442,22 @@
                   limits_.OpensAt(target.instance, boot_now));
 }
 
-ServiceOpening TargetBalancer::OpeningOf(const std::string& service,
-                                         Time now) const {
+ServiceOpening TargetBalancer::OpeningOf(
+    const std::string& service, Time now,
+    const AllowedRegions& allowed_regions) const {
   ServiceOpening opening;
   const Time boot_now = now + suspended_time_;
   Time first = Time::max();
   bool has_targets = false;
   bool has_unlimited = false;
-  bool has_evacuated = false;
+  bool has_closed = false;
   for (const auto& [id, target] : targets_) {
     if (target.spec.service != service || !HasTrafficShare(target)) {
       continue;
     }
-    has_evacuated = has_evacuated || target.is_evacuated;
-    if (!IsStaying(target)) {
+    const bool is_in_regions = IsInRegions(target, allowed_regions);
+    has_closed = has_closed || target.is_evacuated || !is_in_regions;
+    if (!IsStaying(target) || !is_in_regions) {
       continue;
     }
     has_targets = true;
@@ -449,8 +476,8 @@
   }
   opening.is_limited = opening.is_limited && !has_unlimited;
   if (!has_targets) {
-    opening.is_evacuated = has_evacuated;
-    opening.at = has_evacuated ? Time::max() : now;
+    opening.is_closed = has_closed;
+    opening.at = has_closed ? Time::max() : now;
   } else {
     opening.at =
         first == Time::max() ? first : std::max(now, first - suspended_time_);
@@ -459,11 +486,12 @@
 }
 
 double TargetBalancer::Throughput(const std::string& service,
-                                  Duration hold_time, Time now) const {
+                                  Duration hold_time, Time now,
+                                  const AllowedRegions& allowed_regions) const {
   double per_second = 0;
   for (const auto& [id, target] : targets_) {
     if (target.spec.service != service || !IsStaying(target) ||
-        !HasTrafficShare(target)) {
+        !HasTrafficShare(target) || !IsInRegions(target, allowed_regions)) {
       continue;
     }
     const double of_slots = target.spec.slots / ToSeconds(hold_time);
@@ -679,12 +707,14 @@
              : !rule.is_final || rule.share.share_permille == 0;
 }
 
-int TargetBalancer::FreeSlots(const std::string& service, Time now) const {
+int TargetBalancer::FreeSlots(const std::string& service, Time now,
+                              const AllowedRegions& allowed_regions) const {
   int free = 0;
   int free_at_avoided = 0;
   for (const auto& [id, target] : targets_) {
     if (target.spec.service == service && !target.spec.is_draining &&
-        HasTrafficShare(target) && !IsEjected(target, now)) {
+        HasTrafficShare(target) && !IsEjected(target, now) &&
+        IsInRegions(target, allowed_regions)) {
       (IsAvoided(target, now) ? free_at_avoided : free) +=
           FreeSlotsOf(target, now);
     }
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -32,6 +32,7 @@
   /// If set, targets are ranked by their rendezvous hash with this key instead
   /// of by cost, so that all VMs choose the same one for equal keys.
   std::optional<std::uint64_t> rendezvous_key;
+  AllowedRegions allowed_regions;
 
   bool operator==(const PlacementNeed&) const = default;
 };
@@ -64,9 +65,9 @@
   int open_turns = 0;    ///< limited targets that this VM may send to now
   double own_rate = 0;   ///< requests per second at limited targets
   double mean_rate = 0;  ///< ... of one of all VMs on average
-  /// There are targets, and all of them are in evacuated failure domains; `at`
-  /// is Time::max().
-  bool is_evacuated = false;
+  /// There are targets, but all of them are in evacuated failure domains or
+  /// outside of the allowed regions; `at` is Time::max().
+  bool is_closed = false;
 
   bool operator==(const ServiceOpening&) const = default;
 };
@@ -122,6 +123,9 @@
                            Time now);
   /// Whether the target is listed in an evacuated failure domain.
   bool IsEvacuated(const std::string& target) const;
+  /// Sets the regions of failure domains. Targets of other domains are used for
+  /// unrestricted requests only.
+  void SetRegions(std::map<std::string, std::string> regions);
   /// Makes the targets of a failure domain cold.
   void MarkDomainCold(const std::string& failure_domain, Time now);
 
@@ -157,12 +161,15 @@
 
   /// Returns when the service's targets may be sent requests, as far as rests
   /// and limits decide.
-  ServiceOpening OpeningOf(const std::string& service, Time now) const;
+  /// @param allowed_regions counts only targets that such requests may use
+  ServiceOpening OpeningOf(
+      const std::string& service, Time now,
+      const AllowedRegions& allowed_regions = std::nullopt) const;
 
   /// Returns the requests per second that the service's targets take, if each
   /// occupies a slot for `hold_time` and limits are kept.
-  double Throughput(const std::string& service, Duration hold_time,
-                    Time now) const;
+  double Throughput(const std::string& service, Duration hold_time, Time now,
+                    const AllowedRegions& allowed_regions = std::nullopt) const;
 
   /// Whether the target states a limit.
   bool IsLimited(const std::string& target, Time now) const;
@@ -189,7 +196,8 @@
                bool had_first_event, TargetOutcome outcome, Time now);
 
   /// Returns the free slots at the service's available targets.
-  int FreeSlots(const std::string& service, Time now) const;
+  int FreeSlots(const std::string& service, Time now,
+                const AllowedRegions& allowed_regions = std::nullopt) const;
   /// Returns the requests in flight at the service's targets, from all VMs.
   int Running(const std::string& service) const;
 
@@ -218,6 +226,7 @@
     TargetInstance instance;
     std::uint32_t hash = 0;
     bool is_evacuated = false;  ///< by its failure domain
+    std::string region;         ///< empty: unknown
     int running = 0;
     std::uint32_t pending_tokens = 0;
     int unanswered = 0;
@@ -282,6 +291,9 @@
     return !target.spec.is_draining && !target.is_evacuated &&
            !statements_.IsLeaving(target.instance);
   }
+  void SetDomainState(Target* target) const;
+  static bool IsInRegions(const Target& target,
+                          const AllowedRegions& allowed_regions);
   static void RecordPeerEjection(const std::string& peer,
                                  const TargetLoad& load, Time now,
                                  Target* target);
@@ -301,6 +313,7 @@
   std::map<std::string, std::vector<TargetStats>> peer_stats_;
   std::map<std::string, VersionRule> version_rules_;  ///< keyed by service
   std::set<std::string> evacuated_domains_;
+  std::map<std::string, std::string> regions_;  ///< keyed by failure domain
   std::uint64_t changes_ = 0;
   double candidate_share_ = 1;
   double remote_domain_cost_ms_ = 0;
--- a/src/serving/vm_directory.cc
+++ b/src/serving/vm_directory.cc
@@ -67,8 +67,10 @@
   }
   const bool is_same =
       peer.heard.has_value() && peer.heard->incarnation == state.incarnation;
-  peer.heard = {state.incarnation, state.sequence, state.is_ready, now,
-                is_same ? peer.heard->incarnation_since : now};
+  peer.heard = {state.incarnation, state.sequence,
+                state.is_ready,    now,
+                is_same ? peer.heard->incarnation_since : now,
+                suspended_time_};
   peer.is_timed_out = false;
   return true;
 }
@@ -194,21 +196,48 @@
   return expired;
 }
 
-std::vector<std::string> VmDirectory::CallerAddresses(
-    const std::string& failure_domain, bool self_is_ready, Time now) const {
-  std::vector<std::string> local;
-  std::vector<std::string> remote;
+bool VmDirectory::IsListed(const Peer& peer, Time now) const {
+  if (!peer.heard.has_value() || !peer.heard->is_ready ||
+      peer.record.front.empty()) {
+    return false;
+  }
+  const Duration suspended = suspended_time_ - peer.heard->suspended_before;
+  return IsReachable(peer, options_.caller_timeout, now + suspended) &&
+         now + suspended - peer.heard->at < max_listed_silence_;
+}
+
+bool VmDirectory::IsInRegion(const VmRecord& vm,
+                             const std::string& region) const {
+  const auto it = regions_.find(vm.failure_domain);
+  return it != regions_.end() && it->second == region;
+}
+
+std::vector<std::string> VmDirectory::CallerAddresses(const CallerPlace& caller,
+                                                      bool self_is_ready,
+                                                      Time now) const {
+  std::vector<const VmRecord*> listed;
   if (self_is_ready) {
-    (self_.failure_domain == failure_domain ? local : remote)
-        .push_back(self_.front);
+    listed.push_back(&self_);
   }
   for (const auto& [link, peer] : peers_) {
-    if (IsReachable(peer, options_.caller_timeout, now) &&
-        peer.heard->is_ready && !peer.record.front.empty()) {
-      (peer.record.failure_domain == failure_domain ? local : remote)
-          .push_back(peer.record.front);
+    if (IsListed(peer, now)) {
+      listed.push_back(&peer.record);
     }
   }
+  const auto is_in_region = [&](const VmRecord* vm) {
+    return IsInRegion(*vm, caller.region);
+  };
+  if (!caller.region.empty() &&
+      std::any_of(listed.begin(), listed.end(), is_in_region)) {
+    std::erase_if(listed,
+                  [&](const VmRecord* vm) { return !is_in_region(vm); });
+  }
+  std::vector<std::string> local;
+  std::vector<std::string> remote;
+  for (const VmRecord* vm : listed) {
+    (vm->failure_domain == caller.failure_domain ? local : remote)
+        .push_back(vm->front);
+  }
   if (local.size() < kMinLocalAddresses) {
     local.insert(local.end(), remote.begin(), remote.end());
   }
--- a/src/serving/vm_directory.h
+++ b/src/serving/vm_directory.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "hornbeamcleat/base/time.h"
@@ -13,6 +14,14 @@
 
 namespace hornbeamcleat {
 
+/// Where a caller says that it is.
+struct CallerPlace {
+  std::string failure_domain;  ///< empty: unknown
+  std::string region;          ///< empty: unknown
+
+  bool operator==(const CallerPlace&) const = default;
+};
+
 /// VMs registered in the store and their last messages. Determines which VMs
 /// callers may use, which count as reachable peers, and which have permanently
 /// left.
@@ -85,10 +94,21 @@
   /// peers are reachable, so that a partitioned VM removes nobody.
   std::vector<VmRecord> ExpiredMembers(Time now) const;
 
-  /// Caller-facing addresses for callers in a failure domain, including this
-  /// VM's if it is ready. Addresses in other domains are added only if the
-  /// domain itself has too few.
-  std::vector<std::string> CallerAddresses(const std::string& failure_domain,
+  /// Sets the regions of failure domains.
+  void SetRegions(std::map<std::string, std::string> regions) {
+    regions_ = std::move(regions);
+  }
+  /// Sets the silence after which a VM is not listed for callers, whatever its
+  /// domain and the number of VMs.
+  void SetMaxListedSilence(Duration silence) { max_listed_silence_ = silence; }
+  /// Sets for how long in all this VM was suspended. The clock of the other
+  /// arguments stands still meanwhile, but VMs may leave.
+  void SetSuspendedTime(Duration time) { suspended_time_ = time; }
+
+  /// Caller-facing addresses for a caller, including this VM's if it is ready.
+  /// Addresses in other regions are listed only if the caller's has none, and
+  /// those in other failure domains only if its domain has too few.
+  std::vector<std::string> CallerAddresses(const CallerPlace& caller,
                                            bool self_is_ready, Time now) const;
 
   /// Number of known VMs, including this one.
@@ -104,6 +124,7 @@
     bool is_ready = false;
     Time at;
     Time incarnation_since;
+    Duration suspended_before{0};  ///< suspended time at `at`
   };
 
   struct Peer {
@@ -125,9 +146,16 @@
     return peer.heard.has_value() && now - peer.heard->at < allowed;
   }
 
+  /// Whether callers may be sent to the VM.
+  bool IsListed(const Peer& peer, Time now) const;
+  bool IsInRegion(const VmRecord& vm, const std::string& region) const;
+
   const VmRecord self_;
   const Options options_;
   int remote_timeout_factor_ = 1;
+  std::map<std::string, std::string> regions_;  ///< keyed by failure domain
+  Duration max_listed_silence_ = Duration::max();
+  Duration suspended_time_{0};
   std::map<std::string, Peer> peers_;  ///< keyed by link
   /// Peers in this VM's failure domain. Counted as records change, since the
   /// number is read for each message.
--- a/src/serving/wait_queue.cc
+++ b/src/serving/wait_queue.cc
@@ -30,10 +30,10 @@
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
 /// Callers that come back after a rest are spread over this time.
 constexpr Duration kReturnSpread = std::chrono::seconds(2);
-/// Callers whose targets are all in evacuated failure domains are told to come
-/// back after this time, spread over kReturnSpread. Operators end an evacuation
-/// at no known time.
-constexpr Duration kEvacuatedRetryAfter = std::chrono::seconds(3);
+/// Callers whose targets are all in evacuated failure domains or outside of the
+/// allowed regions are told to come back after this time, spread over
+/// kReturnSpread. Operators end an evacuation at no known time.
+constexpr Duration kClosedRetryAfter = std::chrono::seconds(3);
 /// Other targets may have come after this time, however long a rest is.
 constexpr Duration kMaxRestRetryAfter = std::chrono::seconds(60);
 /// Callers that limits turn away are told to come back by this time, at which
@@ -77,6 +77,20 @@
   return now - request.arrival <= Scale(objective, kPromptRefusalShare);
 }
 
+// Key under which VMs report queues to each other. Requests that are restricted
+// to some regions wait beside the others, for fewer targets.
+std::uint32_t QueueHash(const std::string& service,
+                        const AllowedRegions& allowed_regions) {
+  if (!allowed_regions.has_value()) {
+    return Hash32(service);
+  }
+  std::string key = service;
+  for (const std::string& region : *allowed_regions) {
+    key += '\n' + region;
+  }
+  return Hash32(key);
+}
+
 Duration RetryAfterRest(Duration left, std::uint32_t seed) {
   constexpr double kSeeds = 4'294'967'296;
   return std::min(left, kMaxRestRetryAfter) +
@@ -125,6 +139,7 @@
 Duration WaitQueue::ReleaseInterval(const std::string& service,
                                     const Queue& local_queue,
                                     const ServiceOpening& opening,
+                                    const AllowedRegions& allowed_regions,
                                     Time now) const {
   const double hold_time = local_queue.hold_time_ms == 0
                                ? kInitialHoldTimeMs
@@ -132,7 +147,8 @@
   const double per_second =
       opening.is_limited ? opening.own_rate
                          : balancer_->Throughput(
-                               service, FromSeconds(hold_time / 1'000.0), now);
+                               service, FromSeconds(hold_time / 1'000.0), now,
+                               allowed_regions);
   return FromSeconds(per_second > 0 ? 1 / per_second : hold_time / 1'000.0);
 }
 
@@ -141,8 +157,8 @@
 Duration WaitQueue::RetryAfterOpening(const ServiceOpening& opening, int rank,
                                       std::uint32_t seed, Time now,
                                       Queue* local_queue) {
-  if (opening.is_evacuated) {
-    return RetryAfterRest(kEvacuatedRetryAfter, seed);
+  if (opening.is_closed) {
+    return RetryAfterRest(kClosedRetryAfter, seed);
   }
   if (!opening.is_limited) {
     return RetryAfterRest(opening.at - now, seed);
@@ -195,30 +211,75 @@
   return decisions;
 }
 
+WaitQueue::Rooms WaitQueue::FindRooms(const std::string& service,
+                                      const Queue& local_queue,
+                                      Time now) const {
+  Rooms rooms;
+  for (const WaitingRequest& request : local_queue.requests) {
+    rooms.try_emplace(request.need.allowed_regions);
+  }
+  for (auto& [allowed_regions, room] : rooms) {
+    room.opening = balancer_->OpeningOf(service, now, allowed_regions);
+    room.release_interval = ReleaseInterval(service, local_queue, room.opening,
+                                            allowed_regions, now);
+    room.free_slots = balancer_->FreeSlots(service, now, allowed_regions);
+  }
+  return rooms;
+}
+
+void WaitQueue::OnPlaced(const std::string& service, Time now,
+                         Rooms* rooms) const {
+  for (auto& [allowed_regions, room] : *rooms) {
+    room.free_slots = balancer_->FreeSlots(service, now, allowed_regions);
+    if (room.opening.open_turns > 0) {
+      room.opening = balancer_->OpeningOf(service, now, allowed_regions);
+    }
+  }
+}
+
+// A request whose own targets have no free slot takes none from requests that
+// may use others.
+void WaitQueue::OnKept(const AllowedRegions& allowed_regions, Rooms* rooms) {
+  const bool has_free_slots = rooms->at(allowed_regions).free_slots > 0;
+  for (auto& [other, room] : *rooms) {
+    room.position += has_free_slots || other == allowed_regions ? 1 : 0;
+  }
+}
+
+int WaitQueue::Ahead(const std::string& service, const WaitingRequest& request,
+                     const Room& room, Time now) const {
+  if (room.opening.is_limited) {
+    return room.position;
+  }
+  const WaitingRank rank = RankOf(request, now);
+  int ahead = room.position + AheadAtPeers(Hash32(service), rank);
+  if (request.need.allowed_regions.has_value()) {
+    ahead += AheadAtPeers(QueueHash(service, request.need.allowed_regions),
+                          rank);
+  }
+  return ahead;
+}
+
 void WaitQueue::DecideQueue(const std::string& service, Queue* local_queue,
                             Time now, std::vector<WaitDecision>* decisions) {
   std::stable_sort(local_queue->requests.begin(), local_queue->requests.end(),
                    [now](const WaitingRequest& a, const WaitingRequest& b) {
                      return SortKey(RankOf(a, now)) < SortKey(RankOf(b, now));
                    });
-  const std::uint32_t hash = Hash32(service);
-  ServiceOpening opening = balancer_->OpeningOf(service, now);
-  const Duration release_interval =
-      ReleaseInterval(service, *local_queue, opening, now);
+  Rooms rooms = FindRooms(service, *local_queue, now);
   std::vector<WaitingRequest> kept;
-  int position = 0;
-  int free_slots = balancer_->FreeSlots(service, now);
   for (const WaitingRequest& request : local_queue->requests) {
+    Room& room = rooms[request.need.allowed_regions];
+    const ServiceOpening& opening = room.opening;
     WaitDecision decision;
     decision.id = request.id;
     decision.waited = now - request.arrival;
-    decision.free_slots = free_slots;
-    decision.ahead =
-        position +
-        (opening.is_limited ? 0 : AheadAtPeers(hash, RankOf(request, now)));
+    decision.free_slots = room.free_slots;
+    decision.ahead = Ahead(service, request, room, now);
     std::optional<Placement> placement;
     // No peer can use the turns of this VM at limited targets.
-    if (decision.ahead < decision.free_slots || position < opening.open_turns) {
+    if (decision.ahead < decision.free_slots ||
+        room.position < opening.open_turns) {
       PlacementNeed need = request.need;
       need.allows_long_pauses = AllowsLongPauses(request, now);
       placement = balancer_->Pick(need, now);
@@ -226,14 +287,10 @@
     if (placement.has_value()) {
       decision.placement = *placement;
       balancer_->OnSent(placement->target, request.need.prompt_tokens, now);
-      free_slots = balancer_->FreeSlots(service, now);
-      if (opening.open_turns > 0) {
-        opening = balancer_->OpeningOf(service, now);
-      }
+      OnPlaced(service, now, &rooms);
       decisions->push_back(decision);
       continue;
     }
-    ++position;
     const int releases_needed =
         std::max(0, decision.ahead - decision.free_slots) + 1;
     const Time limit = request.latest_start;
@@ -242,8 +299,9 @@
     const Duration wait =
         opens_too_late ? Duration(0)
                        : opening.at - now +
-                             release_interval * (releases_needed -
-                                                 (opening.is_limited ? 1 : 0));
+                             room.release_interval *
+                                 (releases_needed -
+                                  (opening.is_limited ? 1 : 0));
     // Refuses requests that have waited until their latest start, or whose
     // targets all rest or take no requests of this VM until then, and refuses
     // new requests early if the estimated wait is too long.
@@ -256,9 +314,9 @@
                                   local_queue)
               : std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
       decisions->push_back(decision);
-      --position;
       continue;
     }
+    OnKept(request.need.allowed_regions, &rooms);
     kept.push_back(request);
   }
   changes_ += local_queue->requests.size() - kept.size();
@@ -267,7 +325,8 @@
 
 std::optional<Duration> WaitQueue::TimeToOpening(const PlacementNeed& need,
                                                  int rank, Time now) {
-  const ServiceOpening opening = balancer_->OpeningOf(need.service, now);
+  const ServiceOpening opening =
+      balancer_->OpeningOf(need.service, now, need.allowed_regions);
   if (!opening.is_limited && opening.at <= now) {
     return std::nullopt;
   }
@@ -286,15 +345,17 @@
     if (local_queue.requests.empty()) {
       continue;
     }
-    ServiceQueue queue;
-    queue.service = Hash32(service);
+    std::map<AllowedRegions, ServiceQueue> by_regions;
     for (const WaitingRequest& request : local_queue.requests) {
-      if (queue.first.size() == kMaxReportedRequests) {
-        break;
+      ServiceQueue& queue = by_regions[request.need.allowed_regions];
+      if (queue.first.size() < kMaxReportedRequests) {
+        queue.first.push_back(RankOf(request, now));
       }
-      queue.first.push_back(RankOf(request, now));
     }
-    queues.push_back(queue);
+    for (auto& [allowed_regions, queue] : by_regions) {
+      queue.service = QueueHash(service, allowed_regions);
+      queues.push_back(std::move(queue));
+    }
   }
   return queues;
 }
--- a/src/serving/wait_queue.h
+++ b/src/serving/wait_queue.h
@@ -106,11 +106,29 @@
     Time received_at;
   };
 
+  /// What waiting requests with the same allowed regions find at their targets.
+  struct Room {
+    ServiceOpening opening;
+    Duration release_interval{0};
+    int free_slots = 0;
+    /// Requests of this VM that go before the next one and may take its slots.
+    int position = 0;
+  };
+  using Rooms = std::map<AllowedRegions, Room>;
+
+  Rooms FindRooms(const std::string& service, const Queue& local_queue,
+                  Time now) const;
+  void OnPlaced(const std::string& service, Time now, Rooms* rooms) const;
+  static void OnKept(const AllowedRegions& allowed_regions, Rooms* rooms);
+  int Ahead(const std::string& service, const WaitingRequest& request,
+            const Room& room, Time now) const;
   void DecideQueue(const std::string& service, Queue* local_queue, Time now,
                    std::vector<WaitDecision>* decisions);
   int AheadAtPeers(std::uint32_t service, const WaitingRank& rank) const;
   Duration ReleaseInterval(const std::string& service, const Queue& local_queue,
-                           const ServiceOpening& opening, Time now) const;
+                           const ServiceOpening& opening,
+                           const AllowedRegions& allowed_regions,
+                           Time now) const;
   /// Returns the time until a caller of this rank may come back to a service
   /// whose targets rest or state limits.
   static Duration RetryAfterOpening(const ServiceOpening& opening, int rank,
--- a/tests/platform/records_test.cc
+++ b/tests/platform/records_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -208,5 +209,42 @@
   }
 }
 
+// A restriction with a typing error must not open all regions.
+TEST_F(RecordsTest, DecodeConfigReadsAllowedRegionsOfRoutesAndWorkspaces) {
+  struct Case {
+    const char* json;
+    AllowedRegions expected;
+  };
+  const std::vector<std::string> none;
+  const std::vector<Case> cases = {
+      {"null", std::nullopt},
+      {R"(["eu"])", std::vector<std::string>{"eu"}},
+      {R"(["eu","us"])", std::vector<std::string>{"eu", "us"}},
+      {"[]", none},
+      {R"("eu")", none},
+      {"{}", none},
+      {R"({"a":"eu"})", none},
+      {"7", none},
+      {"true", none},
+      {R"(["eu",7])", none},
+      {R"(["eu",null])", none},
+      {R"([["eu"]])", none},
+  };
+  for (const Case& item : cases) {
+    const ServingConfig config = DecodeConfig(
+        std::string(R"({"version":1,"routes":[{"name":"r","hostname":"h",)"
+                    R"("path_prefix":"/p/","route_type":"streaming",)"
+                    R"("timeout_ms":1000,"service":"s","allowed_regions":)") +
+        item.json + R"(}],"services":[],"tenants":[{"name":"w",)" +
+        R"("api_keys":["k"],"allowed_regions":)" + item.json + "}]}");
+    EXPECT_EQ(config.routes[0].allowed_regions, item.expected) << item.json;
+    EXPECT_EQ(config.workspaces[0].allowed_regions, item.expected)
+        << item.json;
+  }
+  const ServingConfig config = DecodeConfig(Config(kRoute));
+  EXPECT_EQ(config.routes[0].allowed_regions, std::nullopt);
+  EXPECT_EQ(config.workspaces[0].allowed_regions, std::nullopt);
+}
+
 }  // namespace
 }  // namespace hornbeamcleat::platform
--- a/tests/platform/wire_codec_test.cc
+++ b/tests/platform/wire_codec_test.cc
@@ -126,6 +126,8 @@
       codec_->ParseDirectoryQuery("/-/resolve?name=h&region=r&zone=z1");
   ASSERT_TRUE(query.has_value());
   EXPECT_EQ(query->failure_domain, "z1");
+  EXPECT_EQ(query->region, "r");
+  EXPECT_EQ(codec_->ParseDirectoryQuery("/-/resolve?name=h")->region, "");
   EXPECT_FALSE(codec_->ParseDirectoryQuery("/other").has_value());
   EXPECT_EQ(
       codec_->FormatDirectoryResponse({"a:1", "b:2"}, milliseconds(2'000)),
--- a/tests/relay/evacuation_test.cc
+++ b/tests/relay/evacuation_test.cc
@@ -282,5 +282,89 @@
   EXPECT_EQ(RequestsInDomain(), 0);
 }
 
+// A VM that starts while the store is back from a copy without the record reads
+// nothing of the evacuation; its peers know it.
+TEST_F(EvacuationTest, StartedVmLearnsEvacuationFromPeers) {
+  RelayOptions options = Options();
+  options.peer_address = FreeUdpAddress();
+  std::unique_ptr<Relay> peer = MakeRelay(options);
+  peer->SetEvacuations({"d"});
+  options.peer_address = FreeUdpAddress();
+  relay_ = MakeRelay(options);
+  Configure(Config());
+  const std::vector<VmRecord> members = {peer->SelfRecord(),
+                                         relay_->SelfRecord()};
+  peer->SetMembers(members);
+  relay_->SetMembers(members);
+  relay_->SetTargets({first_spec_, second_spec_, other_spec_});
+  other_.SetScript(Answer);
+  RunFor(milliseconds(600));
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(Status(*SendRequest(Request("safe", fmt::format("r{}", i)))),
+              200);
+  }
+  EXPECT_EQ(RequestsInDomain(), 0);
+  peer->SetEvacuations({});
+  first_.SetScript(Answer);
+  second_.SetScript(Answer);
+  RunFor(milliseconds(600));
+  for (int i = 0; i < 10; ++i) {
+    SendRequest(Request("safe", fmt::format("s{}", i)));
+  }
+  EXPECT_GT(RequestsInDomain(), 0);
+}
+
+/// Requests of a route and a workspace that are restricted to regions.
+class RestrictedRequestsTest : public EvacuationTest {
+ protected:
+  void Restrict(const AllowedRegions& of_routes,
+                const AllowedRegions& of_workspace) {
+    RelayOptions options = Options();
+    options.regions = {{"d", "eu"}, {"e", "us"}};
+    relay_.reset();
+    relay_ = MakeRelay(options);
+    ServingConfig config = Config();
+    for (ServingRoute& route : config.routes) {
+      route.allowed_regions = of_routes;
+    }
+    config.workspaces[0].allowed_regions = of_workspace;
+    Configure(config);
+    relay_->SetTargets({first_spec_, second_spec_, other_spec_});
+    for (ScriptedTarget* target : {&first_, &second_, &other_}) {
+      target->SetScript(Answer);
+    }
+  }
+
+  static AllowedRegions Regions(const std::vector<std::string>& names) {
+    return names;
+  }
+};
+
+TEST_F(RestrictedRequestsTest, RequestsOfAllKindsStayInAllowedRegion) {
+  Restrict(Regions({"us", "eu"}), Regions({"us"}));
+  for (const char* kind : {"safe", "unsafe", "stream", "resume"}) {
+    for (int i = 0; i < 5; ++i) {
+      EXPECT_EQ(Status(*SendRequest(Request(kind, fmt::format("{}{}", kind, i)))),
+                200);
+    }
+  }
+  EXPECT_EQ(RequestsInDomain(), 0);
+}
+
+TEST_F(RestrictedRequestsTest, RequestWithoutAllowedRegionIsRefused) {
+  Restrict(Regions({"eu"}), Regions({"us"}));
+  for (const char* kind : {"safe", "unsafe", "stream", "resume"}) {
+    EXPECT_EQ(Status(*SendRequest(Request(kind))), 503) << kind;
+  }
+  EXPECT_EQ(RequestsInDomain() + other_.RequestCount(), 0);
+}
+
+TEST_F(RestrictedRequestsTest, EvacuatedRegionIsRefusedToo) {
+  Restrict(Regions({"us"}), std::nullopt);
+  relay_->SetEvacuations({"e"});
+  EXPECT_EQ(Status(*SendRequest(Request("safe"))), 503);
+  EXPECT_EQ(RequestsInDomain() + other_.RequestCount(), 0);
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
--- a/tests/serving/target_balancer_test.cc
+++ b/tests/serving/target_balancer_test.cc
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "hornbeamcleat/base/hash.h"
 
@@ -361,7 +363,7 @@
   EXPECT_TRUE(balancer_.AcceptsRequests("far", now_));
   EXPECT_TRUE(balancer_.IsEvacuated("near"));
   EXPECT_FALSE(balancer_.IsEvacuated("far"));
-  EXPECT_FALSE(balancer_.OpeningOf("s", now_).is_evacuated);
+  EXPECT_FALSE(balancer_.OpeningOf("s", now_).is_closed);
 }
 
 TEST_F(EvacuatedTargetsTest, LimitsOfEvacuatedTargetsDoNotCount) {
@@ -382,7 +384,7 @@
   EXPECT_EQ(Pick(Need()), "");
   EXPECT_EQ(balancer_.FreeSlots("s", now_), 0);
   EXPECT_EQ(balancer_.Throughput("s", milliseconds(1'000), now_), 0);
-  EXPECT_TRUE(balancer_.OpeningOf("s", now_).is_evacuated);
+  EXPECT_TRUE(balancer_.OpeningOf("s", now_).is_closed);
   EXPECT_EQ(balancer_.OpeningOf("s", now_).at, Time::max());
 }
 
@@ -428,5 +430,86 @@
   EXPECT_EQ(balancer_.Running("s"), 0);
 }
 
+/// Targets in two regions and one in a failure domain without a region.
+class AllowedRegionsTest : public TargetBalancerTest {
+ protected:
+  AllowedRegionsTest() {
+    balancer_.SetRegions({{"d", "eu"}, {"e", "us"}});
+    balancer_.SetTargets(
+        {Spec("eu", 10), InDomain("us", "e", 5), InDomain("other", "f", 3)},
+        now_);
+  }
+
+  static ServingTarget InDomain(const std::string& id,
+                                const std::string& failure_domain, int slots) {
+    ServingTarget spec = Spec(id, slots);
+    spec.failure_domain = failure_domain;
+    return spec;
+  }
+
+  static AllowedRegions Regions(const std::vector<std::string>& names) {
+    return names;
+  }
+
+  std::string PickIn(const AllowedRegions& regions) {
+    PlacementNeed need = Need();
+    need.allowed_regions = regions;
+    return Pick(need);
+  }
+};
+
+TEST_F(AllowedRegionsTest, RestrictedRequestGoesOnlyToAllowedRegions) {
+  EXPECT_EQ(PickIn(Regions({"eu"})), "eu");
+  EXPECT_EQ(PickIn(Regions({"us"})), "us");
+  EXPECT_EQ(PickIn(Regions({})), "");
+  EXPECT_EQ(PickIn(Regions({""})), "");
+  EXPECT_EQ(PickIn(Regions({"ap"})), "");
+  for (int i = 0; i < 5; ++i) {
+    balancer_.OnSent("us", 10, now_);
+  }
+  EXPECT_EQ(PickIn(Regions({"us"})), "");
+  EXPECT_NE(PickIn(Regions({"us", "eu"})), "us");
+  EXPECT_NE(PickIn(std::nullopt), "");
+}
+
+TEST_F(AllowedRegionsTest, CountsAreThoseOfAllowedRegions) {
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 18);
+  EXPECT_EQ(balancer_.FreeSlots("s", now_, Regions({"us"})), 5);
+  EXPECT_EQ(balancer_.FreeSlots("s", now_, Regions({"us", "eu"})), 15);
+  EXPECT_EQ(balancer_.FreeSlots("s", now_, Regions({})), 0);
+  EXPECT_DOUBLE_EQ(balancer_.Throughput("s", milliseconds(1'000), now_,
+                                        Regions({"us"})),
+                   5);
+  EXPECT_FALSE(balancer_.OpeningOf("s", now_, Regions({"us"})).is_closed);
+  EXPECT_TRUE(balancer_.OpeningOf("s", now_, Regions({})).is_closed);
+  EXPECT_FALSE(balancer_.OpeningOf("other service", now_, Regions({"us"}))
+                   .is_closed);
+}
+
+TEST_F(AllowedRegionsTest, EvacuationOfTheOnlyAllowedRegionClosesIt) {
+  balancer_.SetEvacuatedDomains({"e"}, now_);
+  EXPECT_EQ(PickIn(Regions({"us"})), "");
+  EXPECT_TRUE(balancer_.OpeningOf("s", now_, Regions({"us"})).is_closed);
+  EXPECT_FALSE(balancer_.OpeningOf("s", now_).is_closed);
+}
+
+TEST_F(AllowedRegionsTest, NewTableOfRegionsAppliesToListedTargets) {
+  balancer_.SetRegions({{"f", "us"}});
+  EXPECT_EQ(PickIn(Regions({"us"})), "other");
+  EXPECT_EQ(PickIn(Regions({"eu"})), "");
+}
+
+TEST(BothAllowTest, RestrictionsOfRouteAndWorkspaceApplyTogether) {
+  const AllowedRegions eu_us = std::vector<std::string>{"eu", "us"};
+  const AllowedRegions us_ap = std::vector<std::string>{"us", "ap"};
+  const AllowedRegions none = std::vector<std::string>{};
+  EXPECT_EQ(BothAllow(std::nullopt, std::nullopt), std::nullopt);
+  EXPECT_EQ(BothAllow(eu_us, std::nullopt), eu_us);
+  EXPECT_EQ(BothAllow(std::nullopt, us_ap), us_ap);
+  EXPECT_EQ(BothAllow(eu_us, us_ap), std::vector<std::string>{"us"});
+  EXPECT_EQ(BothAllow(eu_us, none), none);
+  EXPECT_EQ(BothAllow(none, std::nullopt), none);
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
--- a/tests/serving/vm_directory_test.cc
+++ b/tests/serving/vm_directory_test.cc
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "src/serving/scale_plan.h"
+
 namespace hornbeamcleat {
 namespace {
 
@@ -35,7 +37,7 @@
   std::vector<std::string> CallerAddresses(const std::string& domain,
                                            bool self_is_ready = true) {
     std::vector<std::string> addresses =
-        directory_.CallerAddresses(domain, self_is_ready, now_);
+        directory_.CallerAddresses({domain, region_}, self_is_ready, now_);
     std::sort(addresses.begin(), addresses.end());
     return addresses;
   }
@@ -44,6 +46,7 @@
 
   Time now_{milliseconds(10'000)};
   std::uint32_t sequence_ = 0;
+  std::string region_;  ///< of the caller
   VmDirectory directory_{Record("self", "x"), Options()};
 };
 
@@ -192,5 +195,127 @@
   }
 }
 
+/// VMs of two regions; "x" and "y" are domains of one of them.
+class VmDirectoryRegionsTest : public VmDirectoryTest {
+ protected:
+  VmDirectoryRegionsTest() {
+    directory_.SetRegions({{"x", "eu"}, {"y", "eu"}, {"z", "us"}});
+    ReceiveState("a", "x");
+    ReceiveState("b", "y");
+    ReceiveState("c", "z");
+    ReceiveState("d", "unknown");
+  }
+};
+
+TEST_F(VmDirectoryRegionsTest, CallerOfRegionIsToldOnlyItsVms) {
+  region_ = "eu";
+  EXPECT_EQ(CallerAddresses(""), (List{"a:2", "b:2", "self:2"}));
+  EXPECT_EQ(CallerAddresses("x"), (List{"a:2", "self:2"}));
+  EXPECT_EQ(CallerAddresses("y"), (List{"a:2", "b:2", "self:2"}));
+  region_ = "us";
+  EXPECT_EQ(CallerAddresses(""), List{"c:2"});
+  EXPECT_EQ(CallerAddresses("x"), List{"c:2"});
+}
+
+TEST_F(VmDirectoryRegionsTest, RegionWithoutVmsIsToldAllOthers) {
+  const List all = {"a:2", "b:2", "c:2", "d:2", "self:2"};
+  region_ = "ap";
+  EXPECT_EQ(CallerAddresses(""), all);
+  region_ = "us";
+  ReceiveState("c", "z", false);
+  EXPECT_EQ(CallerAddresses(""), (List{"a:2", "b:2", "d:2", "self:2"}));
+}
+
+TEST_F(VmDirectoryRegionsTest, CallerWithoutRegionIsToldAsWithoutRegions) {
+  EXPECT_EQ(CallerAddresses("x"), (List{"a:2", "self:2"}));
+  EXPECT_EQ(CallerAddresses(""),
+            (List{"a:2", "b:2", "c:2", "d:2", "self:2"}));
+}
+
+/// Limit of the time for which a VM that is gone may be listed: the stable
+/// window of 4 s and 3 s.
+constexpr Duration kMaxListedTime = milliseconds(7'000);
+/// Callers keep an answer of the directory for this time.
+constexpr Duration kDirectoryTtl = milliseconds(1'000);
+
+/// Parameter: number of VMs, in up to 12 failure domains.
+class VmDirectorySizeTest : public VmDirectoryTest,
+                            public testing::WithParamInterface<int> {
+ protected:
+  static constexpr int kDomains = 12;
+
+  VmDirectorySizeTest() {
+    std::vector<VmRecord> members = {Record("self", "x")};
+    for (int vm = 1; vm < GetParam(); ++vm) {
+      members.push_back(Record(Name(vm), Domain(vm)));
+    }
+    directory_.SetMembers(members, now_);
+    plan_ = PlanForScale(directory_.Members(), directory_.LocalDomainSize(),
+                         milliseconds(5'000), milliseconds(3'000));
+    directory_.SetRemoteTimeoutFactor(plan_.remote_timeout_factor);
+  }
+
+  static std::string Name(int vm) { return "vm" + std::to_string(vm); }
+  static std::string Domain(int vm) {
+    return vm % kDomains == 0 ? "x" : "d" + std::to_string(vm % kDomains);
+  }
+
+  ScalePlan plan_;
+};
+
+// VMs that are never heard, whether they were registered before or after, are
+// listed at no time.
+TEST_P(VmDirectorySizeTest, VmNeverHeardIsNotListed) {
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_EQ(CallerAddresses("x"), List{"self:2"});
+    EXPECT_EQ(CallerAddresses("d1"), List{"self:2"});
+    now_ += milliseconds(250);
+  }
+}
+
+TEST_P(VmDirectorySizeTest, VmThatIsGoneIsListedNoLongerThanAllowed) {
+  const Time gone = now_;
+  for (int vm = 1; vm < GetParam(); ++vm) {
+    ReceiveState(Name(vm), Domain(vm));
+  }
+  now_ = gone + kMaxListedTime - kDirectoryTtl;
+  EXPECT_EQ(CallerAddresses("x"), List{"self:2"});
+  EXPECT_EQ(CallerAddresses("d1"), List{"self:2"});
+}
+
+// With the longest interval between messages, VMs that are up stay listed.
+TEST_P(VmDirectorySizeTest, VmThatIsUpStaysListed) {
+  for (int i = 0; i < 10; ++i) {
+    for (int vm = 1; vm < GetParam(); ++vm) {
+      ReceiveState(Name(vm), Domain(vm));
+    }
+    now_ += plan_.remote_heartbeat_period;
+    EXPECT_EQ(CallerAddresses("").size(),
+              static_cast<std::size_t>(std::min(GetParam(), 64)));
+  }
+}
+
+TEST_P(VmDirectorySizeTest, ShortStableWindowLimitsSilenceAtEachSize) {
+  directory_.SetMaxListedSilence(milliseconds(3'000));
+  for (int vm = 1; vm < GetParam(); ++vm) {
+    ReceiveState(Name(vm), Domain(vm));
+  }
+  now_ += milliseconds(3'000);
+  EXPECT_EQ(CallerAddresses("d1"), List{"self:2"});
+}
+
+INSTANTIATE_TEST_SUITE_P(Vms, VmDirectorySizeTest,
+                         testing::Values(1, 2, 3, 16, 17, 30, 83, 295, 410));
+
+// The clock of messages stands still while the VM is suspended, but its peers
+// may leave meanwhile.
+TEST_F(VmDirectoryTest, CallerAddressesAfterSuspensionOmitsVmsNotHeardSince) {
+  ReceiveState("a", "x");
+  directory_.SetSuspendedTime(milliseconds(10'000));
+  EXPECT_EQ(CallerAddresses("x"), List{"self:2"});
+  ReceiveState("a", "x");
+  EXPECT_EQ(CallerAddresses("x"), (List{"a:2", "self:2"}));
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
--- a/tests/serving/wait_queue_test.cc
+++ b/tests/serving/wait_queue_test.cc
@@ -229,5 +229,76 @@
   EXPECT_EQ(refused_.size(), 1U);
 }
 
+/// Requests that may use all targets beside some that may use one region.
+class WaitQueueRegionsTest : public WaitQueueTest {
+ protected:
+  WaitQueueRegionsTest() {
+    balancer_.SetRegions({{"d", "eu"}, {"e", "us"}});
+    ServingTarget us;
+    us.id = "u";
+    us.service = "s";
+    us.failure_domain = "e";
+    us.slots = 2;
+    ServingTarget eu = us;
+    eu.id = "t";
+    eu.failure_domain = "d";
+    balancer_.SetTargets({eu, us}, now_);
+  }
+
+  WaitingRequest Restricted(std::uint64_t id, int rank,
+                            const std::vector<std::string>& regions) const {
+    WaitingRequest request = Request(id, rank, 1'000);
+    request.need.allowed_regions = regions;
+    return request;
+  }
+};
+
+// Restricted requests whose region is full must not keep the others from free
+// slots elsewhere.
+TEST_F(WaitQueueRegionsTest, FullRegionHoldsUpOnlyItsOwnRequests) {
+  OccupySlots(2);
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    queue_.Add(Restricted(id, 0, {"eu"}));
+  }
+  queue_.Add(Request(6, 1, 1'000));
+  queue_.Add(Request(7, 1, 1'000));
+  EXPECT_EQ(Placed(), (std::vector<std::uint64_t>{6, 7}));
+  ReleaseSlot();
+  EXPECT_EQ(Placed(), (std::vector<std::uint64_t>{1}));
+}
+
+TEST_F(WaitQueueRegionsTest, HigherRankGoesFirstInItsRegion) {
+  OccupySlots(2);
+  balancer_.OnSent("u", 0, now_);
+  balancer_.OnSent("u", 0, now_);
+  queue_.Add(Request(1, 1, 1'000));
+  queue_.Add(Restricted(2, 0, {"eu"}));
+  EXPECT_TRUE(Placed().empty());
+  ReleaseSlot();
+  EXPECT_EQ(Placed(), (std::vector<std::uint64_t>{2}));
+}
+
+TEST_F(WaitQueueRegionsTest, EmptyRestrictionIsRefusedAtOnce) {
+  queue_.Add(Restricted(1, 0, {}));
+  EXPECT_TRUE(Placed().empty());
+  ASSERT_EQ(refused_.size(), 1U);
+  EXPECT_GE(refused_[0].retry_after, milliseconds(3'000));
+}
+
+// Peers would otherwise wait behind requests that want none of their slots.
+TEST_F(WaitQueueRegionsTest, RestrictedRequestsAreReportedApart) {
+  OccupySlots(2);
+  queue_.Add(Restricted(1, 0, {"eu"}));
+  Placed();
+  const std::vector<ServiceQueue> queues = queue_.Queues(now_);
+  ASSERT_EQ(queues.size(), 1U);
+  EXPECT_NE(queues[0].service, Hash32("s"));
+  WaitQueue other(&balancer_);
+  other.SetPeerQueues("p", queues, now_);
+  WaitingRequest request = Request(2, 1, 1'000);
+  other.Add(request);
+  ASSERT_EQ(other.Decide(now_).size(), 1U);
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
