Test evacuations and regions with relays, settings and the directory

The first run of the relay tests failed in StartedVmLearnsEvacuationFromPeers: the test expected requests in the domain although the other one was faster. It now fills the other domain first, and requires as many requests as are left over.

--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -101,8 +101,7 @@
             [this](const PeerState& state) { OnPeerState(state); })),
         peer_reporter_(loop, clock, peer_link_.get(), self_,
                        {&admission_, &targets_, &queue_, &moves_, &directory_,
-                        [this] { return IsReady(); },
-                        &evacuations_}) {
+                        [this] { return IsReady(); }, &evacuations_}) {
     const Time now = clock_->Now();
     ApplyRegions();
     admission_.Quotas()->SetSlack(options.quota_slack);
--- a/src/relay/relay_daemon.cc
+++ b/src/relay/relay_daemon.cc
@@ -121,9 +121,8 @@
     traffic_loop_->Post([this, targets] { relay_->SetTargets(targets); });
   }
   void OnEvacuations(const std::set<std::string>& failure_domains) override {
-    traffic_loop_->Post([this, failure_domains] {
-      relay_->SetEvacuations(failure_domains);
-    });
+    traffic_loop_->Post(
+        [this, failure_domains] { relay_->SetEvacuations(failure_domains); });
   }
   void OnMembers(const std::vector<VmRecord>& members) override {
     traffic_loop_->Post([this, members] { relay_->SetMembers(members); });
--- a/src/relay/relay_options.cc
+++ b/src/relay/relay_options.cc
@@ -56,8 +56,7 @@
   while (std::getline(in, item, ',')) {
     const std::size_t mark = item.find('=');
     const std::size_t begin = item.find_first_not_of(' ');
-    if (mark == std::string::npos || begin == mark ||
-        mark + 1 == item.size()) {
+    if (mark == std::string::npos || begin == mark || mark + 1 == item.size()) {
       continue;
     }
     const std::string failure_domain = item.substr(begin, mark - begin);
@@ -169,10 +168,9 @@
                       kDescriptorsPerCaller);
   options.directory_ttl = settings.GetDuration("callers", "directory_keep");
   // Callers keep an answer for some time.
-  options.max_listed_silence =
-      std::max(kMinListedSilence,
-               settings.GetDuration("callers", "stable_window") +
-                   kMaxListedAfterWindow - options.directory_ttl);
+  options.max_listed_silence = std::max(
+      kMinListedSilence, settings.GetDuration("callers", "stable_window") +
+                             kMaxListedAfterWindow - options.directory_ttl);
   options.shutdown_grace = settings.GetDuration("callers", "grace");
   // A request sent at the end of this time must still arrive within it.
   options.target_drain_time = settings.GetDuration("targets", "drain_use");
@@ -186,10 +184,10 @@
       settings.GetDuration("moves", "rollback_limit");
   options.admission.fails_closed = settings.Boolean("keys", "fail_closed");
   options.admission.key_limit = settings.GetDuration("keys", "limit");
-  options.operator_limit = std::min(
-      options.admission.key_limit,
-      std::max(kMinOperatorLimit,
-               settings.GetDuration("targets", "evacuate_limit")));
+  options.operator_limit =
+      std::min(options.admission.key_limit,
+               std::max(kMinOperatorLimit,
+                        settings.GetDuration("targets", "evacuate_limit")));
   options.admission.losses.limit =
       static_cast<int>(settings.Integer("poison", "limit"));
   options.admission.losses.refusal_time =
--- a/src/relay/relay_options.h
+++ b/src/relay/relay_options.h
@@ -27,7 +27,7 @@
   Address store;
   std::size_t memory_bytes = 0;  ///< memory limit of the process
   int max_connections = 0;
-  Duration directory_ttl{0};   ///< how long callers may cache an answer
+  Duration directory_ttl{0};  ///< how long callers may cache an answer
   /// Silence after which a VM is no longer listed for callers at the latest.
   Duration max_listed_silence = Duration::max();
   Duration shutdown_grace{0};  ///< from SIGTERM to SIGKILL
--- a/src/serving/vm_directory.cc
+++ b/src/serving/vm_directory.cc
@@ -67,8 +67,10 @@
   }
   const bool is_same =
       peer.heard.has_value() && peer.heard->incarnation == state.incarnation;
-  peer.heard = {state.incarnation, state.sequence,
-                state.is_ready,    now,
+  peer.heard = {state.incarnation,
+                state.sequence,
+                state.is_ready,
+                now,
                 is_same ? peer.heard->incarnation_since : now,
                 suspended_time_};
   peer.is_timed_out = false;
--- a/src/serving/wait_queue.cc
+++ b/src/serving/wait_queue.cc
@@ -145,10 +145,10 @@
                                ? kInitialHoldTimeMs
                                : local_queue.hold_time_ms;
   const double per_second =
-      opening.is_limited ? opening.own_rate
-                         : balancer_->Throughput(
-                               service, FromSeconds(hold_time / 1'000.0), now,
-                               allowed_regions);
+      opening.is_limited
+          ? opening.own_rate
+          : balancer_->Throughput(service, FromSeconds(hold_time / 1'000.0),
+                                  now, allowed_regions);
   return FromSeconds(per_second > 0 ? 1 / per_second : hold_time / 1'000.0);
 }
 
@@ -254,8 +254,8 @@
   const WaitingRank rank = RankOf(request, now);
   int ahead = room.position + AheadAtPeers(Hash32(service), rank);
   if (request.need.allowed_regions.has_value()) {
-    ahead += AheadAtPeers(QueueHash(service, request.need.allowed_regions),
-                          rank);
+    ahead +=
+        AheadAtPeers(QueueHash(service, request.need.allowed_regions), rank);
   }
   return ahead;
 }
@@ -297,11 +297,11 @@
     const bool opens_too_late = opening.at > limit;
     // The first opening itself serves one request.
     const Duration wait =
-        opens_too_late ? Duration(0)
-                       : opening.at - now +
-                             room.release_interval *
-                                 (releases_needed -
-                                  (opening.is_limited ? 1 : 0));
+        opens_too_late
+            ? Duration(0)
+            : opening.at - now +
+                  room.release_interval *
+                      (releases_needed - (opening.is_limited ? 1 : 0));
     // Refuses requests that have waited until their latest start, or whose
     // targets all rest or take no requests of this VM until then, and refuses
     // new requests early if the estimated wait is too long.
--- a/tests/platform/records_test.cc
+++ b/tests/platform/records_test.cc
@@ -238,8 +238,7 @@
         item.json + R"(}],"services":[],"tenants":[{"name":"w",)" +
         R"("api_keys":["k"],"allowed_regions":)" + item.json + "}]}");
     EXPECT_EQ(config.routes[0].allowed_regions, item.expected) << item.json;
-    EXPECT_EQ(config.workspaces[0].allowed_regions, item.expected)
-        << item.json;
+    EXPECT_EQ(config.workspaces[0].allowed_regions, item.expected) << item.json;
   }
   const ServingConfig config = DecodeConfig(Config(kRoute));
   EXPECT_EQ(config.routes[0].allowed_regions, std::nullopt);
--- a/tests/relay/evacuation_test.cc
+++ b/tests/relay/evacuation_test.cc
@@ -305,13 +305,14 @@
   }
   EXPECT_EQ(RequestsInDomain(), 0);
   peer->SetEvacuations({});
-  first_.SetScript(Answer);
-  second_.SetScript(Answer);
   RunFor(milliseconds(600));
-  for (int i = 0; i < 10; ++i) {
-    SendRequest(Request("safe", fmt::format("s{}", i)));
+  // More than the other domain has slots for.
+  other_.SetScript([](const ReceivedRequest&) {});
+  std::vector<std::unique_ptr<TestCaller>> callers;
+  for (int i = 0; i < 2 * kTargetSlots; ++i) {
+    callers.push_back(Start("safe"));
   }
-  EXPECT_GT(RequestsInDomain(), 0);
+  EXPECT_TRUE(RunUntil([&] { return RequestsInDomain() >= kTargetSlots; }));
 }
 
 /// Requests of a route and a workspace that are restricted to regions.
@@ -344,8 +345,9 @@
   Restrict(Regions({"us", "eu"}), Regions({"us"}));
   for (const char* kind : {"safe", "unsafe", "stream", "resume"}) {
     for (int i = 0; i < 5; ++i) {
-      EXPECT_EQ(Status(*SendRequest(Request(kind, fmt::format("{}{}", kind, i)))),
-                200);
+      EXPECT_EQ(
+          Status(*SendRequest(Request(kind, fmt::format("{}{}", kind, i)))),
+          200);
     }
   }
   EXPECT_EQ(RequestsInDomain(), 0);
--- a/tests/relay/relay_options_test.cc
+++ b/tests/relay/relay_options_test.cc
@@ -63,14 +63,12 @@
 }
 
 TEST_F(RelayOptionsTest, ShorterOfBothLimitsPacesReads) {
-  EXPECT_EQ(
-      Options("", "", "evacuate_limit = 3000ms\n", "limit = 9s\n")
-          .operator_limit,
-      milliseconds(3'000));
-  EXPECT_EQ(
-      Options("", "", "evacuate_limit = 8000.0ms\n", "limit = 2s\n")
-          .operator_limit,
-      milliseconds(2'000));
+  EXPECT_EQ(Options("", "", "evacuate_limit = 3000ms\n", "limit = 9s\n")
+                .operator_limit,
+            milliseconds(3'000));
+  EXPECT_EQ(Options("", "", "evacuate_limit = 8000.0ms\n", "limit = 2s\n")
+                .operator_limit,
+            milliseconds(2'000));
   // Reads without pause would take up the store.
   EXPECT_EQ(Options("", "", "evacuate_limit = 0ms\n").operator_limit,
             milliseconds(1'000));
--- a/tests/serving/target_balancer_test.cc
+++ b/tests/serving/target_balancer_test.cc
@@ -477,13 +477,12 @@
   EXPECT_EQ(balancer_.FreeSlots("s", now_, Regions({"us"})), 5);
   EXPECT_EQ(balancer_.FreeSlots("s", now_, Regions({"us", "eu"})), 15);
   EXPECT_EQ(balancer_.FreeSlots("s", now_, Regions({})), 0);
-  EXPECT_DOUBLE_EQ(balancer_.Throughput("s", milliseconds(1'000), now_,
-                                        Regions({"us"})),
-                   5);
+  EXPECT_DOUBLE_EQ(
+      balancer_.Throughput("s", milliseconds(1'000), now_, Regions({"us"})), 5);
   EXPECT_FALSE(balancer_.OpeningOf("s", now_, Regions({"us"})).is_closed);
   EXPECT_TRUE(balancer_.OpeningOf("s", now_, Regions({})).is_closed);
-  EXPECT_FALSE(balancer_.OpeningOf("other service", now_, Regions({"us"}))
-                   .is_closed);
+  EXPECT_FALSE(
+      balancer_.OpeningOf("other service", now_, Regions({"us"})).is_closed);
 }
 
 TEST_F(AllowedRegionsTest, EvacuationOfTheOnlyAllowedRegionClosesIt) {
--- a/tests/serving/vm_directory_test.cc
+++ b/tests/serving/vm_directory_test.cc
@@ -228,8 +228,7 @@
 
 TEST_F(VmDirectoryRegionsTest, CallerWithoutRegionIsToldAsWithoutRegions) {
   EXPECT_EQ(CallerAddresses("x"), (List{"a:2", "self:2"}));
-  EXPECT_EQ(CallerAddresses(""),
-            (List{"a:2", "b:2", "c:2", "d:2", "self:2"}));
+  EXPECT_EQ(CallerAddresses(""), (List{"a:2", "b:2", "c:2", "d:2", "self:2"}));
 }
 
 /// Limit of the time for which a VM that is gone may be listed: the stable
