--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -167,6 +167,9 @@
   std::vector<LimitNotice> limits;
   /// Targets that are or may be cold, likewise.
   std::vector<ColdNotice> cold;
+  /// Failure domains that the store shows to the VM as evacuated. With each
+  /// `details`, and to a VM that has started.
+  std::optional<std::vector<std::string>> evacuations;
 
   bool operator==(const PeerState&) const = default;
 };
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -221,6 +221,11 @@
     need.failure_domain = context_->FailureDomain();
     need.tried = tried_targets_;
     need.seed = Hash32(request_info_.id);
+    need.allowed_regions = admission_.route->allowed_regions;
+    if (admission_.workspace != nullptr) {
+      need.allowed_regions = BothAllow(need.allowed_regions,
+                                       admission_.workspace->allowed_regions);
+    }
     return need;
   }
 
@@ -336,9 +341,13 @@
       return false;
     }
     if (!context_->GetTargets()->AcceptsRequests(attempt_->Target(), Now())) {
-      const bool is_resting = IsTargetResting();
+      const char* cause =
+          context_->GetTargets()->IsEvacuated(attempt_->Target())
+              ? "target_evacuated"
+          : IsTargetResting() ? "target_resting"
+                              : "target_leaving";
       FinishAttempt(TargetOutcome::kAbandoned);
-      Retry(is_resting ? "target_resting" : "target_leaving");
+      Retry(cause);
       return false;
     }
     if (!context_->GetTargets()->ConfirmLimit(
--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -129,7 +129,7 @@
   ar(state.incarnation, state.sequence, state.link, state.is_ready,
      state.has_load, state.uses, state.queues, state.has_all_quotas,
      state.quotas, state.details, state.losses, state.notices, state.limits,
-     state.cold);
+     state.cold, state.evacuations);
 }
 
 namespace {
--- a/src/relay/peer_reporter.cc
+++ b/src/relay/peer_reporter.cc
@@ -9,6 +9,7 @@
 #include "src/base/poll_loop.h"
 #include "src/relay/peer_link.h"
 #include "src/serving/admission.h"
+#include "src/serving/evacuated_domains.h"
 #include "src/serving/target_balancer.h"
 #include "src/serving/version_moves.h"
 #include "src/serving/vm_directory.h"
@@ -183,6 +184,11 @@
   return state;
 }
 
+std::vector<std::string> PeerReporter::Evacuations() const {
+  return sources_.evacuations == nullptr ? std::vector<std::string>()
+                                         : sources_.evacuations->Stored();
+}
+
 PeerState PeerReporter::MakeLoadState(Time now) {
   PeerState state = MakeState();
   state.uses = sources_.targets->LocalLoad(now);
@@ -198,6 +204,7 @@
   details.findings = sources_.targets->LocalStats(failure_domain, now);
   details.versions = sources_.moves->Counts();
   state->details = std::move(details);
+  state->evacuations = Evacuations();
   const Time boot_now = clock_->SuspendAwareNow();
   state->losses = sources_.admission->Losses()->ChangesSince(
       boot_now - kRepeatTime, boot_now);
@@ -286,8 +293,10 @@
         sources_.targets->Limits()->AllNotices(clock_->SuspendAwareNow());
     state.cold =
         sources_.targets->Cold()->AllNotices(clock_->SuspendAwareNow());
+    state.evacuations = Evacuations();
     if (*state.losses != LossReport() || !state.notices.empty() ||
-        !state.limits.empty() || !state.cold.empty()) {
+        !state.limits.empty() || !state.cold.empty() ||
+        !state.evacuations->empty()) {
       peer.next = now + kStartedPeerInterval;
       link_->Send(state, {link});
     }
--- a/src/relay/relay_daemon.cc
+++ b/src/relay/relay_daemon.cc
@@ -5,7 +5,9 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <set>
 #include <sstream>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -69,7 +71,7 @@
         loop_(PollLoop::Make(clock)),
         source_(deployment->MakeSource(
             loop_.get(), clock, options,
-            ReadPacingFor(PlanForScale(1, 1, options.admission.key_limit,
+            ReadPacingFor(PlanForScale(1, 1, options.operator_limit,
                                        options.target_drain_time)),
             this)) {
     source_->Announce(relay->SelfRecord());
@@ -118,6 +120,10 @@
   void OnTargets(const std::vector<ServingTarget>& targets) override {
     traffic_loop_->Post([this, targets] { relay_->SetTargets(targets); });
   }
+  void OnEvacuations(const std::set<std::string>& failure_domains) override {
+    traffic_loop_->Post(
+        [this, failure_domains] { relay_->SetEvacuations(failure_domains); });
+  }
   void OnMembers(const std::vector<VmRecord>& members) override {
     traffic_loop_->Post([this, members] { relay_->SetMembers(members); });
   }
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -34,6 +35,7 @@
   std::optional<std::uint64_t> rendezvous_key;
   /// Considers cold targets only; else they are left out.
   bool is_for_cold = false;
+  AllowedRegions allowed_regions;
 
   bool operator==(const PlacementNeed&) const = default;
 };
@@ -66,6 +68,9 @@
   int open_turns = 0;    ///< limited targets that this VM may send to now
   double own_rate = 0;   ///< requests per second at limited targets
   double mean_rate = 0;  ///< ... of one of all VMs on average
+  /// There are targets, but all of them are in evacuated failure domains or
+  /// outside of the allowed regions; `at` is Time::max().
+  bool is_closed = false;
 
   bool operator==(const ServiceOpening&) const = default;
 };
@@ -115,6 +120,16 @@
   /// do not all pick the same target.
   void SetCandidateShare(double share) { candidate_share_ = share; }
 
+  /// Sets the failure domains whose targets are sent nothing. Targets of
+  /// domains that are no longer among them count as cold.
+  void SetEvacuatedDomains(const std::set<std::string>& failure_domains,
+                           Time now);
+  /// Whether the target is listed in an evacuated failure domain.
+  bool IsEvacuated(const std::string& target) const;
+  /// Sets the regions of failure domains. Targets of other domains are used for
+  /// unrestricted requests only.
+  void SetRegions(std::map<std::string, std::string> regions);
+
   /// Sets for how long in all this VM was suspended. Rests of targets go on
   /// meanwhile, but not the clock of the other arguments.
   void SetSuspendedTime(Duration time) { suspended_time_ = time; }
@@ -170,17 +185,20 @@
   Duration TypicalLatency(const PlacementNeed& need) const;
 
   /// Whether this instance of the target is still listed, and neither draining
-  /// nor resting.
+  /// nor resting nor evacuated.
   bool AcceptsRequests(const std::string& target, Time now) const;
 
   /// Returns when the service's targets may be sent requests, as far as rests
   /// and limits decide.
-  ServiceOpening OpeningOf(const std::string& service, Time now) const;
+  /// @param allowed_regions counts only targets that such requests may use
+  ServiceOpening OpeningOf(
+      const std::string& service, Time now,
+      const AllowedRegions& allowed_regions = std::nullopt) const;
 
   /// Returns the requests per second that the service's targets take, if each
   /// occupies a slot for `hold_time` and limits are kept.
-  double Throughput(const std::string& service, Duration hold_time,
-                    Time now) const;
+  double Throughput(const std::string& service, Duration hold_time, Time now,
+                    const AllowedRegions& allowed_regions = std::nullopt) const;
 
   /// Whether the target states a limit.
   bool IsLimited(const std::string& target, Time now) const;
@@ -207,7 +225,8 @@
                bool had_first_event, TargetOutcome outcome, Time now);
 
   /// Returns the free slots at the service's available targets.
-  int FreeSlots(const std::string& service, Time now) const;
+  int FreeSlots(const std::string& service, Time now,
+                const AllowedRegions& allowed_regions = std::nullopt) const;
   /// Returns the requests in flight at the service's targets, from all VMs.
   int Running(const std::string& service) const;
 
@@ -235,6 +254,8 @@
     ServingTarget spec;
     TargetInstance instance;
     std::uint32_t hash = 0;
+    bool is_evacuated = false;  ///< by its failure domain
+    std::string region;         ///< empty: unknown
     int running = 0;
     std::uint32_t pending_tokens = 0;
     int unanswered = 0;
@@ -298,10 +319,15 @@
   /// When this VM may send to the target, as far as its rest and its limit
   /// decide, on the suspension-aware clock.
   Time OpensAt(const Target& target, Time now) const;
-  /// Whether the target neither drains nor has said that it leaves.
+  /// Whether the target neither drains nor has said that it leaves, and is not
+  /// evacuated.
   bool IsStaying(const Target& target) const {
-    return !target.spec.is_draining && !statements_.IsLeaving(target.instance);
+    return !target.spec.is_draining && !target.is_evacuated &&
+           !statements_.IsLeaving(target.instance);
   }
+  void SetDomainState(Target* target) const;
+  static bool IsInRegions(const Target& target,
+                          const AllowedRegions& allowed_regions);
   static void RecordPeerEjection(const std::string& peer,
                                  const TargetLoad& load, Time now,
                                  Target* target);
@@ -321,6 +347,8 @@
   std::map<std::string, std::vector<TargetLoad>> peer_loads_;
   std::map<std::string, std::vector<TargetStats>> peer_stats_;
   std::map<std::string, VersionRule> version_rules_;  ///< keyed by service
+  std::set<std::string> evacuated_domains_;
+  std::map<std::string, std::string> regions_;  ///< keyed by failure domain
   std::uint64_t changes_ = 0;
   double candidate_share_ = 1;
   double remote_domain_cost_ms_ = 0;
--- a/src/serving/wait_queue.cc
+++ b/src/serving/wait_queue.cc
@@ -35,6 +35,10 @@
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
 /// Callers that come back after a rest are spread over this time.
 constexpr Duration kReturnSpread = std::chrono::seconds(2);
+/// Callers whose targets are all in evacuated failure domains or outside of the
+/// allowed regions are told to come back after this time, spread over
+/// kReturnSpread. Operators end an evacuation at no known time.
+constexpr Duration kClosedRetryAfter = std::chrono::seconds(3);
 /// Other targets may have come after this time, however long a rest is.
 constexpr Duration kMaxRestRetryAfter = std::chrono::seconds(60);
 /// Callers that limits turn away are told to come back by this time, at which
@@ -91,6 +95,20 @@
   return now - request.arrival <= Scale(objective, kPromptRefusalShare);
 }
 
+// Key under which VMs report queues to each other. Requests that are restricted
+// to some regions wait beside the others, for fewer targets.
+std::uint32_t QueueHash(const std::string& service,
+                        const AllowedRegions& allowed_regions) {
+  if (!allowed_regions.has_value()) {
+    return Hash32(service);
+  }
+  std::string key = service;
+  for (const std::string& region : *allowed_regions) {
+    key += '\n' + region;
+  }
+  return Hash32(key);
+}
+
 Duration RetryAfterRest(Duration left, std::uint32_t seed) {
   constexpr double kSeeds = 4'294'967'296;
   return std::min(left, kMaxRestRetryAfter) +
@@ -155,14 +173,16 @@
 Duration WaitQueue::ReleaseInterval(const std::string& service,
                                     const Queue& local_queue,
                                     const ServiceOpening& opening,
+                                    const AllowedRegions& allowed_regions,
                                     Time now) const {
   const double hold_time = local_queue.hold_time_ms == 0
                                ? kInitialHoldTimeMs
                                : local_queue.hold_time_ms;
   const double per_second =
-      opening.is_limited ? opening.own_rate
-                         : balancer_->Throughput(
-                               service, FromSeconds(hold_time / 1'000.0), now);
+      opening.is_limited
+          ? opening.own_rate
+          : balancer_->Throughput(service, FromSeconds(hold_time / 1'000.0),
+                                  now, allowed_regions);
   return FromSeconds(per_second > 0 ? 1 / per_second : hold_time / 1'000.0);
 }
 
@@ -171,6 +191,9 @@
 Duration WaitQueue::RetryAfterOpening(const ServiceOpening& opening, int rank,
                                       std::uint32_t seed, Time now,
                                       Queue* local_queue) {
+  if (opening.is_closed) {
+    return RetryAfterRest(kClosedRetryAfter, seed);
+  }
   if (!opening.is_limited) {
     return RetryAfterRest(opening.at - now, seed);
   }
@@ -269,19 +292,63 @@
   *kept = std::move(left);
 }
 
+WaitQueue::Rooms WaitQueue::FindRooms(const std::string& service,
+                                      const Queue& local_queue,
+                                      Time now) const {
+  Rooms rooms;
+  for (const WaitingRequest& request : local_queue.requests) {
+    rooms.try_emplace(request.need.allowed_regions);
+  }
+  for (auto& [allowed_regions, room] : rooms) {
+    room.opening = balancer_->OpeningOf(service, now, allowed_regions);
+    room.release_interval = ReleaseInterval(service, local_queue, room.opening,
+                                            allowed_regions, now);
+    room.free_slots = balancer_->FreeSlots(service, now, allowed_regions);
+  }
+  return rooms;
+}
+
+void WaitQueue::OnPlaced(const std::string& service, Time now,
+                         Rooms* rooms) const {
+  for (auto& [allowed_regions, room] : *rooms) {
+    room.free_slots = balancer_->FreeSlots(service, now, allowed_regions);
+    if (room.opening.open_turns > 0) {
+      room.opening = balancer_->OpeningOf(service, now, allowed_regions);
+    }
+  }
+}
+
+// A request whose own targets have no free slot takes none from requests that
+// may use others.
+void WaitQueue::OnKept(const AllowedRegions& allowed_regions, Rooms* rooms) {
+  const bool has_free_slots = rooms->at(allowed_regions).free_slots > 0;
+  for (auto& [other, room] : *rooms) {
+    room.position += has_free_slots || other == allowed_regions ? 1 : 0;
+  }
+}
+
+int WaitQueue::Ahead(const std::string& service, const WaitingRequest& request,
+                     const Room& room, Time now) const {
+  if (room.opening.is_limited) {
+    return room.position;
+  }
+  const WaitingRank rank = RankOf(request, now);
+  int ahead = room.position + AheadAtPeers(Hash32(service), rank);
+  if (request.need.allowed_regions.has_value()) {
+    ahead +=
+        AheadAtPeers(QueueHash(service, request.need.allowed_regions), rank);
+  }
+  return ahead;
+}
+
 void WaitQueue::DecideQueue(const std::string& service, Queue* local_queue,
                             Time now, std::vector<WaitDecision>* decisions) {
   std::stable_sort(local_queue->requests.begin(), local_queue->requests.end(),
                    [now](const WaitingRequest& a, const WaitingRequest& b) {
                      return SortKey(RankOf(a, now)) < SortKey(RankOf(b, now));
                    });
-  const std::uint32_t hash = Hash32(service);
-  ServiceOpening opening = balancer_->OpeningOf(service, now);
-  const Duration release_interval =
-      ReleaseInterval(service, *local_queue, opening, now);
+  Rooms rooms = FindRooms(service, *local_queue, now);
   std::vector<WaitingRequest> kept;
-  int position = 0;
-  int free_slots = balancer_->FreeSlots(service, now);
   // Targets that nobody has work for would never be known to be warm.
   const bool needs_trial = balancer_->NeedsColdTrial(service, now);
   for (const WaitingRequest& request : local_queue->requests) {
@@ -292,16 +359,17 @@
         break;
       }
     }
+    Room& room = rooms[request.need.allowed_regions];
+    const ServiceOpening& opening = room.opening;
     WaitDecision decision;
     decision.id = request.id;
     decision.waited = now - request.arrival;
-    decision.free_slots = free_slots;
-    decision.ahead =
-        position +
-        (opening.is_limited ? 0 : AheadAtPeers(hash, RankOf(request, now)));
+    decision.free_slots = room.free_slots;
+    decision.ahead = Ahead(service, request, room, now);
     std::optional<Placement> placement;
     // No peer can use the turns of this VM at limited targets.
-    if (decision.ahead < decision.free_slots || position < opening.open_turns) {
+    if (decision.ahead < decision.free_slots ||
+        room.position < opening.open_turns) {
       PlacementNeed need = request.need;
       need.allows_long_pauses = AllowsLongPauses(request, now);
       placement = balancer_->Pick(need, now);
@@ -309,30 +377,26 @@
     if (placement.has_value()) {
       decision.placement = *placement;
       balancer_->OnSent(placement->target, request.need.prompt_tokens, now);
-      free_slots = balancer_->FreeSlots(service, now);
-      if (opening.open_turns > 0) {
-        opening = balancer_->OpeningOf(service, now);
-      }
+      OnPlaced(service, now, &rooms);
       decisions->push_back(decision);
       continue;
     }
-    ++position;
     const int releases_needed =
         std::max(0, decision.ahead - decision.free_slots) + 1;
     const Time limit = request.latest_start;
     const bool opens_too_late = opening.at > limit;
     // The first opening itself serves one request.
     const Duration wait =
-        opens_too_late ? Duration(0)
-                       : opening.at - now +
-                             release_interval * (releases_needed -
-                                                 (opening.is_limited ? 1 : 0));
+        opens_too_late
+            ? Duration(0)
+            : opening.at - now +
+                  room.release_interval *
+                      (releases_needed - (opening.is_limited ? 1 : 0));
     // Refuses requests that have waited until their latest start, or whose
     // targets all rest or take no requests of this VM until then, and refuses
     // new requests early if the estimated wait is too long.
     if (now >= limit || opens_too_late ||
         (now + wait > limit && MayRefusePromptly(request, now))) {
-      --position;
       if (const std::optional<WaitDecision> at_cold =
               PlaceAtCold(request, now)) {
         decisions->push_back(*at_cold);
@@ -350,16 +414,21 @@
       decisions->push_back(decision);
       continue;
     }
+    OnKept(request.need.allowed_regions, &rooms);
     kept.push_back(request);
   }
-  PlaceKeptAtCold(opening.is_limited, now, &kept, decisions);
+  const bool is_limited = std::any_of(
+      rooms.begin(), rooms.end(),
+      [](const auto& item) { return item.second.opening.is_limited; });
+  PlaceKeptAtCold(is_limited, now, &kept, decisions);
   changes_ += local_queue->requests.size() - kept.size();
   local_queue->requests = std::move(kept);
 }
 
 std::optional<Duration> WaitQueue::TimeToOpening(const PlacementNeed& need,
                                                  int rank, Time now) {
-  const ServiceOpening opening = balancer_->OpeningOf(need.service, now);
+  const ServiceOpening opening =
+      balancer_->OpeningOf(need.service, now, need.allowed_regions);
   if (!opening.is_limited && opening.at <= now) {
     return std::nullopt;
   }
@@ -378,15 +447,17 @@
     if (local_queue.requests.empty()) {
       continue;
     }
-    ServiceQueue queue;
-    queue.service = Hash32(service);
+    std::map<AllowedRegions, ServiceQueue> by_regions;
     for (const WaitingRequest& request : local_queue.requests) {
-      if (queue.first.size() == kMaxReportedRequests) {
-        break;
+      ServiceQueue& queue = by_regions[request.need.allowed_regions];
+      if (queue.first.size() < kMaxReportedRequests) {
+        queue.first.push_back(RankOf(request, now));
       }
-      queue.first.push_back(RankOf(request, now));
     }
-    queues.push_back(queue);
+    for (auto& [allowed_regions, queue] : by_regions) {
+      queue.service = QueueHash(service, allowed_regions);
+      queues.push_back(std::move(queue));
+    }
   }
   return queues;
 }
