--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -111,13 +111,8 @@
     }
     deadline_timer_ = context_->GetLoop()->Timers()->At(
         deadline_, [this](Time) { OnDeadline(); });
-    const Duration waited_before =
-        request_info_.wait_limit.has_value()
-            ? context_->GetPatience()->WaitedBefore(route.name,
-                                                    *request_info_.wait_limit)
-            : Duration(0);
     Enqueue(request_.arrival,
-            request_.arrival + route.objective - waited_before);
+            request_.arrival + route.objective - WaitedBefore(route.name));
   }
 
   void OnDecision(const WaitDecision& decision) override {
@@ -235,6 +230,21 @@
            TargetAccess::kResting;
   }
 
+  // Time from the caller's first attempt to this request, if it is a retry.
+  Duration WaitedBefore(const std::string& route) const {
+    return context_->RetryWaitShare() > 0 &&
+                   request_info_.wait_limit.has_value()
+               ? context_->GetPatience()->WaitedBefore(
+                     route, *request_info_.wait_limit)
+               : Duration(0);
+  }
+
+  Duration MaxRetryDelay() const {
+    return FromSeconds(
+        context_->RetryWaitShare() *
+        ToSeconds(request_info_.wait_limit.value_or(Duration(0))));
+  }
+
   void Enqueue(Time arrival, Time objective_deadline) {
     WaitingRequest waiting;
     waiting.id = id_;
@@ -243,7 +253,7 @@
     waiting.arrival = arrival;
     waiting.objective_deadline = objective_deadline;
     waiting.deadline = deadline_;
-    waiting.max_retry_delay = request_info_.max_retry_delay;
+    waiting.max_retry_delay = MaxRetryDelay();
     waiting.need = Need();
     // Different suspects go to different targets, so that the next loss tells
     // them apart, and the same one to the same target, so that it ends only
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -37,6 +37,9 @@
   virtual TargetBalancer* GetTargets() = 0;
   virtual WaitQueue* GetQueue() = 0;
   virtual CallerPatience* GetPatience() = 0;
+  /// Fraction of the time that callers have left for which they follow
+  /// Retry-After; 0: unknown.
+  virtual double RetryWaitShare() = 0;
   virtual TargetConnectionPool* GetConnectionPool() = 0;
   /// What responses of targets may hold in memory together.
   virtual std::shared_ptr<BufferBudget> GetResponseBudget() = 0;
--- a/src/relay/http_codec.h
+++ b/src/relay/http_codec.h
@@ -18,8 +18,6 @@
 struct RequestInfo {
   std::string id;                      ///< of this attempt; empty if none
   std::optional<Duration> wait_limit;  ///< how long the caller waits
-  /// Longest time for which the caller follows Retry-After; 0: unknown.
-  Duration max_retry_delay{0};
   std::string key;  ///< API key of the workspace; empty if none
   bool states_tokens = false;
   double quota_tokens = 0;  ///< cost under a quota that counts tokens
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -193,6 +193,7 @@
   void SetOptions(const RelayOptions& options) override {
     options_.shutdown_grace = options.shutdown_grace;
     admin_endpoints_.SetDirectoryTtl(options.directory_ttl);
+    options_.retry_wait_share = options.retry_wait_share;
     options_.retry_ratio = options.retry_ratio;
     options_.retry_slack = options.retry_slack;
     options_.operator_limit = options.operator_limit;
@@ -245,6 +246,7 @@
   TargetBalancer* GetTargets() override { return &targets_; }
   WaitQueue* GetQueue() override { return &queue_; }
   CallerPatience* GetPatience() override { return &patience_; }
+  double RetryWaitShare() override { return options_.retry_wait_share; }
   TargetConnectionPool* GetConnectionPool() override {
     return &target_connections_;
   }
--- a/src/relay/relay_options.cc
+++ b/src/relay/relay_options.cc
@@ -108,6 +108,10 @@
            "A VM that has been gone for 3 s longer is not listed for callers."),
       Rule("callers", "grace", duration, "8s", kMinuteUs,
            "Time from SIGTERM until the process is killed."),
+      Rule("callers", "retry_wait_share", number, "0", 1,
+           "Fraction of the time that callers have left for which they follow "
+           "Retry-After. Refused callers are sent away for longer under "
+           "overload, and are recognized when they retry. 0: off."),
       Rule("targets", "drain_use", duration, "2s", kMinuteUs,
            "How long a target that leaves may still be given work."),
       Rule("targets", "evacuate_limit", duration, "10s", kMinuteUs,
@@ -177,6 +181,7 @@
       kMinListedSilence, settings.GetDuration("callers", "stable_window") +
                              kMaxListedAfterWindow - options.directory_ttl);
   options.shutdown_grace = settings.GetDuration("callers", "grace");
+  options.retry_wait_share = settings.Number("callers", "retry_wait_share");
   // A request sent at the end of this time must still arrive within it.
   options.target_drain_time = settings.GetDuration("targets", "drain_use");
   options.vanished_use = options.target_drain_time * kVanishedUsePercent / 100;
--- a/src/relay/relay_options.h
+++ b/src/relay/relay_options.h
@@ -35,6 +35,9 @@
   /// Time within which a change of the operators' topic must be in force, for
   /// keys and for evacuations.
   Duration operator_limit{0};
+  /// Fraction of the time that callers have left for which they follow
+  /// Retry-After; 0: unknown.
+  double retry_wait_share = 0;
   /// How long a draining target may be sent requests.
   Duration target_drain_time{0};
   /// How long a target whose entry disappeared may be sent requests.
