--- a/src/relay/relay_options.cc
+++ b/src/relay/relay_options.cc
@@ -9,6 +9,7 @@
 
 constexpr std::int64_t kMillisecondUs = 1'000;
 constexpr std::int64_t kMinuteUs = 60'000 * kMillisecondUs;
+constexpr std::int64_t kDayUs = 24 * 60 * kMinuteUs;
 /// A VM that has been gone for the stable window and this time must not be
 /// listed for callers.
 constexpr Duration kMaxListedAfterWindow = std::chrono::seconds(3);
@@ -104,13 +105,13 @@
       Rule("store", "address", address, "", 0, "The platform's store."),
       Rule("callers", "directory_keep", duration, "1s", kMinuteUs,
            "How long callers keep a directory answer; whole seconds."),
-      Rule("callers", "stable_window", duration, "4s", kMinuteUs,
+      Rule("callers", "stable_window", duration, "4s", kDayUs,
            "A VM that has been gone for 3 s longer is not listed for callers."),
       Rule("callers", "grace", duration, "8s", kMinuteUs,
            "Time from SIGTERM until the process is killed."),
       Rule("targets", "drain_use", duration, "2s", kMinuteUs,
            "How long a target that leaves may still be given work."),
-      Rule("targets", "evacuate_limit", duration, "10s", kMinuteUs,
+      Rule("targets", "evacuate_limit", duration, "10s", kDayUs,
            "Time within which an evacuation must be in force. From 8.5s on, "
            "reads of the store don't depend on it."),
       Rule("targets", "retry_ratio", number, "0.2", 1,
--- a/tests/relay/evacuation_test.cc
+++ b/tests/relay/evacuation_test.cc
@@ -368,5 +368,47 @@
   EXPECT_EQ(RequestsInDomain() + other_.RequestCount(), 0);
 }
 
+TEST_F(RestrictedRequestsTest, DirectoryListsVmsOfCallersRegion) {
+  RelayOptions options = Options();
+  options.regions = {{"d", "eu"}, {"e", "us"}};
+  options.directory_address = FreeUdpAddress();
+  options.peer_address = FreeUdpAddress();
+  options.caller_address = FreeUdpAddress();
+  const std::string own = options.caller_address.ToString();
+  relay_ = MakeRelay(options);
+  Configure(Config());
+  RelayOptions peer_options = options;
+  peer_options.failure_domain = "e";
+  peer_options.directory_address = FreeUdpAddress();
+  peer_options.peer_address = FreeUdpAddress();
+  peer_options.caller_address = FreeUdpAddress();
+  const std::string other = peer_options.caller_address.ToString();
+  const std::unique_ptr<Relay> peer = MakeRelay(peer_options);
+  peer->SetConfig(std::make_shared<const RouteTable>(Config()));
+  peer->OnConfigConfirmed(clock_->SuspendAwareNow());
+  const std::vector<VmRecord> members = {peer->SelfRecord(),
+                                         relay_->SelfRecord()};
+  peer->SetMembers(members);
+  relay_->SetMembers(members);
+  RunFor(milliseconds(600));
+  const auto resolve = [&](const std::string& query) {
+    TestCaller caller(loop_.get(), options.directory_address);
+    caller.Send("GET /-/resolve?name=h" + query +
+                " HTTP/1.1\r\nHost: d\r\n\r\n");
+    EXPECT_TRUE(RunUntil([&] { return caller.Response() != nullptr; }));
+    return caller.Received();
+  };
+  const auto lists = [](const std::string& answer, const std::string& address) {
+    return answer.find('"' + address + '"') != std::string::npos;
+  };
+  EXPECT_TRUE(lists(resolve("&region=eu&zone=d"), own));
+  EXPECT_FALSE(lists(resolve("&region=eu&zone=d"), other));
+  EXPECT_TRUE(lists(resolve("&region=us"), other));
+  EXPECT_FALSE(lists(resolve("&region=us"), own));
+  EXPECT_TRUE(lists(resolve("&region=ap"), own));
+  EXPECT_TRUE(lists(resolve("&region=ap"), other));
+  EXPECT_TRUE(lists(resolve(""), other));
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
--- a/tests/relay/relay_options_test.cc
+++ b/tests/relay/relay_options_test.cc
@@ -69,6 +69,8 @@
   EXPECT_EQ(Options("", "", "evacuate_limit = 8000.0ms\n", "limit = 2s\n")
                 .operator_limit,
             milliseconds(2'000));
+  EXPECT_EQ(Options("", "", "evacuate_limit = 600000ms\n").operator_limit,
+            milliseconds(5'000));
   // Reads without pause would take up the store.
   EXPECT_EQ(Options("", "", "evacuate_limit = 0ms\n").operator_limit,
             milliseconds(1'000));
@@ -80,6 +82,8 @@
             milliseconds(6'000));
   EXPECT_EQ(Options("", "stable_window = 1000ms\n").max_listed_silence,
             milliseconds(3'000));
+  EXPECT_EQ(Options("", "stable_window = 600000ms\n").max_listed_silence,
+            milliseconds(602'000));
   EXPECT_EQ(Options("", "directory_keep = 60s\n").max_listed_silence,
             milliseconds(2'500));
 }
