Count messages of peers from their arrival in the directory

A process that was stopped read the messages that had waited in its socket as new, and listed VMs that had ended meanwhile. The kernel states when a datagram arrived. VmThatEndedWhileProcessWasStoppedIsNotListed fails without the change.

--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -6,8 +6,10 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstring>
+#include <ctime>
 #include <limits>
 #include <unordered_map>
 #include <utility>
@@ -136,6 +138,8 @@
 
 /// Maximum UDP payload over IPv4.
 constexpr std::size_t kMaxDatagramBytes = 65'507;
+/// Older messages are equally useless.
+constexpr Duration kMaxMessageAge = std::chrono::minutes(1);
 /// Datagrams read before control returns to the loop.
 constexpr int kMaxReadsPerEvent = 64;
 
@@ -153,6 +157,10 @@
              sizeof(address)) != 0) {
       throw Error("open link", listen.ToString(), strerror(errno));
     }
+    const int enable = 1;
+    // Without timestamps, messages count as received when they are read.
+    [[maybe_unused]] const int result = setsockopt(
+        fd_.Get(), SOL_SOCKET, SO_TIMESTAMPNS, &enable, sizeof(enable));
     loop_->Watch(fd_.Get(), EPOLLIN, [this](std::uint32_t) { OnReadable(); });
   }
 
@@ -176,6 +184,8 @@
 
   int ErrorCount() const override { return error_count_; }
 
+  Duration MessageAge() const override { return message_age_; }
+
  private:
   void OnReadable() {
     Receive();
@@ -216,10 +226,43 @@
     return resolved_[link] = ToSocketAddress(Address::Parse(link));
   }
 
+  // Reads a datagram into `buffer_`, and how long ago it arrived.
+  ssize_t ReadDatagram() {
+    alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(timespec))> control{};
+    iovec data{buffer_.data(), buffer_.size()};
+    msghdr message{};
+    message.msg_iov = &data;
+    message.msg_iovlen = 1;
+    message.msg_control = control.data();
+    message.msg_controllen = control.size();
+    const ssize_t n = recvmsg(fd_.Get(), &message, 0);
+    message_age_ = n < 0 ? Duration(0) : AgeOf(&message);
+    return n;
+  }
+
+  // The kernel states the time of the arrival on the wall clock, which may have
+  // been set since.
+  static Duration AgeOf(msghdr* message) {
+    const cmsghdr* header = CMSG_FIRSTHDR(message);
+    if (header == nullptr || header->cmsg_level != SOL_SOCKET ||
+        header->cmsg_type != SCM_TIMESTAMPNS) {
+      return Duration(0);
+    }
+    timespec arrival{};
+    std::memcpy(&arrival, CMSG_DATA(header), sizeof(arrival));
+    timespec now{};
+    clock_gettime(CLOCK_REALTIME, &now);
+    const Duration age =
+        std::chrono::seconds(now.tv_sec - arrival.tv_sec) +
+        std::chrono::duration_cast<Duration>(
+            std::chrono::nanoseconds(now.tv_nsec - arrival.tv_nsec));
+    return std::clamp(age, Duration(0), kMaxMessageAge);
+  }
+
   // Returns the number of datagrams read.
   int Receive() {
     for (int i = 0; i < kMaxReadsPerEvent; ++i) {
-      const ssize_t n = recv(fd_.Get(), buffer_.data(), buffer_.size(), 0);
+      const ssize_t n = ReadDatagram();
       if (n < 0) {
         return i;
       }
@@ -244,6 +287,7 @@
   std::string buffer_ = std::string(kMaxDatagramBytes, '\0');
   std::unordered_map<std::string, sockaddr_in> resolved_;
   int error_count_ = 0;
+  Duration message_age_{0};
   Duration read_interval_{0};
   std::unique_ptr<TimerService::Subscription> read_timer_;
 };
--- a/src/relay/peer_link.h
+++ b/src/relay/peer_link.h
@@ -35,6 +35,10 @@
 
   /// Datagrams that could not be decoded or sent.
   virtual int ErrorCount() const = 0;
+
+  /// For how long the message that is being reported had waited to be read, for
+  /// example while this process was stopped.
+  virtual Duration MessageAge() const = 0;
 };
 
 }  // namespace hornbeamcleat
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -483,7 +483,7 @@
     const bool is_new_incarnation = directory_.IsNewIncarnation(state);
     const bool is_returning = directory_.IsReturning(state);
     directory_.SetSuspendedTime(clock_->SuspendAwareNow() - now);
-    if (!directory_.OnState(state, now)) {
+    if (!directory_.OnState(state, now - peer_link_->MessageAge())) {
       return;
     }
     if (is_new_incarnation) {
--- a/tests/relay/evacuation_test.cc
+++ b/tests/relay/evacuation_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 #include "hornbeamcleat/base/log.h"
@@ -410,5 +411,41 @@
   EXPECT_TRUE(lists(resolve(""), other));
 }
 
+// Messages that wait in the socket while the process is stopped must not make a
+// VM that has ended look alive.
+TEST_F(RestrictedRequestsTest, VmThatEndedWhileProcessWasStoppedIsNotListed) {
+  RelayOptions options = Options();
+  options.directory_address = FreeUdpAddress();
+  options.peer_address = FreeUdpAddress();
+  options.caller_address = FreeUdpAddress();
+  relay_ = MakeRelay(options);
+  Configure(Config());
+  RelayOptions peer_options = options;
+  peer_options.directory_address = FreeUdpAddress();
+  peer_options.peer_address = FreeUdpAddress();
+  peer_options.caller_address = FreeUdpAddress();
+  const std::string other = peer_options.caller_address.ToString();
+  std::unique_ptr<Relay> peer = MakeRelay(peer_options);
+  const std::vector<VmRecord> members = {peer->SelfRecord(),
+                                         relay_->SelfRecord()};
+  relay_->SetMembers(members);
+  peer->SetMembers(members);
+  peer->SetConfig(std::make_shared<const RouteTable>(Config()));
+  peer->OnConfigConfirmed(clock_->SuspendAwareNow());
+  const auto is_listed = [&] {
+    TestCaller caller(loop_.get(), options.directory_address);
+    caller.Send("GET /-/resolve?name=h HTTP/1.1\r\nHost: d\r\n\r\n");
+    EXPECT_TRUE(RunUntil([&] { return caller.Response() != nullptr; }));
+    return caller.Received().find('"' + other + '"') != std::string::npos;
+  };
+  RunFor(milliseconds(600));
+  ASSERT_TRUE(is_listed());
+  // Its last message says that it is ready, and is not read for a while.
+  peer->SetMembers(members);
+  peer.reset();
+  std::this_thread::sleep_for(milliseconds(1'500));
+  EXPECT_FALSE(is_listed());
+}
+
 }  // namespace
 }  // namespace hornbeamcleat
