--- a/tests/serving/wait_queue_test.cc
+++ b/tests/serving/wait_queue_test.cc
@@ -363,118 +363,120 @@
   EXPECT_TRUE(Placed().empty());
   ASSERT_EQ(refused_.size(), 1U);
   EXPECT_GT(refused_[0].retry_after, Duration(0));
-  // Requests must not wait for slots of targets that will not take them.
-  TEST_F(WaitQueueTest, AllTargetsEvacuatedRefusesAtOnceWithTimeToRetry) {
-    OccupySlots(1);
-    queue_.Add(Request(1, 0, 1'000));
-    EXPECT_TRUE(Placed().empty());
-    ASSERT_TRUE(refused_.empty());
-    now_ += milliseconds(400);
-    balancer_.SetEvacuatedDomains({""}, now_);
-    EXPECT_TRUE(Placed().empty());
-    ASSERT_EQ(refused_.size(), 1U);
-    EXPECT_GE(refused_[0].retry_after, milliseconds(3'000));
-    EXPECT_LE(refused_[0].retry_after, milliseconds(5'000));
-    EXPECT_EQ(queue_.TimeToOpening(Request(2, 0, 1'000).need, 0, now_),
-              refused_[0].retry_after);
-  }
-
-  // Half of the slots is gone, so the estimated wait doubles and exceeds the
-  // objective.
-  TEST_F(WaitQueueTest, EstimateCountsLossOfEvacuatedDomainAtOnce) {
-    ServingTarget near;
-    near.id = "t";
-    near.service = "s";
-    near.failure_domain = "d";
-    near.slots = 2;
-    ServingTarget far = near;
-    far.id = "u";
-    far.failure_domain = "e";
-    balancer_.SetTargets({near, far}, now_);
-    OccupySlots(2);
-    for (int i = 0; i < 2; ++i) {
-      balancer_.OnSent("u", 0, now_);
-      balancer_.OnFirstEvent("u", 0, milliseconds(25), milliseconds(25), now_);
-    }
-    queue_.OnSlotReleased("s", milliseconds(1'000));
-    queue_.Add(Request(1, 0, 400));
-    EXPECT_TRUE(Placed().empty());
-    EXPECT_TRUE(refused_.empty());
-    balancer_.SetEvacuatedDomains({"e"}, now_);
-    EXPECT_TRUE(Placed().empty());
-    EXPECT_EQ(refused_.size(), 1U);
-  }
+}
 
-  /// Requests that may use all targets beside some that may use one region.
-  class WaitQueueRegionsTest : public WaitQueueTest {
-   protected:
-    WaitQueueRegionsTest() {
-      balancer_.SetRegions({{"d", "eu"}, {"e", "us"}});
-      ServingTarget us;
-      us.id = "u";
-      us.service = "s";
-      us.failure_domain = "e";
-      us.slots = 2;
-      ServingTarget eu = us;
-      eu.id = "t";
-      eu.failure_domain = "d";
-      balancer_.SetTargets({eu, us}, now_);
-    }
+// Requests must not wait for slots of targets that will not take them.
+TEST_F(WaitQueueTest, AllTargetsEvacuatedRefusesAtOnceWithTimeToRetry) {
+  OccupySlots(1);
+  queue_.Add(Request(1, 0, 1'000));
+  EXPECT_TRUE(Placed().empty());
+  ASSERT_TRUE(refused_.empty());
+  now_ += milliseconds(400);
+  balancer_.SetEvacuatedDomains({""}, now_);
+  EXPECT_TRUE(Placed().empty());
+  ASSERT_EQ(refused_.size(), 1U);
+  EXPECT_GE(refused_[0].retry_after, milliseconds(3'000));
+  EXPECT_LE(refused_[0].retry_after, milliseconds(5'000));
+  EXPECT_EQ(queue_.TimeToOpening(Request(2, 0, 1'000).need, 0, now_),
+            refused_[0].retry_after);
+}
 
-    WaitingRequest Restricted(std::uint64_t id, int rank,
-                              const std::vector<std::string>& regions) const {
-      WaitingRequest request = Request(id, rank, 1'000);
-      request.need.allowed_regions = regions;
-      return request;
-    }
-  };
-
-  // Restricted requests whose region is full must not keep the others from free
-  // slots elsewhere.
-  TEST_F(WaitQueueRegionsTest, FullRegionHoldsUpOnlyItsOwnRequests) {
-    OccupySlots(2);
-    for (std::uint64_t id = 1; id <= 5; ++id) {
-      queue_.Add(Restricted(id, 0, {"eu"}));
-    }
-    queue_.Add(Request(6, 1, 1'000));
-    queue_.Add(Request(7, 1, 1'000));
-    EXPECT_EQ(Placed(), (std::vector<std::uint64_t>{6, 7}));
-    ReleaseSlot();
-    EXPECT_EQ(Placed(), (std::vector<std::uint64_t>{1}));
+// Half of the slots is gone, so the estimated wait doubles and exceeds the
+// objective.
+TEST_F(WaitQueueTest, EstimateCountsLossOfEvacuatedDomainAtOnce) {
+  ServingTarget near;
+  near.id = "t";
+  near.service = "s";
+  near.failure_domain = "d";
+  near.slots = 2;
+  ServingTarget far = near;
+  far.id = "u";
+  far.failure_domain = "e";
+  balancer_.SetTargets({near, far}, now_);
+  OccupySlots(2);
+  for (int i = 0; i < 2; ++i) {
+    balancer_.OnSent("u", 0, now_);
+    balancer_.OnFirstEvent("u", 0, milliseconds(25), milliseconds(25), now_);
   }
+  queue_.OnSlotReleased("s", milliseconds(1'000));
+  queue_.Add(Request(1, 0, 400));
+  EXPECT_TRUE(Placed().empty());
+  EXPECT_TRUE(refused_.empty());
+  balancer_.SetEvacuatedDomains({"e"}, now_);
+  EXPECT_TRUE(Placed().empty());
+  EXPECT_EQ(refused_.size(), 1U);
+}
 
-  TEST_F(WaitQueueRegionsTest, HigherRankGoesFirstInItsRegion) {
-    OccupySlots(2);
-    balancer_.OnSent("u", 0, now_);
-    balancer_.OnSent("u", 0, now_);
-    queue_.Add(Request(1, 1, 1'000));
-    queue_.Add(Restricted(2, 0, {"eu"}));
-    EXPECT_TRUE(Placed().empty());
-    ReleaseSlot();
-    EXPECT_EQ(Placed(), (std::vector<std::uint64_t>{2}));
+/// Requests that may use all targets beside some that may use one region.
+class WaitQueueRegionsTest : public WaitQueueTest {
+ protected:
+  WaitQueueRegionsTest() {
+    balancer_.SetRegions({{"d", "eu"}, {"e", "us"}});
+    ServingTarget us;
+    us.id = "u";
+    us.service = "s";
+    us.failure_domain = "e";
+    us.slots = 2;
+    ServingTarget eu = us;
+    eu.id = "t";
+    eu.failure_domain = "d";
+    balancer_.SetTargets({eu, us}, now_);
   }
 
-  TEST_F(WaitQueueRegionsTest, EmptyRestrictionIsRefusedAtOnce) {
-    queue_.Add(Restricted(1, 0, {}));
-    EXPECT_TRUE(Placed().empty());
-    ASSERT_EQ(refused_.size(), 1U);
-    EXPECT_GE(refused_[0].retry_after, milliseconds(3'000));
+  WaitingRequest Restricted(std::uint64_t id, int rank,
+                            const std::vector<std::string>& regions) const {
+    WaitingRequest request = Request(id, rank, 1'000);
+    request.need.allowed_regions = regions;
+    return request;
   }
+};
 
-  // Peers would otherwise wait behind requests that want none of their slots.
-  TEST_F(WaitQueueRegionsTest, RestrictedRequestsAreReportedApart) {
-    OccupySlots(2);
-    queue_.Add(Restricted(1, 0, {"eu"}));
-    Placed();
-    const std::vector<ServiceQueue> queues = queue_.Queues(now_);
-    ASSERT_EQ(queues.size(), 1U);
-    EXPECT_NE(queues[0].service, Hash32("s"));
-    WaitQueue other(&balancer_);
-    other.SetPeerQueues("p", queues, now_);
-    WaitingRequest request = Request(2, 1, 1'000);
-    other.Add(request);
-    ASSERT_EQ(other.Decide(now_).size(), 1U);
+// Restricted requests whose region is full must not keep the others from free
+// slots elsewhere.
+TEST_F(WaitQueueRegionsTest, FullRegionHoldsUpOnlyItsOwnRequests) {
+  OccupySlots(2);
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    queue_.Add(Restricted(id, 0, {"eu"}));
   }
+  queue_.Add(Request(6, 1, 1'000));
+  queue_.Add(Request(7, 1, 1'000));
+  EXPECT_EQ(Placed(), (std::vector<std::uint64_t>{6, 7}));
+  ReleaseSlot();
+  EXPECT_EQ(Placed(), (std::vector<std::uint64_t>{1}));
+}
+
+TEST_F(WaitQueueRegionsTest, HigherRankGoesFirstInItsRegion) {
+  OccupySlots(2);
+  balancer_.OnSent("u", 0, now_);
+  balancer_.OnSent("u", 0, now_);
+  queue_.Add(Request(1, 1, 1'000));
+  queue_.Add(Restricted(2, 0, {"eu"}));
+  EXPECT_TRUE(Placed().empty());
+  ReleaseSlot();
+  EXPECT_EQ(Placed(), (std::vector<std::uint64_t>{2}));
+}
+
+TEST_F(WaitQueueRegionsTest, EmptyRestrictionIsRefusedAtOnce) {
+  queue_.Add(Restricted(1, 0, {}));
+  EXPECT_TRUE(Placed().empty());
+  ASSERT_EQ(refused_.size(), 1U);
+  EXPECT_GE(refused_[0].retry_after, milliseconds(3'000));
+}
+
+// Peers would otherwise wait behind requests that want none of their slots.
+TEST_F(WaitQueueRegionsTest, RestrictedRequestsAreReportedApart) {
+  OccupySlots(2);
+  queue_.Add(Restricted(1, 0, {"eu"}));
+  Placed();
+  const std::vector<ServiceQueue> queues = queue_.Queues(now_);
+  ASSERT_EQ(queues.size(), 1U);
+  EXPECT_NE(queues[0].service, Hash32("s"));
+  WaitQueue other(&balancer_);
+  other.SetPeerQueues("p", queues, now_);
+  WaitingRequest request = Request(2, 1, 1'000);
+  other.Add(request);
+  ASSERT_EQ(other.Decide(now_).size(), 1U);
+}
 
 }  // namespace
 }  // namespace hornbeamcleat
