--- a/tests/relay/cold_targets_test.cc
+++ b/tests/relay/cold_targets_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <iterator>
 #include <memory>
 #include <string>
 #include <vector>
@@ -64,8 +65,10 @@
     return config;
   }
 
-  std::unique_ptr<Relay> MakeColdRelay(bool has_cold_targets) {
+  std::unique_ptr<Relay> MakeColdRelay(bool has_cold_targets,
+                                       const std::string& domain = "d") {
     RelayOptions options = Options();
+    options.failure_domain = domain;
     options.peer_address = FreeUdpAddress();
     options.max_connections = 2'000;
     options.cold_bounds = {1.5, 5};
@@ -264,6 +267,34 @@
   EXPECT_LE(cold->MostInSecond(back, clock_->Now()), kAllowed);
 }
 
+// Beyond 16 VMs, changes of load go to the own failure domain only. The VMs of
+// the other one have sent the target nothing and would fill it.
+TEST_F(ColdTargetsRelayTest, VmsOfOtherDomainThatWereNotInvolvedHearOfLoss) {
+  constexpr std::size_t kVms = 18;
+  relay_.reset();
+  for (std::size_t i = 0; i < kVms; ++i) {
+    relays_.push_back(MakeColdRelay(true, i == 0 ? "d" : "e"));
+  }
+  SetMembersOfAll();
+  ColdTarget* cold = AddTarget("t0", 50);
+  SetTargetsOfAll();
+  RunFor(kTurnDelay);
+  std::vector<std::unique_ptr<Relay>> others(
+      std::make_move_iterator(relays_.begin() + 1),
+      std::make_move_iterator(relays_.end()));
+  relays_.resize(1);
+  AskFor(milliseconds(300));
+  ++crashes_;
+  cold->target->Crash();
+  RunFor(milliseconds(300));
+  relays_.swap(others);
+  const Time back = clock_->Now();
+  cold->target->ListenAgain();
+  AskFor(milliseconds(1'500));
+  EXPECT_LE(cold->MostInSecond(back, clock_->Now()), kAllowed);
+  relays_.push_back(std::move(others[0]));
+}
+
 // One broken answer would take the target's capacity for seconds.
 TEST_F(ColdTargetsRelayTest, BrokenAnswerBesideOthersLeavesTargetWarm) {
   StartVms(2);
