Share reads of the store within a failure domain (not yet measured)

Each VM polled keyed.op and keyed.servers by itself. Beyond 16 VMs, a reader and a standby of each failure domain now report their reads, dated by echoed timestamps, and the others pause their polls while reports prove their state current.

--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -8,6 +8,7 @@
 
 #include "hornbeamcleat/serving/request_property.h"
 #include "hornbeamcleat/serving/target_statement.h"
+#include "hornbeamcleat/serving/topic_report.h"
 #include "hornbeamcleat/serving/version_move.h"
 
 namespace hornbeamcleat {
@@ -165,6 +166,8 @@
   std::vector<TargetNotice> notices;
   /// Limits of targets, likewise.
   std::vector<LimitNotice> limits;
+  /// Only between VMs of one failure domain that share reads of the store.
+  std::optional<SharedReadsMessage> reads;
 
   bool operator==(const PeerState&) const = default;
 };
--- a/include/hornbeamcleat/serving/serving_source.h
+++ b/include/hornbeamcleat/serving/serving_source.h
@@ -10,6 +10,7 @@
 #include "hornbeamcleat/serving/peer_state.h"
 #include "hornbeamcleat/serving/route_table.h"
 #include "hornbeamcleat/serving/serving_config.h"
+#include "hornbeamcleat/serving/topic_report.h"
 #include "hornbeamcleat/serving/version_move.h"
 
 namespace hornbeamcleat {
@@ -48,6 +49,9 @@
   /// Delivers all orders for version moves and their recorded states.
   virtual void OnMoves(const std::vector<MoveOrder>& orders,
                        const std::vector<MoveRecord>& records) = 0;
+  /// Reports a read that reached the end of a topic, after what it returned was
+  /// delivered. Not called if the store states no era.
+  virtual void OnTopicRead(const TopicRead& read) = 0;
 };
 
 /// Long-poll timeouts and minimum intervals for reads of the store.
@@ -86,6 +90,12 @@
 
   /// Applies new timeouts and intervals from the next read on.
   virtual void SetPacing(const ReadPacing& pacing) = 0;
+
+  /// Sets how this VM reads a topic. By default it never pauses.
+  virtual void SetReadDuty(SharedTopic topic, const ReadDuty& duty) = 0;
+  /// Applies what a peer's read proves: if this VM has read as far, its state
+  /// was current at that time; if not, it reads at once.
+  virtual void OnTopicProof(const TopicProof& proof) = 0;
 };
 
 }  // namespace hornbeamcleat
--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -128,7 +128,8 @@
 void serialize(Archive& ar, PeerState& state) {
   ar(state.incarnation, state.sequence, state.link, state.is_ready,
      state.has_load, state.uses, state.queues, state.has_all_quotas,
-     state.quotas, state.details, state.losses, state.notices, state.limits);
+     state.quotas, state.details, state.losses, state.notices, state.limits,
+     state.reads);
 }
 
 namespace {
--- a/src/relay/peer_reporter.cc
+++ b/src/relay/peer_reporter.cc
@@ -9,6 +9,7 @@
 #include "src/base/poll_loop.h"
 #include "src/relay/peer_link.h"
 #include "src/serving/admission.h"
+#include "src/serving/shared_reads.h"
 #include "src/serving/target_balancer.h"
 #include "src/serving/version_moves.h"
 #include "src/serving/vm_directory.h"
@@ -132,6 +133,10 @@
   if (with_details) {
     AddDetails("", now, &state);
   }
+  if (const std::optional<std::uint64_t> stamp =
+          sources_.reads->TakeStamp(clock_->SuspendAwareNow())) {
+    state.reads = SharedReadsMessage{stamp, std::nullopt, {}};
+  }
   link_->Send(state, LocalDomainLinks());
 }
 
@@ -158,6 +163,14 @@
   link_->Send(state, sources_.directory->RemoteDomainLinks());
 }
 
+void PeerReporter::SendReads(const SharedReadsMessage& message,
+                             const std::string& link) {
+  PeerState state = MakeState();
+  state.has_load = false;
+  state.reads = message;
+  link_->Send(state, {link});
+}
+
 // Between heartbeats, VMs of other failure domains are sent only quotas that
 // are nearly used up.
 void PeerReporter::SendLowQuotas() {
--- a/src/relay/peer_reporter.h
+++ b/src/relay/peer_reporter.h
@@ -20,6 +20,7 @@
 class Clock;
 class PeerLink;
 class PollLoop;
+class SharedReads;
 class TargetBalancer;
 class VersionMoves;
 class VmDirectory;
@@ -37,6 +38,7 @@
     const VersionMoves* moves = nullptr;
     const VmDirectory* directory = nullptr;
     std::function<bool()> is_ready;
+    SharedReads* reads = nullptr;
   };
 
   PeerReporter(PollLoop* loop, const Clock* clock, PeerLink* link,
@@ -55,6 +57,10 @@
   /// Sends new statements of targets to all VMs, once this turn of the loop has
   /// ended.
   void SendNoticesSoon();
+  /// Sends what concerns shared reads of the store to one peer.
+  void SendReads(const SharedReadsMessage& message, const std::string& link);
+  /// Random ID of this process, as in its messages.
+  std::uint64_t Incarnation() const { return incarnation_; }
   /// A peer has started and lacks what others know.
   void OnPeerStarted(const std::string& link);
   /// A peer is heard again after a while, and may lack losses that were
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -26,6 +26,7 @@
 #include "src/schedule/retry_budget.h"
 #include "src/serving/refusal_records.h"
 #include "src/serving/scale_plan.h"
+#include "src/serving/shared_reads.h"
 #include "src/serving/shutdown_plan.h"
 #include "src/serving/version_moves.h"
 #include "src/serving/vm_directory.h"
@@ -82,6 +83,7 @@
         callbacks_(std::move(callbacks)),
         self_{options.peer_address.ToString(),
               options.caller_address.ToString(), options.failure_domain},
+        shared_reads_(self_.link),
         directory_(self_, {kPeerTimeout, kAdvertiseTimeout, kGoneTimeout}),
         admission_(options.admission),
         queue_(&targets_),
@@ -100,8 +102,11 @@
             [this](const PeerState& state) { OnPeerState(state); })),
         peer_reporter_(loop, clock, peer_link_.get(), self_,
                        {&admission_, &targets_, &queue_, &moves_, &directory_,
-                        [this] { return IsReady(); }}) {
+                        [this] { return IsReady(); }, &shared_reads_}) {
     const Time now = clock_->Now();
+    shared_reads_.SetIncarnation(peer_reporter_.Incarnation());
+    shared_reads_.SetOptions(
+        {options.admission.key_limit, options.target_drain_time});
     admission_.Quotas()->SetSlack(options.quota_slack);
     admission_.Quotas()->SetStart(now);
     target_connections_.SetOnUnsolicited(
@@ -155,6 +160,14 @@
     DecideMoves();
   }
 
+  void OnTopicRead(const TopicRead& read) override {
+    metrics_->Count("topic_reads_total", "topic", SharedTopicName(read.topic));
+    for (const SharedReads::Outgoing& report :
+         shared_reads_.ReportsOf(read, clock_->SuspendAwareNow())) {
+      peer_reporter_.SendReads(report.message, report.link);
+    }
+  }
+
   void SetRefusals(const std::vector<PropertyLoss>& refusals) override {
     LossTable* losses = admission_.Losses();
     for (const PropertyLoss& refusal : refusal_records_.SetStored(refusals)) {
@@ -170,6 +183,8 @@
     options_.retry_slack = options.retry_slack;
     options_.admission = options.admission;
     admission_.SetOptions(options.admission);
+    shared_reads_.SetOptions(
+        {options.admission.key_limit, options_.target_drain_time});
     admission_.Quotas()->SetSlack(options.quota_slack);
   }
 
@@ -454,6 +469,9 @@
       targets_.SetPeerLoad(state.link, state.uses, now);
     }
     UpdateScale();
+    if (state.reads.has_value()) {
+      OnSharedReads(state);
+    }
     const bool is_near = !scale_plan_.is_domain_scoped ||
                          directory_.IsLocalDomainLink(state.link);
     // Queues of other failure domains are too outdated to wait for.
@@ -486,6 +504,48 @@
     }
   }
 
+  void OnSharedReads(const PeerState& state) {
+    if (!directory_.IsLocalDomainLink(state.link)) {
+      return;
+    }
+    if (state.reads->stamp_us.has_value()) {
+      shared_reads_.OnStamp(state.link, state.incarnation,
+                            *state.reads->stamp_us);
+    }
+    for (const TopicReport& report : state.reads->reports) {
+      const std::optional<TopicProof> proof = shared_reads_.Accept(
+          report, state.reads->echo, clock_->SuspendAwareNow());
+      metrics_->Count("topic_reports_total", "outcome",
+                      proof.has_value() ? "used" : "ignored");
+      if (proof.has_value()) {
+        callbacks_.on_topic_proof(*proof);
+      }
+    }
+  }
+
+  void UpdateReadRoles() {
+    std::vector<SharedReads::Peer> peers;
+    for (const VmDirectory::HeardPeer& peer :
+         directory_.HeardLocalPeers(clock_->Now())) {
+      peers.push_back({peer.link, peer.is_ready});
+    }
+    for (const SharedTopic topic :
+         shared_reads_.UpdateRoles(peers, IsReady())) {
+      const ReadRole role = shared_reads_.RoleOf(topic);
+      Log().Info("event=read_role topic={} role={} heard={}",
+                 SharedTopicName(topic), ReadRoleName(role), peers.size());
+      metrics_->Set("topic_reader", "topic", SharedTopicName(topic),
+                    role == ReadRole::kReader || role == ReadRole::kStandby);
+    }
+    for (const SharedTopic topic : kSharedTopics) {
+      // Duties also change with the options.
+      ReadDuty& duty = read_duties_[topic];
+      if (std::exchange(duty, shared_reads_.DutyOf(topic)) != duty) {
+        callbacks_.set_read_duty(topic, duty);
+      }
+    }
+  }
+
   void OnTargetNotice(const std::string& link, const TargetNotice& notice) {
     if (!targets_.Statements()->OnNotice(notice, clock_->SuspendAwareNow())) {
       return;
@@ -532,6 +592,7 @@
       return;
     }
     scale_plan_ = plan;
+    shared_reads_.SetEnabled(plan.is_domain_scoped);
     peer_reporter_.SetPlan(plan);
     peer_link_->SetReadInterval(plan.peer_read_interval);
     directory_.SetRemoteTimeoutFactor(plan.remote_timeout_factor);
@@ -622,6 +683,7 @@
     metrics_->Set("targets", "kind", "limited",
                   targets_.Limits()->LimitedCount());
     DecideMoves();
+    UpdateReadRoles();
     for (const std::string& link : directory_.TakeTimedOut(now)) {
       Log().Warning("event=peer_lost link={}", link);
       targets_.ForgetPeer(link);
@@ -691,6 +753,8 @@
   RelayOptions options_;
   const Callbacks callbacks_;
   const VmRecord self_;
+  SharedReads shared_reads_;
+  std::map<SharedTopic, ReadDuty> read_duties_;
   VmDirectory directory_;
   AdmissionController admission_;
   TargetBalancer targets_;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -34,6 +34,12 @@
     /// read back.
     std::function<void(const PropertyLoss&)> record_refusal;
     std::function<void(RequestProperty)> remove_refusal;
+    /// Changes how this VM reads a topic of the store.
+    std::function<void(SharedTopic, const ReadDuty&)> set_read_duty =
+        [](SharedTopic, const ReadDuty&) {};
+    /// A peer's read shows how recent this VM's state of a topic is.
+    std::function<void(const TopicProof&)> on_topic_proof =
+        [](const TopicProof&) {};
   };
 
   /// Opens all listening sockets.
@@ -52,6 +58,9 @@
   virtual void SetMoves(const std::vector<MoveOrder>& orders,
                         const std::vector<MoveRecord>& records) = 0;
 
+  /// This VM has read a topic to its end.
+  virtual void OnTopicRead(const TopicRead& read) = 0;
+
   virtual void SetRefusals(const std::vector<PropertyLoss>& refusals) = 0;
 
   /// Applies the options that may change at run time: limits and budgets.
--- a/src/relay/relay_daemon.cc
+++ b/src/relay/relay_daemon.cc
@@ -105,6 +105,14 @@
     loop_->Post([this, plan] { source_->SetPacing(ReadPacingFor(plan)); });
   }
 
+  void SetReadDuty(SharedTopic topic, const ReadDuty& duty) {
+    loop_->Post([this, topic, duty] { source_->SetReadDuty(topic, duty); });
+  }
+
+  void OnTopicProof(const TopicProof& proof) {
+    loop_->Post([this, proof] { source_->OnTopicProof(proof); });
+  }
+
   /// For how long the thread has not taken up posted work; called regularly.
   Duration CheckStall(Time now) { return probe_.Check(now); }
 
@@ -129,6 +137,9 @@
     traffic_loop_->Post(
         [this, orders, records] { relay_->SetMoves(orders, records); });
   }
+  void OnTopicRead(const TopicRead& read) override {
+    traffic_loop_->Post([this, read] { relay_->OnTopicRead(read); });
+  }
 
   PollLoop* const traffic_loop_;
   Relay* const relay_;
@@ -161,7 +172,11 @@
          },
          [this](RequestProperty property) {
            control_->RemoveRefusal(property);
-         }});
+         },
+         [this](SharedTopic topic, const ReadDuty& duty) {
+           control_->SetReadDuty(topic, duty);
+         },
+         [this](const TopicProof& proof) { control_->OnTopicProof(proof); }});
     control_ = std::make_unique<ControlThread>(
         loop_.get(), clock_.get(), relay_.get(), deployment, options_);
     const Time now = clock_->Now();
--- a/src/serving/vm_directory.cc
+++ b/src/serving/vm_directory.cc
@@ -157,6 +157,17 @@
   return links;
 }
 
+std::vector<VmDirectory::HeardPeer> VmDirectory::HeardLocalPeers(
+    Time now) const {
+  std::vector<HeardPeer> heard;
+  for (const auto& [link, peer] : peers_) {
+    if (IsLocalDomain(peer) && IsReachable(peer, options_.peer_timeout, now)) {
+      heard.push_back({link, peer.heard->is_ready});
+    }
+  }
+  return heard;
+}
+
 std::vector<std::string> VmDirectory::RemoteDomainLinks() const {
   std::vector<std::string> links;
   for (const auto& [link, peer] : peers_) {
--- a/src/serving/vm_directory.h
+++ b/src/serving/vm_directory.h
@@ -62,6 +62,13 @@
   std::vector<std::string> Links() const;
   /// Links of the other VMs in this VM's failure domain.
   std::vector<std::string> LocalDomainLinks() const;
+  /// A VM that is heard from.
+  struct HeardPeer {
+    std::string link;
+    bool is_ready = false;
+  };
+  /// Reachable VMs of this VM's failure domain, without this one.
+  std::vector<HeardPeer> HeardLocalPeers(Time now) const;
   /// Links of the VMs in other failure domains.
   std::vector<std::string> RemoteDomainLinks() const;
   /// Whether the VM with this link is in this VM's failure domain.
--- a/tests/platform/store_source_test.cc
+++ b/tests/platform/store_source_test.cc
@@ -100,6 +100,7 @@
   std::optional<std::vector<PropertyLoss>> refusals_;
   std::vector<MoveOrder> orders_;
   std::vector<MoveRecord> records_;
+  std::vector<TopicRead> reads_;
   std::unique_ptr<ServingSource> source_;
   Duration key_limit_ = milliseconds(5'000);
 
@@ -125,6 +126,7 @@
     orders_ = orders;
     records_ = records;
   }
+  void OnTopicRead(const TopicRead& read) override { reads_.push_back(read); }
 };
 
 TEST_F(StoreSourceTest, ConfigIsReadAndFollowed) {
