Read without waiting after a pause of polls

The first poll after a pause waited in the store for up to 1.7 s, on top of the age of the latest proof, so that a proof could age to 4.2 s (seen in the replay with a frozen reader). It now returns at once.

--- a/tests/platform/shared_reads_test.cc
+++ b/tests/platform/shared_reads_test.cc
@@ -192,6 +192,20 @@
   EXPECT_TRUE(RunUntil([&] { return store_.Calls() >= calls + 6; }));
 }
 
+// A long poll proves the state at its start only once it ends. Waiting in it
+// right after the hold let the latest proof age to the sum of both.
+TEST_F(SharedStoreReadsTest, FirstReadAfterHoldDoesNotWaitInStore) {
+  StartFollower();
+  Hold(milliseconds(700));
+  ReadPacing pacing = Pacing();
+  pacing.config_poll_timeout = seconds(5);
+  control_->Source()->SetPacing(pacing);
+  const Time confirmed = *control_->Confirmed();
+  const Time start = clock_->Now();
+  EXPECT_TRUE(RunUntil([&] { return *control_->Confirmed() > confirmed; }));
+  EXPECT_LT(clock_->Now() - start, seconds(3));
+}
+
 TEST_F(SharedStoreReadsTest, VmWithoutLeaveToPauseIgnoresProofs) {
   StartFollower();
   control_->Source()->SetReadDuty(SharedTopic::kConfig, ReadDuty());
--- a/tests/serving/shared_reads_test.cc
+++ b/tests/serving/shared_reads_test.cc
@@ -239,6 +239,7 @@
     std::uint64_t offset = 0;
     bool is_in_flight = false;
     bool is_stopped = false;
+    bool reads_without_wait = false;
     Time sent;
     Duration sent_wait{0};
     Time next_poll;
@@ -435,6 +436,7 @@
         return;
       }
       tail.is_stopped = false;
+      tail.reads_without_wait = true;
       tail.next_poll = now_;
       ++*burst;
     }
@@ -445,7 +447,7 @@
       const ReadDuty duty = vm->reads.DutyOf(static_cast<SharedTopic>(topic));
       tail.is_in_flight = true;
       tail.sent = now_;
-      tail.sent_wait = is_held ? Duration(0)
+      tail.sent_wait = is_held || tail.reads_without_wait ? Duration(0)
                        : duty.max_wait > Duration(0)
                            ? std::min(tail.wait, duty.max_wait)
                            : tail.wait;
@@ -463,6 +465,7 @@
       return;
     }
     tail.offset = End(topic);
+    tail.reads_without_wait = false;
     tail.is_in_flight = false;
     Prove(vm, topic, tail.sent);
     for (const SharedReads::Outgoing& report :
