Replace readers whose reads of the store fail

A reader without a way to the store left its failure domain with the proofs of the standby, which are older than the limit, until it was no longer ready, and then took over again. It now states after 4.5 s that its reads fail and is no candidate until one succeeds.

--- a/include/hornbeamcleat/serving/topic_report.h
+++ b/include/hornbeamcleat/serving/topic_report.h
@@ -85,6 +85,7 @@
   /// Sender's clock, which includes suspension. Only the sender can interpret
   /// it.
   std::optional<std::uint64_t> stamp_us;
+  bool can_read = false;  ///< with `stamp_us`: the sender's reads succeed
   std::optional<ClockEcho> echo;  ///< with `reports`
   std::vector<TopicReport> reports;
 
@@ -92,7 +93,7 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(stamp_us, echo, reports);
+    archive(stamp_us, can_read, echo, reports);
   }
 };
 
--- a/src/relay/peer_reporter.cc
+++ b/src/relay/peer_reporter.cc
@@ -133,10 +133,7 @@
   if (with_details) {
     AddDetails("", now, &state);
   }
-  if (const std::optional<std::uint64_t> stamp =
-          sources_.reads->TakeStamp(clock_->SuspendAwareNow())) {
-    state.reads = SharedReadsMessage{stamp, std::nullopt, {}};
-  }
+  state.reads = sources_.reads->TakeStamp(clock_->SuspendAwareNow());
   link_->Send(state, LocalDomainLinks());
 }
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -162,6 +162,7 @@
 
   void OnTopicRead(const TopicRead& read) override {
     metrics_->Count("topic_reads_total", "topic", SharedTopicName(read.topic));
+    shared_reads_.OnOwnRead(read, clock_->SuspendAwareNow());
     for (const SharedReads::Outgoing& report :
          shared_reads_.ReportsOf(read, clock_->SuspendAwareNow())) {
       peer_reporter_.SendReads(report.message, report.link);
@@ -508,10 +509,7 @@
     if (!directory_.IsLocalDomainLink(state.link)) {
       return;
     }
-    if (state.reads->stamp_us.has_value()) {
-      shared_reads_.OnStamp(state.link, state.incarnation,
-                            *state.reads->stamp_us);
-    }
+    shared_reads_.OnStamp(state.link, state.incarnation, *state.reads);
     for (const TopicReport& report : state.reads->reports) {
       const std::optional<TopicProof> proof = shared_reads_.Accept(
           report, state.reads->echo, clock_->SuspendAwareNow());
@@ -529,8 +527,8 @@
          directory_.HeardLocalPeers(clock_->Now())) {
       peers.push_back({peer.link, peer.is_ready});
     }
-    for (const SharedTopic topic :
-         shared_reads_.UpdateRoles(peers, IsReady())) {
+    for (const SharedTopic topic : shared_reads_.UpdateRoles(
+             peers, IsReady(), clock_->SuspendAwareNow())) {
       const ReadRole role = shared_reads_.RoleOf(topic);
       Log().Info("event=read_role topic={} role={} heard={}",
                  SharedTopicName(topic), ReadRoleName(role), peers.size());
--- a/src/serving/shared_reads.cc
+++ b/src/serving/shared_reads.cc
@@ -32,6 +32,9 @@
 constexpr int kReaderWaitDivisor = 3;
 /// Minimum interval between two timestamps; short against the limits.
 constexpr Duration kMinStampInterval = milliseconds(100);
+/// Time without a read after which a VM that should read for others is
+/// replaced. Longer than the longest poll and its time-out.
+constexpr Duration kMaxReadSilence = milliseconds(4'500);
 /// Reads of a greater age are not reported.
 constexpr Duration kMaxReportedAge = std::chrono::seconds(10);
 
@@ -65,7 +68,7 @@
   return topic == SharedTopic::kConfig ? "config" : "targets";
 }
 
-std::optional<std::uint64_t> SharedReads::TakeStamp(Time boot_now) {
+std::optional<SharedReadsMessage> SharedReads::TakeStamp(Time boot_now) {
   const std::uint64_t now_us = ToMicroseconds(boot_now);
   if (!is_enabled_ ||
       (last_stamp_us_.has_value() &&
@@ -73,28 +76,40 @@
     return std::nullopt;
   }
   last_stamp_us_ = now_us;
-  return now_us;
+  return SharedReadsMessage{now_us, can_read_, std::nullopt, {}};
 }
 
 void SharedReads::OnStamp(const std::string& link, std::uint64_t incarnation,
-                          std::uint64_t stamp_us) {
-  if (is_enabled_) {
-    stamps_[link] = {incarnation, stamp_us};
+                          const SharedReadsMessage& message) {
+  if (is_enabled_ && message.stamp_us.has_value()) {
+    stamps_[link] = {incarnation, *message.stamp_us, message.can_read};
   }
 }
 
+void SharedReads::OnOwnRead(const TopicRead& read, Time boot_now) {
+  can_read_ = true;
+  topics_[static_cast<std::size_t>(read.topic)].active_at = boot_now;
+}
+
 std::vector<SharedTopic> SharedReads::UpdateRoles(
-    const std::vector<Peer>& peers, bool self_is_ready) {
+    const std::vector<Peer>& peers, bool self_is_ready, Time boot_now) {
   std::erase_if(stamps_, [&](const auto& item) {
     return !is_enabled_ ||
            std::none_of(peers.begin(), peers.end(), [&](const Peer& peer) {
              return peer.link == item.first;
            });
   });
+  for (const SharedTopic topic : kSharedTopics) {
+    const Time active_at = topics_[static_cast<std::size_t>(topic)].active_at;
+    if (HasDuty(topic) && boot_now - active_at > kMaxReadSilence) {
+      can_read_ = false;
+    }
+  }
   std::vector<SharedTopic> changed;
   for (const SharedTopic topic : kSharedTopics) {
-    const ReadRole role = DecideRole(topic, peers, self_is_ready);
-    if (std::exchange(roles_[static_cast<std::size_t>(topic)], role) != role) {
+    const ReadRole role = DecideRole(topic, peers, self_is_ready && can_read_);
+    if (role != RoleOf(topic)) {
+      topics_[static_cast<std::size_t>(topic)] = {role, boot_now};
       changed.push_back(topic);
     }
   }
@@ -105,16 +120,17 @@
 // nothing. One that isn't ready may have no way to the store.
 ReadRole SharedReads::DecideRole(SharedTopic topic,
                                  const std::vector<Peer>& peers,
-                                 bool self_is_ready) const {
+                                 bool self_is_candidate) const {
   if (!is_enabled_ || BaseLimitOf(topic) < kMinLimit) {
     return ReadRole::kAlone;
   }
   const std::uint64_t seed = Hash64(SharedTopicName(topic));
   const std::uint64_t own = Hash64(self_, seed);
-  int candidates = self_is_ready ? 1 : 0;
+  int candidates = self_is_candidate ? 1 : 0;
   int rank = 0;
   for (const Peer& peer : peers) {
-    if (peer.is_ready && stamps_.contains(peer.link)) {
+    const auto stamp = stamps_.find(peer.link);
+    if (peer.is_ready && stamp != stamps_.end() && stamp->second.can_read) {
       ++candidates;
       rank += Hash64(peer.link, seed) < own ? 1 : 0;
     }
@@ -122,7 +138,7 @@
   if (candidates < kMinSharingVms) {
     return ReadRole::kAlone;
   }
-  if (!self_is_ready || rank > 1) {
+  if (!self_is_candidate || rank > 1) {
     return ReadRole::kFollower;
   }
   return rank == 0 ? ReadRole::kReader : ReadRole::kStandby;
@@ -144,10 +160,8 @@
 std::vector<SharedReads::Outgoing> SharedReads::ReportsOf(const TopicRead& read,
                                                           Time boot_now) const {
   std::vector<Outgoing> reports;
-  const ReadRole role = RoleOf(read.topic);
   const Duration age = boot_now - read.sent;
-  if ((role != ReadRole::kReader && role != ReadRole::kStandby) ||
-      age < Duration(0) || age > kMaxReportedAge) {
+  if (!HasDuty(read.topic) || age < Duration(0) || age > kMaxReportedAge) {
     return reports;
   }
   TopicReport report;
@@ -162,6 +176,7 @@
   for (const auto& [link, stamp] : stamps_) {
     reports.push_back({link,
                        {std::nullopt,
+                        false,
                         ClockEcho{stamp.incarnation, stamp.stamp_us},
                         {report}}});
   }
--- a/src/serving/shared_reads.h
+++ b/src/serving/shared_reads.h
@@ -75,23 +75,26 @@
   /// While disabled, all VMs read alone and nothing is sent.
   void SetEnabled(bool is_enabled) { is_enabled_ = is_enabled; }
 
-  /// Returns a timestamp for a message to the failure domain, unless one was
+  /// Returns a message with a timestamp for the failure domain, unless one was
   /// sent a short time ago.
-  std::optional<std::uint64_t> TakeStamp(Time boot_now);
+  std::optional<SharedReadsMessage> TakeStamp(Time boot_now);
 
-  /// Records a peer's timestamp. Messages must be passed in the order in which
-  /// they were sent.
+  /// Records a peer's timestamp, if the message has one. Messages must be
+  /// passed in the order in which they were sent.
   void OnStamp(const std::string& link, std::uint64_t incarnation,
-               std::uint64_t stamp_us);
+               const SharedReadsMessage& message);
+
+  /// Records that a read of this VM has succeeded.
+  void OnOwnRead(const TopicRead& read, Time boot_now);
 
   /// Decides the roles of this VM.
   /// @param peers all VMs of the failure domain that are heard from
   /// @return topics whose role has changed
   std::vector<SharedTopic> UpdateRoles(const std::vector<Peer>& peers,
-                                       bool self_is_ready);
+                                       bool self_is_ready, Time boot_now);
 
   ReadRole RoleOf(SharedTopic topic) const {
-    return roles_[static_cast<std::size_t>(topic)];
+    return topics_[static_cast<std::size_t>(topic)].role;
   }
   ReadDuty DutyOf(SharedTopic topic) const;
 
@@ -112,12 +115,22 @@
   struct Stamp {
     std::uint64_t incarnation = 0;
     std::uint64_t stamp_us = 0;
+    bool can_read = false;
+  };
+  struct Topic {
+    ReadRole role = ReadRole::kAlone;
+    /// Latest read, or when the role began.
+    Time active_at;
   };
 
+  bool HasDuty(SharedTopic topic) const {
+    const ReadRole role = RoleOf(topic);
+    return role == ReadRole::kReader || role == ReadRole::kStandby;
+  }
   /// LimitOf without the part that differs between VMs.
   Duration BaseLimitOf(SharedTopic topic) const;
   ReadRole DecideRole(SharedTopic topic, const std::vector<Peer>& peers,
-                      bool self_is_ready) const;
+                      bool self_is_candidate) const;
 
   const std::string self_;
   Options options_;
@@ -125,8 +138,10 @@
   bool is_enabled_ = false;
   std::optional<std::uint64_t> last_stamp_us_;
   std::map<std::string, Stamp> stamps_;  ///< latest of each peer, by link
-  std::array<ReadRole, kSharedTopics.size()> roles_ = {ReadRole::kAlone,
-                                                       ReadRole::kAlone};
+  std::array<Topic, kSharedTopics.size()> topics_;
+  /// False after reads failed that this VM had to do for others, until one
+  /// succeeds.
+  bool can_read_ = true;
 };
 
 }  // namespace hornbeamcleat
--- a/tests/relay/odd_peer_message_test.cc
+++ b/tests/relay/odd_peer_message_test.cc
@@ -48,6 +48,8 @@
     state.details = PeerDetails{"127.0.0.1:9", "d", {{Hash32("t0")}}, {}};
     state.losses = LossReport();
     state.notices = {{{Hash64("other"), 1}, true, 1'000}};
+    state.reads =
+        SharedReadsMessage{1, true, ClockEcho{7, 1}, {{0, 1, 9, 5, 3}}};
     return state;
   }
 
