--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -8,6 +8,7 @@
 
 #include "hornbeamcleat/serving/request_property.h"
 #include "hornbeamcleat/serving/target_statement.h"
+#include "hornbeamcleat/serving/topic_report.h"
 #include "hornbeamcleat/serving/version_move.h"
 
 namespace hornbeamcleat {
@@ -170,6 +171,8 @@
   /// Failure domains that the store shows to the VM as evacuated. With each
   /// `details`, and to a VM that has started.
   std::optional<std::vector<std::string>> evacuations;
+  /// Only between VMs of one failure domain that share reads of the store.
+  std::optional<SharedReadsMessage> reads;
 
   bool operator==(const PeerState&) const = default;
 };
--- a/src/relay/peer_reporter.cc
+++ b/src/relay/peer_reporter.cc
@@ -10,6 +10,7 @@
 #include "src/relay/peer_link.h"
 #include "src/serving/admission.h"
 #include "src/serving/evacuated_domains.h"
+#include "src/serving/shared_reads.h"
 #include "src/serving/target_balancer.h"
 #include "src/serving/version_moves.h"
 #include "src/serving/vm_directory.h"
@@ -138,6 +139,7 @@
   if (with_details) {
     AddDetails("", now, &state);
   }
+  state.reads = sources_.reads->TakeStamp(clock_->SuspendAwareNow());
   link_->Send(state, LocalDomainLinks());
 }
 
@@ -164,6 +166,14 @@
   link_->Send(state, sources_.directory->RemoteDomainLinks());
 }
 
+void PeerReporter::SendReads(const SharedReadsMessage& message,
+                             const std::string& link) {
+  PeerState state = MakeState();
+  state.has_load = false;
+  state.reads = message;
+  link_->Send(state, {link});
+}
+
 // Between heartbeats, VMs of other failure domains are sent only quotas that
 // are nearly used up.
 void PeerReporter::SendLowQuotas() {
--- a/src/relay/peer_reporter.h
+++ b/src/relay/peer_reporter.h
@@ -21,6 +21,7 @@
 class EvacuatedDomains;
 class PeerLink;
 class PollLoop;
+class SharedReads;
 class TargetBalancer;
 class VersionMoves;
 class VmDirectory;
@@ -39,6 +40,7 @@
     const VmDirectory* directory = nullptr;
     std::function<bool()> is_ready;
     const EvacuatedDomains* evacuations = nullptr;  ///< none if nullptr
+    SharedReads* reads = nullptr;
   };
 
   PeerReporter(PollLoop* loop, const Clock* clock, PeerLink* link,
@@ -57,6 +59,10 @@
   /// Sends new statements of targets to all VMs, once this turn of the loop has
   /// ended.
   void SendNoticesSoon();
+  /// Sends what concerns shared reads of the store to one peer.
+  void SendReads(const SharedReadsMessage& message, const std::string& link);
+  /// Random ID of this process, as in its messages.
+  std::uint64_t Incarnation() const { return incarnation_; }
   /// A peer has started and lacks what others know.
   void OnPeerStarted(const std::string& link);
   /// A peer is heard again after a while, and may lack losses that were
