Read the load that targets report and use their current speed

Cause: targets state their load in the header Replica-Load, and nothing reads it. A target that is 2.5 times as slow for 600 ms gets requests as before until its learned slowness follows, which is after the phase has ended.

Change: the codec decodes the header, LoadReports keeps one target's latest report, and TargetBalancer multiplies the expected time and cost by the reported work time relative to its mean, with a half-life of 300 ms. Slowness is learned relative to it. Near peers are sent own reports of the last 250 ms with TargetLoad. A figure that measured answers contradict loses its influence.

--- a/include/hornbeamcleat/serving/peer_state.h
+++ b/include/hornbeamcleat/serving/peer_state.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "hornbeamcleat/serving/request_property.h"
+#include "hornbeamcleat/serving/target_load_report.h"
 #include "hornbeamcleat/serving/target_statement.h"
 #include "hornbeamcleat/serving/version_move.h"
 
@@ -20,6 +21,8 @@
   /// Remaining time in milliseconds for which the VM avoids the target after a
   /// failed connection or a connection lost before the answer.
   std::uint32_t backoff_ms = 0;
+  /// Latest report of the target to the VM; only to near peers.
+  std::optional<ForwardedLoadReport> report = std::nullopt;
 
   bool operator==(const TargetLoad&) const = default;
 };
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -303,6 +303,10 @@
                                       ? std::optional<Time>(run_.sent_at)
                                       : std::nullopt);
     };
+    callbacks.on_load = [this](const std::optional<TargetLoadReport>& load,
+                               bool is_invalid) {
+      context_->OnTargetLoad(target_, load, is_invalid);
+    };
     callbacks.on_head = [this](const MessageHead& head) { OnHead(head); };
     callbacks.on_body = [this](std::string* body) { OnBody(body); };
     callbacks.on_done = [this] { OnResponseEnd(); };
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -71,6 +71,12 @@
   virtual void OnTargetStatement(const ServingTarget& target,
                                  const TargetStatement& statement,
                                  std::optional<Time> sent) = 0;
+  /// A target has stated its load in the answer to a request.
+  /// @param load nullopt if it can't be read
+  /// @param is_invalid whether part of it can't be read
+  virtual void OnTargetLoad(const ServingTarget& target,
+                            const std::optional<TargetLoadReport>& load,
+                            bool is_invalid) = 0;
   /// Losses may have been recorded or cleared, which peers must hear of.
   virtual void OnLossesChange() = 0;
 };
--- a/src/relay/http_codec.h
+++ b/src/relay/http_codec.h
@@ -9,6 +9,7 @@
 
 #include "hornbeamcleat/base/time.h"
 #include "hornbeamcleat/serving/request_property.h"
+#include "hornbeamcleat/serving/target_load_report.h"
 #include "hornbeamcleat/serving/target_statement.h"
 #include "src/relay/header_list.h"
 
@@ -47,6 +48,9 @@
   bool is_signed = false;     ///< has the target's signature header
   bool not_executed = false;  ///< the target guarantees that it did not run it
   TargetStatement statement;  ///< of itself, whichever request it answers
+  /// Absent if another target answered than the one that was meant.
+  std::optional<TargetLoadReport> load;
+  bool has_invalid_load = false;  ///< part of the report can't be read
 
   bool operator==(const ResponseInfo&) const = default;
 };
--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -32,6 +32,8 @@
 /// up to 12 and 32.
 constexpr float kSlownessUnits = 20;
 constexpr float kCountUnits = 8;
+/// Resolution of the age of load reports; one byte covers a second.
+constexpr std::uint32_t kReportAgeUnitMs = 4;
 /// Resolution of the time left.
 constexpr std::int32_t kTimeLeftUnitMs = 4;
 
@@ -45,11 +47,26 @@
 
 }  // namespace
 
+template <typename Archive>
+void save(Archive& ar, const ForwardedLoadReport& report) {
+  ar(report.start, SaturateCast<std::uint8_t>(report.age_ms / kReportAgeUnitMs),
+     SaturateCast<std::uint8_t>(report.work_time * kSlownessUnits));
+}
+
+template <typename Archive>
+void load(Archive& ar, ForwardedLoadReport& report) {
+  std::uint8_t age = 0;
+  std::uint8_t work_time = 0;
+  ar(report.start, age, work_time);
+  report.age_ms = age * kReportAgeUnitMs;
+  report.work_time = static_cast<float>(work_time) / kSlownessUnits;
+}
+
 template <typename Archive>
 void save(Archive& ar, const TargetLoad& use) {
   ar(use.target, SaturateCast<std::uint8_t>(use.running),
      SaturateCast<std::uint16_t>(use.pending_tokens / kTokenUnit),
-     SaturateCast<std::uint8_t>(use.backoff_ms / kBackoffUnitMs));
+     SaturateCast<std::uint8_t>(use.backoff_ms / kBackoffUnitMs), use.report);
 }
 
 template <typename Archive>
@@ -57,7 +74,7 @@
   std::uint8_t running = 0;
   std::uint16_t tokens = 0;
   std::uint8_t backoff = 0;
-  ar(use.target, running, tokens, backoff);
+  ar(use.target, running, tokens, backoff, use.report);
   use.backoff_ms = backoff * kBackoffUnitMs;
   use.running = running;
   use.pending_tokens = tokens * kTokenUnit;
--- a/src/relay/peer_reporter.cc
+++ b/src/relay/peer_reporter.cc
@@ -125,7 +125,7 @@
   sent_at_ = now;
   sent_changes_ = sources_.targets->Changes() + sources_.queue->Changes();
   QuotaLimiter* quotas = sources_.admission->Quotas();
-  PeerState state = MakeLoadState(now);
+  PeerState state = MakeLoadState(true, now);
   state.has_all_quotas = with_details;
   state.quotas = with_details ? quotas->TakeAllUsage(false, now)
                               : quotas->TakeLocalDomainUsage(now);
@@ -141,7 +141,7 @@
 void PeerReporter::SendToRemoteDomains(bool with_details) {
   const Time now = clock_->Now();
   QuotaLimiter* quotas = sources_.admission->Quotas();
-  PeerState state = MakeLoadState(now);
+  PeerState state = MakeLoadState(false, now);
   state.has_all_quotas = !started_peers_.empty() ||
                          now - started_at_ < kStartedPeerTime ||
                          now - all_quotas_sent_at_ >= kAllQuotasPeriod;
@@ -178,9 +178,9 @@
   return state;
 }
 
-PeerState PeerReporter::MakeLoadState(Time now) {
+PeerState PeerReporter::MakeLoadState(bool has_reports, Time now) {
   PeerState state = MakeState();
-  state.uses = sources_.targets->LocalLoad(now);
+  state.uses = sources_.targets->LocalLoad(now, has_reports);
   state.queues = sources_.queue->Queues(now);
   return state;
 }
--- a/src/relay/peer_reporter.h
+++ b/src/relay/peer_reporter.h
@@ -78,7 +78,8 @@
   void SendNotices();
   void SendLossesTo(std::map<std::string, StartedPeer>* peers);
   PeerState MakeState();
-  PeerState MakeLoadState(Time now);
+  /// @param has_reports whether reports of targets are forwarded
+  PeerState MakeLoadState(bool has_reports, Time now);
   /// @param failure_domain of the targets that are reported on; empty: all
   void AddDetails(const std::string& failure_domain, Time now,
                   PeerState* state) const;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -290,6 +290,20 @@
           statement.rest.value_or(Duration(0)) / std::chrono::milliseconds(1));
     }
   }
+  void OnTargetLoad(const ServingTarget& target,
+                    const std::optional<TargetLoadReport>& load,
+                    bool is_invalid) override {
+    metrics_->Count("load_reports_total", "kind",
+                    is_invalid ? "invalid" : "valid");
+    if (is_invalid) {
+      request_log_.Warning(clock_->Now(),
+                           "event=load_report_invalid target={} usable={}",
+                           target.id, load.has_value());
+    }
+    if (load.has_value()) {
+      targets_.OnLoadReport(target, *load, clock_->Now());
+    }
+  }
   void OnTargetLimit(const ServingTarget& target,
                      const TargetStatement& statement,
                      std::optional<Time> sent) {
@@ -621,6 +635,9 @@
     UpdateSavedRetries();
     metrics_->Set("targets", "kind", "limited",
                   targets_.Limits()->LimitedCount());
+    const LoadReportCounts reports = targets_.CountLoadReports(now);
+    metrics_->Set("targets", "kind", "reporting_load", reports.reporting);
+    metrics_->Set("targets", "kind", "slowed", reports.slowed);
     DecideMoves();
     for (const std::string& link : directory_.TakeTimedOut(now)) {
       Log().Warning("event=peer_lost link={}", link);
--- a/src/relay/target_attempt.cc
+++ b/src/relay/target_attempt.cc
@@ -38,9 +38,9 @@
   }
   had_first_event_ = true;
   const Duration after = now - started_at_;
-  finding_ = observers_.targets->OnFirstEvent(placement_.target,
-                                              request_.prompt_tokens, after,
-                                              placement_.expected, now);
+  finding_ = observers_.targets->OnFirstEvent(
+      placement_.target, request_.prompt_tokens, after,
+      placement_.ExpectedAtUsualSpeed(), now);
   return after;
 }
 
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -199,6 +199,10 @@
         is_target_leaving_ = is_target_leaving_ || info.statement.is_leaving;
         callbacks_.on_statement(info.statement, is_signed_response);
       }
+      if (is_identified_ && callbacks_.on_load &&
+          (info.load.has_value() || info.has_invalid_load)) {
+        callbacks_.on_load(info.load, info.has_invalid_load);
+      }
       if (is_reused_ && !is_identified_ && !is_mismatched_) {
         Fail(CallFailure::kUnidentified);
         return false;
--- a/src/relay/target_call.h
+++ b/src/relay/target_call.h
@@ -3,11 +3,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "hornbeamcleat/base/settings.h"
 #include "hornbeamcleat/base/time.h"
+#include "hornbeamcleat/serving/target_load_report.h"
 #include "hornbeamcleat/serving/target_statement.h"
 #include "src/relay/http_parser.h"
 
@@ -47,6 +49,12 @@
     std::function<void(const TargetStatement& statement,
                        bool is_signed_response)>
         on_statement;
+    /// The response to this request states the target's load; nullopt if that
+    /// can't be read. May be unset. Called before on_head; must not end the
+    /// call.
+    std::function<void(const std::optional<TargetLoadReport>& load,
+                       bool is_invalid)>
+        on_load;
     std::function<void(const MessageHead& head)> on_head;
     std::function<void(std::string* body)> on_body;  ///< consumes the bytes
     std::function<void()> on_done;  ///< the response is complete
--- a/src/serving/target_balancer.cc
+++ b/src/serving/target_balancer.cc
@@ -58,6 +58,9 @@
 constexpr Duration kMinSilence = std::chrono::milliseconds(600);
 /// Cost of a failure as a multiple of the expected time.
 constexpr double kFailureCost = 12;
+/// Reported work time, relative to the mean, from which on a target counts as
+/// slowed.
+constexpr double kSlowedWorkTime = 1.5;
 /// Delay that each running request adds to a new one at the same target.
 constexpr double kRunningRequestMs = 5;
 
@@ -76,6 +79,10 @@
 
 }  // namespace
 
+Duration Placement::ExpectedAtUsualSpeed() const {
+  return FromMs(ToMs(expected) / work_time);
+}
+
 void TargetBalancer::SetTargets(const std::vector<ServingTarget>& targets,
                                 Time now) {
   std::map<std::string, Target> next;
@@ -121,6 +128,9 @@
     if (load.backoff_ms > 0 && it != by_hash_.end()) {
       RecordPeerEjection(peer, load, now, it->second);
     }
+    if (load.report.has_value() && it != by_hash_.end()) {
+      RecordForwardedReport(peer, *load.report, now, it->second);
+    }
   }
 }
 
@@ -138,6 +148,19 @@
       std::min(until, target->first_peer_ejection_until);
 }
 
+std::uint16_t TargetBalancer::StartOf(const Target& target) {
+  const std::int64_t ms = target.spec.start_time_ms;
+  return static_cast<std::uint16_t>(ms ^ (ms >> 16) ^ (ms >> 32));
+}
+
+void TargetBalancer::RecordForwardedReport(const std::string& peer,
+                                           const ForwardedLoadReport& report,
+                                           Time now, Target* target) const {
+  if (report.start == StartOf(*target)) {
+    target->reports.OnForwarded(report, Hash32(peer), now + suspended_time_);
+  }
+}
+
 // This VM's own recent answers override reports from peers, but not what the
 // target itself told them.
 bool TargetBalancer::IsAvoided(const Target& target, Time now) const {
@@ -341,10 +364,12 @@
             need.tried.end()) {
       continue;
     }
-    const Duration expected = ExpectedLatency(target, need.prompt_tokens);
+    const double work_time = WorkTime(target, now);
+    const Duration expected =
+        FromMs(work_time * ToMs(ExpectedLatency(target, need.prompt_tokens)));
     const int running = target.running + target.peer_running;
-    double cost =
-        ToMs(expected) + kRunningRequestMs * Slowness(target) * running;
+    double cost = ToMs(expected) +
+                  kRunningRequestMs * Slowness(target) * work_time * running;
     cost *= 1 + kFailureCost * FailureShare(target, now);
     if (target.spec.failure_domain != need.failure_domain) {
       cost += remote_domain_cost_ms_;
@@ -356,7 +381,7 @@
       cost = static_cast<double>(Hash64(id, *need.rendezvous_key));
     }
     if (!best.has_value() || cost < best_cost) {
-      best = Placement{id, expected};
+      best = Placement{id, expected, work_time};
       best_cost = cost;
     }
   }
@@ -495,6 +520,24 @@
   return entry == nullptr ? "" : entry->spec.failure_domain;
 }
 
+void TargetBalancer::OnLoadReport(const ServingTarget& target,
+                                  const TargetLoadReport& report, Time now) {
+  const auto it = targets_.find(target.id);
+  if (it != targets_.end() &&
+      it->second.spec.start_time_ms == target.start_time_ms) {
+    it->second.reports.OnReport(report, now + suspended_time_);
+  }
+}
+
+LoadReportCounts TargetBalancer::CountLoadReports(Time now) const {
+  LoadReportCounts counts;
+  for (const auto& [id, target] : targets_) {
+    counts.reporting += target.reports.HasReport() ? 1 : 0;
+    counts.slowed += WorkTime(target, now) >= kSlowedWorkTime ? 1 : 0;
+  }
+  return counts;
+}
+
 void TargetBalancer::OnSent(const std::string& target,
                             std::uint32_t prompt_tokens, Time now) {
   const auto it = targets_.find(target);
@@ -531,7 +574,10 @@
       std::clamp(ToMs(after) / typical, kMinSlowness, kMaxSlowness);
   const double gain =
       std::max(kSlownessGain, 1.0 / (entry.slowness_samples + 1));
-  entry.slowness += gain * (sample - entry.slowness);
+  entry.reports.OnMeasured(sample / Slowness(entry), now + suspended_time_);
+  const double usual_sample =
+      std::clamp(sample / WorkTime(entry, now), kMinSlowness, kMaxSlowness);
+  entry.slowness += gain * (usual_sample - entry.slowness);
   entry.slowness_samples = std::min(kMaxSamples, entry.slowness_samples + 1);
   FirstEventStats stats;
   stats.slowness = sample;
@@ -707,16 +753,22 @@
   return running;
 }
 
-std::vector<TargetLoad> TargetBalancer::LocalLoad(Time now) const {
+std::vector<TargetLoad> TargetBalancer::LocalLoad(Time now,
+                                                  bool has_reports) const {
   std::vector<TargetLoad> loads;
   for (const auto& [id, target] : targets_) {
     const Duration backoff =
         std::max(Duration(0), target.connect_backoff_until - now);
-    if (target.running > 0 || backoff > Duration(0)) {
+    const std::optional<ForwardedLoadReport> report =
+        has_reports
+            ? target.reports.ToForward(StartOf(target), now + suspended_time_)
+            : std::nullopt;
+    if (target.running > 0 || backoff > Duration(0) || report.has_value()) {
       loads.push_back(
           {target.hash, static_cast<std::uint32_t>(target.running),
            target.pending_tokens,
-           static_cast<std::uint32_t>(backoff / std::chrono::milliseconds(1))});
+           static_cast<std::uint32_t>(backoff / std::chrono::milliseconds(1)),
+           report});
     }
   }
   return loads;
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -14,6 +14,7 @@
 #include "hornbeamcleat/serving/peer_state.h"
 #include "hornbeamcleat/serving/serving_config.h"
 #include "hornbeamcleat/serving/target_statement.h"
+#include "src/serving/load_reports.h"
 #include "src/serving/target_limits.h"
 #include "src/serving/target_statements.h"
 
@@ -39,6 +40,12 @@
 struct Placement {
   std::string target;
   Duration expected{0};  ///< time from dispatch to the first event or answer
+  /// Reported work time at the target relative to its mean, which `expected`
+  /// includes.
+  double work_time = 1;
+
+  /// `expected` if the target worked as fast as on average.
+  Duration ExpectedAtUsualSpeed() const;
 
   bool operator==(const Placement&) const = default;
 };
@@ -75,6 +82,14 @@
   bool operator==(const FirstEventStats&) const = default;
 };
 
+/// Number of targets by what they report of their load.
+struct LoadReportCounts {
+  int reporting = 0;
+  int slowed = 0;  ///< work takes much longer than on average
+
+  bool operator==(const LoadReportCounts&) const = default;
+};
+
 /// How a request at a target ended.
 enum class TargetOutcome {
   kAnswered,   ///< complete answer
@@ -166,6 +181,12 @@
   std::string IdOf(const TargetInstance& target) const;
   std::string DomainOf(const TargetInstance& target) const;
 
+  /// Records the load that a target states in a response to this VM. A report
+  /// of another start of the target is ignored.
+  void OnLoadReport(const ServingTarget& target, const TargetLoadReport& report,
+                    Time now);
+  LoadReportCounts CountLoadReports(Time now) const;
+
   void OnSent(const std::string& target, std::uint32_t prompt_tokens, Time now);
   /// Records that the first event or the answer's header arrived `after` the
   /// dispatch.
@@ -191,7 +212,8 @@
                      Time now) const;
 
   /// Returns this VM's load, to report to peers.
-  std::vector<TargetLoad> LocalLoad(Time now) const;
+  /// @param has_reports whether to include recent load reports of targets
+  std::vector<TargetLoad> LocalLoad(Time now, bool has_reports = true) const;
   /// Returns the statistics measured by this VM, to report to peers.
   /// @param failure_domain restricts them to targets of one domain; empty: all
   std::vector<TargetStats> LocalStats(const std::string& failure_domain,
@@ -230,12 +252,22 @@
     double peer_samples = 0;
     double peer_failures = 0;
     double peer_answers = 0;
+    LoadReports reports;
   };
 
   const Target* FindInstance(const TargetInstance& target) const;
   static double Slowness(const Target& target);
   static Duration ExpectedLatency(const Target& target,
                                   std::uint32_t prompt_tokens);
+  /// Reported work time at the target relative to its mean.
+  double WorkTime(const Target& target, Time now) const {
+    return target.reports.WorkTime(now + suspended_time_);
+  }
+  /// Identifies the start of the target in forwarded reports.
+  static std::uint16_t StartOf(const Target& target);
+  void RecordForwardedReport(const std::string& peer,
+                             const ForwardedLoadReport& report, Time now,
+                             Target* target) const;
   /// Restricts the targets considered for one request.
   struct CandidateFilter {
     double share = 1;               ///< fraction of targets
--- a/tests/platform/wire_codec_test.cc
+++ b/tests/platform/wire_codec_test.cc
@@ -196,6 +196,40 @@
   EXPECT_TRUE(statement({{"Server-Leaving", "0"}}).IsEmpty());
 }
 
+TEST_F(WireCodecTest, LoadOfTargetIsReadInAnswersOfAnyStatus) {
+  const auto load = [this](const std::string& text, int status = 200) {
+    return codec_->ParseResponseHeaders(status, {{"replica-load", text}}).load;
+  };
+  const TargetLoadReport plain{3, 1, 8, std::nullopt};
+  const TargetLoadReport slow{3, 1, 8, 2.5};
+  for (const int status : {200, 404, 500, 503}) {
+    EXPECT_EQ(load("3,1,8", status), plain) << status;
+    EXPECT_EQ(load("3, 1, 8, 250", status), slow) << status;
+  }
+  EXPECT_EQ(load("3,1,8", 421), std::nullopt)
+      << "another target answers a misdirected request";
+  EXPECT_EQ(codec_->ParseResponseHeaders(200, {}).load, std::nullopt);
+  EXPECT_FALSE(codec_->ParseResponseHeaders(200, {}).has_invalid_load);
+}
+
+TEST_F(WireCodecTest, InvalidPartsOfLoadAreIgnored) {
+  const auto info = [this](const std::string& text) {
+    return codec_->ParseResponseHeaders(200, {{"Replica-Load", text}});
+  };
+  for (const char* invalid : {"", "3", "3,1", "3,1,", ",,", "-3,1,8", "3,1,8.5",
+                              "nan,1,8", "a,b,c", "99999999999,1,8"}) {
+    EXPECT_FALSE(info(invalid).load.has_value()) << invalid;
+    EXPECT_TRUE(info(invalid).has_invalid_load) << invalid;
+  }
+  const TargetLoadReport plain{3, 1, 8, std::nullopt};
+  for (const char* invalid : {"3,1,8,-1", "3,1,8,0", "3,1,8,nan", "3,1,8,inf",
+                              "3,1,8,1e999", "3,1,8,fast"}) {
+    EXPECT_EQ(info(invalid).load, plain) << invalid;
+    EXPECT_TRUE(info(invalid).has_invalid_load) << invalid;
+  }
+  EXPECT_TRUE(info("3,1,8,100,7").has_invalid_load);
+}
+
 // Only a refusal asks for rest; in other answers the header is the caller's.
 TEST_F(WireCodecTest, RetryAfterOfOtherStatusIsNoRest) {
   for (const int status : {200, 301, 429, 500, 502}) {
--- /dev/null
+++ b/tests/serving/load_reports_test.cc
@@ -0,0 +1,135 @@
+#include "src/serving/load_reports.h"
+
+#include <gtest/gtest.h>
+
+#include <limits>
+
+namespace hornbeamcleat {
+namespace {
+
+using std::chrono::milliseconds;
+
+class LoadReportsTest : public testing::Test {
+ protected:
+  static TargetLoadReport Report(std::optional<double> work_time) {
+    return {2, 0, 8, work_time};
+  }
+
+  /// Reports the usual work time for long enough that it is the mean.
+  void ReportUsual() {
+    for (int i = 0; i < 100; ++i) {
+      reports_.OnReport(Report(1), now_);
+      now_ += milliseconds(100);
+    }
+  }
+
+  Time now_{milliseconds(10'000)};
+  LoadReports reports_;
+};
+
+TEST_F(LoadReportsTest, WorkTimeWithoutReportIsUsual) {
+  EXPECT_EQ(reports_.WorkTime(now_), 1);
+  EXPECT_FALSE(reports_.HasReport());
+}
+
+TEST_F(LoadReportsTest, WorkTimeOfReportWithoutFigureIsUsual) {
+  reports_.OnReport(Report(std::nullopt), now_);
+  EXPECT_EQ(reports_.WorkTime(now_), 1);
+  EXPECT_TRUE(reports_.HasReport());
+}
+
+TEST_F(LoadReportsTest, WorkTimeDecaysTowardsMeanWithAge) {
+  ReportUsual();
+  reports_.OnReport(Report(2.5), now_);
+  const double at_once = reports_.WorkTime(now_);
+  EXPECT_NEAR(at_once, 2.5, 0.1);
+  EXPECT_NEAR(reports_.WorkTime(now_ + milliseconds(300)),
+              1 + (at_once - 1) / 2, 1e-9);
+  EXPECT_NEAR(reports_.WorkTime(now_ + milliseconds(3'000)), 1, 0.01);
+}
+
+// A figure that never changes says nothing, however large it is.
+TEST_F(LoadReportsTest, WorkTimeOfConstantFigureIsUsual) {
+  for (const double figure : {0.0002, 0.6, 3.0, 1e6}) {
+    LoadReports reports;
+    for (int i = 0; i < 600; ++i) {
+      reports.OnReport(Report(figure), now_);
+      now_ += milliseconds(100);
+    }
+    EXPECT_NEAR(reports.WorkTime(now_), 1, 0.1) << figure;
+  }
+}
+
+TEST_F(LoadReportsTest, WorkTimeIsClamped) {
+  ReportUsual();
+  reports_.OnReport(Report(1e300), now_);
+  EXPECT_EQ(reports_.WorkTime(now_), 4);
+  reports_.OnReport(Report(1e-300), now_);
+  EXPECT_EQ(reports_.WorkTime(now_), 0.5);
+}
+
+TEST_F(LoadReportsTest, NumbersThatAreNoneCountAsNotStated) {
+  ReportUsual();
+  for (const double figure :
+       {std::numeric_limits<double>::quiet_NaN(),
+        std::numeric_limits<double>::infinity(), -1.0, 0.0}) {
+    reports_.OnReport(Report(figure), now_);
+    EXPECT_EQ(reports_.WorkTime(now_), 1);
+  }
+}
+
+// A target whose figure is not related to its answers must not be avoided or
+// preferred for it.
+TEST_F(LoadReportsTest, MeasuredAnswersOutweighFalseFigure) {
+  ReportUsual();
+  for (int i = 0; i < 200; ++i) {
+    reports_.OnReport(Report(i % 2 == 0 ? 3 : 1), now_);
+    reports_.OnMeasured(1, now_);
+    now_ += milliseconds(100);
+  }
+  reports_.OnReport(Report(3), now_);
+  EXPECT_LT(reports_.WorkTime(now_), 1.1);
+}
+
+TEST_F(LoadReportsTest, MeasuredAnswersConfirmTrueFigure) {
+  ReportUsual();
+  for (int i = 0; i < 200; ++i) {
+    const double figure = i % 7 == 0 ? 2.5 : 1;
+    reports_.OnReport(Report(figure), now_);
+    reports_.OnMeasured(figure, now_);
+    now_ += milliseconds(100);
+  }
+  reports_.OnReport(Report(2.5), now_);
+  EXPECT_GT(reports_.WorkTime(now_), 1.8);
+}
+
+TEST_F(LoadReportsTest, OlderReportDoesNotReplaceNewerOne) {
+  ReportUsual();
+  reports_.OnReport(Report(1), now_);
+  EXPECT_FALSE(reports_.OnForwarded({0, 50, 2.5F}, 7, now_));
+  EXPECT_NEAR(reports_.WorkTime(now_), 1, 0.05);
+  now_ += milliseconds(100);
+  EXPECT_TRUE(reports_.OnForwarded({0, 50, 2.5F}, 7, now_));
+  EXPECT_GT(reports_.WorkTime(now_), 1.8);
+}
+
+TEST_F(LoadReportsTest, ForwardedReportOfExpiredAgeIsIgnored) {
+  EXPECT_FALSE(reports_.OnForwarded({0, 1'001, 2.5F}, 7, now_));
+  EXPECT_FALSE(reports_.OnForwarded({0, 4'294'967'295U, 2.5F}, 7, now_));
+  EXPECT_FALSE(reports_.HasReport());
+}
+
+// A report that goes round among VMs would never age.
+TEST_F(LoadReportsTest, ToForwardReturnsOwnRecentReportsOnly) {
+  reports_.OnReport(Report(2.5), now_);
+  now_ += milliseconds(100);
+  const std::optional<ForwardedLoadReport> own = reports_.ToForward(3, now_);
+  ASSERT_TRUE(own.has_value());
+  EXPECT_EQ(*own, (ForwardedLoadReport{3, 100, 2.5F}));
+  EXPECT_FALSE(reports_.ToForward(3, now_ + milliseconds(200)).has_value());
+  reports_.OnForwarded({3, 0, 1}, 7, now_);
+  EXPECT_FALSE(reports_.ToForward(3, now_).has_value());
+}
+
+}  // namespace
+}  // namespace hornbeamcleat
--- a/tests/serving/target_balancer_test.cc
+++ b/tests/serving/target_balancer_test.cc
@@ -36,6 +36,14 @@
     return placement.has_value() ? placement->target : "";
   }
 
+  // Reports the usual work time of target "a" for a while.
+  void ReportUsual() {
+    for (int i = 0; i < 50; ++i) {
+      balancer_.OnLoadReport(Spec("a"), {0, 0, 10, 1}, now_);
+      now_ += milliseconds(100);
+    }
+  }
+
   // Runs one request that takes `factor` times the expected time.
   void Run(const std::string& target, double factor) {
     const std::optional<Placement> placement = balancer_.Pick(Need(), now_);
@@ -267,6 +275,66 @@
   EXPECT_EQ(Pick(need), "a");
 }
 
+TEST_F(TargetBalancerTest, PickAvoidsTargetThatReportsSlowPhase) {
+  balancer_.SetTargets({Spec("a"), Spec("b")}, now_);
+  ReportUsual();
+  balancer_.OnLoadReport(Spec("a"), {0, 0, 10, 2.5}, now_);
+  EXPECT_EQ(Pick(Need()), "b");
+  now_ += milliseconds(3'000);
+  balancer_.OnSent("b", 1'000, now_);
+  EXPECT_EQ(Pick(Need()), "a") << "the report has lost its influence";
+}
+
+TEST_F(TargetBalancerTest, PickAvoidsTargetOfForwardedSlowPhase) {
+  balancer_.SetTargets({Spec("a"), Spec("b")}, now_);
+  ReportUsual();
+  const ForwardedLoadReport report{0, 20, 2.5F};
+  balancer_.SetPeerLoad("p", {{Hash32("a"), 0, 0, 0, report}}, now_);
+  EXPECT_EQ(Pick(Need()), "b");
+}
+
+// The report of an earlier start says nothing of the present one.
+TEST_F(TargetBalancerTest, LoadReportsOfEarlierStartAreIgnored) {
+  balancer_.SetTargets({Spec("a"), Spec("b")}, now_);
+  ReportUsual();
+  balancer_.OnLoadReport(Spec("a"), {0, 0, 10, 2.5}, now_);
+  const std::optional<ForwardedLoadReport> forwarded =
+      balancer_.LocalLoad(now_)[0].report;
+  ServingTarget restarted = Spec("a");
+  restarted.start_time_ms = 7;
+  balancer_.SetTargets({restarted, Spec("b")}, now_);
+  balancer_.OnLoadReport(restarted, {0, 0, 10, 1}, now_);
+  EXPECT_EQ(Pick(Need()), "a");
+  now_ += milliseconds(10);
+  balancer_.OnLoadReport(Spec("a"), {0, 0, 10, 2.5}, now_);
+  balancer_.SetPeerLoad("p", {{Hash32("a"), 0, 0, 0, forwarded}}, now_);
+  EXPECT_EQ(Pick(Need()), "a");
+}
+
+// Learned slowness that includes the slow phases of its samples would be
+// counted twice.
+TEST_F(TargetBalancerTest, SlownessIsLearnedRelativeToReportedWorkTime) {
+  balancer_.SetTargets({Spec("a")}, now_);
+  for (int i = 0; i < 50; ++i) {
+    balancer_.OnLoadReport(Spec("a"), {0, 0, 10, 1}, now_);
+    Run("a", 1);
+  }
+  const float before = balancer_.LocalStats("", now_)[0].slowness;
+  const Duration expected = balancer_.Pick(Need(), now_)->expected;
+  balancer_.OnSent("a", 100, now_);
+  balancer_.OnLoadReport(Spec("a"), {0, 0, 10, 2.5}, now_);
+  balancer_.OnFirstEvent("a", 100, expected * 5 / 2, expected, now_);
+  EXPECT_NEAR(balancer_.LocalStats("", now_)[0].slowness, before, 0.05);
+  EXPECT_NEAR(balancer_.Pick(Need(), now_)->work_time, 2.5, 0.2);
+}
+
+TEST_F(TargetBalancerTest, LocalLoadForOtherDomainsOmitsReports) {
+  balancer_.SetTargets({Spec("a")}, now_);
+  balancer_.OnLoadReport(Spec("a"), {0, 0, 10, 2.5}, now_);
+  EXPECT_EQ(balancer_.LocalLoad(now_, true).size(), 1U);
+  EXPECT_TRUE(balancer_.LocalLoad(now_, false).empty());
+}
+
 TEST_F(TargetBalancerTest, SetTargetsWithDrainingTargetSendsItNoRequests) {
   ServingTarget draining = Spec("a");
   draining.is_draining = true;
