Take the load of remote VMs from reports of targets

Cause: with more than 16 VMs, those of other failure domains report their load once per second. Requests of 60 ms have ended by then, so that slots stay unused while full targets get more requests.

Change: at the time of a report, the load that the target states minus that of this VM and its near peers replaces what remote VMs reported, until the next report or for a second. It is forwarded to near peers. Statements that can't be true are ignored: below the known load, or of more requests than a target can hold; after a refusal despite stated room, for 5 s.

--- a/include/hornbeamcleat/serving/target_load_report.h
+++ b/include/hornbeamcleat/serving/target_load_report.h
@@ -23,6 +23,11 @@
   std::uint16_t start = 0;  ///< tells starts of the target apart
   std::uint32_t age_ms = 0;
   float work_time = 0;  ///< as in TargetLoadReport; 0: not stated
+  /// Requests at the target that are neither the VM's nor its near peers'; at
+  /// most kMaxOthers. nullopt: not known.
+  std::optional<std::uint32_t> others = std::nullopt;
+
+  static constexpr std::uint32_t kMaxOthers = 254;
 
   bool operator==(const ForwardedLoadReport&) const = default;
 };
--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -34,6 +34,8 @@
 constexpr float kCountUnits = 8;
 /// Resolution of the age of load reports; one byte covers a second.
 constexpr std::uint32_t kReportAgeUnitMs = 4;
+/// Value of ForwardedLoadReport::others on the wire if it is not known.
+constexpr std::uint8_t kUnknownOthers = 255;
 /// Resolution of the time left.
 constexpr std::int32_t kTimeLeftUnitMs = 4;
 
@@ -50,14 +52,22 @@
 template <typename Archive>
 void save(Archive& ar, const ForwardedLoadReport& report) {
   ar(report.start, SaturateCast<std::uint8_t>(report.age_ms / kReportAgeUnitMs),
-     SaturateCast<std::uint8_t>(report.work_time * kSlownessUnits));
+     SaturateCast<std::uint8_t>(report.work_time * kSlownessUnits),
+     report.others.has_value()
+         ? static_cast<std::uint8_t>(
+               std::min(*report.others, ForwardedLoadReport::kMaxOthers))
+         : kUnknownOthers);
 }
 
 template <typename Archive>
 void load(Archive& ar, ForwardedLoadReport& report) {
   std::uint8_t age = 0;
   std::uint8_t work_time = 0;
-  ar(report.start, age, work_time);
+  std::uint8_t others = 0;
+  ar(report.start, age, work_time, others);
+  if (others != kUnknownOthers) {
+    report.others = others;
+  }
   report.age_ms = age * kReportAgeUnitMs;
   report.work_time = static_cast<float>(work_time) / kSlownessUnits;
 }
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -464,12 +464,12 @@
     } else if (is_returning) {
       peer_reporter_.OnPeerReturned(state.link);
     }
-    if (state.has_load) {
-      targets_.SetPeerLoad(state.link, state.uses, now);
-    }
     UpdateScale();
     const bool is_near = !scale_plan_.is_domain_scoped ||
                          directory_.IsLocalDomainLink(state.link);
+    if (state.has_load) {
+      targets_.SetPeerLoad(state.link, state.uses, now, is_near);
+    }
     // Queues of other failure domains are too outdated to wait for.
     if (is_near && state.has_load) {
       queue_.SetPeerQueues(state.link, state.queues, now);
--- a/src/serving/load_reports.cc
+++ b/src/serving/load_reports.cc
@@ -30,18 +30,49 @@
 constexpr double kMinDeviation = 1.2;
 /// Weight of one answer in the trust.
 constexpr double kTrustGain = 0.05;
+/// Requests by which a true statement may be below the known load: those that
+/// ended at the target while the messages of peers were on their way.
+constexpr int kKnownLoadSlack = 2;
+/// Slots of a record above this count as this, which keeps products in range.
+constexpr int kMaxSlots = 1'000'000;
+/// Statements of more running or waiting requests than these multiples of the
+/// record's slots are false. Targets have queues of up to seven per slot.
+constexpr std::uint32_t kMaxRunningPerSlot = 2;
+constexpr std::uint32_t kMaxWaitingPerSlot = 16;
 /// Trust from which on the work time has its full influence.
 constexpr double kFullTrust = 0.5;
 
+// Returns the requests at a target as it states them, or nullopt if that can't
+// be true.
+std::optional<int> StatedLoad(const TargetLoadReport& report, int slots) {
+  const std::uint32_t known_slots =
+      static_cast<std::uint32_t>(std::clamp(slots, 0, kMaxSlots));
+  if (report.running > kMaxRunningPerSlot * known_slots ||
+      report.waiting > kMaxWaitingPerSlot * known_slots) {
+    return std::nullopt;
+  }
+  return static_cast<int>(report.running + report.waiting);
+}
+
 double HalvesIn(Duration time, Duration half_life) {
   return std::exp2(-ToSeconds(time) / ToSeconds(half_life));
 }
 
 }  // namespace
 
-void LoadReports::OnReport(const TargetLoadReport& report, Time now) {
+void LoadReports::OnReport(const TargetLoadReport& report, int known, int slots,
+                           Time now) {
   made_at_ = now;
   peer_ = 0;
+  const std::optional<int> stated = StatedLoad(report, slots);
+  stated_full_ = stated.has_value() && *stated >= slots;
+  stated_at_ = now;
+  // A target can't run fewer requests than were sent to it.
+  others_.reset();
+  if (stated.has_value() && *stated + kKnownLoadSlack >= known &&
+      now >= distrusted_until_) {
+    others_ = std::max(0, *stated - known);
+  }
   SetWorkTime(report.work_time.value_or(0), now);
 }
 
@@ -53,6 +84,11 @@
   }
   made_at_ = now - age;
   peer_ = peer;
+  others_.reset();
+  if (report.others.has_value() && now >= distrusted_until_) {
+    others_ = static_cast<int>(
+        std::min(*report.others, ForwardedLoadReport::kMaxOthers));
+  }
   SetWorkTime(report.work_time, made_at_);
   return true;
 }
@@ -90,6 +126,17 @@
   return 1 + (relative - 1) * HalvesIn(age, kWorkTimeHalfLife);
 }
 
+void LoadReports::OnRefusedAsFull(Time now) {
+  if (HasReport() && !stated_full_ && now - stated_at_ <= kMaxAge) {
+    distrusted_until_ = now + kDistrustTime;
+    others_.reset();
+  }
+}
+
+std::optional<int> LoadReports::Others(Time now) const {
+  return now - made_at_ > kMaxAge ? std::nullopt : others_;
+}
+
 void LoadReports::OnMeasured(double slowness, Time now) {
   const double stated = StatedWorkTime(now);
   if (slowness <= 0 || std::abs(std::log(stated)) < std::log(kMinDeviation)) {
@@ -114,6 +161,9 @@
   report.age_ms = static_cast<std::uint32_t>(
       std::max(Duration(0), now - made_at_) / std::chrono::milliseconds(1));
   report.work_time = static_cast<float>(work_time_);
+  if (others_.has_value()) {
+    report.others = static_cast<std::uint32_t>(*others_);
+  }
   return report;
 }
 
--- a/src/serving/target_balancer.cc
+++ b/src/serving/target_balancer.cc
@@ -115,15 +115,16 @@
 }
 
 void TargetBalancer::SetPeerLoad(const std::string& peer,
-                                 const std::vector<TargetLoad>& loads,
-                                 Time now) {
-  std::vector<TargetLoad>& known = peer_loads_[peer];
-  for (const TargetLoad& load : known) {
-    AddPeerLoad(load, -1);
-  }
-  known = loads;
-  for (const TargetLoad& load : known) {
-    AddPeerLoad(load, 1);
+                                 const std::vector<TargetLoad>& loads, Time now,
+                                 bool is_near) {
+  PeerLoad& known = peer_loads_[peer];
+  for (const TargetLoad& load : known.loads) {
+    AddPeerLoad(load, known.is_near, -1);
+  }
+  known.is_near = is_near;
+  known.loads = loads;
+  for (const TargetLoad& load : known.loads) {
+    AddPeerLoad(load, is_near, 1);
     const auto it = by_hash_.find(load.target);
     if (load.backoff_ms > 0 && it != by_hash_.end()) {
       RecordPeerEjection(peer, load, now, it->second);
@@ -188,10 +189,13 @@
   peer_stats_.erase(peer);
 }
 
-void TargetBalancer::AddPeerLoad(const TargetLoad& load, int sign) {
+void TargetBalancer::AddPeerLoad(const TargetLoad& load, bool is_near,
+                                 int sign) {
   const auto it = by_hash_.find(load.target);
   if (it != by_hash_.end()) {
-    it->second->peer_running += sign * static_cast<int>(load.running);
+    const int running = sign * static_cast<int>(load.running);
+    it->second->peer_running += running;
+    it->second->remote_running += is_near ? 0 : running;
     it->second->peer_pending_tokens +=
         sign * static_cast<std::int64_t>(load.pending_tokens);
   }
@@ -215,6 +219,7 @@
   by_hash_.clear();
   for (auto& [id, target] : targets_) {
     target.peer_running = 0;
+    target.remote_running = 0;
     target.peer_pending_tokens = 0;
     target.peer_slowness = 0;
     target.peer_samples = 0;
@@ -222,9 +227,9 @@
     target.peer_answers = 0;
     by_hash_[target.hash] = &target;
   }
-  for (const auto& [peer, loads] : peer_loads_) {
-    for (const TargetLoad& load : loads) {
-      AddPeerLoad(load, 1);
+  for (const auto& [peer, known] : peer_loads_) {
+    for (const TargetLoad& load : known.loads) {
+      AddPeerLoad(load, known.is_near, 1);
     }
   }
   for (const auto& [peer, all_stats] : peer_stats_) {
@@ -272,9 +277,14 @@
   return failures / (answers + 2);
 }
 
+int TargetBalancer::LoadOf(const Target& target, Time now) const {
+  const int near = target.running + target.peer_running - target.remote_running;
+  return near + target.reports.Others(now + suspended_time_)
+                    .value_or(target.remote_running);
+}
+
 int TargetBalancer::FreeSlotsOf(const Target& target, Time now) const {
-  int free =
-      std::max(0, target.spec.slots - target.running - target.peer_running);
+  int free = std::max(0, target.spec.slots - LoadOf(target, now));
   if (IsLimited(target, now)) {
     const Time boot_now = now + suspended_time_;
     free = limits_.OpensAt(target.instance, boot_now) <= boot_now
@@ -367,7 +377,7 @@
     const double work_time = WorkTime(target, now);
     const Duration expected =
         FromMs(work_time * ToMs(ExpectedLatency(target, need.prompt_tokens)));
-    const int running = target.running + target.peer_running;
+    const int running = LoadOf(target, now);
     double cost = ToMs(expected) +
                   kRunningRequestMs * Slowness(target) * work_time * running;
     cost *= 1 + kFailureCost * FailureShare(target, now);
@@ -525,7 +535,10 @@
   const auto it = targets_.find(target.id);
   if (it != targets_.end() &&
       it->second.spec.start_time_ms == target.start_time_ms) {
-    it->second.reports.OnReport(report, now + suspended_time_);
+    Target& entry = it->second;
+    const int known = entry.running + entry.peer_running - entry.remote_running;
+    entry.reports.OnReport(report, known, entry.spec.slots,
+                           now + suspended_time_);
   }
 }
 
@@ -636,6 +649,7 @@
       }
       break;
     case TargetOutcome::kNotRun:
+      entry.reports.OnRefusedAsFull(now + suspended_time_);
       entry.ejected_until =
           std::max(entry.ejected_until, now + kFullTargetBackoff);
       break;
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -115,8 +115,10 @@
   void SetTargets(const std::vector<ServingTarget>& targets, Time now);
 
   /// Sets a peer's load and the targets that it is backing off from.
+  /// @param is_near whether the peer sends changes to its load immediately
   void SetPeerLoad(const std::string& peer,
-                   const std::vector<TargetLoad>& loads, Time now);
+                   const std::vector<TargetLoad>& loads, Time now,
+                   bool is_near = true);
   /// Sets the statistics measured by a peer.
   void SetPeerStats(const std::string& peer,
                     const std::vector<TargetStats>& all_stats);
@@ -247,6 +249,7 @@
     Time first_peer_ejection_until;
     Time peer_ejected_until;
     int peer_running = 0;
+    int remote_running = 0;  ///< part of it, from peers that are not near
     std::int64_t peer_pending_tokens = 0;
     double peer_slowness = 0;  ///< sum weighted by sample count
     double peer_samples = 0;
@@ -308,12 +311,20 @@
   static void BackOff(Target* target, Time now);
   static void Decay(Target* target, Time now);
   void RebuildPeerTotals();
-  void AddPeerLoad(const TargetLoad& load, int sign);
+  /// Load that a peer has reported.
+  struct PeerLoad {
+    bool is_near = true;
+    std::vector<TargetLoad> loads;
+  };
+  void AddPeerLoad(const TargetLoad& load, bool is_near, int sign);
+  /// Requests in flight at the target, from all VMs. What remote VMs reported
+  /// up to a second ago is replaced by what the target has reported since.
+  int LoadOf(const Target& target, Time now) const;
   void AddPeerStats(const TargetStats& stats, float sign);
 
   std::map<std::string, Target> targets_;  ///< keyed by ID
   std::unordered_map<std::uint32_t, Target*> by_hash_;
-  std::map<std::string, std::vector<TargetLoad>> peer_loads_;
+  std::map<std::string, PeerLoad> peer_loads_;
   std::map<std::string, std::vector<TargetStats>> peer_stats_;
   std::map<std::string, VersionRule> version_rules_;  ///< keyed by service
   std::uint64_t changes_ = 0;
--- a/tests/serving/load_replay.cc
+++ b/tests/serving/load_replay.cc
@@ -299,7 +299,7 @@
         if (peer->index == from || IsNear(*peer, *vms_[from]) != to_near) {
           continue;
         }
-        peer->balancer.SetPeerLoad(link, ReadBy(*peer, loads), now_);
+        peer->balancer.SetPeerLoad(link, ReadBy(*peer, loads), now_, to_near);
         if (to_near) {
           peer->queue.SetPeerQueues(link, queues, now_);
         }
--- a/tests/serving/load_reports_replay_test.cc
+++ b/tests/serving/load_reports_replay_test.cc
@@ -104,6 +104,62 @@
   EXPECT_LT(lying.missed, 1.3 * honest.missed);
 }
 
+/// 83 VMs in 12 failure domains in front of 4 plain targets of 6 slots that can
+/// serve 400 requests per second.
+LoadReplayOptions FewTargets() {
+  LoadReplayOptions options;
+  options.vms = 83;
+  options.domains = 12;
+  options.targets = 4;
+  options.slots = 6;
+  options.target_queue = 24;
+  options.is_engine = false;
+  options.work = milliseconds(60);
+  options.objective = milliseconds(300);
+  options.per_second = 340;
+  options.length = seconds(7);
+  return options;
+}
+
+// What remote VMs reported a second ago says nothing of requests of 60 ms:
+// slots stay unused while others get more requests than they have.
+TEST(LoadReportsReplayTest, FewTargetsOfManyVmsWithReportsAreUsedMore) {
+  LoadReplayOptions options = FewTargets();
+  const Total with = Replay("with", options);
+  options.part_share = 0;
+  const Total without = Replay("without", options);
+  options.part_share = 0.5;
+  const Total half = Replay("half", options);
+  EXPECT_GT(with.used_slots, 1.25 * without.used_slots);
+  EXPECT_LT(with.missed, 0.6 * without.missed);
+  EXPECT_LT(with.refused_at_targets, 0.1 * without.refused_at_targets);
+  EXPECT_GT(half.used_slots, without.used_slots);
+  EXPECT_LT(half.missed, without.missed);
+}
+
+TEST(LoadReportsReplayTest, FalseLoadOfOneTargetCostsNoMoreThanThatTarget) {
+  const LoadReplayOptions honest_options = FewTargets();
+  const Total honest = Replay("honest", honest_options);
+  LoadReplayOptions without_options = FewTargets();
+  without_options.part_share = 0;
+  const Total without = Replay("without", without_options);
+  const TargetLoadReport kStated[] = {{0, 0, 6, std::nullopt},
+                                      {0, 0, 1'000'000, std::nullopt},
+                                      {1'000'000, 1'000'000, 6, std::nullopt},
+                                      {3, 0, 0, std::nullopt}};
+  for (const TargetLoadReport& stated : kStated) {
+    LoadReplayOptions options = honest_options;
+    options.stated = [stated](int target, const TargetLoadReport& load) {
+      return target == 0 ? stated : load;
+    };
+    const Total lying =
+        Replay(std::to_string(stated.running) + " stated", options);
+    EXPECT_LT(lying.sent_to_first, 1.5 * honest.sent_to_first);
+    EXPECT_GT(lying.sent_to_first, 0);
+    EXPECT_LT(lying.missed, without.missed);
+  }
+}
+
 // After a restart, reports and statistics of the earlier start are void.
 TEST(LoadReportsReplayTest, RestartedTargetGetsItsShareAgain) {
   LoadReplayOptions options = SlowPhases();
--- a/tests/serving/target_balancer_test.cc
+++ b/tests/serving/target_balancer_test.cc
@@ -328,6 +328,51 @@
   EXPECT_NEAR(balancer_.Pick(Need(), now_)->work_time, 2.5, 0.2);
 }
 
+// VMs of other failure domains report their load once per second only.
+TEST_F(TargetBalancerTest, ReportedLoadReplacesThatOfRemotePeers) {
+  balancer_.SetTargets({Spec("a")}, now_);
+  balancer_.SetPeerLoad("near", {{Hash32("a"), 2, 0}}, now_, true);
+  balancer_.SetPeerLoad("remote", {{Hash32("a"), 5, 0}}, now_, false);
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 3);
+  balancer_.OnSent("a", 0, now_);
+  balancer_.OnFirstEvent("a", 0, milliseconds(25), milliseconds(25), now_);
+  balancer_.OnLoadReport(Spec("a"), {4, 0, 10, std::nullopt}, now_);
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 6);
+  now_ += milliseconds(1'001);
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 2) << "the report has expired";
+  balancer_.ForgetPeer("remote");
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 7);
+}
+
+TEST_F(TargetBalancerTest, RequestsSinceReportAreAddedToIt) {
+  balancer_.SetTargets({Spec("a")}, now_);
+  balancer_.OnLoadReport(Spec("a"), {0, 0, 10, std::nullopt}, now_);
+  for (int i = 0; i < 4; ++i) {
+    balancer_.OnSent("a", 0, now_);
+  }
+  balancer_.SetPeerLoad("near", {{Hash32("a"), 6, 0}}, now_, true);
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 0);
+}
+
+TEST_F(TargetBalancerTest, ForwardedLoadOfOthersReplacesThatOfRemotePeers) {
+  balancer_.SetTargets({Spec("a")}, now_);
+  balancer_.SetPeerLoad("remote", {{Hash32("a"), 5, 0}}, now_, false);
+  const ForwardedLoadReport report{0, 20, 1, 2};
+  balancer_.SetPeerLoad("near", {{Hash32("a"), 1, 0, 0, report}}, now_, true);
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 7);
+}
+
+// A peer is near or remote depending on the number of VMs.
+TEST_F(TargetBalancerTest, PeerThatBecomesNearIsCountedOnce) {
+  balancer_.SetTargets({Spec("a")}, now_);
+  balancer_.SetPeerLoad("p", {{Hash32("a"), 5, 0}}, now_, false);
+  balancer_.SetPeerLoad("p", {{Hash32("a"), 4, 0}}, now_, true);
+  balancer_.OnLoadReport(Spec("a"), {4, 0, 10, std::nullopt}, now_);
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 6);
+  balancer_.ForgetPeer("p");
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 10);
+}
+
 TEST_F(TargetBalancerTest, LocalLoadForOtherDomainsOmitsReports) {
   balancer_.SetTargets({Spec("a")}, now_);
   balancer_.OnLoadReport(Spec("a"), {0, 0, 10, 2.5}, now_);
