--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -347,6 +347,20 @@
           statement.rest.value_or(Duration(0)) / std::chrono::milliseconds(1));
     }
   }
+  void OnTargetLoad(const ServingTarget& target,
+                    const std::optional<TargetLoadReport>& load,
+                    bool is_invalid) override {
+    metrics_->Count("load_reports_total", "kind",
+                    is_invalid ? "invalid" : "valid");
+    if (is_invalid) {
+      request_log_.Warning(clock_->Now(),
+                           "event=load_report_invalid target={} usable={}",
+                           target.id, load.has_value());
+    }
+    if (load.has_value()) {
+      targets_.OnLoadReport(target, *load, clock_->Now());
+    }
+  }
   void OnTargetLimit(const ServingTarget& target,
                      const TargetStatement& statement,
                      std::optional<Time> sent) {
@@ -602,15 +616,15 @@
     } else if (is_returning) {
       peer_reporter_.OnPeerReturned(state.link);
     }
-    if (state.has_load) {
-      targets_.SetPeerLoad(state.link, state.uses, now);
-    }
     UpdateScale();
     if (state.reads.has_value()) {
       OnSharedReads(state);
     }
     const bool is_near = !scale_plan_.is_domain_scoped ||
                          directory_.IsLocalDomainLink(state.link);
+    if (state.has_load) {
+      targets_.SetPeerLoad(state.link, state.uses, now, is_near);
+    }
     // Queues of other failure domains are too outdated to wait for.
     if (is_near && state.has_load) {
       queue_.SetPeerQueues(state.link, state.queues, now);
@@ -829,6 +843,9 @@
     UpdateSavedRetries();
     metrics_->Set("targets", "kind", "limited",
                   targets_.Limits()->LimitedCount());
+    const LoadReportCounts reports = targets_.CountLoadReports(now);
+    metrics_->Set("targets", "kind", "reporting_load", reports.reporting);
+    metrics_->Set("targets", "kind", "slowed", reports.slowed);
     DecideMoves();
     UpdateReadRoles();
     for (const std::string& link : directory_.TakeTimedOut(now)) {
--- a/src/relay/target_attempt.cc
+++ b/src/relay/target_attempt.cc
@@ -39,9 +39,9 @@
   }
   had_first_event_ = true;
   const Duration after = now - started_at_;
-  finding_ = observers_.targets->OnFirstEvent(placement_.target,
-                                              request_.prompt_tokens, after,
-                                              placement_.expected, now);
+  finding_ = observers_.targets->OnFirstEvent(
+      placement_.target, request_.prompt_tokens, after,
+      placement_.ExpectedAtUsualSpeed(), now);
   observers_.queue->OnFirstEvent(request_.service, after, placement_.expected);
   return after;
 }
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -16,6 +16,7 @@
 #include "hornbeamcleat/serving/serving_config.h"
 #include "hornbeamcleat/serving/target_statement.h"
 #include "src/serving/cold_targets.h"
+#include "src/serving/load_reports.h"
 #include "src/serving/target_limits.h"
 #include "src/serving/target_statements.h"
 
@@ -44,6 +45,12 @@
 struct Placement {
   std::string target;
   Duration expected{0};  ///< time from dispatch to the first event or answer
+  /// Reported work time at the target relative to its mean, which `expected`
+  /// includes.
+  double work_time = 1;
+
+  /// `expected` if the target worked as fast as on average.
+  Duration ExpectedAtUsualSpeed() const;
 
   bool operator==(const Placement&) const = default;
 };
@@ -83,6 +90,14 @@
   bool operator==(const FirstEventStats&) const = default;
 };
 
+/// Number of targets by what they report of their load.
+struct LoadReportCounts {
+  int reporting = 0;
+  int slowed = 0;  ///< work takes much longer than on average
+
+  bool operator==(const LoadReportCounts&) const = default;
+};
+
 /// How a request at a target ended.
 enum class TargetOutcome {
   kAnswered,   ///< complete answer
@@ -108,8 +123,10 @@
   void SetTargets(const std::vector<ServingTarget>& targets, Time now);
 
   /// Sets a peer's load and the targets that it is backing off from.
+  /// @param is_near whether the peer sends changes to its load immediately
   void SetPeerLoad(const std::string& peer,
-                   const std::vector<TargetLoad>& loads, Time now);
+                   const std::vector<TargetLoad>& loads, Time now,
+                   bool is_near = true);
   /// Sets the statistics measured by a peer.
   void SetPeerStats(const std::string& peer,
                     const std::vector<TargetStats>& all_stats);
@@ -215,6 +232,12 @@
   std::string IdOf(const TargetInstance& target) const;
   std::string DomainOf(const TargetInstance& target) const;
 
+  /// Records the load that a target states in a response to this VM. A report
+  /// of another start of the target is ignored.
+  void OnLoadReport(const ServingTarget& target, const TargetLoadReport& report,
+                    Time now);
+  LoadReportCounts CountLoadReports(Time now) const;
+
   void OnSent(const std::string& target, std::uint32_t prompt_tokens, Time now);
   /// Records that the first event or the answer's header arrived `after` the
   /// dispatch.
@@ -241,7 +264,8 @@
                      Time now) const;
 
   /// Returns this VM's load, to report to peers.
-  std::vector<TargetLoad> LocalLoad(Time now) const;
+  /// @param has_reports whether to include recent load reports of targets
+  std::vector<TargetLoad> LocalLoad(Time now, bool has_reports = true) const;
   /// Returns the statistics measured by this VM, to report to peers.
   /// @param failure_domain restricts them to targets of one domain; empty: all
   std::vector<TargetStats> LocalStats(const std::string& failure_domain,
@@ -277,17 +301,28 @@
     Time first_peer_ejection_until;
     Time peer_ejected_until;
     int peer_running = 0;
+    int remote_running = 0;  ///< part of it, from peers that are not near
     std::int64_t peer_pending_tokens = 0;
     double peer_slowness = 0;  ///< sum weighted by sample count
     double peer_samples = 0;
     double peer_failures = 0;
     double peer_answers = 0;
+    LoadReports reports;
   };
 
   const Target* FindInstance(const TargetInstance& target) const;
   static double Slowness(const Target& target);
   static Duration ExpectedLatency(const Target& target,
                                   std::uint32_t prompt_tokens);
+  /// Reported work time at the target relative to its mean.
+  double WorkTime(const Target& target, Time now) const {
+    return target.reports.WorkTime(now + suspended_time_);
+  }
+  /// Identifies the start of the target in forwarded reports.
+  static std::uint16_t StartOf(const Target& target);
+  void RecordForwardedReport(const std::string& peer,
+                             const ForwardedLoadReport& report, Time now,
+                             Target* target) const;
   /// Restricts the targets considered for one request.
   struct CandidateFilter {
     double share = 1;               ///< fraction of targets
@@ -338,13 +373,21 @@
   static void BackOff(Target* target, Time now);
   static void Decay(Target* target, Time now);
   void RebuildPeerTotals();
-  void AddPeerLoad(const TargetLoad& load, int sign);
+  /// Load that a peer has reported.
+  struct PeerLoad {
+    bool is_near = true;
+    std::vector<TargetLoad> loads;
+  };
+  void AddPeerLoad(const TargetLoad& load, bool is_near, int sign);
+  /// Requests in flight at the target, from all VMs. What remote VMs reported
+  /// up to a second ago is replaced by what the target has reported since.
+  int LoadOf(const Target& target, Time now) const;
   void AddPeerStats(const TargetStats& stats, float sign);
 
   std::map<std::string, Target> targets_;  ///< keyed by ID
   std::unordered_map<std::uint32_t, Target*> by_hash_;
   std::unordered_map<std::uint64_t, const Target*> by_id_;  ///< by instance
-  std::map<std::string, std::vector<TargetLoad>> peer_loads_;
+  std::map<std::string, PeerLoad> peer_loads_;
   std::map<std::string, std::vector<TargetStats>> peer_stats_;
   std::map<std::string, VersionRule> version_rules_;  ///< keyed by service
   std::set<std::string> evacuated_domains_;
--- a/tests/serving/target_balancer_test.cc
+++ b/tests/serving/target_balancer_test.cc
@@ -38,6 +38,14 @@
     return placement.has_value() ? placement->target : "";
   }
 
+  // Reports the usual work time of target "a" for a while.
+  void ReportUsual() {
+    for (int i = 0; i < 50; ++i) {
+      balancer_.OnLoadReport(Spec("a"), {0, 0, 10, 1}, now_);
+      now_ += milliseconds(100);
+    }
+  }
+
   // Runs one request that takes `factor` times the expected time.
   void Run(const std::string& target, double factor) {
     const std::optional<Placement> placement = balancer_.Pick(Need(), now_);
@@ -269,6 +277,111 @@
   EXPECT_EQ(Pick(need), "a");
 }
 
+TEST_F(TargetBalancerTest, PickAvoidsTargetThatReportsSlowPhase) {
+  balancer_.SetTargets({Spec("a"), Spec("b")}, now_);
+  ReportUsual();
+  balancer_.OnLoadReport(Spec("a"), {0, 0, 10, 2.5}, now_);
+  EXPECT_EQ(Pick(Need()), "b");
+  now_ += milliseconds(3'000);
+  balancer_.OnSent("b", 1'000, now_);
+  EXPECT_EQ(Pick(Need()), "a") << "the report has lost its influence";
+}
+
+TEST_F(TargetBalancerTest, PickAvoidsTargetOfForwardedSlowPhase) {
+  balancer_.SetTargets({Spec("a"), Spec("b")}, now_);
+  ReportUsual();
+  const ForwardedLoadReport report{0, 20, 2.5F};
+  balancer_.SetPeerLoad("p", {{Hash32("a"), 0, 0, 0, report}}, now_);
+  EXPECT_EQ(Pick(Need()), "b");
+}
+
+// The report of an earlier start says nothing of the present one.
+TEST_F(TargetBalancerTest, LoadReportsOfEarlierStartAreIgnored) {
+  balancer_.SetTargets({Spec("a"), Spec("b")}, now_);
+  ReportUsual();
+  balancer_.OnLoadReport(Spec("a"), {0, 0, 10, 2.5}, now_);
+  const std::optional<ForwardedLoadReport> forwarded =
+      balancer_.LocalLoad(now_)[0].report;
+  ServingTarget restarted = Spec("a");
+  restarted.start_time_ms = 7;
+  balancer_.SetTargets({restarted, Spec("b")}, now_);
+  balancer_.OnLoadReport(restarted, {0, 0, 10, 1}, now_);
+  EXPECT_EQ(Pick(Need()), "a");
+  now_ += milliseconds(10);
+  balancer_.OnLoadReport(Spec("a"), {0, 0, 10, 2.5}, now_);
+  balancer_.SetPeerLoad("p", {{Hash32("a"), 0, 0, 0, forwarded}}, now_);
+  EXPECT_EQ(Pick(Need()), "a");
+}
+
+// Learned slowness that includes the slow phases of its samples would be
+// counted twice.
+TEST_F(TargetBalancerTest, SlownessIsLearnedRelativeToReportedWorkTime) {
+  balancer_.SetTargets({Spec("a")}, now_);
+  for (int i = 0; i < 50; ++i) {
+    balancer_.OnLoadReport(Spec("a"), {0, 0, 10, 1}, now_);
+    Run("a", 1);
+  }
+  const float before = balancer_.LocalStats("", now_)[0].slowness;
+  const Duration expected = balancer_.Pick(Need(), now_)->expected;
+  balancer_.OnSent("a", 100, now_);
+  balancer_.OnLoadReport(Spec("a"), {0, 0, 10, 2.5}, now_);
+  balancer_.OnFirstEvent("a", 100, expected * 5 / 2, expected, now_);
+  EXPECT_NEAR(balancer_.LocalStats("", now_)[0].slowness, before, 0.05);
+  EXPECT_NEAR(balancer_.Pick(Need(), now_)->work_time, 2.5, 0.2);
+}
+
+// VMs of other failure domains report their load once per second only.
+TEST_F(TargetBalancerTest, ReportedLoadReplacesThatOfRemotePeers) {
+  balancer_.SetTargets({Spec("a")}, now_);
+  balancer_.SetPeerLoad("near", {{Hash32("a"), 2, 0}}, now_, true);
+  balancer_.SetPeerLoad("remote", {{Hash32("a"), 5, 0}}, now_, false);
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 3);
+  balancer_.OnSent("a", 0, now_);
+  balancer_.OnFirstEvent("a", 0, milliseconds(25), milliseconds(25), now_);
+  balancer_.OnLoadReport(Spec("a"), {4, 0, 10, std::nullopt}, now_);
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 6);
+  now_ += milliseconds(1'001);
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 2) << "the report has expired";
+  balancer_.ForgetPeer("remote");
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 7);
+}
+
+TEST_F(TargetBalancerTest, RequestsSinceReportAreAddedToIt) {
+  balancer_.SetTargets({Spec("a")}, now_);
+  balancer_.OnLoadReport(Spec("a"), {0, 0, 10, std::nullopt}, now_);
+  for (int i = 0; i < 4; ++i) {
+    balancer_.OnSent("a", 0, now_);
+  }
+  balancer_.SetPeerLoad("near", {{Hash32("a"), 6, 0}}, now_, true);
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 0);
+}
+
+TEST_F(TargetBalancerTest, ForwardedLoadOfOthersReplacesThatOfRemotePeers) {
+  balancer_.SetTargets({Spec("a")}, now_);
+  balancer_.SetPeerLoad("remote", {{Hash32("a"), 5, 0}}, now_, false);
+  const ForwardedLoadReport report{0, 20, 1, 2};
+  balancer_.SetPeerLoad("near", {{Hash32("a"), 1, 0, 0, report}}, now_, true);
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 7);
+}
+
+// A peer is near or remote depending on the number of VMs.
+TEST_F(TargetBalancerTest, PeerThatBecomesNearIsCountedOnce) {
+  balancer_.SetTargets({Spec("a")}, now_);
+  balancer_.SetPeerLoad("p", {{Hash32("a"), 5, 0}}, now_, false);
+  balancer_.SetPeerLoad("p", {{Hash32("a"), 4, 0}}, now_, true);
+  balancer_.OnLoadReport(Spec("a"), {4, 0, 10, std::nullopt}, now_);
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 6);
+  balancer_.ForgetPeer("p");
+  EXPECT_EQ(balancer_.FreeSlots("s", now_), 10);
+}
+
+TEST_F(TargetBalancerTest, LocalLoadForOtherDomainsOmitsReports) {
+  balancer_.SetTargets({Spec("a")}, now_);
+  balancer_.OnLoadReport(Spec("a"), {0, 0, 10, 2.5}, now_);
+  EXPECT_EQ(balancer_.LocalLoad(now_, true).size(), 1U);
+  EXPECT_TRUE(balancer_.LocalLoad(now_, false).empty());
+}
+
 TEST_F(TargetBalancerTest, SetTargetsWithDrainingTargetSendsItNoRequests) {
   ServingTarget draining = Spec("a");
   draining.is_draining = true;
