Choose ports that are free for TCP in the tests of the directory

FreeUdpAddress gave a port that another process listened on, so that VmThatEndedWhileProcessWasStoppedIsNotListed failed in a whole run of relay_tests: listen, address already in use.

--- a/tests/relay/evacuation_test.cc
+++ b/tests/relay/evacuation_test.cc
@@ -1,5 +1,6 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 
 #include <cstdio>
 #include <memory>
@@ -8,7 +9,10 @@
 #include <thread>
 #include <vector>
 
+#include "hornbeamcleat/base/error.h"
 #include "hornbeamcleat/base/log.h"
+#include "src/base/socket_address.h"
+#include "src/net/file_descriptor.h"
 #include "tests/relay/relay_fixture.h"
 
 namespace hornbeamcleat {
@@ -340,6 +344,33 @@
   static AllowedRegions Regions(const std::vector<std::string>& names) {
     return names;
   }
+
+  static Address FreeTcpAddress() {
+    const FileDescriptor fd(socket(AF_INET, SOCK_STREAM, 0));
+    const sockaddr_in any = ToSocketAddress({"127.0.0.1", 0});
+    EXPECT_EQ(
+        bind(fd.Get(), reinterpret_cast<const sockaddr*>(&any), sizeof(any)),
+        0);
+    return BoundAddress(fd.Get());
+  }
+
+  /// Makes a relay that the directory lists by its own address. Another process
+  /// may take a free port first, so that several are tried.
+  std::unique_ptr<Relay> MakeListedRelay(RelayOptions* options) {
+    constexpr int kMaxTries = 10;
+    for (int i = 1;; ++i) {
+      options->directory_address = FreeTcpAddress();
+      options->peer_address = FreeUdpAddress();
+      options->caller_address = FreeTcpAddress();
+      try {
+        return MakeRelay(*options);
+      } catch (const Error&) {
+        if (i == kMaxTries) {
+          throw;
+        }
+      }
+    }
+  }
 };
 
 TEST_F(RestrictedRequestsTest, RequestsOfAllKindsStayInAllowedRegion) {
@@ -372,19 +403,13 @@
 TEST_F(RestrictedRequestsTest, DirectoryListsVmsOfCallersRegion) {
   RelayOptions options = Options();
   options.regions = {{"d", "eu"}, {"e", "us"}};
-  options.directory_address = FreeUdpAddress();
-  options.peer_address = FreeUdpAddress();
-  options.caller_address = FreeUdpAddress();
+  relay_ = MakeListedRelay(&options);
   const std::string own = options.caller_address.ToString();
-  relay_ = MakeRelay(options);
   Configure(Config());
   RelayOptions peer_options = options;
   peer_options.failure_domain = "e";
-  peer_options.directory_address = FreeUdpAddress();
-  peer_options.peer_address = FreeUdpAddress();
-  peer_options.caller_address = FreeUdpAddress();
+  const std::unique_ptr<Relay> peer = MakeListedRelay(&peer_options);
   const std::string other = peer_options.caller_address.ToString();
-  const std::unique_ptr<Relay> peer = MakeRelay(peer_options);
   peer->SetConfig(std::make_shared<const RouteTable>(Config()));
   peer->OnConfigConfirmed(clock_->SuspendAwareNow());
   const std::vector<VmRecord> members = {peer->SelfRecord(),
@@ -415,17 +440,11 @@
 // VM that has ended look alive.
 TEST_F(RestrictedRequestsTest, VmThatEndedWhileProcessWasStoppedIsNotListed) {
   RelayOptions options = Options();
-  options.directory_address = FreeUdpAddress();
-  options.peer_address = FreeUdpAddress();
-  options.caller_address = FreeUdpAddress();
-  relay_ = MakeRelay(options);
+  relay_ = MakeListedRelay(&options);
   Configure(Config());
   RelayOptions peer_options = options;
-  peer_options.directory_address = FreeUdpAddress();
-  peer_options.peer_address = FreeUdpAddress();
-  peer_options.caller_address = FreeUdpAddress();
+  std::unique_ptr<Relay> peer = MakeListedRelay(&peer_options);
   const std::string other = peer_options.caller_address.ToString();
-  std::unique_ptr<Relay> peer = MakeRelay(peer_options);
   const std::vector<VmRecord> members = {peer->SelfRecord(),
                                          relay_->SelfRecord()};
   relay_->SetMembers(members);
