--- a/src/serving/cold_targets.cc
+++ b/src/serving/cold_targets.cc
@@ -482,27 +482,40 @@
   return end + kRampTime * state.order.position / std::max(1, state.order.vms);
 }
 
-Time ColdTargets::OpensAt(const TargetInstance& target, Time now) const {
-  const State* state = Find(target);
-  if (state == nullptr) {
-    return now;
-  }
-  const Time start = RampStart(*state, now);
-  if (!IsCold(*state, now)) {
+Time ColdTargets::OpensAt(const State& state, Time now) const {
+  const Time start = RampStart(state, now);
+  if (!IsCold(state, now)) {
     return std::max({now, held_until_, start});
   }
-  const Time turn = state->rate.OpensAt();
+  const Time turn = state.rate.OpensAt();
   return std::max(held_until_, turn == Time::max() ? start : turn);
 }
 
-double ColdTargets::SlotShare(const TargetInstance& target, Time now) const {
+Time ColdTargets::OpensAt(const TargetInstance& target, Time now) const {
   const State* state = Find(target);
-  if (state == nullptr || IsCold(*state, now)) {
-    return 1;
+  return state == nullptr ? now : OpensAt(*state, now);
+}
+
+int ColdTargets::FreeSlots(const TargetInstance& target, int slots, int free,
+                           Time now) const {
+  const State* state = Find(target);
+  if (state == nullptr) {
+    return free;
+  }
+  if (OpensAt(*state, now) > now) {
+    return 0;
+  }
+  if (IsCold(*state, now)) {
+    return std::min(1, free);
+  }
+  const Duration warm_for =
+      now - std::max(ColdEnd(*state, now), state->loss_ended_at);
+  if (warm_for >= kRampTime) {
+    return free;
   }
-  const Time end = std::max(ColdEnd(*state, now), state->loss_ended_at);
-  return now - end >= kRampTime ? 1
-                                : ToSeconds(now - end) / ToSeconds(kRampTime);
+  const int closed = static_cast<int>(
+      slots * (1 - ToSeconds(warm_for) / ToSeconds(kRampTime)));
+  return std::max(0, free - closed);
 }
 
 std::optional<double> ColdTargets::RateOf(const TargetInstance& target,
--- a/src/serving/cold_targets.h
+++ b/src/serving/cold_targets.h
@@ -137,9 +137,10 @@
   /// When this VM may send the target its next request; not after `now` if it
   /// may already.
   Time OpensAt(const TargetInstance& target, Time now) const;
-  /// Fraction of the target's slots that may be used, below 1 shortly after it
-  /// has become warm.
-  double SlotShare(const TargetInstance& target, Time now) const;
+  /// Returns how many of the target's free slots may be used now: one while it
+  /// is cold and this VM has a turn, and only a part shortly afterwards.
+  int FreeSlots(const TargetInstance& target, int slots, int free,
+                Time now) const;
   /// Requests per second of all VMs, or nullopt if it isn't cold.
   std::optional<double> RateOf(const TargetInstance& target, Time now) const;
   /// Whether a target that was lost should be sent a request, even if others
@@ -229,6 +230,7 @@
   void UpdateTurn(Time now, State* state);
   void Tell(Time now, State* state);
   static ColdNotice NoticeOf(std::uint64_t id, const State& state, Time now);
+  Time OpensAt(const State& state, Time now) const;
   Time RampStart(const State& state, Time now) const;
   void EvictOldest();
 
--- a/src/serving/target_balancer.cc
+++ b/src/serving/target_balancer.cc
@@ -260,7 +260,8 @@
                ? std::min(1, free)
                : 0;
   }
-  free = ColdFreeSlots(target, free, now);
+  free = cold_.FreeSlots(target.instance, target.spec.slots, free,
+                         now + suspended_time_);
   switch (AccessTo(target, now)) {
     case TargetAccess::kOpen:
     case TargetAccess::kAvoided:
@@ -550,23 +551,6 @@
   });
 }
 
-int TargetBalancer::ColdFreeSlots(const Target& target, int free,
-                                  Time now) const {
-  if (!cold_.IsEnabled()) {
-    return free;
-  }
-  const Time boot_now = now + suspended_time_;
-  if (cold_.OpensAt(target.instance, boot_now) > boot_now) {
-    return 0;
-  }
-  if (cold_.IsCold(target.instance, boot_now)) {
-    return std::min(1, free);
-  }
-  const int open_slots = static_cast<int>(std::ceil(
-      target.spec.slots * cold_.SlotShare(target.instance, boot_now)));
-  return std::clamp(open_slots - target.running - target.peer_running, 0, free);
-}
-
 bool TargetBalancer::IsLimited(const std::string& target, Time now) const {
   const auto it = targets_.find(target);
   return it != targets_.end() && IsLimited(it->second, now);
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -293,8 +293,6 @@
   bool IsCold(const Target& target, Time now) const {
     return cold_.IsCold(target.instance, now + suspended_time_);
   }
-  /// Restricts free slots of a target that is cold or has become warm.
-  int ColdFreeSlots(const Target& target, int free, Time now) const;
   /// When this VM may send to the target, as far as its rest and its limit
   /// decide, on the suspension-aware clock.
   Time OpensAt(const Target& target, Time now) const;
--- a/tests/serving/cold_targets_test.cc
+++ b/tests/serving/cold_targets_test.cc
@@ -622,10 +622,18 @@
     });
   };
   EXPECT_LE(open(), 2);
-  EXPECT_LE(vms_[0]->cold.SlotShare(TargetInstance::Of(target), now_), 0.1);
+  const auto most_free = [&] {
+    int most = 0;
+    for (const std::unique_ptr<Vm>& vm : vms_) {
+      most = std::max(
+          most, vm->cold.FreeSlots(TargetInstance::Of(target), 8, 8, now_));
+    }
+    return most;
+  };
+  EXPECT_LE(most_free(), 1);
   now_ += milliseconds(400);
   EXPECT_EQ(open(), 22);
-  EXPECT_EQ(vms_[0]->cold.SlotShare(TargetInstance::Of(target), now_), 1);
+  EXPECT_EQ(most_free(), 8);
 }
 
 TEST_F(ColdTargetsTest, EventsNameCauseAndEnd) {
