--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -339,6 +339,8 @@
       Retry("target_limited");
       return false;
     }
+    // A suspension may have ended just now.
+    context_->GetTargets()->SetSuspendedTime(BootNow() - Now());
     if (!context_->GetTargets()->ConfirmCold(
             attempt_->Target(), attempt_->IsCountedAsCold(), Now())) {
       FinishAttempt(TargetOutcome::kAbandoned);
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -145,6 +145,7 @@
   }
 
   void SetTargets(const std::vector<ServingTarget>& targets) override {
+    targets_.SetSuspendedTime(clock_->SuspendAwareNow() - clock_->Now());
     targets_.SetTargets(targets, clock_->Now());
     targets_.UpdateColdRecords(WallMs(), clock_->Now());
     OnColdChange();
@@ -571,6 +572,7 @@
         LogLimit(notice.target, targets_.IdOf(notice.target), state.link);
       }
     }
+    targets_.SetSuspendedTime(clock_->SuspendAwareNow() - now);
     for (const ColdNotice& notice : state.cold) {
       targets_.OnColdNotice(state.link, notice, now);
     }
