--- a/tests/platform/fake_store.cc
+++ b/tests/platform/fake_store.cc
@@ -150,8 +150,11 @@
 
 void FakeStore::Respond(ResponseSink* sink, int status,
                         const std::string& body) const {
-  sink->SendResponse(status, "", {{"Store-Era", fmt::format("{}", era_)}},
-                     body);
+  HeaderList headers;
+  if (states_era_) {
+    headers.push_back({"Store-Era", fmt::format("{}", era_)});
+  }
+  sink->SendResponse(status, "", headers, body);
 }
 
 void FakeStore::Compact() {
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -63,6 +63,9 @@
 
   int Calls() const { return calls_; }
 
+  /// Sets whether responses state an era.
+  void SetStatesEra(bool states_era) { states_era_ = states_era; }
+
  private:
   struct Topic {
     std::vector<KeyedRecord> records;  ///< from offset `first` on
@@ -87,6 +90,7 @@
   std::map<std::string, Topic> topics_;
   std::map<std::string, Topic> copy_;
   int era_ = 1;  ///< rises with each Restore
+  bool states_era_ = true;
   std::list<PendingRead*> pending_reads_;
   Fault fault_ = Fault::kNone;
   int calls_ = 0;
--- a/tests/platform/shared_reads_test.cc
+++ b/tests/platform/shared_reads_test.cc
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,7 @@
       relay_->SetConfig(std::move(table));
     }
   }
+  void OnEvacuations(const std::set<std::string>&) override {}
   void OnConfirmed(Time sent) override {
     confirmed_ = sent;
     if (relay_ != nullptr) {
@@ -196,6 +198,17 @@
   EXPECT_GT(*control_->Confirmed(), before);
 }
 
+// A store that has never come back from a copy states no era. Its reads were
+// not reported, so that all VMs went on polling.
+TEST_F(SharedStoreReadsTest, StoreWithoutEraIsPolledByReadersOnly) {
+  store_.SetStatesEra(false);
+  StartFollower();
+  Hold(seconds(5));
+  const int calls = store_.Calls();
+  RunFor(milliseconds(600));
+  EXPECT_EQ(store_.Calls(), calls);
+}
+
 // A VM whose readers fell silent must not rely on the last proof for long.
 TEST_F(SharedStoreReadsTest, VmWithoutFurtherProofsPollsAgain) {
   StartFollower();
