--- a/src/serving/retry_schedule.cc
+++ b/src/serving/retry_schedule.cc
@@ -8,10 +8,11 @@
 
 /// Recent counts decide; older ones say nothing about the present overload.
 constexpr double kHalfLifeSeconds = 1;
-/// Share of refused requests from which callers retry as late as they can. With
-/// this share, a caller that retries at once has one chance in five to fail
-/// again.
-constexpr double kFullDelayShare = 0.2;
+/// Share of refused requests up to which callers retry as soon as a slot may be
+/// free, since most of them are then served in time, and from which they retry
+/// as late as they can, since most would be refused again.
+constexpr double kNoDelayShare = 0.4;
+constexpr double kFullDelayShare = 0.8;
 /// Fraction of the longest delay over which callers are spread.
 constexpr double kSpread = 0.25;
 constexpr double kSeeds = 4'294'967'296;
@@ -35,10 +36,12 @@
   Counts& counts = counts_[priority];
   const double refused = counts.refused.Add(1, now);
   const double arrived = std::max(refused, counts.arrived.Add(0, now));
-  const double urgency = std::min(1.0, refused / arrived / kFullDelayShare);
+  const double delay_share = std::clamp(
+      (refused / arrived - kNoDelayShare) / (kFullDelayShare - kNoDelayShare),
+      0.0, 1.0);
   const double position = 1 - kSpread * (1 - seed / kSeeds);
   return std::max(estimate,
-                  FromSeconds(ToSeconds(max_delay) * urgency * position));
+                  FromSeconds(ToSeconds(max_delay) * delay_share * position));
 }
 
 }  // namespace hornbeamcleat
--- a/src/serving/retry_schedule.h
+++ b/src/serving/retry_schedule.h
@@ -13,9 +13,9 @@
 ///
 /// Load pattern: demand is a multiple of the capacity for seconds. Callers that
 /// come back as soon as a slot may be free meet the same overload, and each one
-/// comes back only once. So the more requests of a priority are refused, the
-/// later they are told to retry, up to the time that their callers follow, and
-/// spread over a part of it.
+/// comes back only once. So the more requests of a priority are refused beyond
+/// a share, the later they are told to retry, up to the time that their callers
+/// follow, and spread over a part of it.
 class RetrySchedule {
  public:
   /// Workspace rank and route rank.
