Bound what callers hold and close stuck connections

Connections that sent nothing, or stopped halfway, kept new ones from being accepted.

Now one BufferBudget counts what callers hold on all listeners, and ends holders that have stopped growing when memory is short. A connection parses the next request once the previous response is sent. A full listener closes the connection with the least progress for each one that waits. Slow readers are closed while requests wait for the slots that they hold.

--- a/src/relay/admin_endpoints.cc
+++ b/src/relay/admin_endpoints.cc
@@ -10,9 +10,6 @@
 namespace hornbeamcleat {
 namespace {
 
-/// Connection limit of the readiness and of the metrics listener.
-constexpr int kMaxAdminConnections = 64;
-
 // Handler of a request that was answered synchronously.
 class CompletedRequest : public RequestHandler {
  public:
@@ -30,12 +27,15 @@
       metrics_(metrics),
       directory_ttl_(options.directory_ttl),
       sources_(std::move(sources)),
-      ready_listener_(loop, clock, options.ready_address, kMaxAdminConnections,
-                      ReadyDelegate(base)),
+      ready_listener_(loop, clock, options.ready_address,
+                      options.admin_connections, ReadyDelegate(base),
+                      options.socket_buffer_bytes),
       directory_listener_(loop, clock, options.directory_address,
-                          options.max_connections, DirectoryDelegate(base)),
+                          options.directory_connections,
+                          DirectoryDelegate(base), options.socket_buffer_bytes),
       metrics_listener_(loop, clock, options.metrics_address,
-                        kMaxAdminConnections, MetricsDelegate(base)) {}
+                        options.admin_connections, MetricsDelegate(base),
+                        options.socket_buffer_bytes) {}
 
 CallerConnection::Delegate AdminEndpoints::ReadyDelegate(
     CallerConnection::Delegate delegate) {
--- a/src/relay/byte_stream.cc
+++ b/src/relay/byte_stream.cc
@@ -71,15 +71,25 @@
       return;
     }
     output_.append(bytes);
-    if (!is_connecting_) {
-      Flush();
-      UpdateEvents();
+    SendQueued();
+  }
+
+  void WriteOwned(std::string bytes) override {
+    if (is_closed_ || bytes.empty()) {
+      return;
     }
+    if (output_.empty()) {
+      output_ = std::move(bytes);
+    } else {
+      output_.append(bytes);
+    }
+    SendQueued();
   }
 
   std::size_t Unsent() const override {
     return output_.size() - output_offset_;
   }
+  std::size_t HeldBytes() const override { return output_.size(); }
   bool AnySent() const override { return any_sent_; }
 
   void SetReading(bool is_reading) override {
@@ -118,6 +128,13 @@
     setsockopt(fd_.Get(), SOL_SOCKET, SO_LINGER, &value, sizeof(value));
   }
 
+  void SendQueued() {
+    if (!is_connecting_) {
+      Flush();
+      UpdateEvents();
+    }
+  }
+
   void ShutDownWriting() {
     if (std::exchange(resets_on_close_, false)) {
       SetLinger(false);
--- a/src/relay/byte_stream.h
+++ b/src/relay/byte_stream.h
@@ -54,9 +54,15 @@
   /// Queues bytes and sends as many as the socket accepts.
   virtual void Write(std::string_view bytes) = 0;
 
+  /// Like Write, for large data, which is not copied if nothing is queued.
+  virtual void WriteOwned(std::string bytes) = 0;
+
   /// Queued bytes that the socket has not accepted yet.
   virtual std::size_t Unsent() const = 0;
 
+  /// Memory of the output buffer.
+  virtual std::size_t HeldBytes() const = 0;
+
   /// Whether the socket has accepted any byte.
   virtual bool AnySent() const = 0;
 
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -14,15 +14,54 @@
 /// Time for the caller to close its side once the last response is sent.
 constexpr Duration kLingerTimeout = std::chrono::seconds(2);
 /// Pipelined bytes above which reading pauses while a request is processed.
-constexpr std::size_t kMaxPipelinedBytes = 65'536;
+constexpr std::size_t kMaxPipelinedBytes = 16'384;
+/// Copies of a body while its request is processed: the request, which may be
+/// sent again, and the output buffer of the target's connection.
+constexpr std::size_t kBodyCopies = 2;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
+// Bytes that were transferred lately. The window begins at the start of a phase
+// or up to twice kWindow ago, so that a burst at the start doesn't hide that
+// nothing has come since.
+class ProgressMeter {
+ public:
+  struct Sample {
+    Duration since{0};
+    std::size_t bytes = 0;
+  };
+
+  void Restart(Time now, std::size_t total) { older_ = newer_ = {now, total}; }
+
+  /// @param total bytes so far, including those before the restart
+  Sample Measure(Time now, std::size_t total) {
+    if (now - newer_.at >= kWindow) {
+      older_ = newer_;
+      newer_ = {now, total};
+    }
+    return {now - older_.at, total - older_.total};
+  }
+
+ private:
+  static constexpr Duration kWindow = std::chrono::milliseconds(500);
+
+  struct Mark {
+    Time at;
+    std::size_t total = 0;
+  };
+  Mark older_;
+  Mark newer_;
+};
+
 class Connection : public CallerConnection, private ResponseSink {
  public:
   Connection(PollLoop* loop, const Clock* clock, FileDescriptor fd,
              Delegate delegate)
-      : loop_(loop), clock_(clock), delegate_(std::move(delegate)) {
+      : loop_(loop),
+        clock_(clock),
+        delegate_(std::move(delegate)),
+        held_(delegate_.budget) {
     options_ = delegate_.options();
+    held_.SetReclaim([this] { Evict(CloseCause::kMemory); });
     stream_ = ByteStream::Accepted(loop, std::move(fd), options_.user_timeout);
     ByteStream::Callbacks callbacks;
     callbacks.on_bytes = [this](std::string_view bytes) { OnBytes(bytes); };
@@ -46,8 +85,45 @@
            (state_ == State::kLingering && stream_->Unsent() > 0);
   }
 
-  std::size_t BufferedBytes() const override {
-    return state_ == State::kReading ? parser_->Body()->size() : body_bytes_;
+  CallerProgress Progress(Time now) override {
+    using Kind = CallerProgress::Kind;
+    const std::size_t unsent = stream_->Unsent();
+    if (unsent > 0 && state_ != State::kReading) {
+      const ProgressMeter::Sample sent =
+          send_meter_.Measure(now, sending_bytes_ - unsent);
+      return {Kind::kSending, sent.since, sent.bytes, handler_ == nullptr};
+    }
+    switch (state_) {
+      case State::kReading: {
+        if (was_answered_ && !parser_->Started()) {
+          return {Kind::kIdle, now - phase_at_, 0};
+        }
+        const ProgressMeter::Sample received =
+            receive_meter_.Measure(now, received_bytes_);
+        return {Kind::kReceiving, received.since, received.bytes};
+      }
+      case State::kLingering:
+        return {Kind::kEnding, now - phase_at_, 0};
+      case State::kHandling:
+      case State::kClosed:
+        break;
+    }
+    return {};
+  }
+
+  void Evict(CloseCause cause) override {
+    if (state_ == State::kClosed) {
+      return;
+    }
+    if (delegate_.on_evicted) {
+      delegate_.on_evicted(cause);
+    }
+    if (state_ == State::kReading && cause == CloseCause::kMemory) {
+      Reject(503);
+      return;
+    }
+    ReportUnsentResponse();
+    Abort();
   }
 
   void EndBeforeExit() override {
@@ -76,7 +152,11 @@
         {options_.limits.max_header_bytes, options_.limits.max_body_bytes});
     state_ = State::kReading;
     continue_sent_ = false;
-    body_bytes_ = 0;
+    request_bytes_ = 0;
+    received_bytes_ = 0;
+    phase_at_ = clock_->Now();
+    receive_meter_.Restart(phase_at_, 0);
+    UpdateHeld();
     SetTimer(options_.limits.idle_timeout, [this] { Linger(); });
   }
 
@@ -87,20 +167,41 @@
 
   void OnBytes(std::string_view bytes) {
     if (state_ == State::kHandling) {
-      pipelined_bytes_.append(bytes);
-      if (pipelined_bytes_.size() > kMaxPipelinedBytes) {
-        stream_->SetReading(false);
-      }
+      OnPipelined(bytes);
     } else if (state_ == State::kReading) {
       Parse(bytes);
     }
   }
 
+  void OnPipelined(std::string_view bytes) {
+    pipelined_bytes_.append(bytes);
+    UpdateHeld();
+    if (!held_.MakeRoom()) {
+      // The request in progress is served; those behind it have not run.
+      drops_pipelined_ = true;
+    }
+    if (drops_pipelined_) {
+      std::string().swap(pipelined_bytes_);
+      UpdateHeld();
+    }
+    if (drops_pipelined_ || pipelined_bytes_.size() > kMaxPipelinedBytes) {
+      stream_->SetReading(false);
+    }
+  }
+
   void Parse(std::string_view bytes) {
     if (!parser_->Started()) {
       arrival_ = clock_->Now();
+      phase_at_ = arrival_;
+      receive_meter_.Restart(arrival_, 0);
       SetTimer(options_.limits.header_timeout, [this] { Reject(408); });
     }
+    received_bytes_ += bytes.size();
+    held_.Set(parser_->HeldBytes() + bytes.size());
+    if (!held_.MakeRoom()) {
+      Reject(503);
+      return;
+    }
     const std::size_t n = parser_->Feed(bytes);
     bytes.remove_prefix(n);
     switch (parser_->Error()) {
@@ -116,6 +217,12 @@
         Reject(413);
         return;
     }
+    // Fields take more memory than the bytes that were counted before.
+    UpdateHeld();
+    if (!held_.MakeRoom()) {
+      Reject(503);
+      return;
+    }
     if (parser_->HeadDone() && !parser_->Done()) {
       OnBodyProgress();
       return;
@@ -130,7 +237,8 @@
     // Each part of the body restarts the timer, so that only a stalled body
     // times out.
     SetTimer(options_.limits.idle_timeout, [this] { Reject(408); });
-    if (!delegate_.may_buffer(parser_->Body()->size())) {
+    if (delegate_.may_buffer &&
+        !delegate_.may_buffer(parser_->Body()->size())) {
       Reject(503);
       return;
     }
@@ -138,17 +246,24 @@
     if (expect != nullptr && !continue_sent_ &&
         HeaderNamesEqual(*expect, "100-continue")) {
       continue_sent_ = true;
-      stream_->Write(kContinue);
+      Write(kContinue);
     }
   }
 
   void Handle() {
     timer_.reset();
+    request_bytes_ =
+        parser_->HeldBytes() + (kBodyCopies - 1) * parser_->Body()->size();
+    held_.Set(request_bytes_ + pipelined_bytes_.size());
+    if (!held_.MakeRoom()) {
+      Reject(503);
+      return;
+    }
     CallerRequest request;
-    request.head = parser_->Head();
+    request.head = parser_->TakeHead();
     request.body = std::move(*parser_->Body());
     request.arrival = arrival_;
-    body_bytes_ = request.body.size();
+    parser_.reset();
     // HTTP/1.0 requires a Connection: keep-alive response header, which is not
     // sent, so these connections are closed.
     keep_alive_ = request.head.keep_alive && request.head.minor_version >= 1;
@@ -156,6 +271,8 @@
     is_head_ = request.head.method == "HEAD";
     state_ = State::kHandling;
     is_chunked_ = false;
+    is_response_done_ = false;
+    UpdateHeld();
     const std::shared_ptr<bool> alive = alive_;
     std::unique_ptr<RequestHandler> handler =
         delegate_.handle(std::move(request), this);
@@ -176,12 +293,12 @@
     if (status == 503) {
       headers.push_back({"Retry-After", "1"});
     }
-    stream_->Write(FormatResponseHead(status, "", headers, {0, false, true}));
+    Write(FormatResponseHead(status, "", headers, {0, false, true}));
     Linger();
   }
 
   bool ClosesAfterResponse() const {
-    return !keep_alive_ || delegate_.is_draining();
+    return !keep_alive_ || drops_pipelined_ || delegate_.is_draining();
   }
 
   void SendResponse(int status, std::string_view reason,
@@ -192,7 +309,7 @@
     if (!is_head_) {
       bytes.append(body);
     }
-    stream_->Write(bytes);
+    Write(bytes);
     FinishResponse();
   }
 
@@ -204,9 +321,8 @@
     if (ends_with_connection) {
       stream_->ResetOnEarlyClose();
     }
-    stream_->Write(
-        FormatResponseHead(status, reason, headers,
-                           {length, is_chunked_, closes_after_response_}));
+    Write(FormatResponseHead(status, reason, headers,
+                             {length, is_chunked_, closes_after_response_}));
   }
 
   void SendBody(std::string_view bytes) override {
@@ -214,15 +330,15 @@
       return;
     }
     if (is_chunked_) {
-      stream_->Write(FormatChunk(bytes));
+      Write(FormatChunk(bytes));
     } else {
-      stream_->Write(bytes);
+      Write(bytes);
     }
   }
 
   void EndBody() override {
     if (is_chunked_ && !is_head_) {
-      stream_->Write(kLastChunk);
+      Write(kLastChunk);
     }
     FinishResponse();
   }
@@ -234,28 +350,97 @@
 
   std::size_t Unsent() const override { return stream_->Unsent(); }
 
+  void Write(std::string_view bytes) {
+    const bool was_empty = stream_->Unsent() == 0;
+    sending_bytes_ = was_empty ? bytes.size() : sending_bytes_ + bytes.size();
+    stream_->Write(bytes);
+    if (was_empty) {
+      // What the kernel's buffer takes at once has not been read by the caller.
+      send_meter_.Restart(clock_->Now(), sending_bytes_ - stream_->Unsent());
+    }
+    UpdateHeld();
+  }
+
+  // A request in progress is never ended for the memory of others.
+  void UpdateHeld() {
+    if (state_ == State::kClosed) {
+      return;
+    }
+    const bool is_in_progress =
+        state_ == State::kHandling && !is_response_done_;
+    const std::size_t request =
+        parser_ != nullptr ? parser_->HeldBytes() : request_bytes_;
+    held_.Set(request + pipelined_bytes_.size() + stream_->HeldBytes());
+    held_.SetReclaimable(!is_in_progress);
+  }
+
   void FinishResponse() {
+    is_response_done_ = true;
+    was_answered_ = true;
+    request_bytes_ = 0;
+    UpdateHeld();
     responded_before_return_ = handler_ == nullptr;
     // The handler may be on the call stack, so it is freed from the loop.
     PostIfAlive(
         [handler = std::shared_ptr<RequestHandler>(std::move(handler_))] {});
-    if (closes_after_response_) {
+    if (closes_after_response_ || drops_pipelined_) {
       Linger();
-      return;
     }
-    PostIfAlive([this] { ReadNextRequest(); });
+    PostIfAlive([this] { OnResponseDone(); });
   }
 
-  void ReadNextRequest() {
+  // Runs from the loop, since the response may be evicted.
+  void OnResponseDone() {
     responded_before_return_ = false;
+    if (state_ == State::kClosed) {
+      return;
+    }
+    if (stream_->Unsent() > 0 && !held_.MakeRoom()) {
+      Evict(CloseCause::kMemory);
+      return;
+    }
     if (state_ != State::kHandling) {
       return;
     }
+    if (stream_->Unsent() > 0) {
+      AwaitFlush();
+    } else {
+      ReadNextRequest();
+    }
+  }
+
+  // The caller may read slowly, but not stop.
+  void AwaitFlush() {
+    is_flushing_ = true;
+    progress_at_ = clock_->Now();
+    CheckFlushLater();
+  }
+
+  void CheckFlushLater() {
+    unsent_at_check_ = stream_->Unsent();
+    SetTimer(kLingerTimeout, [this] { CheckFlush(); });
+  }
+
+  void CheckFlush() {
+    const Time now = clock_->Now();
+    if (stream_->Unsent() < unsent_at_check_) {
+      progress_at_ = now;
+    } else if (now - progress_at_ >= options_.limits.idle_timeout) {
+      ReportUnsentResponse();
+      Abort();
+      return;
+    }
+    CheckFlushLater();
+  }
+
+  void ReadNextRequest() {
+    if (state_ != State::kHandling || !is_response_done_) {
+      return;
+    }
     AwaitRequest();
     stream_->SetReading(true);
     if (!pipelined_bytes_.empty()) {
-      const std::string bytes = std::move(pipelined_bytes_);
-      pipelined_bytes_.clear();
+      const std::string bytes = std::exchange(pipelined_bytes_, {});
       Parse(bytes);
     }
   }
@@ -270,10 +455,13 @@
   }
 
   void OnFlushed() {
+    UpdateHeld();
     if (handler_ != nullptr) {
       handler_->OnFlushed();
     } else if (state_ == State::kLingering) {
       AwaitLingerEnd();
+    } else if (std::exchange(is_flushing_, false)) {
+      PostIfAlive([this] { ReadNextRequest(); });
     }
   }
 
@@ -282,6 +470,10 @@
       return;
     }
     state_ = State::kLingering;
+    phase_at_ = clock_->Now();
+    parser_.reset();
+    std::string().swap(pipelined_bytes_);
+    UpdateHeld();
     stream_->FinishWriting();
     stream_->SetReading(true);
     progress_at_ = clock_->Now();
@@ -318,7 +510,9 @@
   }
 
   void ReportUnsentResponse() {
-    if (state_ == State::kLingering && stream_->Unsent() > 0) {
+    const bool is_sending = state_ == State::kLingering ||
+                            (state_ == State::kHandling && is_response_done_);
+    if (is_sending && stream_->Unsent() > 0) {
       delegate_.on_response_cut(stream_->Unsent());
     }
   }
@@ -329,6 +523,8 @@
     }
     state_ = State::kClosed;
     timer_.reset();
+    held_.SetReclaimable(false);
+    held_.Set(0);
     if (handler_ != nullptr) {
       handler_->Cancel();
     }
@@ -342,13 +538,19 @@
   PollLoop* const loop_;
   const Clock* const clock_;
   const Delegate delegate_;
+  BufferBudget::Share held_;
   Options options_;
   std::unique_ptr<ByteStream> stream_;
   std::unique_ptr<HttpParser> parser_;
   std::unique_ptr<RequestHandler> handler_;
   std::unique_ptr<TimerService::Subscription> timer_;
   std::string pipelined_bytes_;
-  std::size_t body_bytes_ = 0;
+  std::size_t request_bytes_ = 0;   ///< in memory, of the request in progress
+  std::size_t received_bytes_ = 0;  ///< of the request that is being received
+  std::size_t sending_bytes_ = 0;   ///< written since the output was empty
+  ProgressMeter send_meter_;        ///< since the output was empty
+  ProgressMeter receive_meter_;     ///< of the request that is being received
+  Time phase_at_;  ///< when the connection began to wait, receive or linger
   State state_ = State::kReading;
   std::size_t unsent_at_check_ = 0;  ///< when the linger timer was set
   Time progress_at_;                 ///< last time that unsent bytes went out
@@ -358,6 +560,10 @@
   bool is_chunked_ = false;
   bool closes_after_response_ = false;
   bool continue_sent_ = false;
+  bool is_response_done_ = false;         ///< complete, but maybe not sent
+  bool drops_pipelined_ = false;          ///< no memory for further requests
+  bool is_flushing_ = false;              ///< waits until the response is sent
+  bool was_answered_ = false;             ///< any request of this connection
   bool responded_before_return_ = false;  ///< before `handle` returned
   int minor_version_ = 1;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
@@ -365,6 +571,18 @@
 
 }  // namespace
 
+const char* CloseCauseName(CloseCause cause) {
+  switch (cause) {
+    case CloseCause::kStuck:
+      return "stuck";
+    case CloseCause::kMemory:
+      return "memory";
+    case CloseCause::kSlowReader:
+      return "slow_reader";
+  }
+  return "unknown";
+}
+
 std::unique_ptr<CallerConnection> CallerConnection::Make(PollLoop* loop,
                                                          const Clock* clock,
                                                          FileDescriptor fd,
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -11,6 +11,7 @@
 #include "hornbeamcleat/base/time.h"
 #include "hornbeamcleat/serving/serving_config.h"
 #include "src/net/file_descriptor.h"
+#include "src/relay/buffer_budget.h"
 #include "src/relay/http_parser.h"
 
 namespace hornbeamcleat {
@@ -68,9 +69,36 @@
   virtual void OnFlushed() = 0;
 };
 
+/// Why a connection is closed in favor of others.
+enum class CloseCause {
+  kStuck,       ///< connections ran out
+  kMemory,      ///< what callers hold exceeds its limit
+  kSlowReader,  ///< requests wait while its target's slot is held
+};
+
+/// Name of a cause in logs and metrics.
+const char* CloseCauseName(CloseCause cause);
+
+/// What a connection has achieved lately, by which stuck ones are found.
+struct CallerProgress {
+  enum class Kind {
+    kInProgress,  ///< its request is being processed; never closed for others
+    kReceiving,   ///< accepted, or in the middle of a request
+    kIdle,        ///< between two requests
+    kSending,     ///< its response is not sent yet
+    kEnding,      ///< the last response is sent
+  };
+  Kind kind = Kind::kInProgress;
+  Duration since{0};      ///< length of the window; kIdle: time without use
+  std::size_t bytes = 0;  ///< received or sent in the window
+  bool is_target_done = true;  ///< kSending: the response is complete here
+};
+
 /// Keep-alive connection of a caller: reads requests one at a time and passes
-/// each to a handler. Ambiguous framing ends the connection, since two parsers
-/// could read it differently (request smuggling).
+/// each to a handler. The next request is parsed once the previous response is
+/// sent, so that a caller that doesn't read responses can't pile them up.
+/// Ambiguous framing ends the connection, since two parsers could read it
+/// differently (request smuggling).
 class CallerConnection {
  public:
   struct Options {
@@ -84,10 +112,15 @@
         handle;
     std::function<Options()> options;   ///< current values
     std::function<bool()> is_draining;  ///< responses announce the close
-    std::function<bool(std::size_t)> may_buffer;  ///< for request bodies
+    /// Limit of request bodies beside the budget; may be unset.
+    std::function<bool(std::size_t)> may_buffer;
+    /// What callers hold together, on all listeners; may be null.
+    std::shared_ptr<BufferBudget> budget;
     std::function<void(std::string_view reason)> on_rejected;
     /// The caller left or stopped reading before its response was sent.
     std::function<void(std::size_t unsent)> on_response_cut;
+    /// The connection is closed in favor of others; may be unset.
+    std::function<void(CloseCause cause)> on_evicted;
     std::function<void()> on_closed;  ///< the owner frees the connection later
   };
 
@@ -102,8 +135,11 @@
   /// sent yet.
   virtual bool IsBusy() const = 0;
 
-  /// Body bytes of the request that is being received or processed.
-  virtual std::size_t BufferedBytes() const = 0;
+  /// Progress in a window that ends now.
+  virtual CallerProgress Progress(Time now) = 0;
+
+  /// Closes the connection in favor of others.
+  virtual void Evict(CloseCause cause) = 0;
 
   /// Closes the connection if no request is being received or processed.
   virtual void CloseIfIdle() = 0;
--- a/src/relay/header_list.cc
+++ b/src/relay/header_list.cc
@@ -57,6 +57,14 @@
 }
 
 HeaderList EndToEndHeaders(const HeaderList& headers) {
+  // Connection fields are collected once: thousands of short fields compared
+  // with each other would take tens of milliseconds.
+  std::vector<const HeaderField*> connection_fields;
+  for (const HeaderField& field : headers) {
+    if (HeaderNamesEqual(field.name, "Connection")) {
+      connection_fields.push_back(&field);
+    }
+  }
   HeaderList kept;
   for (const HeaderField& field : headers) {
     const bool is_named =
@@ -64,11 +72,11 @@
                     [&](std::string_view name) {
                       return HeaderNamesEqual(name, field.name);
                     });
-    const bool is_nominated = std::any_of(
-        headers.begin(), headers.end(), [&](const HeaderField& other) {
-          return HeaderNamesEqual(other.name, "Connection") &&
-                 HasListToken(other.value, field.name);
-        });
+    const bool is_nominated =
+        std::any_of(connection_fields.begin(), connection_fields.end(),
+                    [&](const HeaderField* connection) {
+                      return HasListToken(connection->value, field.name);
+                    });
     if (!is_named && !is_nominated) {
       kept.push_back(field);
     }
--- a/src/relay/http_parser.cc
+++ b/src/relay/http_parser.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 #include <optional>
+#include <utility>
 
 namespace hornbeamcleat {
 namespace {
@@ -130,19 +131,23 @@
   }
 
   // Beast requires a complete line in one buffer, so an incomplete one is kept.
+  // Whatever is complete is parsed where it is.
   std::size_t Feed(std::string_view bytes) override {
     if (bytes.empty() || Done() || error_ != ParseError::kNone) {
       return 0;
     }
     started_ = true;
     const std::size_t pending_before = pending_.size();
-    pending_.append(bytes);
+    std::string_view input = bytes;
+    if (pending_before > 0) {
+      pending_.append(bytes);
+      input = pending_;
+    }
     std::size_t used = 0;
-    while (used < pending_.size() && !Done()) {
+    while (used < input.size() && !Done()) {
       beast::error_code ec;
       const std::size_t n = parser_.put(
-          boost::asio::buffer(pending_.data() + used, pending_.size() - used),
-          ec);
+          boost::asio::buffer(input.data() + used, input.size() - used), ec);
       used += n;
       if (parser_.is_refused) {
         error_ = ParseError::kMalformed;
@@ -159,11 +164,17 @@
         break;
       }
     }
+    if (HeadDone() && head_bytes_ == 0) {
+      head_bytes_ = MemoryOf(parser_.head);
+    }
     if (error_ == ParseError::kNone && Done()) {
-      pending_.clear();
+      std::string().swap(pending_);
       return used > pending_before ? used - pending_before : 0;
     }
-    pending_.erase(0, used);
+    if (used > 0 || pending_before == 0) {
+      // A copy of the rest, so that no more than the rest is held.
+      pending_ = std::string(input.substr(used));
+    }
     CheckPending();
     return bytes.size();
   }
@@ -187,7 +198,14 @@
   bool Done() const override { return parser_.is_done(); }
   ParseError Error() const override { return error_; }
   const MessageHead& Head() const override { return parser_.head; }
+  MessageHead TakeHead() override {
+    head_bytes_ = 0;
+    return std::move(parser_.head);
+  }
   std::string* Body() override { return &parser_.body; }
+  std::size_t HeldBytes() const override {
+    return pending_.size() + parser_.body.size() + head_bytes_;
+  }
 
  private:
   // Bytes are kept while a line of the head, a chunk's size or the trailers are
@@ -201,6 +219,7 @@
   const std::size_t max_header_bytes_;
   BeastParser<kIsRequest> parser_;
   std::string pending_;
+  std::size_t head_bytes_ = 0;  ///< in memory, once the head is complete
   bool started_ = false;
   ParseError error_ = ParseError::kNone;
 };
@@ -221,6 +240,20 @@
   return "unknown";
 }
 
+std::size_t MemoryOf(const MessageHead& head) {
+  // Short strings are part of the object.
+  const std::size_t inline_capacity = std::string().capacity();
+  const auto heap = [inline_capacity](const std::string& text) {
+    return text.capacity() > inline_capacity ? text.capacity() : 0;
+  };
+  std::size_t bytes = heap(head.target) + heap(head.method) +
+                      head.headers.capacity() * sizeof(HeaderField);
+  for (const HeaderField& field : head.headers) {
+    bytes += heap(field.name) + heap(field.value);
+  }
+  return bytes;
+}
+
 std::unique_ptr<HttpParser> HttpParser::ForRequest(
     const MessageLimits& limits) {
   return std::make_unique<BeastHttpParser<true>>(limits, false);
--- a/src/relay/http_parser.h
+++ b/src/relay/http_parser.h
@@ -34,6 +34,10 @@
   HeaderList headers;
 };
 
+/// Bytes that a head takes in memory. Short fields take many times their size
+/// on the wire.
+std::size_t MemoryOf(const MessageHead& head);
+
 /// Size limits of a message.
 struct MessageLimits {
   std::size_t max_header_bytes = 0;
@@ -70,8 +74,14 @@
   /// Complete once HeadDone; before, it holds the fields read so far.
   virtual const MessageHead& Head() const = 0;
 
+  /// Moves the head out; to be called once, when the message is done.
+  virtual MessageHead TakeHead() = 0;
+
   /// Decoded body bytes that the user has not removed yet.
   virtual std::string* Body() = 0;
+
+  /// Bytes that the message takes in memory so far.
+  virtual std::size_t HeldBytes() const = 0;
 };
 
 }  // namespace hornbeamcleat
--- a/src/relay/listener.cc
+++ b/src/relay/listener.cc
@@ -7,8 +7,11 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <optional>
+#include <tuple>
 #include <utility>
 
+#include "hornbeamcleat/base/clock.h"
 #include "hornbeamcleat/base/error.h"
 #include "src/base/poll_loop.h"
 #include "src/base/socket_address.h"
@@ -17,12 +20,63 @@
 namespace {
 
 constexpr int kBacklog = 512;
+/// Age of a phase below which a connection is not stuck: its bytes may not have
+/// been read yet.
+constexpr Duration kMinStuckAge = std::chrono::milliseconds(100);
+/// The same for the caller of a request whose target still sends.
+constexpr Duration kMinSlowReaderAge = std::chrono::milliseconds(500);
+/// Bytes per second below which a connection that receives or sends is stuck.
+constexpr double kMinBytesPerSecond = 1'000;
+/// Time until accepting is tried again while no connection is stuck, or the
+/// process has no descriptor left.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+
+/// Order in which connections are closed for others: stuck ones, then idle
+/// ones, then those that make progress; least progress first.
+using CloseOrder = std::tuple<int, double>;
+
+bool IsStuck(const CallerProgress& progress) {
+  return static_cast<double>(progress.bytes) <
+         kMinBytesPerSecond * ToSeconds(progress.since);
+}
+
+bool IsSlowReader(const CallerProgress& progress) {
+  return progress.kind == CallerProgress::Kind::kSending &&
+         !progress.is_target_done && progress.since >= kMinSlowReaderAge &&
+         IsStuck(progress);
+}
+
+// nullopt if the connection must not be closed for others.
+std::optional<CloseOrder> CloseOrderOf(const CallerProgress& progress) {
+  using Kind = CallerProgress::Kind;
+  if (progress.kind == Kind::kInProgress || progress.since < kMinStuckAge) {
+    return std::nullopt;
+  }
+  const double seconds = ToSeconds(progress.since);
+  if (progress.kind == Kind::kIdle) {
+    return CloseOrder{1, -seconds};
+  }
+  if (!progress.is_target_done && !IsSlowReader(progress)) {
+    return std::nullopt;
+  }
+  return CloseOrder{IsStuck(progress) ? 0 : 2,
+                    static_cast<double>(progress.bytes) / seconds};
+}
 
-FileDescriptor Listen(const Address& address) {
+void SetBufferSizes(int fd, int bytes) {
+  // Accepted connections inherit these sizes. Errors leave the defaults.
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+  setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+}
+
+FileDescriptor Listen(const Address& address, int socket_buffer_bytes) {
   FileDescriptor fd(
       socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   const int on = 1;
   const sockaddr_in to = ToSocketAddress(address);
+  if (socket_buffer_bytes > 0) {
+    SetBufferSizes(fd.Get(), socket_buffer_bytes);
+  }
   if (fd.Get() < 0 ||
       setsockopt(fd.Get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
       bind(fd.Get(), reinterpret_cast<const sockaddr*>(&to), sizeof(to)) != 0 ||
@@ -35,12 +89,13 @@
 }  // namespace
 
 Listener::Listener(PollLoop* loop, const Clock* clock, const Address& address,
-                   int max_connections, CallerConnection::Delegate delegate)
+                   int max_connections, CallerConnection::Delegate delegate,
+                   int socket_buffer_bytes)
     : loop_(loop),
       clock_(clock),
       max_connections_(max_connections),
       delegate_(std::move(delegate)),
-      fd_(Listen(address)) {
+      fd_(Listen(address, socket_buffer_bytes)) {
   loop_->Watch(fd_.Get(), EPOLLIN, [this](std::uint32_t) { Accept(); });
 }
 
@@ -57,17 +112,18 @@
                     [](const auto& item) { return item.second->IsBusy(); }));
 }
 
-std::size_t Listener::BufferedBytes() const {
-  std::size_t bytes = 0;
+void Listener::CloseIdleConnections() {
   for (const auto& [id, connection] : connections_) {
-    bytes += connection->BufferedBytes();
+    connection->CloseIfIdle();
   }
-  return bytes;
 }
 
-void Listener::CloseIdleConnections() {
+void Listener::CloseSlowReaders() {
+  const Time now = clock_->Now();
   for (const auto& [id, connection] : connections_) {
-    connection->CloseIfIdle();
+    if (IsSlowReader(connection->Progress(now))) {
+      connection->Evict(CloseCause::kSlowReader);
+    }
   }
 }
 
@@ -80,22 +136,29 @@
 void Listener::StopAccepting() {
   if (is_accepting_) {
     is_accepting_ = false;
+    resume_timer_.reset();
     loop_->Unwatch(fd_.Get());
     fd_.Reset();
   }
 }
 
+// Called when a connection waits to be accepted.
 void Listener::Accept() {
-  while (is_accepting_) {
-    if (ConnectionCount() >= max_connections_) {
-      // Further connections wait in the backlog until one is closed.
-      is_full_ = true;
-      loop_->Change(fd_.Get(), 0);
-      return;
-    }
+  if (ConnectionCount() >= max_connections_) {
+    // It waits in the backlog until another is closed.
+    PauseAccepting();
+    CloseStuckConnection();
+    return;
+  }
+  while (is_accepting_ && ConnectionCount() < max_connections_) {
     FileDescriptor fd(
         accept4(fd_.Get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (fd.Get() < 0) {
+      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+          errno == ENOMEM) {
+        PauseAccepting();
+        CloseStuckConnection();
+      }
       return;
     }
     const std::uint64_t id = next_id_++;
@@ -106,6 +169,40 @@
   }
 }
 
+void Listener::CloseStuckConnection() {
+  const Time now = clock_->Now();
+  CallerConnection* stuck = nullptr;
+  std::optional<CloseOrder> first;
+  for (const auto& [id, connection] : connections_) {
+    const std::optional<CloseOrder> order =
+        CloseOrderOf(connection->Progress(now));
+    if (order.has_value() && (!first.has_value() || *order < *first)) {
+      first = order;
+      stuck = connection.get();
+    }
+  }
+  if (stuck != nullptr) {
+    stuck->Evict(CloseCause::kStuck);
+  }
+}
+
+void Listener::PauseAccepting() {
+  if (is_paused_) {
+    return;
+  }
+  is_paused_ = true;
+  loop_->Change(fd_.Get(), 0);
+  resume_timer_ = loop_->Timers()->At(clock_->Now() + kAcceptPause,
+                                      [this](Time) { ResumeAccepting(); });
+}
+
+void Listener::ResumeAccepting() {
+  if (is_paused_ && is_accepting_) {
+    is_paused_ = false;
+    loop_->Change(fd_.Get(), EPOLLIN);
+  }
+}
+
 // The connection is on the call stack, so it is freed from the loop.
 void Listener::OnClosed(std::uint64_t id) {
   loop_->Post([this, id, alive = alive_] {
@@ -113,10 +210,7 @@
       return;
     }
     connections_.erase(id);
-    if (is_full_ && is_accepting_) {
-      is_full_ = false;
-      loop_->Change(fd_.Get(), EPOLLIN);
-    }
+    ResumeAccepting();
   });
 }
 
--- a/src/relay/listener.h
+++ b/src/relay/listener.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "hornbeamcleat/base/settings.h"
+#include "hornbeamcleat/base/timer_service.h"
 #include "src/net/file_descriptor.h"
 #include "src/relay/caller_connection.h"
 
@@ -18,10 +19,15 @@
 /// Listening socket that owns the connections accepted on it.
 class Listener {
  public:
+  /// @param max_connections when reached, a stuck connection is closed for
+  ///   each one that waits to be accepted
   /// @param delegate hooks of the connections; the listener sets on_closed
+  /// @param socket_buffer_bytes size of the kernel's buffers of a connection,
+  ///   each way; 0: the kernel's default
   /// @throws Error with step "listen"
   Listener(PollLoop* loop, const Clock* clock, const Address& address,
-           int max_connections, CallerConnection::Delegate delegate);
+           int max_connections, CallerConnection::Delegate delegate,
+           int socket_buffer_bytes = 0);
   ~Listener();
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
@@ -30,15 +36,20 @@
   Address Bound() const;
   int ConnectionCount() const { return static_cast<int>(connections_.size()); }
   int BusyConnections() const;
-  /// Buffered request body bytes of all connections.
-  std::size_t BufferedBytes() const;
   void CloseIdleConnections();
+  /// Closes connections whose targets still send while their callers hardly
+  /// read. For when other requests wait for the slots of these targets.
+  void CloseSlowReaders();
   /// Lets all requests in progress be answered before the process exits.
   void EndRequestsBeforeExit();
   void StopAccepting();
 
  private:
   void Accept();
+  void CloseStuckConnection();
+  /// Stops accepting until a connection is closed or a time has passed.
+  void PauseAccepting();
+  void ResumeAccepting();
   void OnClosed(std::uint64_t id);
 
   PollLoop* const loop_;
@@ -47,9 +58,10 @@
   const CallerConnection::Delegate delegate_;
   FileDescriptor fd_;
   bool is_accepting_ = true;
-  bool is_full_ = false;
+  bool is_paused_ = false;
   std::uint64_t next_id_ = 0;
   std::map<std::uint64_t, std::unique_ptr<CallerConnection>> connections_;
+  std::unique_ptr<TimerService::Subscription> resume_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -51,8 +51,6 @@
 /// Interval of placement decisions while requests wait.
 constexpr Duration kDecisionPeriod = std::chrono::milliseconds(20);
 constexpr Duration kHousekeepingPeriod = std::chrono::milliseconds(250);
-/// Request bodies may use this fraction (1/N) of the process's memory.
-constexpr std::size_t kBodyMemoryDivisor = 4;
 /// Limit of all responses of targets, as a fraction (1/N) of the process's
 /// memory. The sum reaches at most twice the limit, in strings of up to twice
 /// the size, which makes an eighth.
@@ -88,7 +86,8 @@
         moves_(options.moves),
         target_connections_(clock),
         caller_listener_(loop, clock, options.caller_address,
-                         options.max_connections, CallerDelegate()),
+                         options.max_connections, CallerDelegate(),
+                         options.socket_buffer_bytes),
         admin_endpoints_(loop, clock, codec, metrics, options, BaseDelegate(),
                          {[this] { return IsReady(); },
                           [this](const std::string& domain) {
@@ -596,6 +595,9 @@
     const Time now = clock_->Now();
     UpdateReadiness();
     target_connections_.CloseExpired();
+    if (!waiting_exchanges_.empty()) {
+      caller_listener_.CloseSlowReaders();
+    }
     LossTable* losses = admission_.Losses();
     losses->Expire(clock_->SuspendAwareNow());
     losses->ReportAnswers(
@@ -638,6 +640,8 @@
     metrics_->Set("peers_heard", "kind", "vm", directory_.ReachablePeers(now));
     metrics_->Set("held_bytes", "of", "responses",
                   static_cast<double>(response_budget_->Held()));
+    metrics_->Set("held_bytes", "of", "callers",
+                  static_cast<double>(caller_budget_->Held()));
     metrics_->Set("connections", "side", "callers",
                   caller_listener_.ConnectionCount());
     if (drain_started_at_.has_value() &&
@@ -657,9 +661,13 @@
       return options;
     };
     delegate.is_draining = [this] { return drain_started_at_.has_value(); };
-    delegate.may_buffer = [this](std::size_t) {
-      return caller_listener_.BufferedBytes() <
-             options_.memory_bytes / kBodyMemoryDivisor;
+    delegate.budget = caller_budget_;
+    delegate.on_evicted = [this](CloseCause cause) {
+      metrics_->Count("connections_closed_total", "cause",
+                      CloseCauseName(cause));
+      request_log_.Warning(clock_->Now(),
+                           "event=caller_closed cause={} held_bytes={}",
+                           CloseCauseName(cause), caller_budget_->Held());
     };
     delegate.on_rejected = [this](std::string_view reason) {
       metrics_->Count("rejected_total", "reason", std::string(reason));
@@ -701,6 +709,11 @@
   const std::shared_ptr<BufferBudget> response_budget_ =
       std::make_shared<BufferBudget>(options_.memory_bytes /
                                      kResponseMemoryDivisor);
+  /// What callers hold, on all listeners.
+  const std::shared_ptr<BufferBudget> caller_budget_ =
+      std::make_shared<BufferBudget>(
+          static_cast<std::size_t>(static_cast<double>(options_.memory_bytes) *
+                                   options_.caller_memory_share));
   RequestLog request_log_;
   std::map<std::string, RetryBudget> retry_budgets_;
   double saved_retries_ = 1;  ///< that this VM may accumulate
--- a/src/relay/relay_options.cc
+++ b/src/relay/relay_options.cc
@@ -7,7 +7,8 @@
 
 constexpr std::int64_t kMillisecondUs = 1'000;
 constexpr std::int64_t kMinuteUs = 60'000 * kMillisecondUs;
-constexpr std::int64_t kMiB = 1'024 * 1'024;
+constexpr std::int64_t kKiB = 1'024;
+constexpr std::int64_t kMiB = 1'024 * kKiB;
 /// Percentage of target_drain_time for which a target whose entry disappeared
 /// is still used; the rest covers the delay of reads from the store.
 constexpr int kVanishedUsePercent = 60;
@@ -57,6 +58,16 @@
            "How long callers keep a directory answer; whole seconds."),
       Rule("callers", "grace", duration, "8s", kMinuteUs,
            "Time from SIGTERM until the process is killed."),
+      Rule("callers", "memory_share", number, "0.2", 1,
+           "Part of memory_mb that callers may make the process hold, on all "
+           "listeners."),
+      Rule("callers", "admin_connections", integer, "64", 10'000,
+           "Connections of the readiness and of the metrics listener, each."),
+      Rule("callers", "directory_connections", integer, "96", 10'000,
+           "Connections of the directory listener."),
+      Rule("callers", "socket_buffer_kb", integer, "64", 65'536,
+           "Kernel buffer of a caller's connection, each way, in KiB; 0: the "
+           "kernel's default."),
       Rule("targets", "drain_use", duration, "2s", kMinuteUs,
            "How long a target that leaves may still be given work."),
       Rule("targets", "retry_ratio", number, "0.2", 1,
@@ -107,6 +118,14 @@
       std::max(8, (static_cast<int>(settings.Integer("vm", "max_descriptors")) -
                    kReservedDescriptors) /
                       kDescriptorsPerCaller);
+  options.caller_memory_share = settings.Number("callers", "memory_share");
+  options.admin_connections = std::max(
+      1, static_cast<int>(settings.Integer("callers", "admin_connections")));
+  options.directory_connections = std::max(
+      1,
+      static_cast<int>(settings.Integer("callers", "directory_connections")));
+  options.socket_buffer_bytes =
+      static_cast<int>(settings.Integer("callers", "socket_buffer_kb") * kKiB);
   options.directory_ttl = settings.GetDuration("callers", "directory_keep");
   options.shutdown_grace = settings.GetDuration("callers", "grace");
   // A request sent at the end of this time must still arrive within it.
--- a/src/relay/relay_options.h
+++ b/src/relay/relay_options.h
@@ -23,7 +23,14 @@
   Address metrics_address;
   Address store;
   std::size_t memory_bytes = 0;  ///< memory limit of the process
-  int max_connections = 0;
+  int max_connections = 0;       ///< of the front listener
+  /// Part of the memory that callers may make the process hold, on all
+  /// listeners.
+  double caller_memory_share = 0.2;
+  int admin_connections = 64;      ///< of the readiness and metrics listeners
+  int directory_connections = 96;  ///< of the directory listener
+  /// Kernel buffer of a caller's connection, each way; 0: the default.
+  int socket_buffer_bytes = 0;
   Duration directory_ttl{0};   ///< how long callers may cache an answer
   Duration shutdown_grace{0};  ///< from SIGTERM to SIGKILL
   /// How long a draining target may be sent requests.
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -135,7 +135,7 @@
       return;
     }
     may_have_sent_ = true;
-    stream_->Write(plan_.bytes);
+    stream_->WriteOwned(std::move(plan_.bytes));
   }
 
   void OnBytes(std::string_view bytes) {
@@ -278,7 +278,7 @@
   PollLoop* const loop_;
   TargetConnectionPool* const pool_;
   const HttpCodec* const codec_;
-  const Plan plan_;
+  Plan plan_;
   Callbacks callbacks_;
   BufferBudget::Share held_;  ///< of an incomplete head
   std::size_t head_bytes_ = 0;
