--- a/src/relay/relay_options.cc
+++ b/src/relay/relay_options.cc
@@ -171,7 +171,7 @@
   options.name = settings.Text("vm", "name");
   options.failure_domain = settings.Text("vm", "failure_domain");
   options.regions = ParseRegions(settings.Text("vm", "regions"));
-  const std::string region = settings.Text("vm", "region");
+  const std::string& region = settings.Text("vm", "region");
   if (!region.empty()) {
     options.regions.try_emplace(options.failure_domain, region);
   }
