--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -472,6 +472,7 @@
     state_ = State::kLingering;
     phase_at_ = clock_->Now();
     parser_.reset();
+    request_bytes_ = 0;
     std::string().swap(pipelined_bytes_);
     UpdateHeld();
     stream_->FinishWriting();
