Mend what the review of the merged parts found

- Complete fields of an unfinished head, and trailers, were neither counted by the budget of callers nor limited: 4,000 fields of 4 bytes in pieces that end within a line held 262 KB counted as a few bytes.
- A connection whose pipelined bytes were dropped could go on in the middle of a request; it now ends after the response.
- Queues of VMs of other domains stayed for good when a 17th VM joined.
- One caller with a huge waiting time made all callers of a route late retries.

Found by reading.

--- a/include/hornbeamcleat/serving/serving_source.h
+++ b/include/hornbeamcleat/serving/serving_source.h
@@ -54,7 +54,7 @@
   virtual void OnMoves(const std::vector<MoveOrder>& orders,
                        const std::vector<MoveRecord>& records) = 0;
   /// Reports a read that reached the end of a topic, after what it returned was
-  /// delivered. Not called if the store states no era.
+  /// delivered. The era is 0 if the store states none.
   virtual void OnTopicRead(const TopicRead& read) = 0;
 };
 
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -437,6 +437,11 @@
     if (state_ != State::kHandling || !is_response_done_) {
       return;
     }
+    // Where the next request starts is unknown.
+    if (drops_pipelined_) {
+      Linger();
+      return;
+    }
     AwaitRequest();
     stream_->SetReading(true);
     if (!pipelined_bytes_.empty()) {
--- a/src/relay/http_parser.cc
+++ b/src/relay/http_parser.cc
@@ -27,8 +27,14 @@
   /// Set in addition to the error code, since Beast ignores an error of
   /// on_header_impl on a chunked message.
   bool is_refused = false;
+  std::size_t max_field_bytes = 0;  ///< of the head and the trailers
+  std::size_t received_field_bytes = 0;
+  std::size_t held_field_bytes = 0;  ///< in memory
 
  private:
+  /// A colon and the end of the line.
+  static constexpr std::size_t kFieldOverhead = 3;
+
   // The overridden functions are named by Beast.
   // NOLINTBEGIN(readability-identifier-naming)
   void on_request_impl(http::verb, beast::string_view method,
@@ -51,7 +57,14 @@
   void on_field_impl(http::field, beast::string_view name,
                      beast::string_view value, beast::error_code& ec) override {
     ec = {};
+    // Beast limits only what it is fed at once, and no trailers.
+    received_field_bytes += name.size() + value.size() + kFieldOverhead;
+    if (received_field_bytes > max_field_bytes) {
+      ec = http::error::header_limit;
+      return;
+    }
     head.headers.push_back({ToString(name), ToString(value)});
+    held_field_bytes += sizeof(HeaderField) + name.size() + value.size();
   }
 
   void on_header_impl(beast::error_code& ec) override {
@@ -125,6 +138,7 @@
     parser_.eager(true);
     parser_.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     parser_.body_limit(limits.max_body_bytes);
+    parser_.max_field_bytes = limits.max_header_bytes;
     if constexpr (!kIsRequest) {
       parser_.skip(has_no_body);
     }
@@ -164,7 +178,8 @@
         break;
       }
     }
-    if (HeadDone() && head_bytes_ == 0) {
+    // Trailers add fields to a complete head.
+    if (HeadDone() && (head_bytes_ == 0 || Done())) {
       head_bytes_ = MemoryOf(parser_.head);
     }
     if (error_ == ParseError::kNone && Done()) {
@@ -200,11 +215,13 @@
   const MessageHead& Head() const override { return parser_.head; }
   MessageHead TakeHead() override {
     head_bytes_ = 0;
+    parser_.held_field_bytes = 0;
     return std::move(parser_.head);
   }
   std::string* Body() override { return &parser_.body; }
   std::size_t HeldBytes() const override {
-    return pending_.size() + parser_.body.size() + head_bytes_;
+    return pending_.size() + parser_.body.size() +
+           std::max(head_bytes_, parser_.held_field_bytes);
   }
 
  private:
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -630,8 +630,10 @@
       targets_.SetPeerLoad(state.link, state.uses, now, is_near);
     }
     // Queues of other failure domains are too outdated to wait for.
-    if (is_near && state.has_load) {
-      queue_.SetPeerQueues(state.link, state.queues, now);
+    if (state.has_load) {
+      queue_.SetPeerQueues(state.link,
+                           is_near ? state.queues : std::vector<ServiceQueue>(),
+                           now);
     }
     admission_.Quotas()->SetPeerUsage(
         state.link, {state.incarnation, state.has_all_quotas, is_near},
--- a/src/serving/caller_patience.cc
+++ b/src/serving/caller_patience.cc
@@ -18,6 +18,10 @@
 /// Longer times count as this one, so that products stay in range.
 constexpr Duration kMaxTimeLeft = std::chrono::hours(24);
 
+/// Callers with less than this fraction have other times than the rest. A retry
+/// comes at most a third of the caller's time after its first attempt.
+constexpr double kMinRetryShare = 0.5;
+
 Duration Scale(Duration d, double factor) {
   return Duration(
       static_cast<Duration::rep>(static_cast<double>(d.count()) * factor));
@@ -40,7 +44,8 @@
   const double step = time_left > estimate.usual ? kQuantile : kQuantile - 1;
   estimate.usual = Scale(estimate.usual, 1 + gain * step);
   return estimate.samples > kMinSamples &&
-                 time_left < Scale(estimate.usual, kRetryShare)
+                 time_left < Scale(estimate.usual, kRetryShare) &&
+                 time_left >= Scale(estimate.usual, kMinRetryShare)
              ? estimate.usual - time_left
              : Duration(0);
 }
--- a/tests/platform/shared_reads_test.cc
+++ b/tests/platform/shared_reads_test.cc
@@ -50,6 +50,7 @@
   std::optional<Time> Confirmed() const { return confirmed_; }
   std::size_t TargetCount() const { return targets_; }
   const std::vector<TopicRead>& Reads() const { return reads_; }
+  const std::set<std::string>& Evacuations() const { return evacuations_; }
   std::optional<TopicRead> LastRead(SharedTopic topic) const {
     const auto last = std::find_if(
         reads_.rbegin(), reads_.rend(),
@@ -65,7 +66,9 @@
       relay_->SetConfig(std::move(table));
     }
   }
-  void OnEvacuations(const std::set<std::string>&) override {}
+  void OnEvacuations(const std::set<std::string>& domains) override {
+    evacuations_ = domains;
+  }
   void OnConfirmed(Time sent) override {
     confirmed_ = sent;
     if (relay_ != nullptr) {
@@ -90,6 +93,7 @@
   std::shared_ptr<const RouteTable> table_;
   std::optional<Time> confirmed_;
   std::size_t targets_ = 0;
+  std::set<std::string> evacuations_;
   std::vector<TopicRead> reads_;
   std::unique_ptr<ServingSource> source_;
 };
@@ -344,6 +348,27 @@
   EXPECT_TRUE(RunUntil([&] { return *control_->Confirmed() >= now; }));
 }
 
+// A follower that is held makes no read of its own after the time for writing
+// again, so that only proofs can end an evacuation that the copy lacks.
+TEST_F(SharedStoreReadsTest, ProofsEndEvacuationThatRestoredStoreLacks) {
+  store_.Copy();
+  StartFollower();
+  store_.Put("keyed.op", "evacuate/d", "{}");
+  ASSERT_TRUE(RunUntil([this] { return !control_->Evacuations().empty(); }));
+  Hold(seconds(30));
+  store_.Restore();
+  TopicProof proof = Proof(SharedTopic::kConfig, seconds(30));
+  proof.era = 2;
+  control_->Source()->OnTopicProof(proof);
+  ASSERT_TRUE(RunUntil(
+      [this] { return control_->LastRead(SharedTopic::kConfig)->era == 2; }));
+  EXPECT_FALSE(control_->Evacuations().empty());
+  EXPECT_TRUE(RunUntil([this] {
+    Prove(SharedTopic::kConfig, seconds(30));
+    return control_->Evacuations().empty();
+  }));
+}
+
 // A restored store proves nothing until its operators have written again.
 TEST_F(SharedStoreReadsTest, ProofsRightAfterRestoreConfirmNothing) {
   store_.Copy();
--- a/tests/relay/http_parser_test.cc
+++ b/tests/relay/http_parser_test.cc
@@ -48,6 +48,42 @@
   EXPECT_TRUE(parser->Done());
 }
 
+// Complete lines of an unfinished head were neither counted nor limited if each
+// piece ended within a line.
+TEST_F(HttpParserTest, FieldsOfUnfinishedHeadAreCountedAndLimited) {
+  const std::unique_ptr<HttpParser> parser =
+      Request("GET / HTTP/1.1\r\nHost: h\r\na");
+  std::string piece;
+  for (int i = 0; i < 50; ++i) {
+    piece += ":\r\na";
+  }
+  parser->Feed(piece);
+  EXPECT_EQ(parser->Error(), ParseError::kNone);
+  EXPECT_GE(parser->HeldBytes(), 50 * sizeof(HeaderField));
+  for (int i = 0; i < 10; ++i) {
+    parser->Feed(piece);
+  }
+  EXPECT_EQ(parser->Error(), ParseError::kHeaderTooLong);
+}
+
+// Trailers become fields of the head after the body.
+TEST_F(HttpParserTest, TrailersAreCountedAndLimited) {
+  const std::string request =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+  std::string trailers;
+  for (int i = 0; i < 50; ++i) {
+    trailers += "a:\r\n";
+  }
+  const std::unique_ptr<HttpParser> parser =
+      Request(request + trailers + "\r\n");
+  ASSERT_TRUE(parser->Done());
+  EXPECT_GE(parser->HeldBytes(), 50 * sizeof(HeaderField));
+  for (int i = 0; i < 4; ++i) {
+    trailers += trailers;
+  }
+  EXPECT_NE(Request(request + trailers + "\r\n")->Error(), ParseError::kNone);
+}
+
 TEST_F(HttpParserTest, FeedWithTooLongHeaderOrBodyTellsWhich) {
   EXPECT_EQ(Request("GET / HTTP/1.1\r\nHost: h\r\nX: " +
                     std::string(2'000, 'x') + "\r\n\r\n")
--- a/tests/serving/caller_patience_test.cc
+++ b/tests/serving/caller_patience_test.cc
@@ -76,6 +76,22 @@
   EXPECT_EQ(patience_.WaitedBefore("r", FirstAttempt()), Duration(0));
 }
 
+// The first caller of a route stated a day, which made all others late retries.
+TEST_F(CallerPatienceTest, WaitedBeforeAfterHugeFirstTimeIsZero) {
+  patience_.WaitedBefore("r", hours(24));
+  for (int i = 0; i < 1'000; ++i) {
+    EXPECT_EQ(patience_.WaitedBefore("r", FirstAttempt()), Duration(0));
+  }
+}
+
+// Two groups of callers with times of their own are no retries of each other.
+TEST_F(CallerPatienceTest, WaitedBeforeOfCallersWithShortTimesIsZero) {
+  for (int i = 0; i < 1'000; ++i) {
+    EXPECT_EQ(patience_.WaitedBefore("r", milliseconds(30'000)), Duration(0));
+    EXPECT_EQ(patience_.WaitedBefore("r", milliseconds(10'000)), Duration(0));
+  }
+}
+
 TEST_F(CallerPatienceTest, WaitedBeforeKeepsRoutesApart) {
   AddFirstAttempts(100);
   for (int i = 0; i < 100; ++i) {
