--- a/src/serving/cold_targets.h
+++ b/src/serving/cold_targets.h
@@ -25,7 +25,7 @@
 const char* ColdCauseName(ColdCause cause);
 
 /// Bound on the requests that a cold target may be sent in one second:
-/// `coldstart_per_s` x overage + slack.
+/// `cold_per_second` x overage + slack.
 struct ColdBounds {
   double overage = 1;
   double slack = 0;
--- a/tests/serving/wait_queue_test.cc
+++ b/tests/serving/wait_queue_test.cc
@@ -180,7 +180,7 @@
 }
 
 // Streams that may wait for less time accept targets with long pauses earlier,
-// which made more of them late (citaserena trouble-1).
+// which made more of them late.
 TEST_F(WaitQueueTest, DecideLetsStreamsWaitForTargetsWithoutPauses) {
   OccupySlots(1);
   queue_.OnSlotReleased("s", milliseconds(20));
