--- a/src/serving/retry_schedule.cc
+++ b/src/serving/retry_schedule.cc
@@ -9,8 +9,8 @@
 /// Recent counts decide; older ones say nothing about the present overload.
 constexpr double kHalfLifeSeconds = 1;
 /// Share of refused requests up to which callers retry as soon as a slot may be
-/// free, since most of them are then served in time, and from which they retry
-/// as late as they can, since most would be refused again.
+/// free, since most requests are served, and from which they retry as late as
+/// they follow, since most would be refused again.
 constexpr double kNoDelayShare = 0.4;
 constexpr double kFullDelayShare = 0.8;
 /// Fraction of the longest delay over which callers are spread.
--- a/src/serving/wait_queue.cc
+++ b/src/serving/wait_queue.cc
@@ -120,7 +120,7 @@
 void WaitQueue::Add(const WaitingRequest& request) {
   WaitingRequest waiting = request;
   Queue& local_queue = queues_[request.need.service];
-  // A stream that started earlier would accept long pauses for it.
+  // A stream with an earlier latest start accepts long pauses sooner.
   const double reserve = request.need.max_pause > Duration(0)
                              ? kMinFirstEventReserve
                              : local_queue.first_event_reserve;
--- a/src/serving/wait_queue.h
+++ b/src/serving/wait_queue.h
@@ -37,7 +37,7 @@
   std::uint64_t id = 0;
   Kind kind = Kind::kPlace;
   Placement placement;      ///< set for kPlace
-  Duration retry_after{0};  ///< set for kRefuse: time until a slot is free
+  Duration retry_after{0};  ///< set for kRefuse: when to retry
   Duration waited{0};
   int ahead = 0;       ///< requests ahead of it, at this VM and its peers
   int free_slots = 0;  ///< at the time of the decision
--- a/tests/serving/wait_queue_test.cc
+++ b/tests/serving/wait_queue_test.cc
@@ -179,8 +179,7 @@
   EXPECT_TRUE(IsRefused(1));
 }
 
-// Streams that may wait for less time accept targets with long pauses earlier,
-// which made more of them late.
+// Streams with an earlier latest start accept targets with long pauses sooner.
 TEST_F(WaitQueueTest, DecideLetsStreamsWaitForTargetsWithoutPauses) {
   OccupySlots(1);
   queue_.OnSlotReleased("s", milliseconds(20));
