Show slow callers' answers lost in a planned stop

Cause: TCP_USER_TIMEOUT ends a caller's connection after 5 s also if the caller reads and acknowledges all the while, but its window is often closed.

Nothing is fixed.

--- a/review/testbed-2.cc
+++ b/review/testbed-2.cc
@@ -206,6 +206,10 @@
   });
 }
 
+void Replica::SetAnswerBytes(std::size_t bytes) {
+  bed_->OnLoop([&] { answer_bytes_ = bytes; });
+}
+
 void Replica::CrashNow() {
   bed_->OnLoop([this] { Crash(); });
 }
@@ -265,9 +269,11 @@
     sink->SendResponse(503, "", not_executed, "");
     return std::make_unique<NoWork>();
   }
+  // Requests of engines state the parts of their prompts and get events.
+  const bool is_stream = !Header(request, "Prefix-Hash").empty();
   std::unique_ptr<Work> work = std::make_unique<Work>(
       this, Run{id, id_, Header(request, "Tenant-Id"), 0, false},
-      [this, id, sink, crashes = crashes_ && crashes_(request)] {
+      [this, id, sink, is_stream, crashes = crashes_ && crashes_(request)] {
         if (crashes) {
           Crash();
           return;
@@ -276,9 +282,11 @@
             200, "",
             {{"Request-Id", id},
              {"Upstream-Signature", "sig-" + id},
+             {"Content-Type", is_stream ? "text/event-stream" : "text/plain"},
              {"Replica-Load",
               fmt::format("{},{},{}", running_ - 1, waiting_.size(), slots_)}},
-            "answer to " + id);
+            is_stream ? fmt::format("id: 1\ndata: {}\n\n", id)
+                      : "answer to " + id + std::string(answer_bytes_, '.'));
       });
   if (running_ < slots_) {
     ++running_;
@@ -432,6 +440,12 @@
              .status == 200;
 }
 
+void Testbed::TerminateDaemon(int i) {
+  const Daemon& daemon = daemons_[static_cast<std::size_t>(i)];
+  Note(fmt::format("{} gets SIGTERM", daemon.name));
+  kill(daemon.pid, SIGTERM);
+}
+
 bool Testbed::AwaitReady(int timeout_ms) {
   const double end = NowMs() + timeout_ms;
   for (int i = 0; i < Daemons(); ++i) {
--- a/review/testbed-2.h
+++ b/review/testbed-2.h
@@ -66,6 +66,8 @@
   /// Requests for which this is true crash the replica while they run; it comes
   /// back with the same id after `back_ms`.
   void CrashOn(std::function<bool(const CallerRequest&)> crashes, int back_ms);
+  /// Size of the answers from now on.
+  void SetAnswerBytes(std::size_t bytes);
   /// Crashes at once.
   void CrashNow();
   /// Entry of the replica in the store.
@@ -91,6 +93,7 @@
   std::function<bool(const CallerRequest&)> crashes_;
   Duration back_after_{0};
   std::unique_ptr<TimerService::Subscription> back_timer_;
+  std::size_t answer_bytes_ = 0;
   int running_ = 0;
   std::list<Work*> waiting_;
   bool is_gone_ = false;
@@ -147,6 +150,8 @@
   int Daemons() const { return static_cast<int>(daemons_.size()); }
   void StartDaemon(int i);
   void KillDaemon(int i);
+  /// Sends SIGTERM.
+  void TerminateDaemon(int i);
   /// Waits until all started daemons say that they are ready; false if one
   /// doesn't.
   bool AwaitReady(int timeout_ms);
