--- a/review/11/restored_keys.cc
+++ b/review/11/restored_keys.cc
@@ -63,7 +63,8 @@
       spec.id = "i-" + std::to_string(i);
       spec.service = "desk";
       spec.on_run = [this](const Request& request, int) {
-        return OnRun(request);
+        OnRun(request);
+        return 200;
       };
       replicas_.push_back(std::make_unique<Replica>(&store_, std::move(spec)));
     }
@@ -135,7 +136,7 @@
     return is_added_;
   }
 
-  bool OnRun(const Request& request) {
+  void OnRun(const Request& request) {
     const std::string id = Find(request.headers, "Request-Id");
     record_.Add("run " + id);
     // Clients name their requests KEY-NUMBER-TIME.
@@ -146,7 +147,6 @@
         sent > revoked_at_ + kRevokeS) {
       ++broken_;
     }
-    return true;
   }
 
   // Sends requests with either key in turn, each on a connection of its own.
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,5 +5,5 @@
 mkdir -p target/review-3
 for program in review/1[1-5]/*.cc; do
   c++ -std=c++20 -O1 -Wall -Wextra -pthread -I . -o \
-    "target/review-3/$(basename "$program" .cc)" "$program" review/testbed-3.cc
+    "target/review-3/$(basename "$program" .cc)" "$program" review/testbed-3.cc review/move-3.cc
 done
--- a/review/testbed-3.cc
+++ b/review/testbed-3.cc
@@ -27,6 +27,7 @@
 constexpr int kBacklog = 512;
 constexpr int kMaxWaitMs = 30'000;
 constexpr int kBeatMs = 1'200;
+constexpr int kConnectMs = 1'000;
 constexpr char kDaemon[] = "target/hornbeamcleatd";
 
 const Clock::time_point kStart = Clock::now();
@@ -58,18 +59,26 @@
   return ToText(bound);
 }
 
-// A free address. It stays free until the daemon binds it, as the kernel gives
-// out other ports first.
+// A free address below the ports that the kernel gives to outgoing connections,
+// in a range of this process.
 std::string FreeAddress(int type) {
-  const int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
-  const sockaddr_in any = ToSocketAddress("127.0.0.1:0");
-  if (fd < 0 ||
-      bind(fd, reinterpret_cast<const sockaddr*>(&any), sizeof(any)) != 0) {
-    Fail("find port");
+  constexpr int kFirstPort = 20'000;
+  constexpr int kRanges = 40;
+  constexpr int kPortsPerRange = 300;
+  static int next = 0;
+  while (next < kPortsPerRange) {
+    const int port = kFirstPort + getpid() % kRanges * kPortsPerRange + next++;
+    std::string address = "127.0.0.1:" + std::to_string(port);
+    const sockaddr_in to = ToSocketAddress(address);
+    const int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    const bool is_free =
+        bind(fd, reinterpret_cast<const sockaddr*>(&to), sizeof(to)) == 0;
+    close(fd);
+    if (is_free) {
+      return address;
+    }
   }
-  std::string address = BoundAddress(fd);
-  close(fd);
-  return address;
+  throw std::runtime_error("no port is free");
 }
 
 bool SendAll(int fd, std::string_view bytes) {
@@ -320,6 +329,14 @@
     request.method = line.substr(0, first);
     request.target = line.substr(first + 1, second - first - 1);
     const Response response = handler_(request);
+    if (response.events > 0) {
+      const bool is_sent = SendStream(fd, response);
+      response.on_end();
+      if (!is_sent) {
+        break;
+      }
+      continue;
+    }
     if (response.status == 0 ||
         !SendAll(fd, "HTTP/1.1 " + std::to_string(response.status) + " X\r\n" +
                          FormatHeaders(response.headers, response.body.size()) +
@@ -333,6 +350,32 @@
   closed_.notify_all();
 }
 
+// Events have increasing ids from 1 on.
+bool Server::SendStream(int fd, const Response& response) const {
+  std::string bytes = "HTTP/1.1 " + std::to_string(response.status) + " X\r\n";
+  for (const auto& [name, value] : response.headers) {
+    bytes += name;
+    bytes += ": ";
+    bytes += value;
+    bytes += "\r\n";
+  }
+  bytes +=
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int i = 1; i <= response.events && !is_stopping_; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(
+        i == 1 ? response.first_event_ms : response.pause_ms));
+    const std::string event = "id: " + std::to_string(i) + "\ndata: piece\n\n";
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
+    bytes += size + event + "\r\n";
+    if (!SendAll(fd, bytes)) {
+      return false;
+    }
+    bytes.clear();
+  }
+  return SendAll(fd, "0\r\n\r\n");
+}
+
 Store::Store() {
   server_ = std::make_unique<Server>(
       [this](const Request& request) { return Handle(request); });
@@ -561,11 +604,20 @@
     headers.emplace_back("Not-Executed", "1");
     return {503, headers, ""};
   }
-  const bool is_good = !spec_.on_run || spec_.on_run(request, running);
+  const int status = spec_.on_run ? spec_.on_run(request, running) : 200;
+  if (status == 200 && spec_.events > 0) {
+    headers.emplace_back("Upstream-Signature", spec_.id + "." + id);
+    Response stream = {200, headers, ""};
+    stream.events = spec_.events;
+    stream.first_event_ms = spec_.work_ms;
+    stream.pause_ms = spec_.pause_ms;
+    stream.on_end = [this] { --running_; };
+    return stream;
+  }
   std::this_thread::sleep_for(std::chrono::milliseconds(spec_.work_ms));
   --running_;
   headers.emplace_back("Upstream-Signature", spec_.id + "." + id);
-  return {is_good ? 200 : 500, headers, "answer to " + id};
+  return {status, headers, "answer to " + id};
 }
 
 Daemon::Daemon(const std::string& folder, const std::string& name,
@@ -623,35 +675,54 @@
   return pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == 0;
 }
 
-Response Call(const std::string& address, const Request& request,
-              double timeout_s) {
-  Response response;
-  const double deadline = Now() + timeout_s;
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+Connection::Connection(const std::string& address)
+    : fd_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
   const sockaddr_in to = ToSocketAddress(address);
   const int on = 1;
-  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   // The result shows in the poll.
   static_cast<void>(
-      connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof(to)));
-  pollfd ready = {fd, POLLOUT, 0};
-  const int connected = poll(&ready, 1, 1'000);
-  fcntl(fd, F_SETFL, 0);
-  Reader reader(fd, deadline);
+      connect(fd_, reinterpret_cast<const sockaddr*>(&to), sizeof(to)));
+  pollfd ready = {fd_, POLLOUT, 0};
+  if (poll(&ready, 1, kConnectMs) != 1 || (ready.revents & POLLERR) != 0) {
+    close(fd_);
+    fd_ = -1;
+  } else {
+    fcntl(fd_, F_SETFL, 0);
+  }
+}
+
+Connection::~Connection() {
+  if (fd_ >= 0) {
+    close(fd_);
+  }
+}
+
+bool Connection::Send(const Request& request) {
+  return fd_ >= 0 &&
+         SendAll(fd_, request.method + " " + request.target + " HTTP/1.1\r\n" +
+                          FormatHeaders(request.headers, request.body.size()) +
+                          request.body);
+}
+
+Response Connection::Receive(double timeout_s) {
+  Response response;
+  Reader reader(fd_, Now() + timeout_s);
   std::string line;
-  if (connected == 1 && (ready.revents & POLLERR) == 0 &&
-      SendAll(fd, request.method + " " + request.target + " HTTP/1.1\r\n" +
-                      FormatHeaders(request.headers, request.body.size()) +
-                      request.body) &&
-      reader.Line(&line) && line.size() > 12 &&
+  if (fd_ >= 0 && reader.Line(&line) && line.size() > 12 &&
       ReadHeaders(&reader, &response.headers) &&
       ReadBody(&reader, response.headers, &response.body)) {
     response.status = std::stoi(line.substr(9, 3));
   }
-  close(fd);
   return response;
 }
 
+Response Call(const std::string& address, const Request& request,
+              double timeout_s) {
+  Connection connection(address);
+  return connection.Send(request) ? connection.Receive(timeout_s) : Response();
+}
+
 bool AwaitReady(const Daemon& daemon, double until) {
   while (Now() < until) {
     const Response response =
--- a/review/testbed-3.h
+++ b/review/testbed-3.h
@@ -43,6 +43,11 @@
   int status = 0;  ///< 0: the connection ends without a response
   Headers headers;
   std::string body;
+  /// Of a server's stream, sent in chunks; `body` is left out then.
+  int events = 0;
+  int first_event_ms = 0;
+  int pause_ms = 0;                   ///< between two events
+  std::function<void()> on_end = {};  ///< called when the stream has ended
 };
 
 /// Line-buffered, thread-safe record of what was sent, answered and run.
@@ -71,6 +76,7 @@
  private:
   void Accept();
   void Serve(int fd);
+  bool SendStream(int fd, const Response& response) const;
 
   const Handler handler_;
   int listen_fd_ = -1;
@@ -137,8 +143,11 @@
     std::string version = "v1";
     int slots = 6;
     int work_ms = 30;
-    /// Called as a request begins to run; false fails it with 500.
-    std::function<bool(const Request& request, int running)> on_run;
+    /// Called as a request begins to run; returns the status of its answer.
+    std::function<int(const Request& request, int running)> on_run;
+    /// Answers with a stream of so many events, or without one.
+    int events = 0;
+    int pause_ms = 0;
   };
 
   Replica(Store* store, Spec spec);
@@ -198,7 +207,24 @@
   pid_t pid_ = -1;
 };
 
-/// Sends a request on a new connection; status 0 if none came in time.
+/// Client's connection to a daemon.
+class Connection {
+ public:
+  /// Connects, within a second at most.
+  explicit Connection(const std::string& address);
+  ~Connection();
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  bool Send(const Request& request);
+  /// Reads a response; status 0 if none comes in time.
+  Response Receive(double timeout_s);
+
+ private:
+  int fd_ = -1;
+};
+
+/// Sends a request on a new connection; status 0 if no response comes in time.
 Response Call(const std::string& address, const Request& request,
               double timeout_s);
 
