--- a/review/14/rejecting_version.cc
+++ b/review/12/rejecting_version.cc
@@ -11,8 +11,8 @@
 
 int main(int argc, char** argv) {
   review3::MoveCase::Options options;
-  options.new_status = [](int, double part) {
-    return part < kRejectedPart ? 400 : 200;
+  options.new_answer = [](int, double part) {
+    return review3::Answer{part < kRejectedPart ? 400 : 200};
   };
   options.bad_answer_s = options.work_ms / 1'000.0;
   return review3::RunMoveCase(options, argc, argv);
--- a/review/move-3.cc
+++ b/review/move-3.cc
@@ -63,11 +63,13 @@
   }
   std::thread clients([this] { Ask(); });
   SleepUntil(Now() + kWarmUpS);
-  ordered_ = store_.Put("keyed.op", "rollout/desk",
-                        R"({"service":"desk","target":"v2","duration_s":)" +
-                            std::to_string(static_cast<int>(kMoveS)) + "}");
-  record_.Add("the operator orders the move to v2");
+  ordered_ = Now();
+  Order("v2");
   AddReplicas("v2");
+  if (options_.back_after_s > 0) {
+    Follow(ordered_ + options_.back_after_s);
+    Order("v1");
+  }
   Follow(ordered_ + kMoveS + kAfterS);
   is_stopping_ = true;
   clients.join();
@@ -86,9 +88,7 @@
     spec.slots = options_.slots;
     spec.work_ms = options_.work_ms;
     spec.events = options_.events;
-    spec.pause_ms = is_new && WantsTrouble() && options_.new_pause_ms > 0
-                        ? options_.new_pause_ms
-                        : options_.pause_ms;
+    spec.pause_ms = options_.pause_ms;
     spec.on_run = [this, is_new](const Request& request, int running) {
       return OnRun(is_new, request, running);
     };
@@ -96,18 +96,16 @@
   }
 }
 
-int MoveCase::OnRun(bool is_new, const Request& request, int running) {
+Answer MoveCase::OnRun(bool is_new, const Request& request, int running) {
   static std::mt19937 random(11);
   const double now = Now();
   const std::lock_guard<std::mutex> lock(mutex_);
-  const bool is_bad_version = is_new && WantsTrouble();
-  const int status =
-      is_bad_version && options_.new_status
-          ? options_.new_status(
+  const Answer answer =
+      is_new && WantsTrouble() && now >= ordered_ + options_.bad_after_s
+          ? options_.new_answer(
                 running, std::uniform_real_distribution<double>(0, 1)(random))
-          : 200;
-  const bool is_bad =
-      is_bad_version && (status != 200 || options_.new_pause_ms > 0);
+          : Answer();
+  const bool is_bad = answer.status != 200 || answer.pause_ms > 0;
   Arrivals& arrivals = is_new ? new_ : old_;
   if (ordered_ > 0 && now <= ordered_ + kMoveS) {
     ++arrivals.in_move;
@@ -122,7 +120,7 @@
   }
   record_.Add("run " + Find(request.headers, "Request-Id") + " at " +
               (is_new ? "v2" : "v1") + (is_bad ? " bad" : " good"));
-  return status;
+  return answer;
 }
 
 void MoveCase::Ask() {
@@ -167,8 +165,20 @@
              {"Deadline-Ms", std::to_string(options_.timeout_ms)},
              {"X-Sent", std::to_string(Now())}},
             "take"},
-           options_.timeout_ms / 1'000.0);
+           options_.timeout_ms / 1'000.0, options_.gap_s);
   record_.Add("answer " + id + " " + std::to_string(response.status));
+  if (response.status != 200) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ++lost_;
+  }
+}
+
+void MoveCase::Order(const std::string& version) {
+  store_.Put("keyed.op", "rollout/desk",
+             R"({"service":"desk","target":")" + version +
+                 R"(","duration_s":)" +
+                 std::to_string(static_cast<int>(kMoveS)) + "}");
+  record_.Add("the operator orders the move to " + version);
 }
 
 void MoveCase::Follow(double until) {
@@ -181,7 +191,8 @@
     }
     state = status;
     record_.Add("status " + status);
-    if (status.find("completed") != std::string::npos) {
+    if (status.find("completed") != std::string::npos &&
+        status.find("\"v2\"") != std::string::npos) {
       for (int i = 0; i < options_.replicas; ++i) {
         replicas_[static_cast<std::size_t>(i)]->Leave();
       }
@@ -199,7 +210,8 @@
       "version " +
       std::to_string(allowed) + "; bad answers " + std::to_string(new_.bad) +
       "; sent later than " + std::to_string(kRollbackS) +
-      " s after the 50th: " + std::to_string(late_));
+      " s after the 50th: " + std::to_string(late_) +
+      "; clients without a complete success: " + std::to_string(lost_));
   if (all < 100 || new_.in_move == 0) {
     return 2;
   }
--- a/review/move-3.h
+++ b/review/move-3.h
@@ -22,16 +22,18 @@
     int timeout_ms = 3'000;
     int target_latency_ms = 300;
     int gap_target_ms = 0;  ///< of streams
+    double gap_s = 0;       ///< after which clients leave a stream
     double per_second = 150;
     int replicas = 4;  ///< of each version
     int slots = 10;
     int work_ms = 80;  ///< until the answer, or until a stream's first event
     int events = 0;    ///< of a stream
     int pause_ms = 0;
-    int new_pause_ms = 0;  ///< of the new version, when it is bad
-    /// Status of the new version's answer to a request that it begins, when it
-    /// is bad. `part` is a random number from 0 to 1.
-    std::function<int(int running, double part)> new_status;
+    /// The new version's answer to a request that it begins, when it is bad.
+    /// `part` is a random number from 0 to 1.
+    std::function<Answer(int running, double part)> new_answer;
+    double bad_after_s = 0;   ///< since the order, the new version is bad
+    double back_after_s = 0;  ///< the operator orders the old one; 0: never
     /// Time from a request's arrival to the end of its bad answer.
     double bad_answer_s = 0;
   };
@@ -51,10 +53,11 @@
 
   std::string Config() const;
   void AddReplicas(const std::string& version);
-  int OnRun(bool is_new, const Request& request, int running);
+  Answer OnRun(bool is_new, const Request& request, int running);
   void Ask();
   void AskOnce(const std::string& id, const std::string& address);
-  /// Plays the platform's part: old replicas stop at `completed`.
+  void Order(const std::string& version);
+  /// Plays the platform's part until a time: old replicas stop at `completed`.
   void Follow(double until);
   int Judge();
 
@@ -66,6 +69,7 @@
   Arrivals old_;
   Arrivals new_;
   int late_ = 0;  ///< sent too long after the 50th bad answer
+  int lost_ = 0;  ///< without a complete success
   double fiftieth_ = 0;
   std::atomic<double> ordered_{0};
   std::atomic<bool> is_stopping_{false};
--- a/review/testbed-3.cc
+++ b/review/testbed-3.cc
@@ -95,7 +95,8 @@
 // Reads from a connection, line by line or by size. Ends at `deadline`.
 class Reader {
  public:
-  Reader(int fd, double deadline) : fd_(fd), deadline_(deadline) {}
+  Reader(int fd, double deadline, double gap_s = 0)
+      : fd_(fd), deadline_(deadline), gap_s_(gap_s) {}
 
   bool Line(std::string* line) {
     for (;;) {
@@ -126,7 +127,8 @@
 
  private:
   bool Fill() {
-    const double left = deadline_ - Now();
+    double left = deadline_ - Now();
+    left = gap_s_ > 0 ? std::min(left, gap_s_) : left;
     pollfd ready = {fd_, POLLIN, 0};
     if (left <= 0 || poll(&ready, 1, static_cast<int>(left * 1'000) + 1) <= 0) {
       return false;
@@ -142,6 +144,7 @@
 
   const int fd_;
   double deadline_;
+  const double gap_s_;  ///< longest wait for further bytes; 0: none
   std::string bytes_;
 };
 
@@ -604,20 +607,21 @@
     headers.emplace_back("Not-Executed", "1");
     return {503, headers, ""};
   }
-  const int status = spec_.on_run ? spec_.on_run(request, running) : 200;
-  if (status == 200 && spec_.events > 0) {
+  const Answer answer =
+      spec_.on_run ? spec_.on_run(request, running) : Answer();
+  if (answer.status == 200 && spec_.events > 0) {
     headers.emplace_back("Upstream-Signature", spec_.id + "." + id);
     Response stream = {200, headers, ""};
     stream.events = spec_.events;
     stream.first_event_ms = spec_.work_ms;
-    stream.pause_ms = spec_.pause_ms;
+    stream.pause_ms = answer.pause_ms > 0 ? answer.pause_ms : spec_.pause_ms;
     stream.on_end = [this] { --running_; };
     return stream;
   }
   std::this_thread::sleep_for(std::chrono::milliseconds(spec_.work_ms));
   --running_;
   headers.emplace_back("Upstream-Signature", spec_.id + "." + id);
-  return {status, headers, "answer to " + id};
+  return {answer.status, headers, "answer to " + id};
 }
 
 Daemon::Daemon(const std::string& folder, const std::string& name,
@@ -705,9 +709,9 @@
                           request.body);
 }
 
-Response Connection::Receive(double timeout_s) {
+Response Connection::Receive(double timeout_s, double gap_s) {
   Response response;
-  Reader reader(fd_, Now() + timeout_s);
+  Reader reader(fd_, Now() + timeout_s, gap_s);
   std::string line;
   if (fd_ >= 0 && reader.Line(&line) && line.size() > 12 &&
       ReadHeaders(&reader, &response.headers) &&
@@ -718,9 +722,10 @@
 }
 
 Response Call(const std::string& address, const Request& request,
-              double timeout_s) {
+              double timeout_s, double gap_s) {
   Connection connection(address);
-  return connection.Send(request) ? connection.Receive(timeout_s) : Response();
+  return connection.Send(request) ? connection.Receive(timeout_s, gap_s)
+                                  : Response();
 }
 
 bool AwaitReady(const Daemon& daemon, double until) {
--- a/review/testbed-3.h
+++ b/review/testbed-3.h
@@ -133,6 +133,12 @@
   std::unique_ptr<Server> server_;
 };
 
+/// How a replica answers a request.
+struct Answer {
+  int status = 200;
+  int pause_ms = 0;  ///< between the events of a stream; 0: as usual
+};
+
 /// Replica that registers itself in the store and runs requests one after the
 /// other on each connection.
 class Replica {
@@ -143,8 +149,8 @@
     std::string version = "v1";
     int slots = 6;
     int work_ms = 30;
-    /// Called as a request begins to run; returns the status of its answer.
-    std::function<int(const Request& request, int running)> on_run;
+    /// Called as a request begins to run.
+    std::function<Answer(const Request& request, int running)> on_run;
     /// Answers with a stream of so many events, or without one.
     int events = 0;
     int pause_ms = 0;
@@ -217,8 +223,9 @@
   Connection& operator=(const Connection&) = delete;
 
   bool Send(const Request& request);
-  /// Reads a response; status 0 if none comes in time.
-  Response Receive(double timeout_s);
+  /// Reads a response; status 0 if it isn't complete in time. A client of
+  /// streams also leaves if nothing comes for `gap_s`; 0: it waits.
+  Response Receive(double timeout_s, double gap_s = 0);
 
  private:
   int fd_ = -1;
@@ -226,7 +233,7 @@
 
 /// Sends a request on a new connection; status 0 if no response comes in time.
 Response Call(const std::string& address, const Request& request,
-              double timeout_s);
+              double timeout_s, double gap_s = 0);
 
 /// Whether the daemon's readiness address answers 200 before `until`.
 bool AwaitReady(const Daemon& daemon, double until);
