Require a key where the list of tenants is empty or can't be read

Cause: a missing list and a list without entries were one value, an empty vector, and AdmissionController asked for keys only if it had entries. The reader of lists also returned nothing for members of other types, so that "tenants": null, {} or "x" opened the routes as well, and a key of another type was read as the empty text, which requests without a key have.

Ruled out: staleness of the configuration. The new version was in force on all three daemons within milliseconds; AdmissionTest shows the fault without any.

Why it works: whether keys are asked for no longer depends on how many there are.

--- a/include/hornbeamcleat/serving/serving_config.h
+++ b/include/hornbeamcleat/serving/serving_config.h
@@ -98,6 +98,9 @@
   std::int64_t version = 0;
   std::vector<ServingRoute> routes;
   std::vector<ServiceSpec> services;
+  /// Whether routes that are not public require a workspace's key. Without any
+  /// workspace, no key is valid then.
+  bool requires_keys = true;
   std::vector<ServingWorkspace> workspaces;
   CallerLimits limits;
 
--- a/src/serving/admission.cc
+++ b/src/serving/admission.cc
@@ -94,7 +94,7 @@
     return admission;
   }
   admission.rank = admission.route->rank;
-  if (!admission.route->is_public && !table_->Config().workspaces.empty()) {
+  if (!admission.route->is_public && table_->Config().requires_keys) {
     if (!IsFresh(query.boot_now)) {
       admission.refusal = RefusalReason::kStaleKeys;
       admission.retry_after = kStaleRetryAfter;
--- a/src/serving/route_table.cc
+++ b/src/serving/route_table.cc
@@ -30,7 +30,10 @@
   }
   for (const ServingWorkspace& workspace : config_.workspaces) {
     for (const std::string& key : workspace.keys) {
-      workspaces_[key] = &workspace;
+      // The key of a request without one is empty.
+      if (!key.empty()) {
+        workspaces_[key] = &workspace;
+      }
     }
   }
   for (const ServiceSpec& service : config_.services) {
--- a/tests/platform/records_test.cc
+++ b/tests/platform/records_test.cc
@@ -70,6 +70,64 @@
             std::vector<std::string>{"\xe6\x9c\xac"});
 }
 
+// Guards against a list of workspaces that is empty or can't be read, and is
+// taken for a configuration that asks for no keys.
+TEST_F(RecordsTest, DecodeConfigRequiresKeysUnlessListIsMissing) {
+  const auto with_tenants = [](const std::string& json) {
+    return DecodeConfig(R"({"version":1,"tenants":)" + json + "}");
+  };
+  EXPECT_FALSE(DecodeConfig(R"({"version":1})").requires_keys);
+  EXPECT_TRUE(DecodeConfig(Config(kRoute)).requires_keys);
+  EXPECT_TRUE(with_tenants("[]").requires_keys);
+  EXPECT_TRUE(with_tenants("[]").workspaces.empty());
+  EXPECT_TRUE(with_tenants(R"([{"name":"w"}])").requires_keys);
+  for (const char* json :
+       {"null", "{}", R"({"a":{"name":"w","api_keys":["k"]}})", R"("none")",
+        "\"\"", "7", "false", "true"}) {
+    EXPECT_THROW(with_tenants(json), Error) << json;
+  }
+}
+
+// Guards against a member of another type that reads as a key, above all as the
+// empty one, which requests without a key have.
+TEST_F(RecordsTest, DecodeConfigReadsOnlyStringsAsKeys) {
+  const auto keys = [](const std::string& json) {
+    return DecodeConfig(R"({"version":1,"tenants":[{"name":"w","api_keys":)" +
+                        json + "}]}")
+        .workspaces[0]
+        .keys;
+  };
+  const std::vector<std::string> none;
+  EXPECT_EQ(keys(R"(["a","b"])"), (std::vector<std::string>{"a", "b"}));
+  EXPECT_EQ(keys(R"(["a",null,{},[],["c"],7,true])"),
+            std::vector<std::string>{"a"});
+  for (const char* json :
+       {"[]", "[null]", "null", R"("a")", R"({"x":"a"})", "{}", "7", "true"}) {
+    EXPECT_EQ(keys(json), none) << json;
+  }
+}
+
+// Guards against a list that can't be read and is taken for an empty one: a
+// service without limits, or a store without records.
+TEST_F(RecordsTest, DecodeOfListWithAnotherTypeThrows) {
+  for (const char* json : {"{}", R"({"a":{}})", R"("x")", "7", "true"}) {
+    const std::string list = json;
+    EXPECT_THROW(DecodeConfig(R"({"version":1,"routes":)" + list + "}"), Error);
+    EXPECT_THROW(DecodeConfig(R"({"version":1,"services":)" + list + "}"),
+                 Error);
+    EXPECT_THROW(
+        DecodeConfig(Config(R"({"hostname":"h","path_prefix":"/p/",)"
+                            R"("route_type":"idempotent","timeout_ms":10,)"
+                            R"("service":"s","weighted_backends":)" +
+                            list + "}")),
+        Error);
+    EXPECT_THROW(DecodeNewest(R"({"end":1,"items":)" + list + "}"), Error);
+  }
+  EXPECT_THROW(DecodeNewest(R"({"end":1,"items":null})"), Error);
+  EXPECT_THROW(DecodeNewest(R"({"end":1})"), Error);
+  EXPECT_TRUE(DecodeNewest(R"({"end":1,"items":[]})").records.empty());
+}
+
 TEST_F(RecordsTest, DecodeConfigWithSplitRouteReadsWeights) {
   const ServingConfig config = DecodeConfig(Config(
       R"({"hostname":"h","path_prefix":"/p/","route_type":"idempotent",)"
--- a/tests/serving/admission_test.cc
+++ b/tests/serving/admission_test.cc
@@ -92,6 +92,45 @@
             RefusalReason::kNoRoute);
 }
 
+// Guards against a configuration that takes the last workspace away and thereby
+// admits every key, and requests without one.
+TEST_F(AdmissionTest, AdmitWithoutAnyWorkspaceAdmitsNoKey) {
+  for (const bool was_configured : {false, true}) {
+    AdmissionController controller(Options());
+    if (was_configured) {
+      controller.SetTable(Table(1, "k"));
+    }
+    ServingConfig config = Table(2, "")->Config();
+    config.workspaces.clear();
+    controller.SetTable(std::make_shared<const RouteTable>(config));
+    controller.OnConfirmed(now_);
+    for (const char* key : {"k", "other", ""}) {
+      EXPECT_EQ(controller.Admit(Query(key)).refusal,
+                RefusalReason::kUnknownKey);
+    }
+    EXPECT_TRUE(controller.Admit(Query("", "/open/x")).IsAdmitted());
+  }
+}
+
+// Guards against an empty key in the configuration that admits requests without
+// a key.
+TEST_F(AdmissionTest, AdmitWithEmptyKeyInConfigurationIsRefused) {
+  ServingConfig config = Table(1, "k")->Config();
+  config.workspaces[0].keys.emplace_back();
+  controller_.SetTable(std::make_shared<const RouteTable>(config));
+  controller_.OnConfirmed(now_);
+  EXPECT_EQ(controller_.Admit(Query("")).refusal, RefusalReason::kUnknownKey);
+  EXPECT_TRUE(controller_.Admit(Query()).IsAdmitted());
+}
+
+TEST_F(AdmissionTest, AdmitNeedsNoKeyIfConfigurationAsksForNone) {
+  ServingConfig config = Table(1, "")->Config();
+  config.workspaces.clear();
+  config.requires_keys = false;
+  controller_.SetTable(std::make_shared<const RouteTable>(config));
+  EXPECT_TRUE(controller_.Admit(Query("")).IsAdmitted());
+}
+
 TEST_F(AdmissionTest, AdmitOnPublicRouteNeedsNoKey) {
   Configure();
   EXPECT_TRUE(controller_.Admit(Query("", "/open/x")).IsAdmitted());
