Plan what a version may have been given from the deadline backwards

Cause: the schedule followed the time alone. Canary and growth steps had given 14.7 percent before the full share was tried once, and the full share began at two thirds of the time. Small shares were spread over all targets, so that none was loaded. Nothing counted requests. Decisions came four times a second.

Change: VMs report the requests that they send in a move, and the longest time of one. The full share starts as late as requests at old targets allow. Before it, a load step gives few targets the load of the full share. The canary gets what the exposure limit leaves after the load step and the reaction at full share, counted in requests, with each decision anew. Decisions are taken every 50 ms during a move and evidence goes with each heartbeat. The move completes once 30 answers at full share are in. exposure_slack is a setting now.

Why it works: at each moment at which a fault may first show, what was given and what the reaction costs are within the limit together.

--- a/include/hornbeamcleat/serving/version_move.h
+++ b/include/hornbeamcleat/serving/version_move.h
@@ -37,6 +37,9 @@
   std::string version;  ///< target version of the move
   std::string route;
   bool is_new = false;  ///< answers of that version, or of all others
+  std::uint32_t sent = 0;  ///< requests, whether they have ended or not
+  /// Longest time that one of these requests has taken.
+  float longest_seconds = 0;
   std::uint32_t done = 0;
   std::uint32_t faults = 0;  ///< failed, broken, or much slower than typical
   /// Sums over `done` of ln(x) and ln(x)^2, where x is the time to the first
--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -390,6 +390,7 @@
     }
     run_.sent_at = BootNow();
     is_sent_ = true;
+    attempt_->OnSent();
     context_->SetInFlight(id_, this);
     if (admission_.is_trial) {
       Losses()->OnTrialSent(properties_, BootNow());
--- a/src/relay/peer_link.cc
+++ b/src/relay/peer_link.cc
@@ -144,8 +144,8 @@
 
 template <typename Archive>
 void serialize(Archive& ar, VersionCounts& counts) {
-  ar(counts.service, counts.version, counts.route, counts.is_new, counts.done,
-     counts.faults, counts.slowness_log_sum, counts.slowness_log_square_sum,
+  ar(counts.service, counts.version, counts.route, counts.is_new, counts.sent,
+     counts.longest_seconds, counts.done, counts.faults, counts.slowness_log_sum, counts.slowness_log_square_sum,
      counts.streams, counts.pause_log_sum, counts.pause_log_square_sum);
 }
 
--- a/src/relay/peer_reporter.cc
+++ b/src/relay/peer_reporter.cc
@@ -93,11 +93,12 @@
 }
 
 void PeerReporter::SendHeartbeat() {
-  SendToLocalDomain(TakeDue(plan_.local_details_period, &details_sent_at_));
+  // The end of a bad version waits for the answers that all VMs counted.
+  const bool has_move = !sources_.moves->Counts().empty();
+  SendToLocalDomain(TakeDue(plan_.local_details_period, &details_sent_at_) ||
+                    has_move);
   if (plan_.is_domain_scoped) {
     if (TakeDue(plan_.remote_heartbeat_period, &remote_sent_at_)) {
-      // The end of a bad version waits for the answers that all VMs counted.
-      const bool has_move = !sources_.moves->Counts().empty();
       SendToRemoteDomains(
           TakeDue(plan_.remote_details_period, &remote_details_sent_at_) ||
           has_move);
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -61,6 +61,9 @@
 constexpr Duration kColdNewsTime = std::chrono::milliseconds(600);
 /// Interval of placement decisions while requests wait.
 constexpr Duration kDecisionPeriod = std::chrono::milliseconds(20);
+/// Interval of decisions while traffic moves between versions. A bad version
+/// gets requests until the next one.
+constexpr Duration kMoveDecisionPeriod = std::chrono::milliseconds(50);
 constexpr Duration kHousekeepingPeriod = std::chrono::milliseconds(250);
 /// Limit of all responses of targets, as a fraction (1/N) of the process's
 /// memory. The sum reaches at most twice the limit, in strings of up to twice
@@ -189,7 +192,7 @@
   void SetMoves(const std::vector<MoveOrder>& orders,
                 const std::vector<MoveRecord>& records) override {
     moves_.SetMoves(orders, records, clock_->Now(), clock_->WallNow());
-    DecideMoves();
+    DecideMoves(true);
   }
 
   void OnTopicRead(const TopicRead& read) override {
@@ -769,7 +772,8 @@
     callbacks_.on_scale(plan);
   }
 
-  void DecideMoves() {
+  // Records are repeated until they are read back, but not with each decision.
+  void DecideMoves(bool repeats_records) {
     const std::vector<MoveOrder> orders = moves_.Orders();
     if (orders.empty() && !has_version_rules_) {
       return;
@@ -780,6 +784,7 @@
       side.new_slots = targets_.SlotsOf(order.service, order.version, true);
       side.new_resting_slots =
           targets_.RestingSlotsOf(order.service, order.version, clock_->Now());
+      side.new_targets = targets_.TargetsOf(order.service, order.version);
       side.old_slots = targets_.SlotsOf(order.service, order.version, false);
       side.old_running =
           targets_.RunningOf(order.service, order.version, false);
@@ -796,8 +801,16 @@
       Log().Info("{}", note);
     }
     for (const MoveRecord& record : decisions.records) {
-      callbacks_.record_move(record);
+      if (repeats_records || record != given_records_[record.service]) {
+        given_records_[record.service] = record;
+        callbacks_.record_move(record);
+      }
     }
+    move_timer_ =
+        moves_.IsAnyMoving()
+            ? loop_->Timers()->At(now + kMoveDecisionPeriod,
+                                  [this](Time) { DecideMoves(false); })
+            : nullptr;
     has_version_rules_ = !decisions.rules.empty();
     targets_.SetVersionRules(std::move(decisions.rules));
   }
@@ -858,7 +871,7 @@
     const LoadReportCounts reports = targets_.CountLoadReports(now);
     metrics_->Set("targets", "kind", "reporting_load", reports.reporting);
     metrics_->Set("targets", "kind", "slowed", reports.slowed);
-    DecideMoves();
+    DecideMoves(true);
     UpdateReadRoles();
     for (const std::string& link : directory_.TakeTimedOut(now)) {
       Log().Warning("event=peer_lost link={}", link);
@@ -976,6 +989,9 @@
   std::unique_ptr<TimerService::Subscription> shutdown_timer_;
   std::unique_ptr<TimerService::Subscription> housekeeping_timer_;
   std::unique_ptr<TimerService::Subscription> decision_timer_;
+  std::unique_ptr<TimerService::Subscription> move_timer_;
+  /// Latest records to be written, keyed by service.
+  std::map<std::string, MoveRecord> given_records_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   // Declared last, so that connections are destroyed before the objects that
   // their requests refer to.
--- a/src/relay/relay_options.cc
+++ b/src/relay/relay_options.cc
@@ -147,6 +147,8 @@
            "Longest time that a key works after it was taken away."),
       Rule("moves", "exposure_share", number, "0.1", 1,
            "Part of a move's traffic that a bad version may get."),
+      Rule("moves", "exposure_slack", number, "50", 0,
+           "Further requests that it may get."),
       Rule("moves", "rollback_limit", duration, "5s", kMinuteUs,
            "Time after its 50th bad answer from which a bad version gets no "
            "requests."),
@@ -212,6 +214,7 @@
   options.quota_slack =
       settings.Number("quotas", "token_slack") * kQuotaSlackShare;
   options.moves.exposure_share = settings.Number("moves", "exposure_share");
+  options.moves.exposure_slack = settings.Number("moves", "exposure_slack");
   options.moves.rollback_limit =
       settings.GetDuration("moves", "rollback_limit");
   options.admission.fails_closed = settings.Boolean("keys", "fail_closed");
--- a/src/relay/target_attempt.cc
+++ b/src/relay/target_attempt.cc
@@ -40,6 +40,10 @@
   }
 }
 
+void TargetAttempt::OnSent() const {
+  observers_.moves->OnSent(request_.service, request_.route, version_);
+}
+
 std::optional<Duration> TargetAttempt::OnFirstEvent(Time now) {
   if (had_first_event_) {
     return std::nullopt;
@@ -94,6 +98,8 @@
 
 void TargetAttempt::Finish(TargetOutcome outcome, bool may_have_run, Time now) {
   const Duration held_for = now - started_at_;
+  observers_.moves->OnHeld(request_.service, request_.route, version_,
+                           held_for);
   if (outcome == TargetOutcome::kAbandoned && !had_first_event_ &&
       may_have_run && held_for > kMinHungTime &&
       held_for > placement_.expected * kHungFactor) {
--- a/src/relay/target_attempt.h
+++ b/src/relay/target_attempt.h
@@ -42,6 +42,9 @@
   bool IsCountedAsCold() const { return is_counted_as_cold_; }
   bool HadFirstEvent() const { return had_first_event_; }
 
+  /// Records that the request is sent.
+  void OnSent() const;
+
   /// Records the first event or, without events, the head of the response.
   /// @return time since the placement, or nullopt if already recorded
   std::optional<Duration> OnFirstEvent(Time now);
--- a/src/serving/target_balancer.cc
+++ b/src/serving/target_balancer.cc
@@ -440,9 +440,46 @@
     return false;
   }
   const auto it = version_rules_.find(need.service);
-  return it == version_rules_.end() ||
-         (target.spec.software_version == it->second.share.to_version) ==
-             prefers_new;
+  if (it == version_rules_.end()) {
+    return true;
+  }
+  if ((target.spec.software_version == it->second.share.to_version) !=
+      prefers_new) {
+    return false;
+  }
+  const auto first = first_targets_.find(need.service);
+  return !prefers_new || first == first_targets_.end() ||
+         first->second.contains(target.spec.id);
+}
+
+void TargetBalancer::SetVersionRules(std::map<std::string, VersionRule> rules) {
+  version_rules_ = std::move(rules);
+  first_targets_.clear();
+  for (const auto& [service, rule] : version_rules_) {
+    if (rule.share.max_targets > 0) {
+      first_targets_[service] = FirstTargets(service, rule.share);
+    }
+  }
+}
+
+// All VMs choose the same ones.
+std::set<std::string> TargetBalancer::FirstTargets(
+    const std::string& service, const VersionShare& share) const {
+  std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  for (const auto& [id, target] : targets_) {
+    if (target.spec.service == service && IsStaying(target) &&
+        target.spec.software_version == share.to_version) {
+      ranked.emplace_back(Hash64(id, Hash64(share.to_version)), id);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::set<std::string> first;
+  for (const auto& [hash, id] : ranked) {
+    if (std::ssize(first) < share.max_targets) {
+      first.insert(id);
+    }
+  }
+  return first;
 }
 
 std::optional<Placement> TargetBalancer::PickCandidate(
@@ -939,6 +976,16 @@
   return slots;
 }
 
+int TargetBalancer::TargetsOf(const std::string& service,
+                              const std::string& version) const {
+  return static_cast<int>(
+      std::count_if(targets_.begin(), targets_.end(), [&](const auto& item) {
+        const Target& target = item.second;
+        return target.spec.service == service && IsStaying(target) &&
+               target.spec.software_version == version;
+      }));
+}
+
 int TargetBalancer::RunningOf(const std::string& service,
                               const std::string& version,
                               bool is_version) const {
--- a/src/serving/target_balancer.h
+++ b/src/serving/target_balancer.h
@@ -156,9 +156,7 @@
   void SetSuspendedTime(Duration time) { suspended_time_ = time; }
 
   /// Sets the rules for services with a version move.
-  void SetVersionRules(std::map<std::string, VersionRule> rules) {
-    version_rules_ = std::move(rules);
-  }
+  void SetVersionRules(std::map<std::string, VersionRule> rules);
 
   /// Sets the added cost of a target in another failure domain, in
   /// milliseconds.
@@ -275,6 +273,8 @@
               bool is_version) const;
   int RunningOf(const std::string& service, const std::string& version,
                 bool is_version) const;
+  /// Number of targets of one version.
+  int TargetsOf(const std::string& service, const std::string& version) const;
   /// Slots at targets of one version that rest, state limits or are cold.
   int RestingSlotsOf(const std::string& service, const std::string& version,
                      Time now) const;
@@ -352,6 +352,8 @@
                                     Time now) const;
   bool IsAllowed(const Target& target, const PlacementNeed& need,
                  bool prefers_new) const;
+  std::set<std::string> FirstTargets(const std::string& service,
+                                     const VersionShare& share) const;
   bool HasTrafficShare(const Target& target) const;
   bool IsEjected(const Target& target, Time now) const;
   /// Whether peers eject the target, or were asked by it for rest.
@@ -409,6 +411,8 @@
   std::map<std::string, PeerLoad> peer_loads_;
   std::map<std::string, std::vector<TargetStats>> peer_stats_;
   std::map<std::string, VersionRule> version_rules_;  ///< keyed by service
+  /// Targets of new versions whose rule allows some only, keyed by service.
+  std::map<std::string, std::set<std::string>> first_targets_;
   std::set<std::string> evacuated_domains_;
   std::map<std::string, std::string> regions_;  ///< keyed by failure domain
   std::uint64_t changes_ = 0;
--- a/src/serving/version_moves.cc
+++ b/src/serving/version_moves.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
 #include <optional>
 #include <utility>
 
@@ -13,31 +14,57 @@
 namespace {
 
 constexpr double kPermille = 1'000;
-/// Fraction of the move's duration spent at the canary share.
-constexpr double kCanaryFraction = 0.5;
-/// Fraction of the exposure limit that the canary phase may use. The rest is
-/// for faults that appear while the share grows.
-constexpr double kCanaryExposureShare = 0.75;
-/// Shares after the canary phase and the fraction of the move's duration at
-/// which they start.
-struct GrowthStep {
-  double fraction;
-  int permille;
-};
-constexpr GrowthStep kGrowthSteps[] = {
-    {kCanaryFraction, 300}, {0.58, 600}, {0.66, 1'000}};
-/// Fraction of the duration after which a move without the full share is rolled
-/// back.
-constexpr double kRollBackFraction = 0.8;
+/// Minimum fraction of the move's duration spent at the canary share.
+constexpr double kMinCanaryFraction = 0.5;
+/// Maximum fraction of the exposure limit that the canary phase may use, and
+/// the requests that it may use in any case: evidence has its price.
+constexpr double kCanaryExposureShare = 0.9;
+constexpr double kMinCanaryRequests = 40;
+constexpr int kMinPermille = 5;
+constexpr int kMaxCanaryPermille = 150;
+/// Requests that the canary may use at its maximum share.
+constexpr double kEarlyRequests = 100;
+/// Minimum fraction of the duration that a share is planned for.
+constexpr double kMinPlannedFraction = 0.05;
+/// Divides the canary share of a version under suspicion that has used up its
+/// exposure.
+constexpr int kWatchDivisor = 4;
+/// Fraction of the duration for which few targets get their full load.
+constexpr double kLoadStepFraction = 0.12;
+constexpr Duration kMaxLoadStepTime = std::chrono::seconds(3);
+/// Targets of the load step, as a fraction of all of the new version, and its
+/// share of traffic if there is one target only.
+constexpr int kLoadStepDivisor = 4;
+constexpr int kSingleTargetPermille = 300;
+/// Time from a version's first bad answers until no VM sends to it any more:
+/// some tens of answers, a decision and its record.
+constexpr Duration kReactionTime = std::chrono::milliseconds(800);
+/// Fraction of the exposure share after which a version under suspicion gets
+/// the smallest share.
+constexpr double kSuspectExposureShare = 0.8;
+/// Maximum fraction of the duration from the full share to the completion.
+constexpr double kMaxHandoverFraction = 0.26;
+/// Time in which VMs learn of the last requests at old targets.
+constexpr Duration kLoadReportTime = std::chrono::milliseconds(500);
+/// Fraction of the duration by which the full share may be late.
+constexpr double kMaxFullShareDelay = 0.14;
+/// Minimum time between two evaluations without new faults. A small number of
+/// answers in each would limit the weight of each single one.
+constexpr Duration kJudgePeriod = std::chrono::milliseconds(250);
 /// Fraction of the duration after which a version without the full share that
 /// is more likely slow than as fast is rolled back without proof.
 /// Targets of unlike speed spread the times so much that proof can take longer
 /// than the move.
 constexpr double kSlowRollBackFraction = 0.6;
+/// Answers from which this holds. With fewer, a version that is more likely
+/// slow only keeps its share.
+constexpr std::uint64_t kMinSlowAnswers = 30;
 /// A version that is more likely slow is also rolled back after this fraction
 /// of the time that is allowed for it. The rest is for reports of VMs in other
 /// failure domains, decisions and the record.
 constexpr double kDoubtShare = 0.6;
+/// Likewise, a version that has not been convincingly as fast for so long.
+constexpr double kUnclearShare = 0.9;
 /// Answers of a version from which that time counts.
 constexpr std::uint64_t kDoubtfulAnswers = 50;
 /// Fraction of the duration after which a move completes even if old targets
@@ -46,8 +73,12 @@
 /// Idle time of the old targets before a move completes. Peers report their
 /// load within less time.
 constexpr Duration kMinIdleTime = std::chrono::milliseconds(700);
-/// Minimum answers of the new version before its share grows.
+/// Minimum answers of the new version before its share grows, and at full share
+/// before the move completes.
 constexpr std::uint64_t kMinAnswers = 10;
+constexpr std::uint64_t kMinFullShareAnswers = 30;
+/// Answers after which a version must have been convincingly as fast again.
+constexpr std::uint64_t kMaxUnclearAnswers = 20;
 /// Excess fault ratio over the other versions, and ratio of times to the first
 /// event, above which a version is bad. Moves that take seconds yield some tens
 /// of answers, which cannot resolve smaller differences.
@@ -62,6 +93,19 @@
 /// Lower bound of measured pauses; shorter ones are the time of a read.
 constexpr Duration kMinPause = std::chrono::milliseconds(1);
 
+// Sets when a condition that still holds began to.
+void SetSince(bool holds, Time now, std::optional<Time>* since) {
+  if (!holds) {
+    since->reset();
+  } else if (!since->has_value()) {
+    *since = now;
+  }
+}
+
+bool HasLasted(const std::optional<Time>& since, double seconds, Time now) {
+  return since.has_value() && now - *since >= FromSeconds(seconds);
+}
+
 bool IsFinal(const std::optional<MoveRecord>& record) {
   return record.has_value() && record->outcome != MoveOutcome::kInProgress;
 }
@@ -105,10 +149,17 @@
   std::optional<Time> start_point;
   Time started;  ///< on this VM's steady clock
   std::optional<Time> idle_since;
-  /// Since when the version is more likely slow, with enough answers.
+  /// Since when the version is more likely slow, with enough answers, and since
+  /// when it is not convincingly as fast.
   std::optional<Time> doubtful_since;
+  std::optional<Time> unclear_since;
   bool is_rolling_back = false;
-  int permille = 0;
+  VersionShare share;
+  /// Number of answers with which it was last convincingly as fast.
+  std::optional<std::uint64_t> cleared_answers;
+  std::uint64_t answers_before_full_share = 0;
+  std::optional<Time> judged_at;
+  std::uint64_t judged_faults = 0;  ///< of the new version at that time
 };
 
 VersionMoves::VersionMoves(const Options& options)
@@ -154,6 +205,12 @@
   });
 }
 
+bool VersionMoves::IsAnyMoving() const {
+  return std::any_of(moves_.begin(), moves_.end(), [](const auto& item) {
+    return !IsFinal(item.second->record);
+  });
+}
+
 bool VersionMoves::IsMoving(const std::string& service) const {
   const auto it = moves_.find(service);
   return it != moves_.end() && !IsFinal(it->second->record);
@@ -183,6 +240,23 @@
   return &counts;
 }
 
+void VersionMoves::OnSent(const std::string& service, const std::string& route,
+                          const std::string& version) {
+  VersionCounts* const counts = Counter(service, route, version);
+  if (counts != nullptr) {
+    ++counts->sent;
+  }
+}
+
+void VersionMoves::OnHeld(const std::string& service, const std::string& route,
+                          const std::string& version, Duration time) {
+  VersionCounts* const counts = Counter(service, route, version);
+  if (counts != nullptr) {
+    counts->longest_seconds =
+        std::max(counts->longest_seconds, static_cast<float>(ToSeconds(time)));
+  }
+}
+
 void VersionMoves::OnAnswered(const std::string& service,
                               const std::string& route,
                               const std::string& version, double slowness) {
@@ -266,6 +340,11 @@
                                  std::uint64_t incarnation,
                                  const std::vector<VersionCounts>& counts) {
   std::vector<VersionEvidence> evidence;
+  // Incarnations are random and not ordered, so each gets its own entry.
+  const std::string entry = fmt::format("{}#{:x}", peer, incarnation);
+  if (!counts.empty()) {
+    reported_[entry] = counts;
+  }
   for (const VersionCounts& item : counts) {
     const auto move = moves_.find(item.service);
     if (move == moves_.end() || move->second->order.version != item.version) {
@@ -285,53 +364,160 @@
     evidence.push_back(sums);
   }
   if (!evidence.empty()) {
-    // Incarnations are random and not ordered, so each gets its own entry.
-    evidence_->Report(fmt::format("{}#{:x}", peer, incarnation), 1, evidence);
+    evidence_->Report(entry, 1, evidence);
+  }
+}
+
+double VersionMoves::Traffic::Expected(double fraction) const {
+  return total / std::max(kMinPlannedFraction, fraction);
+}
+
+VersionMoves::Traffic VersionMoves::TrafficOf(const MoveOrder& order) const {
+  Traffic traffic;
+  for (const auto& [entry, counts] : reported_) {
+    for (const VersionCounts& item : counts) {
+      if (item.service != order.service || item.version != order.version) {
+        continue;
+      }
+      const double n = std::max(item.sent, item.done + item.faults);
+      traffic.total += n;
+      if (item.is_new) {
+        traffic.given += n;
+      } else {
+        traffic.has_ended = traffic.has_ended || item.done + item.faults > 0;
+        traffic.longest =
+            std::max(traffic.longest, FromSeconds(item.longest_seconds));
+      }
+    }
   }
+  return traffic;
+}
+
+// The full share lasts as long as the last requests at old targets are expected
+// to take, so that a version that turns bad late gets few requests.
+VersionMoves::Schedule VersionMoves::ScheduleOf(const MoveOrder& order,
+                                                const Traffic& traffic) {
+  double handover = kMaxHandoverFraction;
+  if (traffic.has_ended) {
+    handover = std::min(
+        handover, ToSeconds(traffic.longest + kMinIdleTime + kLoadReportTime) /
+                      ToSeconds(order.time));
+  }
+  Schedule schedule;
+  schedule.full = kForcedCompletionFraction - handover;
+  schedule.load_step = std::max(
+      kMinCanaryFraction,
+      schedule.full - std::min(kLoadStepFraction, ToSeconds(kMaxLoadStepTime) /
+                                                      ToSeconds(order.time)));
+  schedule.overdue = schedule.full + std::min(kMaxFullShareDelay, handover / 2);
+  return schedule;
 }
 
 void VersionMoves::Judge(Move* move, Time now, WallTime wall_now) {
+  const std::vector<VersionEvidence> sums =
+      evidence_->Merged(EvidenceKey(move->order.service, move->order.version));
+  std::uint64_t faults = 0;
+  for (const VersionEvidence& sum : sums) {
+    faults += sum.version == move->order.version ? sum.faults : 0;
+  }
+  if (move->judged_at.has_value() && now - *move->judged_at < kJudgePeriod &&
+      faults == move->judged_faults) {
+    return;
+  }
+  move->judged_at = now;
+  move->judged_faults = faults;
   const Duration spacing = move->order.time / ChangeMixture::kMaxStartPoints;
   const bool start_point =
       !move->start_point.has_value() || now - *move->start_point >= spacing;
   if (start_point) {
     move->start_point = now;
   }
-  move->verdict = move->judge.Update(
-      evidence_->Merged(EvidenceKey(move->order.service, move->order.version)),
-      wall_now, start_point);
+  move->verdict = move->judge.Update(sums, wall_now, start_point);
 }
 
-int VersionMoves::CanaryPermille() const {
-  return static_cast<int>(kPermille * options_.exposure_share *
-                          kCanaryExposureShare / kCanaryFraction);
+// A fault that appears at full share costs all requests of the reaction time,
+// one that appears in the load step a part of them. The canary may use what the
+// limit leaves: some of it at once, since most faults show early, and the rest
+// evenly.
+int VersionMoves::CanaryPermille(const MoveOrder& order,
+                                 const Schedule& schedule,
+                                 const Traffic& traffic,
+                                 double fraction) const {
+  const double expected = traffic.Expected(fraction);
+  const double limit =
+      options_.exposure_share * expected + options_.exposure_slack;
+  const double reaction =
+      expected * ToSeconds(kReactionTime) / ToSeconds(order.time);
+  const double load_step =
+      expected * (schedule.full - schedule.load_step) / kLoadStepDivisor;
+  const double requests =
+      std::min(std::max(limit - reaction - load_step, kMinCanaryRequests),
+               kCanaryExposureShare * options_.exposure_share * expected +
+                   options_.exposure_slack / 2);
+  if (traffic.given < std::min(kEarlyRequests, requests / 2)) {
+    return kMaxCanaryPermille;
+  }
+  const double left = std::max(0.0, requests - traffic.given);
+  const double fraction_left =
+      std::max(kMinPlannedFraction, schedule.load_step - fraction);
+  return std::clamp(static_cast<int>(kPermille * left /
+                                     std::max(1.0, expected * fraction_left)),
+                    kMinPermille, kMaxCanaryPermille);
 }
 
-int VersionMoves::NextPermille(const Move& move, const SideCapacity& sides,
-                               double fraction) const {
-  const bool keeps_share = move.verdict.suspect || !move.verdict.as_fast ||
+VersionShare VersionMoves::NextShare(const Move& move,
+                                     const SideCapacity& sides,
+                                     const Schedule& schedule,
+                                     const Traffic& traffic,
+                                     double fraction) const {
+  VersionShare canary;
+  canary.share_permille =
+      CanaryPermille(move.order, schedule, traffic, fraction);
+  VersionShare watch = canary;
+  watch.share_permille =
+      std::max(kMinPermille, canary.share_permille / kWatchDivisor);
+  // The load step gathers the answers that are missing for the full share.
+  const bool is_cleared =
+      move.cleared_answers.has_value() &&
+      move.verdict.ends - *move.cleared_answers <= kMaxUnclearAnswers;
+  const bool is_unclear =
+      move.verdict.slower || (fraction >= schedule.full && !is_cleared);
+  const bool keeps_share = move.verdict.suspect || is_unclear ||
                            move.verdict.ends < kMinAnswers ||
                            sides.new_slots - sides.new_resting_slots <
                                kMinSlotRatio * sides.old_slots;
   if (keeps_share) {
+    if (move.share.share_permille < kPermille &&
+        traffic.given >= kSuspectExposureShare * options_.exposure_share *
+                                 traffic.Expected(fraction) +
+                             options_.exposure_slack / 2) {
+      return watch;
+    }
     // Staying at this share gathers the answers that confirm or clear the
     // suspicion fastest.
-    return std::max(CanaryPermille(), move.permille);
+    return move.share.share_permille > canary.share_permille ? move.share
+                                                             : canary;
   }
-  int permille = CanaryPermille();
-  for (const GrowthStep& step : kGrowthSteps) {
-    if (fraction >= step.fraction) {
-      permille = step.permille;
-    }
+  if (fraction < schedule.load_step) {
+    return canary;
+  }
+  VersionShare share;
+  if (fraction >= schedule.full) {
+    share.share_permille = static_cast<int>(kPermille);
+  } else if (sides.new_targets <= 1) {
+    share.share_permille = kSingleTargetPermille;
+  } else {
+    share.max_targets = std::max(1, sides.new_targets / kLoadStepDivisor);
+    share.share_permille =
+        static_cast<int>(kPermille) * share.max_targets / sides.new_targets;
   }
-  return permille;
+  return share;
 }
 
 void VersionMoves::Step(Move* move, const SideCapacity& sides, bool is_leader,
                         Time now, WallTime wall_now, Decisions* out) {
   const MoveOrder& order = move->order;
   if (!move->record.has_value()) {
-    move->permille = 0;
     if (is_leader) {
       out->records.push_back(
           {order.service, order.version, MoveOutcome::kInProgress, wall_now});
@@ -340,58 +526,68 @@
   }
   Judge(move, now, wall_now);
   const double fraction = move->ElapsedFraction(now);
-  const bool is_overdue =
-      fraction >= kRollBackFraction && move->permille < kPermille;
+  if (move->verdict.as_fast && !move->verdict.suspect) {
+    move->cleared_answers = move->verdict.ends;
+  }
+  const Traffic traffic = TrafficOf(order);
+  const Schedule schedule = ScheduleOf(order, traffic);
+  const bool has_all = move->share.share_permille == kPermille;
+  const bool is_overdue = fraction >= schedule.overdue && !has_all;
   // The load of all traffic slows a good version too, so then only proof
   // counts.
-  if (!move->verdict.slower || move->verdict.ends < kDoubtfulAnswers) {
-    move->doubtful_since.reset();
-  } else if (!move->doubtful_since.has_value()) {
-    move->doubtful_since = now;
-  }
+  const bool has_answers = move->verdict.ends >= kDoubtfulAnswers;
+  SetSince(has_answers && move->verdict.slower, now, &move->doubtful_since);
+  SetSince(has_answers && !move->verdict.as_fast, now, &move->unclear_since);
+  const double limit = ToSeconds(options_.rollback_limit);
   const bool is_doubt_over =
-      move->doubtful_since.has_value() &&
-      now - *move->doubtful_since >=
-          FromSeconds(kDoubtShare * ToSeconds(options_.rollback_limit));
-  const bool is_likely_slow =
-      move->verdict.slower &&
-      (fraction >= kSlowRollBackFraction || is_doubt_over) &&
-      move->permille < kPermille;
+      (move->verdict.slower && fraction >= kSlowRollBackFraction &&
+       move->verdict.ends >= kMinSlowAnswers) ||
+      HasLasted(move->doubtful_since, kDoubtShare * limit, now) ||
+      HasLasted(move->unclear_since, kUnclearShare * limit, now);
+  const bool is_likely_slow = is_doubt_over && !has_all;
   if (!move->is_rolling_back &&
       (move->verdict.bad || is_likely_slow || (is_overdue && is_leader))) {
     move->is_rolling_back = true;
     out->log_lines.push_back(fmt::format(
         "event=move_withdrawn service={} version={} part={:.2f} answers={} "
-        "reason=\"{}\"",
+        "given={:.0f} of={:.0f} reason=\"{}\"",
         order.service, order.version, fraction, move->verdict.ends,
+        traffic.given, traffic.total,
         move->verdict.bad ? move->verdict.reason
-        : is_likely_slow  ? "it is more likely slow than as fast"
+        : is_likely_slow  ? "it is more likely slow, or not clearly as fast"
                           : "too little time is left before the deadline"));
   }
   if (move->is_rolling_back) {
-    move->permille = 0;
+    move->share = VersionShare();
     out->records.push_back({order.service, order.version,
                             MoveOutcome::kRolledBack, move->record->started});
     return;
   }
-  const int permille = NextPermille(*move, sides, fraction);
-  if (permille != move->permille) {
+  const VersionShare share =
+      NextShare(*move, sides, schedule, traffic, fraction);
+  const bool gets_all = share.share_permille == kPermille;
+  // The canary share follows the traffic.
+  if (share.max_targets != move->share.max_targets ||
+      std::abs(share.share_permille - move->share.share_permille) >
+          move->share.share_permille / 2) {
     out->log_lines.push_back(fmt::format(
         "event=move_share service={} version={} part={:.2f} permille={} "
-        "answers={} suspect={} reason=\"{}\"",
-        order.service, order.version, fraction, permille, move->verdict.ends,
+        "targets={} answers={} given={:.0f} of={:.0f} suspect={} "
+        "reason=\"{}\"",
+        order.service, order.version, fraction, share.share_permille,
+        share.max_targets, move->verdict.ends, traffic.given, traffic.total,
         move->verdict.suspect, move->verdict.reason));
-    move->permille = permille;
-    move->idle_since.reset();
   }
-  if (permille < kPermille || sides.old_running > 0) {
-    move->idle_since.reset();
-  } else if (!move->idle_since.has_value()) {
-    move->idle_since = now;
+  move->share = share;
+  SetSince(gets_all && sides.old_running == 0, now, &move->idle_since);
+  if (!gets_all) {
+    move->answers_before_full_share = move->verdict.ends;
   }
   const bool is_idle =
-      move->idle_since.has_value() && now - *move->idle_since >= kMinIdleTime;
-  if (is_leader && permille == kPermille &&
+      HasLasted(move->idle_since, ToSeconds(kMinIdleTime), now) &&
+      move->verdict.ends >=
+          move->answers_before_full_share + kMinFullShareAnswers;
+  if (is_leader && gets_all &&
       (is_idle || fraction >= kForcedCompletionFraction)) {
     out->records.push_back({order.service, order.version,
                             MoveOutcome::kCompleted, move->record->started});
@@ -402,6 +598,9 @@
     const std::map<std::string, SideCapacity>& sides, bool is_leader, Time now,
     WallTime wall_now) {
   Decisions out;
+  if (!IsAnyMoving()) {
+    reported_.clear();
+  }
   SetPeerCounts("", 0, Counts());
   for (const auto& [service, move] : moves_) {
     const auto it = sides.find(service);
@@ -410,9 +609,9 @@
       Step(move.get(), side, is_leader, now, wall_now, &out);
     }
     VersionRule rule;
+    rule.share = move->share;
     rule.share.model = service;
     rule.share.to_version = move->order.version;
-    rule.share.share_permille = move->permille;
     if (IsFinal(move->record)) {
       rule.is_final = true;
       const bool is_done = move->record->outcome == MoveOutcome::kCompleted;
--- a/src/serving/version_moves.h
+++ b/src/serving/version_moves.h
@@ -27,15 +27,19 @@
 /// where the first final record wins.
 ///
 /// Load pattern: a version that fails or is slow for some of its answers,
-/// immediately, later, on one route, or only under load. For the first half of
-/// the move the version gets a canary share that keeps its part of the move's
-/// total traffic within the exposure limit. Its share then grows in steps, as
-/// long as the evidence allows.
+/// immediately, later, on one route, or only under load. Planned from the
+/// deadline backwards, so that little has been given to the version at any
+/// moment at which a fault may first show: full share for as long as the old
+/// targets need to end their requests; before it a step that loads few targets
+/// fully; before that a small share, in all not more than the exposure limit
+/// leaves.
 class VersionMoves {
  public:
   struct Options {
     /// Maximum fraction of a move's traffic that a bad version may get.
     double exposure_share = 0.1;
+    /// Further requests that it may get.
+    double exposure_slack = 50;
     /// Time after its 50th bad answer from which a bad version gets no
     /// requests.
     Duration rollback_limit = std::chrono::seconds(5);
@@ -47,6 +51,7 @@
     int old_slots = 0;
     int old_running = 0;
     int new_resting_slots = 0;  ///< part of `new_slots`
+    int new_targets = 0;
   };
 
   struct Decisions {
@@ -65,10 +70,17 @@
 
   /// Whether the service has a move in progress.
   bool IsMoving(const std::string& service) const;
+  bool IsAnyMoving() const;
 
   /// Returns all known orders, including finished ones.
   std::vector<MoveOrder> Orders() const;
 
+  /// Records a request that is sent to a target with this version.
+  void OnSent(const std::string& service, const std::string& route,
+              const std::string& version);
+  /// Records for how long a request occupied such a target.
+  void OnHeld(const std::string& service, const std::string& route,
+              const std::string& version, Duration time);
   /// Records a complete answer from a target with this version.
   /// @param slowness time to the first event relative to the typical time
   void OnAnswered(const std::string& service, const std::string& route,
@@ -124,10 +136,32 @@
 
   VersionCounts* Counter(const std::string& service, const std::string& route,
                          const std::string& version);
+  /// Requests of a move so far, of all VMs.
+  struct Traffic {
+    double given = 0;  ///< to the new version
+    double total = 0;
+    bool has_ended = false;  ///< some requests to the other versions
+    Duration longest{0};     ///< time of one of these
+
+    /// Requests of the whole move, at the mean rate so far.
+    double Expected(double fraction) const;
+  };
+  /// Fractions of a move's duration at which its steps begin.
+  struct Schedule {
+    double load_step = 0;
+    double full = 0;
+    /// From which it is too late for the full share.
+    double overdue = 0;
+  };
+
+  Traffic TrafficOf(const MoveOrder& order) const;
+  static Schedule ScheduleOf(const MoveOrder& order, const Traffic& traffic);
   void Judge(Move* move, Time now, WallTime wall_now);
-  int CanaryPermille() const;
-  int NextPermille(const Move& move, const SideCapacity& sides,
-                   double fraction) const;
+  int CanaryPermille(const MoveOrder& order, const Schedule& schedule,
+                     const Traffic& traffic, double fraction) const;
+  VersionShare NextShare(const Move& move, const SideCapacity& sides,
+                         const Schedule& schedule, const Traffic& traffic,
+                         double fraction) const;
   void Step(Move* move, const SideCapacity& sides, bool is_leader, Time now,
             WallTime wall_now, Decisions* out);
 
@@ -138,6 +172,8 @@
   std::map<std::pair<std::string, std::string>, StreamPauses> pauses_;
   std::deque<LostAnswer> lost_answers_;  ///< not counted yet
   std::unique_ptr<EvidenceTable> evidence_;
+  /// Latest counts of each VM's incarnation, this one's included.
+  std::map<std::string, std::vector<VersionCounts>> reported_;
 };
 
 }  // namespace hornbeamcleat
--- a/tests/serving/target_balancer_test.cc
+++ b/tests/serving/target_balancer_test.cc
@@ -114,6 +114,37 @@
   EXPECT_NEAR(to_new, 300, 60);
 }
 
+// A small share on few targets shows a version that fails under load.
+TEST_F(TargetBalancerTest, PickWithLimitedTargetsLoadsSameOnesOnly) {
+  std::vector<ServingTarget> targets = {Spec("old", 100)};
+  for (const char* id : {"n1", "n2", "n3", "n4"}) {
+    targets.push_back(Spec(id, 100));
+    targets.back().software_version = "v2";
+  }
+  balancer_.SetTargets(targets, now_);
+  EXPECT_EQ(balancer_.TargetsOf("s", "v2"), 4);
+  VersionRule rule;
+  rule.share.to_version = "v2";
+  rule.share.share_permille = 250;
+  rule.share.max_targets = 1;
+  balancer_.SetVersionRules({{"s", rule}});
+  std::map<std::string, int> picked;
+  for (std::uint32_t seed = 0; seed < 1'000; ++seed) {
+    PlacementNeed need = Need();
+    need.seed = seed;
+    ++picked[Pick(need)];
+  }
+  EXPECT_EQ(picked.size(), 2U);
+  EXPECT_NEAR(picked["old"], 750, 60);
+  rule.share.max_targets = 0;
+  balancer_.SetVersionRules({{"s", rule}});
+  PlacementNeed need = Need();
+  need.seed = 0;
+  for (; Pick(need) == "old"; ++need.seed) {
+  }
+  EXPECT_NE(Pick(need), "");
+}
+
 // Requests must not overflow to a new version without a share when all slots of
 // the old version are taken.
 TEST_F(TargetBalancerTest, PickWithVersionRuleNeverOverflowsToNewVersion) {
--- a/tests/serving/version_moves_test.cc
+++ b/tests/serving/version_moves_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -84,6 +85,11 @@
 
   // Exchanges all VMs' counts, then lets every VM decide once.
   void RunRound() {
+    ExchangeCounts();
+    DecideOnce();
+  }
+
+  void ExchangeCounts() {
     for (std::size_t from = 0; from < vms_.size(); ++from) {
       for (std::size_t to = 0; to < vms_.size(); ++to) {
         if (from != to) {
@@ -92,6 +98,9 @@
         }
       }
     }
+  }
+
+  void DecideOnce() {
     for (std::size_t i = 0; i < vms_.size(); ++i) {
       const VersionMoves::Decisions decisions =
           vms_[i]->Decide({{kService, sides_}}, i == 0, now_, Wall());
@@ -109,6 +118,7 @@
     const std::string route = next_request_ % 4 == 0 ? "rare" : "usual";
     const bool is_new = ChoosesNewVersion(rules_[vm].share, next_request_++);
     const std::string version = is_new ? kNew : kOld;
+    vms_[vm]->OnSent(kService, route, version);
     ++requests_;
     if (is_new) {
       ++new_requests_;
@@ -420,6 +430,196 @@
   EXPECT_EQ(faults(), 11U);
 }
 
+/// Moves at various rates and numbers of targets, with the product's intervals
+/// of decisions and reports and with answers that take a while.
+class VersionMoveExposureTest : public VersionMovesTest {
+ protected:
+  struct Load {
+    int per_second = 0;
+    int targets = 0;  ///< of each version
+    int seconds = 0;  ///< time of the move
+  };
+
+  static constexpr Duration kDecisionPeriod = milliseconds(50);
+  static constexpr int kDecisionsPerReport = 5;
+  static constexpr Duration kAnswerTime = milliseconds(100);
+
+  // Load of the new version's targets in use, relative to that at full share.
+  double NewLoad(const Load& load) const {
+    const VersionShare& share = rules_.at(0).share;
+    const int used = share.max_targets > 0 ? share.max_targets : load.targets;
+    return share.share_permille / 1'000.0 * load.targets / used;
+  }
+
+  void Play(const Load& load, const Behaviour& behaviour, unsigned seed) {
+    random_.seed(seed);
+    Reset();
+    move_time_ = std::chrono::seconds(load.seconds);
+    sides_ = {10 * load.targets, 10 * load.targets, 0, 0, load.targets};
+    start_ = now_;
+    DeliverMoves();
+    std::deque<Sent> open;
+    double due = 0;
+    for (int step = 0; now_ - start_ < move_time_; ++step) {
+      if (step % kDecisionsPerReport == 0) {
+        ExchangeCounts();
+      }
+      DecideOnce();
+      due += load.per_second * ToSeconds(kDecisionPeriod);
+      for (; due >= 1; --due) {
+        open.push_back(Send());
+      }
+      now_ += kDecisionPeriod;
+      for (; !open.empty() && now_ - open.front().at >= kAnswerTime;
+           open.pop_front()) {
+        Receive(open.front(), behaviour);
+      }
+    }
+  }
+
+  // Plays a version that fails 0.4 of its requests while `is_bad`.
+  void PlayBad(const Load& load, const std::function<bool()>& is_bad,
+               unsigned seed) {
+    Play(
+        load,
+        [&](const std::string& version, const std::string&, Time) {
+          return Answer{Chance(version == kNew && is_bad() ? 0.4 : 0.005),
+                        Draw(0.7, 1.5)};
+        },
+        seed);
+  }
+
+  static std::string Name(const Load& load, int seed) {
+    return std::to_string(load.per_second) + " a second, " +
+           std::to_string(load.targets) + " targets, " +
+           std::to_string(load.seconds) + " s, seed " + std::to_string(seed);
+  }
+
+ private:
+  struct Sent {
+    std::size_t vm = 0;
+    std::string route;
+    std::string version;
+    Time at;
+  };
+
+  Sent Send() {
+    const std::size_t vm = next_request_ % vms_.size();
+    const std::string route = next_request_ % 4 == 0 ? "rare" : "usual";
+    const bool is_new = ChoosesNewVersion(rules_[vm].share, next_request_++);
+    const std::string version = is_new ? kNew : kOld;
+    ++requests_;
+    new_requests_ += is_new ? 1 : 0;
+    vms_[vm]->OnSent(kService, route, version);
+    return {vm, route, version, now_};
+  }
+
+  void Receive(const Sent& sent, const Behaviour& behaviour) {
+    VersionMoves& vm = *vms_[sent.vm];
+    const Answer answer = behaviour(sent.version, sent.route, now_);
+    vm.OnHeld(kService, sent.route, sent.version, now_ - sent.at);
+    if (answer.fails) {
+      vm.OnFailed(kService, sent.route, sent.version);
+    } else {
+      vm.OnAnswered(kService, sent.route, sent.version, answer.slowness);
+    }
+  }
+};
+
+// Guards against a version that fails under load only, and had been given most
+// of what the limit allows before it got its first load.
+TEST_F(VersionMoveExposureTest, VersionThatFailsUnderLoadIsWithinLimit) {
+  for (const Load& load :
+       {Load{20, 4, 12}, Load{60, 12, 12}, Load{200, 4, 12}, Load{200, 2, 12},
+        Load{200, 1, 12}, Load{350, 4, 12}, Load{1'000, 4, 12},
+        Load{1'000, 90, 12}, Load{20, 1, 6}, Load{150, 4, 6}, Load{200, 4, 40},
+        Load{1'000, 1, 60}}) {
+    for (int seed = 1; seed <= 20; ++seed) {
+      PlayBad(
+          load, [&] { return NewLoad(load) >= 0.9; },
+          static_cast<unsigned>(seed));
+      EXPECT_EQ(Outcome(), MoveOutcome::kRolledBack) << Name(load, seed);
+      EXPECT_LE(new_requests_, ExposureLimit()) << Name(load, seed);
+    }
+  }
+}
+
+// Guards against a version that turns bad late, at no particular load.
+TEST_F(VersionMoveExposureTest, VersionThatTurnsBadLateIsWithinLimit) {
+  for (const Load& load :
+       {Load{20, 4, 12}, Load{60, 12, 12}, Load{200, 4, 12}, Load{200, 1, 12},
+        Load{1'000, 4, 12}, Load{200, 4, 40}, Load{1'000, 12, 60}}) {
+    for (const double part : {0.2, 0.5, 0.67, 0.75}) {
+      for (int seed = 1; seed <= 20; ++seed) {
+        PlayBad(
+            load, [&] { return now_ - start_ >= move_time_ * part; },
+            static_cast<unsigned>(seed));
+        EXPECT_EQ(Outcome(), MoveOutcome::kRolledBack)
+            << part << ", " << Name(load, seed);
+        EXPECT_LE(new_requests_, ExposureLimit())
+            << part << ", " << Name(load, seed);
+      }
+    }
+  }
+}
+
+// A fault that shows only at full share is taken back within a second, which is
+// what the limit leaves for it.
+TEST_F(VersionMoveExposureTest, VersionThatFailsAtFullShareIsWithinLimit) {
+  for (const Load& load : {Load{60, 4, 12}, Load{200, 4, 12}, Load{200, 1, 12},
+                           Load{1'000, 4, 12}, Load{1'000, 4, 60}}) {
+    for (int seed = 1; seed <= 20; ++seed) {
+      PlayBad(
+          load, [&] { return rules_.at(0).share.share_permille == 1'000; },
+          static_cast<unsigned>(seed));
+      EXPECT_EQ(Outcome(), MoveOutcome::kRolledBack) << Name(load, seed);
+      EXPECT_LE(new_requests_, ExposureLimit()) << Name(load, seed);
+    }
+  }
+}
+
+TEST_F(VersionMoveExposureTest, GoodVersionsAreCompletedInNineteenOfTwenty) {
+  for (const Load& load :
+       {Load{20, 4, 12}, Load{60, 4, 6}, Load{200, 1, 12}, Load{200, 4, 12},
+        Load{350, 4, 12}, Load{1'000, 12, 60}}) {
+    int completed = 0;
+    for (int seed = 1; seed <= 100; ++seed) {
+      std::lognormal_distribution<double> spread(0, 0.8);
+      Play(
+          load,
+          [&](const std::string&, const std::string&, Time) {
+            return Answer{Chance(0.02), spread(random_)};
+          },
+          static_cast<unsigned>(seed));
+      completed += Outcome() == MoveOutcome::kCompleted ? 1 : 0;
+    }
+    EXPECT_GE(completed, 95) << Name(load, 0);
+  }
+}
+
+// The limit is one of requests, so that traffic that rises during a move counts
+// against it.
+TEST_F(VersionMoveExposureTest, CanaryShareFollowsRisingTraffic) {
+  start_ = now_;
+  DeliverMoves();
+  DecideOnce();
+  VersionMoves& vm = *vms_[0];
+  const auto share_at = [&](double part, int sent) {
+    now_ = start_ + FromSeconds(part * ToSeconds(move_time_));
+    for (int i = 0; i < sent; ++i) {
+      const bool is_new = i % 10 == 0;
+      vm.OnSent(kService, "usual", is_new ? kNew : kOld);
+      vm.OnAnswered(kService, "usual", is_new ? kNew : kOld, 1);
+    }
+    return vm.Decide({{kService, sides_}}, true, now_, Wall())
+        .rules.at(kService)
+        .share.share_permille;
+  };
+  const int before = share_at(0.3, 200);
+  EXPECT_GT(before, 0);
+  EXPECT_LT(share_at(0.35, 1'000), before);
+}
+
 TEST_F(VersionMovesTest, LostAnswersOutsideMovesAndBeyondBoundAreHandled) {
   VersionMoves& vm = *vms_[0];
   vm.OnLost(kService, "usual", kNew, 1, now_);
