Send waiting requests for the workspace that holds their key now

Cause: the check before the send compared the name of the key's workspace with that at the arrival. Any change that allows a request in another way denied it: a renamed workspace, no keys asked for any more, a public route.

Ruled out: old configurations. A request with the same key that was sent afterwards was served at the same daemons.

Change: Revalidate() looks up by the configuration in force whether a key is needed and who holds it. The request goes on for that workspace: Tenant-Id, rank, allowed regions, and the charge, unless it may have run. If headers or regions have changed, it is placed again. Requests that needed no key when they came need none later, as before.

Why it works: a request is denied only if the configuration in force denies it.

Measured: KeyGivenToOtherWorkspaceWhileWaitingIsSentForThatOne got 401 and no run before, and passes. The tests of Revalidate() follow its new arguments, with the same checks.

--- a/src/relay/exchange.cc
+++ b/src/relay/exchange.cc
@@ -284,6 +284,9 @@
       Retry("target_gone");
       return;
     }
+    if (!ConfirmAdmission(false)) {
+      return;
+    }
     target_ = *spec;
     run_ = TargetRun::Make(properties_, attempt_->Incarnation(), BootNow());
     expected_ = placement.expected;
@@ -348,11 +351,7 @@
     if (RefusedForLosses()) {
       return false;
     }
-    const RefusalReason refusal = context_->GetAdmission()->Revalidate(
-        admission_, request_info_.key, BootNow());
-    if (refusal != RefusalReason::kNone) {
-      FinishAttempt(TargetOutcome::kAbandoned);
-      Refuse(refusal, kNotExecutedRetryAfter);
+    if (!ConfirmAdmission(true)) {
       return false;
     }
     if (!may_have_run_ && !context_->EndsBeforeExit(admission_.route->name)) {
@@ -406,6 +405,38 @@
     return true;
   }
 
+  // Checks the admission by the configuration in force. If it has changed what
+  // the request's target or headers follow from, the request is placed again.
+  // @param has_headers whether the headers for the target have been formatted
+  // @return false if the attempt has ended
+  bool ConfirmAdmission(bool has_headers) {
+    AdmissionController* const admission = context_->GetAdmission();
+    if (admission->IsCurrent(admission_, BootNow())) {
+      return true;
+    }
+    const std::string workspace = Workspace();
+    const AllowedRegions regions = Need().allowed_regions;
+    const RefusalReason refusal =
+        admission->Revalidate(Query(), may_have_run_, &admission_);
+    if (refusal != RefusalReason::kNone) {
+      FinishAttempt(TargetOutcome::kAbandoned);
+      Refuse(refusal, std::max(kNotExecutedRetryAfter, admission_.retry_after));
+      return false;
+    }
+    if (Workspace() != workspace) {
+      context_->GetLog()->Info(
+          Now(), "event=workspace_changed id={} from={} to={} charged={:.0f}",
+          request_info_.id, workspace, Workspace(), admission_.charged);
+    }
+    if (Need().allowed_regions != regions ||
+        (has_headers && Workspace() != workspace)) {
+      FinishAttempt(TargetOutcome::kAbandoned);
+      Retry("workspace_changed");
+      return false;
+    }
+    return true;
+  }
+
   void LogSendToLimited() const {
     const std::optional<TargetLimits::Limit> limit =
         context_->GetTargets()->Limits()->Find(TargetInstance::Of(target_),
--- a/src/serving/admission.cc
+++ b/src/serving/admission.cc
@@ -88,6 +88,7 @@
     return admission;
   }
   admission.table = table_;
+  admission.key_table = table_;
   admission.route = table_->Find(query.host, query.path);
   if (admission.route == nullptr) {
     admission.refusal = RefusalReason::kNoRoute;
@@ -117,23 +118,30 @@
       return admission;
     }
   }
-  if (admission.workspace != nullptr) {
-    const ServingWorkspace& workspace = *admission.workspace;
-    const double tokens =
-        query.states_tokens ? query.tokens : workspace.default_tokens;
-    const double cost = workspace.counts_tokens ? tokens : 1;
-    const QuotaDecision decision = quotas_.Admit(workspace, cost, query.now);
-    admission.quota = decision;
-    if (!decision.is_admitted) {
-      admission.refusal = RefusalReason::kOverQuota;
-      admission.retry_after = decision.retry_after;
-      return admission;
-    }
-    admission.charged = cost;
-  }
+  Charge(query, &admission);
   return admission;
 }
 
+bool AdmissionController::Charge(const AdmissionQuery& query,
+                                 Admission* admission) {
+  admission->charged = 0;
+  if (admission->workspace == nullptr) {
+    return true;
+  }
+  const ServingWorkspace& workspace = *admission->workspace;
+  const double tokens =
+      query.states_tokens ? query.tokens : workspace.default_tokens;
+  const double cost = workspace.counts_tokens ? tokens : 1;
+  admission->quota = quotas_.Admit(workspace, cost, query.now);
+  if (!admission->quota.is_admitted) {
+    admission->refusal = RefusalReason::kOverQuota;
+    admission->retry_after = admission->quota.retry_after;
+    return false;
+  }
+  admission->charged = cost;
+  return true;
+}
+
 Duration AdmissionController::TrialRetryAfter(
     const std::vector<RequestProperty>& properties, std::uint32_t seed,
     Time boot_now) const {
@@ -143,20 +151,41 @@
          FromSeconds(share * ToSeconds(kTrialRetrySpread));
 }
 
-RefusalReason AdmissionController::Revalidate(const Admission& admission,
-                                              const std::string& key,
-                                              Time boot_now) const {
-  if (admission.workspace == nullptr) {
+// A request that needed no key when it was admitted needs none later. The route
+// stays the one that it was admitted on, since its target and its times follow
+// from that; only whether it needs a key is looked up again.
+RefusalReason AdmissionController::Revalidate(const AdmissionQuery& query,
+                                              bool may_have_run,
+                                              Admission* admission) {
+  if (admission->workspace == nullptr) {
     return RefusalReason::kNone;
   }
-  if (!IsFresh(boot_now)) {
+  if (!IsFresh(query.boot_now)) {
+    admission->retry_after = kStaleRetryAfter;
     return RefusalReason::kStaleKeys;
   }
-  const ServingWorkspace* owner = table_->FindWorkspace(key);
-  if (owner == nullptr || owner->name != admission.workspace->name) {
+  const ServingRoute* route = table_->Find(query.host, query.path);
+  const bool needs_key =
+      table_->Config().requires_keys && (route == nullptr || !route->is_public);
+  const ServingWorkspace* owner =
+      needs_key ? table_->FindWorkspace(query.key) : nullptr;
+  if (needs_key && owner == nullptr) {
     return RefusalReason::kUnknownKey;
   }
-  return RefusalReason::kNone;
+  const std::string previous = admission->workspace->name;
+  const bool has_moved = owner == nullptr || owner->name != previous;
+  admission->key_table = table_;
+  admission->workspace = owner;
+  if (owner != nullptr) {
+    admission->rank = owner->rank.value_or(admission->route->rank);
+  }
+  // What has run stays charged to the workspace that it has run for.
+  if (!has_moved || may_have_run) {
+    return RefusalReason::kNone;
+  }
+  quotas_.Refund(previous, admission->charged);
+  return Charge(query, admission) ? RefusalReason::kNone
+                                  : RefusalReason::kOverQuota;
 }
 
 }  // namespace hornbeamcleat
--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -58,9 +58,11 @@
 struct Admission {
   RefusalReason refusal = RefusalReason::kNone;
   Duration retry_after{0};
-  std::shared_ptr<const RouteTable> table;  ///< owns the pointees below
+  std::shared_ptr<const RouteTable> table;  ///< owns `route`
   const ServingRoute* route = nullptr;
-  const ServingWorkspace* workspace = nullptr;  ///< nullptr for public routes
+  /// Configuration that the key was checked by last; owns `workspace`.
+  std::shared_ptr<const RouteTable> key_table;
+  const ServingWorkspace* workspace = nullptr;  ///< nullptr if no key is needed
   int rank = 0;
   double charged = 0;   ///< amount charged to the workspace's quota
   QuotaDecision quota;  ///< set if a quota was checked
@@ -108,10 +110,18 @@
   Duration TrialRetryAfter(const std::vector<RequestProperty>& properties,
                            std::uint32_t seed, Time boot_now) const;
 
-  /// Checks an admitted request again right before it is sent: its key must
-  /// still be valid in a configuration known to be current.
-  RefusalReason Revalidate(const Admission& admission, const std::string& key,
-                           Time boot_now) const;
+  /// Checks an admitted request again right before it is sent: a key that it
+  /// needs must be valid in a configuration known to be current. The request
+  /// goes on as one of the workspace that holds the key now, and is charged to
+  /// that one's quota if it has not run.
+  /// @return why it is refused; `admission` then states when to come back
+  RefusalReason Revalidate(const AdmissionQuery& query, bool may_have_run,
+                           Admission* admission);
+  /// Whether Revalidate() would change nothing.
+  bool IsCurrent(const Admission& admission, Time boot_now) const {
+    return admission.key_table == table_ &&
+           (admission.workspace == nullptr || IsFresh(boot_now));
+  }
 
   /// Whether the configuration is current enough to accept keys.
   bool IsFresh(Time boot_now) const;
@@ -122,6 +132,9 @@
   LossTable* Losses() { return &losses_; }
 
  private:
+  /// Charges an admitted request to the quota of its workspace.
+  bool Charge(const AdmissionQuery& query, Admission* admission);
+
   Options options_;
   std::shared_ptr<const RouteTable> table_;
   Freshness freshness_;
--- a/tests/relay/exchange_test.cc
+++ b/tests/relay/exchange_test.cc
@@ -439,6 +439,29 @@
   EXPECT_LE(target.RequestCount() + other.RequestCount(), kRequests + 3);
 }
 
+// Guards against waiting requests that are denied when their key is given to
+// another workspace.
+TEST_F(ExchangeTest, KeyGivenToOtherWorkspaceWhileWaitingIsSentForThatOne) {
+  ScriptedTarget target(loop_.get(), [](const ReceivedRequest& request) {
+    Reply(request, SignedResponse("r1", "ok"));
+  });
+  TestCaller caller(loop_.get(), relay_->CallerAddress());
+  caller.Send(Request("unsafe"));
+  for (int i = 0; i < 10; ++i) {
+    loop_->RunOnce(std::chrono::milliseconds(2));
+  }
+  ServingConfig config = Config(2);
+  config.workspaces.push_back(config.workspaces[0]);
+  config.workspaces[0].keys.clear();
+  config.workspaces[1].name = "other";
+  Configure(config);
+  SetTargets({&target});
+  ASSERT_TRUE(RunUntil([&caller] { return caller.Response() != nullptr; }));
+  EXPECT_EQ(Status(caller), 200);
+  ASSERT_EQ(target.RequestCount(), 1);
+  EXPECT_EQ(target.ReceivedRequests()[0].Header("Tenant-Id"), "other");
+}
+
 TEST_F(ExchangeTest, KeyTakenAwayWhileWaitingIsNotSent) {
   ScriptedTarget target(loop_.get(), [](const ReceivedRequest&) {});
   TestCaller caller(loop_.get(), relay_->CallerAddress());
--- a/tests/serving/admission_test.cc
+++ b/tests/serving/admission_test.cc
@@ -2,9 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace hornbeamcleat {
 namespace {
@@ -151,19 +153,130 @@
 // age of the configuration.
 TEST_F(AdmissionTest, RecheckAfterSuspensionIsRefused) {
   Configure();
-  const Admission admission = controller_.Admit(Query());
-  EXPECT_EQ(controller_.Revalidate(admission, "k", now_ + milliseconds(10'000)),
+  Admission admission = controller_.Admit(Query());
+  AdmissionQuery query = Query();
+  query.boot_now = now_ + milliseconds(10'000);
+  EXPECT_FALSE(controller_.IsCurrent(admission, query.boot_now));
+  EXPECT_EQ(controller_.Revalidate(query, false, &admission),
             RefusalReason::kStaleKeys);
 }
 
 TEST_F(AdmissionTest, RecheckAfterKeyWasTakenAwayIsRefused) {
   Configure();
-  const Admission admission = controller_.Admit(Query());
+  Admission admission = controller_.Admit(Query());
   Configure(2, "");
-  EXPECT_EQ(controller_.Revalidate(admission, "k", now_),
+  EXPECT_FALSE(controller_.IsCurrent(admission, now_));
+  EXPECT_EQ(controller_.Revalidate(Query(), false, &admission),
             RefusalReason::kUnknownKey);
 }
 
+// Guards against a waiting request that is denied although its key was valid
+// when it came and is valid now: the key has another owner, the owner another
+// name, rank or quota, the route needs no key any more, or is gone.
+TEST_F(AdmissionTest, RecheckAfterChangesThatAllowItIsAdmitted) {
+  using Change = std::function<void(ServingConfig*)>;
+  struct Case {
+    const char* what;
+    Change change;
+    std::string workspace;
+  };
+  const std::vector<Case> cases = {
+      {"other owner",
+       [](ServingConfig* config) {
+         config->workspaces.push_back(config->workspaces[0]);
+         config->workspaces[0].keys.clear();
+         config->workspaces[1].name = "other";
+       },
+       "other"},
+      {"other name",
+       [](ServingConfig* config) { config->workspaces[0].name = "renamed"; },
+       "renamed"},
+      {"other rank and quota",
+       [](ServingConfig* config) {
+         config->workspaces[0].rank = 7;
+         config->workspaces[0].rate_per_second = 1;
+       },
+       "w"},
+      {"no keys asked for",
+       [](ServingConfig* config) {
+         config->workspaces.clear();
+         config->requires_keys = false;
+       },
+       ""},
+      {"key gone, route public",
+       [](ServingConfig* config) {
+         config->workspaces[0].keys.clear();
+         config->routes[0].is_public = true;
+       },
+       ""},
+      {"key gone, longer public route",
+       [](ServingConfig* config) {
+         config->workspaces[0].keys.clear();
+         ServingRoute route = config->routes[0];
+         route.path_prefix = "/p/q/";
+         route.is_public = true;
+         config->routes.push_back(route);
+       },
+       ""},
+      {"route gone", [](ServingConfig* config) { config->routes.clear(); },
+       "w"},
+  };
+  for (const Case& item : cases) {
+    AdmissionController controller(Options());
+    controller.SetTable(Table(1, "k"));
+    controller.OnConfirmed(now_);
+    const AdmissionQuery query = Query("k", "/p/q/x");
+    Admission admission = controller.Admit(query);
+    ASSERT_TRUE(admission.IsAdmitted());
+    ServingConfig config = Table(2, "k")->Config();
+    item.change(&config);
+    controller.SetTable(std::make_shared<const RouteTable>(config));
+    EXPECT_EQ(controller.Revalidate(query, false, &admission),
+              RefusalReason::kNone)
+        << item.what;
+    EXPECT_EQ(admission.workspace == nullptr ? "" : admission.workspace->name,
+              item.workspace)
+        << item.what;
+    EXPECT_TRUE(controller.IsCurrent(admission, now_)) << item.what;
+  }
+}
+
+// The quota that a request uses is that of the workspace it runs for.
+TEST_F(AdmissionTest, RecheckWithOtherOwnerChargesThatOne) {
+  ServingConfig config = Table(1, "k")->Config();
+  config.workspaces[0].rate_per_second = 1;
+  config.workspaces[0].burst = 1;
+  controller_.SetTable(std::make_shared<const RouteTable>(config));
+  controller_.OnConfirmed(now_);
+  Admission first = controller_.Admit(Query());
+  ASSERT_TRUE(first.IsAdmitted());
+  Admission second = first;
+  config.version = 2;
+  config.workspaces.push_back(config.workspaces[0]);
+  config.workspaces[0].keys = {"old"};
+  config.workspaces[1].name = "other";
+  controller_.SetTable(std::make_shared<const RouteTable>(config));
+  EXPECT_EQ(controller_.Revalidate(Query(), false, &first),
+            RefusalReason::kNone);
+  EXPECT_EQ(first.charged, 1);
+  // The other owner's quota is used up, and the first one's is free again.
+  RefusalReason refusal = RefusalReason::kNone;
+  for (int i = 0; i < 3 && refusal == RefusalReason::kNone; ++i) {
+    Admission next = second;
+    refusal = controller_.Revalidate(Query(), false, &next);
+    second.charged = 0;
+    if (refusal != RefusalReason::kNone) {
+      EXPECT_GT(next.retry_after, Duration(0));
+      EXPECT_EQ(next.charged, 0);
+    }
+  }
+  EXPECT_EQ(refusal, RefusalReason::kOverQuota);
+  EXPECT_TRUE(controller_.Admit(Query("old")).IsAdmitted());
+  // A request that may have run must not be told that it has not.
+  EXPECT_EQ(controller_.Revalidate(Query(), true, &second),
+            RefusalReason::kNone);
+}
+
 TEST_F(AdmissionTest, OnConfirmedWithOlderReadKeepsNewerProof) {
   Configure();
   controller_.OnConfirmed(now_ - milliseconds(4'900));
