Leave a move its full share when the plan changes, and read it at a glance

A request to the old version that took longer than all before could move the planned full share into the past, so that a good version was rolled back for want of time. Found by reading; LateLongOldRequestDoesNotEndTheMove completes. The delay counts from the time at which the full share became due, except at a VM that has just started, which goes by the plan as it is.

The sums of all VMs are merged only when the evidence is weighed, at most each 250 ms without new faults, as before. Records are repeated with the housekeeping alone: a start states the present time, and would have been written with each decision.

--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -801,8 +801,11 @@
       Log().Info("{}", note);
     }
     for (const MoveRecord& record : decisions.records) {
-      if (repeats_records || record != given_records_[record.service]) {
-        given_records_[record.service] = record;
+      // A start is stated anew each time.
+      const std::pair<std::string, MoveOutcome> outcome = {record.version,
+                                                           record.outcome};
+      if (repeats_records || outcome != given_outcomes_[record.service]) {
+        given_outcomes_[record.service] = outcome;
         callbacks_.record_move(record);
       }
     }
@@ -990,8 +993,9 @@
   std::unique_ptr<TimerService::Subscription> housekeeping_timer_;
   std::unique_ptr<TimerService::Subscription> decision_timer_;
   std::unique_ptr<TimerService::Subscription> move_timer_;
-  /// Latest records to be written, keyed by service.
-  std::map<std::string, MoveRecord> given_records_;
+  /// Versions and outcomes of the latest records to be written, keyed by
+  /// service.
+  std::map<std::string, std::pair<std::string, MoveOutcome>> given_outcomes_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   // Declared last, so that connections are destroyed before the objects that
   // their requests refer to.
--- a/src/serving/version_moves.cc
+++ b/src/serving/version_moves.cc
@@ -18,8 +18,9 @@
 constexpr double kPermille = 1'000;
 /// Minimum fraction of the move's duration spent at the canary share.
 constexpr double kMinCanaryFraction = 0.5;
-/// Maximum fraction of the exposure limit that the canary phase may use, and
-/// the requests that it may use in any case: evidence has its price.
+/// Maximum fraction of the exposure limit that the canary phase may use, and,
+/// within it, the requests that it may use whatever the later steps need: less
+/// would give no evidence.
 constexpr double kCanaryExposureShare = 0.75;
 constexpr double kMinCanaryRequests = 40;
 constexpr int kMinPermille = 5;
@@ -41,8 +42,8 @@
 /// Time from a version's first bad answers until no VM sends to it any more:
 /// some tens of answers, a decision and its record.
 constexpr Duration kReactionTime = std::chrono::milliseconds(800);
-/// Fraction of the exposure share after which a version under suspicion gets
-/// the smallest share.
+/// Fraction of the exposure share after which, with half of the slack, a
+/// version under suspicion gets only a part of the canary share.
 constexpr double kSuspectExposureShare = 0.8;
 /// Maximum fraction of the duration from the full share to the completion.
 constexpr double kMaxHandoverFraction = 0.26;
@@ -50,8 +51,8 @@
 constexpr Duration kLoadReportTime = std::chrono::milliseconds(500);
 /// Fraction of the duration by which the full share may be late.
 constexpr double kMaxFullShareDelay = 0.14;
-/// Minimum time between two evaluations without new faults. A small number of
-/// answers in each would limit the weight of each single one.
+/// Minimum time between two evaluations without new faults. LatencyTest bounds
+/// the deviation of an interval's mean, which must not be that of one answer.
 constexpr Duration kJudgePeriod = std::chrono::milliseconds(250);
 /// Fraction of the duration after which a version without the full share that
 /// is more likely slow than as fast is rolled back without proof.
@@ -158,6 +159,8 @@
   /// when it is not convincingly as fast.
   std::optional<Time> doubtful_since;
   std::optional<Time> unclear_since;
+  std::optional<Time> full_due_since;  ///< the full share
+  bool is_followed = false;            ///< this VM has evaluated it before
   bool is_rolling_back = false;
   VersionShare share;
   /// Number of answers with which it was last convincingly as fast.
@@ -422,7 +425,8 @@
 }
 
 // The full share lasts as long as the last requests at old targets are expected
-// to take, so that a version that turns bad late gets few requests.
+// to take and VMs need to learn of their end, so that a version that turns bad
+// late gets few requests.
 VersionMoves::Schedule VersionMoves::ScheduleOf(const MoveOrder& order,
                                                 const Traffic& traffic) {
   double handover = kMaxHandoverFraction;
@@ -437,14 +441,12 @@
       kMinCanaryFraction,
       schedule.full - std::min(kLoadStepFraction, ToSeconds(kMaxLoadStepTime) /
                                                       ToSeconds(order.time)));
-  schedule.overdue = schedule.full + std::min(kMaxFullShareDelay, handover / 2);
+  schedule.max_delay = std::min(kMaxFullShareDelay, handover / 2);
   return schedule;
 }
 
-void VersionMoves::Judge(Move* move, Time now, WallTime wall_now) {
-  const std::vector<VersionEvidence> sums =
-      evidence_->Merged(EvidenceKey(move->order.service, move->order.version));
-  const std::uint64_t bad_answers = TrafficOf(move->order).bad_answers;
+void VersionMoves::Judge(Move* move, std::uint64_t bad_answers, Time now,
+                         WallTime wall_now) {
   if (move->judged_at.has_value() && now - *move->judged_at < kJudgePeriod &&
       bad_answers == move->judged_bad_answers) {
     return;
@@ -457,7 +459,9 @@
   if (start_point) {
     move->start_point = now;
   }
-  move->verdict = move->judge.Update(sums, wall_now, start_point);
+  move->verdict = move->judge.Update(
+      evidence_->Merged(EvidenceKey(move->order.service, move->order.version)),
+      wall_now, start_point);
   JudgeRejections(start_point, move);
 }
 
@@ -579,6 +583,18 @@
   return share;
 }
 
+bool VersionMoves::IsDoubtful(double fraction, Time now, Move* move) const {
+  const VersionAssessment& verdict = move->verdict;
+  const bool has_answers = verdict.ends >= kDoubtfulAnswers;
+  SetSince(has_answers && verdict.slower, now, &move->doubtful_since);
+  SetSince(has_answers && !verdict.as_fast, now, &move->unclear_since);
+  const double limit = ToSeconds(options_.rollback_limit);
+  return (verdict.slower && fraction >= kSlowRollBackFraction &&
+          verdict.ends >= kMinSlowAnswers) ||
+         HasLasted(move->doubtful_since, kDoubtShare * limit, now) ||
+         HasLasted(move->unclear_since, kUnclearShare * limit, now);
+}
+
 void VersionMoves::Step(Move* move, const SideCapacity& sides, bool is_leader,
                         Time now, WallTime wall_now, Decisions* out) {
   const MoveOrder& order = move->order;
@@ -589,27 +605,29 @@
     }
     return;
   }
-  Judge(move, now, wall_now);
+  const Traffic traffic = TrafficOf(order);
+  Judge(move, traffic.bad_answers, now, wall_now);
   const double fraction = move->ElapsedFraction(now);
   if (move->verdict.as_fast && !move->verdict.suspect) {
     move->cleared_answers = move->verdict.ends;
   }
-  const Traffic traffic = TrafficOf(order);
   const Schedule schedule = ScheduleOf(order, traffic);
   const bool has_all = move->share.share_permille == kPermille;
-  const bool is_overdue = fraction >= schedule.overdue && !has_all;
+  // The plan changes when an old request has taken longer than all before. A VM
+  // that has just started goes by the plan as it is.
+  const Time planned =
+      move->started + FromSeconds(schedule.full * ToSeconds(order.time));
+  SetSince(fraction >= schedule.full, move->is_followed ? now : planned,
+           &move->full_due_since);
+  move->is_followed = true;
+  const bool is_overdue =
+      !has_all && (fraction >= kForcedCompletionFraction ||
+                   HasLasted(move->full_due_since,
+                             schedule.max_delay * ToSeconds(order.time), now));
+  const bool is_doubtful = IsDoubtful(fraction, now, move);
   // The load of all traffic slows a good version too, so then only proof
   // counts.
-  const bool has_answers = move->verdict.ends >= kDoubtfulAnswers;
-  SetSince(has_answers && move->verdict.slower, now, &move->doubtful_since);
-  SetSince(has_answers && !move->verdict.as_fast, now, &move->unclear_since);
-  const double limit = ToSeconds(options_.rollback_limit);
-  const bool is_doubt_over =
-      (move->verdict.slower && fraction >= kSlowRollBackFraction &&
-       move->verdict.ends >= kMinSlowAnswers) ||
-      HasLasted(move->doubtful_since, kDoubtShare * limit, now) ||
-      HasLasted(move->unclear_since, kUnclearShare * limit, now);
-  const bool is_likely_slow = is_doubt_over && !has_all;
+  const bool is_likely_slow = is_doubtful && !has_all;
   if (!move->is_rolling_back &&
       (move->verdict.bad || is_likely_slow || (is_overdue && is_leader))) {
     move->is_rolling_back = true;
--- a/src/serving/version_moves.h
+++ b/src/serving/version_moves.h
@@ -147,9 +147,9 @@
   struct Traffic {
     double given = 0;               ///< to the new version
     std::uint64_t bad_answers = 0;  ///< of the new version
-    double total = 0;
-    bool has_ended = false;  ///< some requests to the other versions
-    Duration longest{0};     ///< time of one of these
+    double total = 0;               ///< to all versions
+    bool has_ended = false;         ///< some requests to the other versions
+    Duration longest{0};            ///< time of one of these
 
     /// Requests of the whole move, at the mean rate so far.
     double Expected(double fraction) const;
@@ -158,13 +158,17 @@
   struct Schedule {
     double load_step = 0;
     double full = 0;
-    /// From which it is too late for the full share.
-    double overdue = 0;
+    /// By which the full share may be late.
+    double max_delay = 0;
   };
 
   Traffic TrafficOf(const MoveOrder& order) const;
   static Schedule ScheduleOf(const MoveOrder& order, const Traffic& traffic);
-  void Judge(Move* move, Time now, WallTime wall_now);
+  void Judge(Move* move, std::uint64_t bad_answers, Time now,
+             WallTime wall_now);
+  /// Whether the version is more likely slow than not, or has been unclear for
+  /// too long.
+  bool IsDoubtful(double fraction, Time now, Move* move) const;
   void JudgeRejections(bool start_point, Move* move) const;
   int CanaryPermille(const MoveOrder& order, const Schedule& schedule,
                      const Traffic& traffic, double fraction) const;
--- a/tests/serving/version_moves_test.cc
+++ b/tests/serving/version_moves_test.cc
@@ -662,7 +662,11 @@
     const double part = ToSeconds(now_ - start_) / ToSeconds(move_time_);
     return part >= from && part < to;
   };
-  const std::vector<std::pair<const char*, Rejects>> cases = {
+  struct Case {
+    const char* what;
+    Rejects rejects;
+  };
+  const std::vector<Case> cases = {
       {"0.3 always", [&](const std::string&) { return Chance(0.3); }},
       {"0.95 always", [&](const std::string&) { return Chance(0.95); }},
       {"a burst early",
@@ -674,24 +678,40 @@
       {"one route", [&](const std::string& route) { return route == "rare"; }},
   };
   for (const Load& load : {Load{60, 4, 12}, Load{200, 4, 12}}) {
-    for (const auto& [what, rejects] : cases) {
+    for (const Case& item : cases) {
       int completed = 0;
       for (int seed = 1; seed <= 50; ++seed) {
         Play(
             load,
             [&](const std::string&, const std::string& route, Time) {
               Answer answer{Chance(0.005), Draw(0.7, 1.5)};
-              answer.rejects = rejects(route);
+              answer.rejects = item.rejects(route);
               return answer;
             },
             static_cast<unsigned>(seed));
         completed += Outcome() == MoveOutcome::kCompleted ? 1 : 0;
       }
-      EXPECT_GE(completed, 48) << what << ", " << Name(load, 0);
+      EXPECT_GE(completed, 48) << item.what << ", " << Name(load, 0);
     }
   }
 }
 
+// A request to the old version that takes longer than all before changes the
+// plan, but leaves the new one time for its full share.
+TEST_F(VersionMoveExposureTest, LateLongOldRequestDoesNotEndTheMove) {
+  const Load load{200, 4, 12};
+  Play(
+      load,
+      [&](const std::string&, const std::string&, Time) {
+        if (now_ - start_ > move_time_ * 80 / 100) {
+          vms_[0]->OnHeld(kService, "usual", kOld, std::chrono::seconds(4));
+        }
+        return Answer{false, Draw(0.7, 1.5)};
+      },
+      1);
+  EXPECT_EQ(Outcome(), MoveOutcome::kCompleted);
+}
+
 // The limit is one of requests, so that traffic that rises during a move counts
 // against it.
 TEST_F(VersionMoveExposureTest, CanaryShareFollowsRisingTraffic) {
