Leave failing versions at once

Cause: a move takes its target for the version under suspicion, whichever serves now. The plan from the deadline backwards holds the full share back, also where the other versions are the ones that fail.

Change: where these fail a fifth of their requests or more, and four times as many as the new version does, that one gets the full share as soon as both have 30 answers.

The other tests of VersionMoves pass as before.

--- a/src/serving/version_moves.cc
+++ b/src/serving/version_moves.cc
@@ -80,6 +80,12 @@
 /// before the move completes.
 constexpr std::uint64_t kMinAnswers = 10;
 constexpr std::uint64_t kMinFullShareAnswers = 30;
+/// The versions in place are failing from this fault ratio on, if it is this
+/// multiple of the new version's. Then the new version gets all traffic at
+/// once.
+constexpr double kFailingRatio = 0.2;
+constexpr double kFailingFactor = 4;
+constexpr double kMinFailingAnswers = 30;
 /// Answers after which a version must have been convincingly as fast again.
 constexpr std::uint64_t kMaxUnclearAnswers = 20;
 /// Excess fault ratio over the other versions, and ratio of times to the first
@@ -396,6 +402,12 @@
   }
 }
 
+bool VersionMoves::Traffic::AreOldVersionsFailing() const {
+  return std::min(new_answers, old_answers) >= kMinFailingAnswers &&
+         old_faults >= kFailingRatio * old_answers &&
+         old_faults * new_answers >= kFailingFactor * new_faults * old_answers;
+}
+
 double VersionMoves::Traffic::Expected(double fraction) const {
   return total / std::max(kMinPlannedFraction, fraction);
 }
@@ -410,6 +422,9 @@
       const double n =
           std::max(item.sent, item.done + item.faults + item.rejected);
       traffic.total += n;
+      (item.is_new ? traffic.new_answers : traffic.old_answers) +=
+          item.done + item.faults;
+      (item.is_new ? traffic.new_faults : traffic.old_faults) += item.faults;
       if (item.is_new) {
         traffic.given += n;
         traffic.bad_answers += item.faults + item.rejected;
@@ -567,12 +582,11 @@
     return move.share.share_permille > canary.share_permille ? move.share
                                                              : canary;
   }
-  if (fraction < schedule.load_step) {
-    return canary;
-  }
   VersionShare share;
-  if (fraction >= schedule.full) {
+  if (fraction >= schedule.full || traffic.AreOldVersionsFailing()) {
     share.share_permille = static_cast<int>(kPermille);
+  } else if (fraction < schedule.load_step) {
+    share = canary;
   } else if (sides.new_targets <= 1) {
     share.share_permille = kSingleTargetPermille;
   } else {
--- a/src/serving/version_moves.h
+++ b/src/serving/version_moves.h
@@ -148,9 +148,15 @@
     double given = 0;               ///< to the new version
     std::uint64_t bad_answers = 0;  ///< of the new version
     double total = 0;               ///< to all versions
-    bool has_ended = false;         ///< some requests to the other versions
-    Duration longest{0};            ///< time of one of these
-
+    double new_answers = 0;         ///< without rejections
+    double new_faults = 0;
+    double old_answers = 0;  ///< of all other versions
+    double old_faults = 0;
+    bool has_ended = false;  ///< some requests to the other versions
+    Duration longest{0};     ///< time of one of these
+
+    /// Whether callers are better off with the new version at once.
+    bool AreOldVersionsFailing() const;
     /// Requests of the whole move, at the mean rate so far.
     double Expected(double fraction) const;
   };
--- a/tests/serving/version_moves_test.cc
+++ b/tests/serving/version_moves_test.cc
@@ -696,6 +696,25 @@
   }
 }
 
+// Guards against a move away from a failing version that leaves it most of the
+// traffic for as long as a canary takes.
+TEST_F(VersionMoveExposureTest, MoveAwayFromFailingVersionGetsFullShareEarly) {
+  const Load load{150, 4, 12};
+  for (int seed = 1; seed <= 20; ++seed) {
+    int sent_late = 0;
+    Play(
+        load,
+        [&](const std::string& version, const std::string&, Time) {
+          const bool is_late = now_ - start_ > move_time_ * 3 / 10;
+          sent_late += version == kOld && is_late ? 1 : 0;
+          return Answer{Chance(version == kOld ? 0.4 : 0.005), Draw(0.7, 1.5)};
+        },
+        static_cast<unsigned>(seed));
+    EXPECT_EQ(Outcome(), MoveOutcome::kCompleted) << Name(load, seed);
+    EXPECT_LE(sent_late, 20) << Name(load, seed);
+  }
+}
+
 // A request to the old version that takes longer than all before changes the
 // plan, but leaves the new one time for its full share.
 TEST_F(VersionMoveExposureTest, LateLongOldRequestDoesNotEndTheMove) {
